--- /dev/null
+++ b/Makefile
@@ -0,0 +1,48 @@
+# The virtual environment; set VENV to use one that exists already.
+VENV ?= .venv
+BIN = $(VENV)/bin
+SEED ?= 1
+STEPS ?= 200
+
+.PHONY: setup format check-format lint types imports test demo bench check-model soak capacity
+
+setup: $(VENV)/.installed
+
+$(VENV)/.installed: requirements.lock
+	python3 -m venv $(VENV)
+	$(BIN)/python -m pip install --quiet --disable-pip-version-check -r requirements.lock
+	touch $@
+
+format: setup
+	$(BIN)/black src tests benchmarks
+	$(BIN)/ruff check --fix src tests benchmarks
+
+check-format: setup
+	$(BIN)/black --check src tests benchmarks
+
+lint: setup
+	$(BIN)/ruff check src tests benchmarks
+
+types: setup
+	$(BIN)/mypy
+
+imports: setup
+	PYTHONPATH=src $(BIN)/lint-imports
+
+test: setup
+	$(BIN)/python -m pytest
+
+demo: setup
+	PYTHONPATH=src $(BIN)/python -m chicoryproxy.demo
+
+bench: setup
+	PYTHONPATH=src:. $(BIN)/python -m benchmarks.bench
+
+check-model: setup
+	PYTHONPATH=src:. $(BIN)/python -m benchmarks.check_model --depth full
+
+soak: setup
+	PYTHONPATH=src:. $(BIN)/python -m benchmarks.soak --seed $(SEED) --steps $(STEPS)
+
+capacity: setup
+	PYTHONPATH=src:. $(BIN)/python -m benchmarks.capacity
--- /dev/null
+++ b/src/chicoryproxy/packet.py
@@ -0,0 +1,136 @@
+"""Reading of inner packets at fixed header offsets.
+
+The fast path reads no more than the flow key, the destination and the TCP flags. ``read_packet``
+returns a ``DropReason`` as a sentinel in place of a head when the packet must not be forwarded.
+"""
+
+import ipaddress
+import struct
+
+import xxhash
+
+from chicoryproxy.ids import FlowKey
+from chicoryproxy.states import DropReason, Protocol
+
+IPV4_HEADER_BYTES = 20
+IPV6_HEADER_BYTES = 40
+TCP_HEADER_BYTES = 20
+UDP_HEADER_BYTES = 8
+FRAGMENT_BITS = 0x3FFF
+
+FLAG_FIN = 0x01
+FLAG_SYN = 0x02
+FLAG_RST = 0x04
+FLAG_ACK = 0x10
+
+TCP = int(Protocol.TCP)
+UDP = int(Protocol.UDP)
+
+_NUMBERS = {TCP: bytes((TCP,)), UDP: bytes((UDP,))}
+
+
+class PacketHead:
+    """The parts of a packet that a decision needs.
+
+    :ivar target: destination as the bytes of protocol, address and port, the key of the service
+        table.
+    :ivar source: origin in the same form.
+    :ivar flags: TCP flags; zero for UDP.
+    :ivar has_data: the transport payload is not empty.
+    """
+
+    __slots__ = ("target", "source", "flags", "has_data", "protocol")
+
+    def __init__(
+        self,
+        target: bytes,
+        source: bytes,
+        flags: int,
+        has_data: bool,
+        protocol: int,
+    ) -> None:
+        self.target = target
+        self.source = source
+        self.flags = flags
+        self.has_data = has_data
+        self.protocol = protocol
+
+    @property
+    def is_opening(self) -> bool:
+        """True for a TCP SYN without ACK."""
+        return self.flags & (FLAG_SYN | FLAG_ACK) == FLAG_SYN
+
+
+def read_packet(data: bytes) -> PacketHead | DropReason:
+    """Read the head of an IPv4 or IPv6 packet.
+
+    :param data: the whole inner packet.
+    :returns: the head, or the reason to drop the packet.
+    """
+    size = len(data)
+    if size < IPV4_HEADER_BYTES:
+        return DropReason.TRUNCATED
+    kind = data[0] >> 4
+    if kind == 4:
+        return _read_ipv4(data, size)
+    if kind == 6:
+        return _read_ipv6(data, size)
+    return DropReason.FOREIGN
+
+
+def _read_ipv4(data: bytes, size: int) -> PacketHead | DropReason:
+    header = (data[0] & 0x0F) * 4
+    if header < IPV4_HEADER_BYTES:
+        return DropReason.FOREIGN
+    if (data[2] << 8 | data[3]) != size:
+        return DropReason.TRUNCATED
+    if (data[6] << 8 | data[7]) & FRAGMENT_BITS:
+        return DropReason.FRAGMENT
+    return _read_transport(data, size, header, data[9], data[12:16], data[16:20])
+
+
+def _read_ipv6(data: bytes, size: int) -> PacketHead | DropReason:
+    if size < IPV6_HEADER_BYTES or (data[4] << 8 | data[5]) + IPV6_HEADER_BYTES != size:
+        return DropReason.TRUNCATED
+    protocol = data[6]
+    if protocol == 44:
+        return DropReason.FRAGMENT
+    return _read_transport(data, size, IPV6_HEADER_BYTES, protocol, data[8:24], data[24:40])
+
+
+def _read_transport(
+    data: bytes, size: int, offset: int, protocol: int, source: bytes, target: bytes
+) -> PacketHead | DropReason:
+    if protocol == TCP:
+        if size < offset + TCP_HEADER_BYTES:
+            return DropReason.TRUNCATED
+        flags = data[offset + 13]
+        body = offset + (data[offset + 12] >> 4) * 4
+        if body < offset + TCP_HEADER_BYTES or body > size:
+            return DropReason.TRUNCATED
+    elif protocol == UDP:
+        if size < offset + UDP_HEADER_BYTES:
+            return DropReason.TRUNCATED
+        flags = 0
+        body = offset + UDP_HEADER_BYTES
+    else:
+        return DropReason.FOREIGN
+    number = _NUMBERS[protocol]
+    source_key = number + source + data[offset : offset + 2]
+    target_key = number + target + data[offset + 2 : offset + 4]
+    return PacketHead(target_key, source_key, flags, body < size, protocol)
+
+
+def hash_flow(head: PacketHead) -> FlowKey:
+    """Hash the flow of a packet that travels from caller to service."""
+    return FlowKey(xxhash.xxh3_64_intdigest(head.source + head.target))
+
+
+def hash_returned_flow(head: PacketHead) -> FlowKey:
+    """Hash the flow of a packet that travels from service to caller."""
+    return FlowKey(xxhash.xxh3_64_intdigest(head.target + head.source))
+
+
+def pack_address(protocol: Protocol, host: str, port: int) -> bytes:
+    """Build the key under which a head names a service address."""
+    return bytes((protocol,)) + ipaddress.ip_address(host).packed + struct.pack("!H", port)
--- /dev/null
+++ b/src/chicoryproxy/states.py
@@ -0,0 +1,106 @@
+"""States and reasons, each an enumeration."""
+
+from enum import Enum, IntEnum, unique
+
+
+@unique
+class Protocol(IntEnum):
+    """Transport protocols, by their IP protocol number."""
+
+    TCP = 6
+    UDP = 17
+
+
+@unique
+class ReturnPath(Enum):
+    """How an upstream's answers travel to the caller."""
+
+    DIRECT = "direct"
+    ENTRY = "entry"
+
+
+@unique
+class DomainState(Enum):
+    """Whether operators have a failure domain in service."""
+
+    IN = "in"
+    OUT = "out"
+
+
+@unique
+class UpstreamState(Enum):
+    """What an upstream can take.
+
+    ``READY`` is the only state in which openings need no grant.
+    """
+
+    COLD = "cold"
+    WARMING = "warming"
+    READY = "ready"
+    SHEDDING = "shedding"
+    DRAINING = "draining"
+    UNREACHABLE = "unreachable"
+    GONE = "gone"
+
+
+@unique
+class MemberState(Enum):
+    """What this instance believes about a peer.
+
+    ``HIDDEN`` is a peer that stopped answering but is still on the published list.
+    """
+
+    ALIVE = "alive"
+    SUSPECT = "suspect"
+    HIDDEN = "hidden"
+    LEAVING = "leaving"
+    GONE = "gone"
+
+
+@unique
+class DropReason(Enum):
+    """Why a packet was dropped."""
+
+    TRUNCATED = "truncated"
+    FRAGMENT = "fragment"
+    FOREIGN = "foreign"
+    UNKNOWN_SERVICE = "unknown_service"
+    UNKNOWN_SOURCE = "unknown_source"
+    NO_VIEW = "no_view"
+    NO_HOME = "no_home"
+    NO_CAPACITY = "no_capacity"
+    NO_GRANT = "no_grant"
+    PLACEMENT_SPREADING = "placement_spreading"
+    QUEUE_FULL = "queue_full"
+    NOT_LISTED = "not_listed"
+    FLOW_TABLE_FULL = "flow_table_full"
+
+
+@unique
+class RefusalReason(Enum):
+    """Why a caller got a reset from this system."""
+
+    DOMAIN_OUT = "domain_out"
+    UPSTREAM_GONE = "upstream_gone"
+    NO_CAPACITY = "no_capacity"
+    NO_UPSTREAM = "no_upstream"
+    UNREACHABLE = "unreachable"
+    RETRY_BUDGET = "retry_budget"
+
+
+@unique
+class RouteReason(Enum):
+    """Why a packet went where it went."""
+
+    CLEAN_SLOT = "clean_slot"
+    KNOWN_FLOW = "known_flow"
+    HOME_OPENING = "home_opening"
+    HOME_BASE = "home_base"
+    HOME_RECORD = "home_record"
+    PEER_RECORD = "peer_record"
+    GUESS = "guess"
+    OVERFLOW = "overflow"
+    RETRY = "retry"
+    PASSED_CONTESTED = "passed_contested"
+    PASSED_BEHIND = "passed_behind"
+    RETURN = "return"
--- /dev/null
+++ b/tests/test_packet.py
@@ -0,0 +1,58 @@
+"""Tests of reading packets at fixed offsets."""
+
+from ipaddress import ip_address
+
+import dpkt
+import pytest
+
+from chicoryproxy.packet import hash_flow, hash_returned_flow, pack_address, read_packet
+from chicoryproxy.states import DropReason, Protocol
+
+
+def build_packet(source="192.0.2.1", target="198.51.100.1", flags=dpkt.tcp.TH_SYN, data=b""):
+    """Build an IPv4 packet with a TCP segment."""
+    segment = dpkt.tcp.TCP(sport=4000, dport=443, flags=flags, data=data)
+    packet = dpkt.ip.IP(
+        src=ip_address(source).packed,
+        dst=ip_address(target).packed,
+        p=6,
+        data=segment,
+    )
+    packet.len = len(packet)
+    return bytes(packet)
+
+
+def test_reads_opening():
+    head = read_packet(build_packet())
+    assert head.is_opening
+    assert not head.has_data
+    assert head.target == pack_address(Protocol.TCP, "198.51.100.1", 443)
+
+
+def test_both_directions_have_one_flow_key():
+    there = read_packet(build_packet())
+    back = dpkt.ip.IP(
+        src=ip_address("198.51.100.1").packed,
+        dst=ip_address("192.0.2.1").packed,
+        p=6,
+        data=dpkt.tcp.TCP(sport=443, dport=4000, flags=dpkt.tcp.TH_SYN | dpkt.tcp.TH_ACK),
+    )
+    back.len = len(back)
+    assert hash_flow(there) == hash_returned_flow(read_packet(bytes(back)))
+
+
+@pytest.mark.parametrize("length", [0, 1, 19, 20, 33, 39])
+def test_truncated_packet_has_a_reason(length):
+    assert read_packet(build_packet()[:length]) is DropReason.TRUNCATED
+
+
+def test_fragment_has_a_reason():
+    data = bytearray(build_packet())
+    data[6] = 0x20
+    assert read_packet(bytes(data)) is DropReason.FRAGMENT
+
+
+def test_other_protocol_is_foreign():
+    data = bytearray(build_packet())
+    data[9] = 1
+    assert read_packet(bytes(data)) is DropReason.FOREIGN
