--- a/src/chicoryproxy/actions.py
+++ b/src/chicoryproxy/actions.py
@@ -8,7 +8,7 @@
 from msgspec import Struct
 
 from chicoryproxy.ids import FlowKey, InstanceId, ServiceId, SlotIndex, UpstreamId, Version
-from chicoryproxy.messages import EntryMessage, Priority, ViewMessage
+from chicoryproxy.messages import EntryMessage, Priority, ViewMessage, ViewUpdate
 from chicoryproxy.model import Endpoint
 from chicoryproxy.states import DropReason, RefusalReason, RouteReason
 
@@ -73,3 +73,44 @@
 
 PacketAction = Forward | ForwardHeld | Return | ReturnPacket | Drop | SendToPeer | LogRoute
 """What the packet core may ask for."""
+
+
+class WatchPlatform(Struct, frozen=True):
+    """Read the configuration and the instance list from the platform and watch both.
+
+    :param after: version above which the watch reports.
+    """
+
+    after: Version
+
+
+class StopWatching(Struct, frozen=True):
+    """End the watch: other readers of the failure domain are in place."""
+
+
+class ReadHealth(Struct, frozen=True):
+    """Read the health endpoint of an upstream once."""
+
+    upstream: UpstreamId
+    url: str
+
+
+class UpdateEntry(Struct, frozen=True):
+    """Hand the entry of this instance a new view."""
+
+    update: ViewUpdate
+
+
+class LogControl(Struct, frozen=True):
+    """One decision of the control core, for the log.
+
+    :param part: fixed prefix of the part that decided, such as ``member`` or ``version``.
+    """
+
+    part: str
+    text: str
+    subject: str
+
+
+ControlAction = SendToView | WatchPlatform | StopWatching | ReadHealth | UpdateEntry | LogControl
+"""What the control core may ask for."""
--- a/src/chicoryproxy/messages.py
+++ b/src/chicoryproxy/messages.py
@@ -301,10 +301,15 @@
 
 
 class EntryReport(Struct, frozen=True):
-    """What the entry tells its view."""
+    """What the entry tells its view.
 
-    clean: tuple[ServiceClean, ...]
-    outcomes: tuple[OpeningOutcomes, ...]
+    :param outcomes: evidence of all entries about the upstreams that this instance owns.
+    :param warmed: owned upstreams whose ramp reached their full capacity.
+    """
+
+    clean: tuple[ServiceClean, ...] = ()
+    outcomes: tuple[OpeningOutcomes, ...] = ()
+    warmed: tuple[UpstreamId, ...] = ()
 
 
 EntryMessage = (
