Let homes ask for slot activity instead of every entry pushing it

Cause: pushed reports cost control bytes for each contested slot and entry all the time, and a lost report reads as silence.

--- a/src/chicoryproxy/messages.py
+++ b/src/chicoryproxy/messages.py
@@ -84,6 +84,7 @@
     """Asks a peer for the records of flows that it keeps for contested slots.
 
     :param query: number that the answer repeats.
+    :param slots: the slots; none means all slots that the sender is home of.
     """
 
     query: int
@@ -114,11 +115,20 @@
     number: int
 
 
+class SlotQuery(Struct, frozen=True):
+    """Asks an entry whether contested slots still have flows on an older candidate.
+
+    :param query: number that the report repeats.
+    """
+
+    query: int
+    slots: tuple[SlotName, ...]
+
+
 class SlotActivity(Struct, frozen=True):
-    """Whether an entry forwarded to an older candidate of a contested slot of late.
+    """Whether an entry holds live records on an older candidate of a contested slot.
 
     :param version: newest version of the service that the entry has.
-    :param live: true when it did so within the idle timeout.
     """
 
     slot: SlotName
@@ -127,8 +137,9 @@
 
 
 class SlotReport(Struct, frozen=True):
-    """An entry's report of the contested slots that the receiver is home of."""
+    """Answer to a query, one activity for each slot of the query."""
 
+    query: int
     activities: tuple[SlotActivity, ...]
 
 
@@ -319,6 +330,7 @@
     | FlowAnswer
     | Handover
     | HandoverAck
+    | SlotQuery
     | SlotReport
     | SlotReleases
     | GrantRequest
--- a/src/chicoryproxy/states.py
+++ b/src/chicoryproxy/states.py
@@ -73,6 +73,8 @@
     PLACEMENT_SPREADING = "placement_spreading"
     QUEUE_FULL = "queue_full"
     NOT_LISTED = "not_listed"
+    STALE_ANSWER = "stale_answer"
+    WAITING = "waiting"
     FLOW_TABLE_FULL = "flow_table_full"
 
 
