--- /dev/null
+++ b/src/chicoryproxy/flowtable.py
@@ -0,0 +1,229 @@
+"""Flow records of one entry in bounded memory.
+
+``docs/design/flow-table.md`` compares the layouts and gives the measured figures.
+"""
+
+from collections import deque
+from collections.abc import Iterator
+from enum import IntFlag, unique
+
+from msgspec import Struct
+
+from chicoryproxy.ids import FlowKey
+from chicoryproxy.states import DropReason
+
+SHARDS = 1024
+TICK_S = 4.0
+IDLE_TIMEOUT_S = 300.0
+HALF_OPEN_TIMEOUT_S = 12.0
+CLOSING_TIMEOUT_S = 8.0
+MAX_SHARED_STATES = 65_536
+
+FLAG_BITS = 8
+TICK_BITS = 16
+FLAG_MASK = (1 << FLAG_BITS) - 1
+TICK_MASK = (1 << TICK_BITS) - 1
+NUMBER_SHIFT = FLAG_BITS + TICK_BITS
+_SHARD_MASK = SHARDS - 1
+
+
+@unique
+class FlowFlag(IntFlag):
+    """What an entry knows of a recorded flow.
+
+    ``OPENED_HERE`` marks a record that this entry decided on as the home.
+    """
+
+    HALF_OPEN = 1
+    CLOSING = 2
+    OPENED_HERE = 4
+    DATA_FORWARDED = 8
+
+
+_HALF_OPEN = int(FlowFlag.HALF_OPEN)
+_CLOSING = int(FlowFlag.CLOSING)
+
+
+class FlowState(Struct, frozen=True):
+    """A record in readable form.
+
+    :param number: number that the caller gave the upstream.
+    :param flags: see :class:`FlowFlag`; neither half-open nor closing means established.
+    :param tick: coarse time of the last packet, in units of ``TICK_S`` modulo 65,536.
+    """
+
+    number: int
+    flags: FlowFlag
+    tick: int
+
+
+def unpack(state: int) -> FlowState:
+    """Return a packed state in readable form."""
+    return FlowState(
+        number=state >> NUMBER_SHIFT,
+        flags=FlowFlag(state & FLAG_MASK),
+        tick=state >> FLAG_BITS & TICK_MASK,
+    )
+
+
+def upstream_number(state: int) -> int:
+    """Return the upstream's number of a packed state."""
+    return state >> NUMBER_SHIFT
+
+
+class FlowTable:
+    """Maps flow keys to packed states: ``number << 24 | tick << 8 | flags``.
+
+    The records lie in ``SHARDS`` dictionaries by the lowest bits of the flow key. One shard is
+    small enough to be scanned, or to be resized by the interpreter, within the time of a few
+    packets. As a slot is given by the lowest bits too, the flows of one slot lie in few shards
+    and need no index. Equal states share one integer object, so that a record costs its key and
+    its dictionary entry only.
+
+    Long idle flows in clean slots need no record: placement alone finds their upstream. The
+    router records flows of contested slots.
+
+    :param capacity: largest number of records.
+    :param idle_timeout_s: lifetime of an established flow without a packet, in seconds, for
+        upstreams without a timeout of their own.
+    """
+
+    def __init__(self, capacity: int, idle_timeout_s: float = IDLE_TIMEOUT_S) -> None:
+        self.capacity = capacity
+        self._shards: list[dict[int, int]] = [{} for _ in range(SHARDS)]
+        self._count = 0
+        self._hand = 0
+        self._half_open: deque[FlowKey] = deque(maxlen=capacity)
+        self._shared: dict[int, int] = {}
+        self._idle_ticks = _to_ticks(idle_timeout_s)
+        self._ticks_by_number: dict[int, int] = {}
+
+    def __len__(self) -> int:
+        return self._count
+
+    def set_idle_timeout(self, number: int, timeout_s: float) -> None:
+        """Set the idle timeout of the flows of one upstream, in seconds."""
+        self._ticks_by_number[number] = _to_ticks(timeout_s)
+
+    def find(self, flow: FlowKey) -> int | None:
+        """Return the packed state of a flow, or ``None`` when there is no record."""
+        return self._shards[flow & _SHARD_MASK].get(flow)
+
+    def record(self, flow: FlowKey, number: int, flags: FlowFlag, now: float) -> DropReason | None:
+        """Write the record of a flow, over an older one if there is any.
+
+        A full table gives up its oldest half-open flow.
+
+        :param number: number of the upstream, at least zero.
+        :returns: ``FLOW_TABLE_FULL`` when every record is of an established flow, else ``None``.
+        """
+        shard = self._shards[flow & _SHARD_MASK]
+        if flow not in shard:
+            if self._count >= self.capacity and not self._evict_half_open():
+                return DropReason.FLOW_TABLE_FULL
+            self._count += 1
+        if flags & _HALF_OPEN:
+            self._half_open.append(flow)
+        shard[flow] = self._share(number << NUMBER_SHIFT | _tick(now) << FLAG_BITS | int(flags))
+        return None
+
+    def touch(self, flow: FlowKey, now: float) -> None:
+        """Note a packet of a recorded flow; a flow without a record is ignored."""
+        shard = self._shards[flow & _SHARD_MASK]
+        state = shard.get(flow)
+        if state is None:
+            return
+        tick = _tick(now)
+        if state >> FLAG_BITS & TICK_MASK != tick:
+            kept = state & ~(TICK_MASK << FLAG_BITS)
+            shard[flow] = self._share(kept | tick << FLAG_BITS)
+
+    def mark(self, flow: FlowKey, flags: FlowFlag, now: float) -> None:
+        """Add flags to a record; any packet but an opening ends the half-open state.
+
+        :param flags: ``FlowFlag(0)`` marks the flow as established.
+        """
+        shard = self._shards[flow & _SHARD_MASK]
+        state = shard.get(flow)
+        if state is None:
+            return
+        kept = state & ~(TICK_MASK << FLAG_BITS | _HALF_OPEN)
+        shard[flow] = self._share(kept | int(flags) | _tick(now) << FLAG_BITS)
+
+    def close(self, flow: FlowKey) -> None:
+        """Remove the record of a flow at once, as after a reset."""
+        if self._shards[flow & _SHARD_MASK].pop(flow, None) is not None:
+            self._count -= 1
+
+    def expire(self, now: float, limit: int) -> int:
+        """Remove overdue records, going on where the last call ended.
+
+        The call ends with the shard in which it has looked at ``limit`` records or more.
+
+        :param limit: number of records to look at.
+        :returns: number of records removed.
+        """
+        tick = _tick(now)
+        before = self._count
+        looked = 0
+        for _ in range(SHARDS):
+            shard = self._shards[self._hand]
+            self._hand = (self._hand + 1) & _SHARD_MASK
+            looked += len(shard)
+            self._expire_shard(shard, tick)
+            if looked >= limit:
+                break
+        return before - self._count
+
+    def flows_of(self, slot: int, size: int) -> Iterator[tuple[FlowKey, int]]:
+        """Return the flows of a slot with their packed states, of whatever service.
+
+        :param slot: index of the slot.
+        :param size: number of slots that the index refers to, a power of two.
+        """
+        mask = size - 1
+        for number in range(slot & _SHARD_MASK, SHARDS, min(size, SHARDS)):
+            for flow, state in list(self._shards[number].items()):
+                if flow & mask == slot:
+                    yield FlowKey(flow), state
+
+    def _expire_shard(self, shard: dict[int, int], tick: int) -> None:
+        overdue = [flow for flow, state in shard.items() if self._is_overdue(state, tick)]
+        for flow in overdue:
+            del shard[flow]
+        self._count -= len(overdue)
+
+    def _is_overdue(self, state: int, tick: int) -> bool:
+        age = (tick - (state >> FLAG_BITS)) & TICK_MASK
+        if state & _CLOSING:
+            return age > _CLOSING_TICKS
+        if state & _HALF_OPEN:
+            return age > _HALF_OPEN_TICKS
+        return age > self._ticks_by_number.get(state >> NUMBER_SHIFT, self._idle_ticks)
+
+    def _evict_half_open(self) -> bool:
+        queue = self._half_open
+        while queue:
+            flow = queue.popleft()
+            state = self.find(flow)
+            if state is not None and state & _HALF_OPEN:
+                self.close(flow)
+                return True
+        return False
+
+    def _share(self, state: int) -> int:
+        if len(self._shared) > MAX_SHARED_STATES:
+            self._shared.clear()
+        return self._shared.setdefault(state, state)
+
+
+def _tick(now: float) -> int:
+    return int(now / TICK_S) & TICK_MASK
+
+
+def _to_ticks(seconds: float) -> int:
+    return -int(-seconds // TICK_S)
+
+
+_HALF_OPEN_TICKS = _to_ticks(HALF_OPEN_TIMEOUT_S)
+_CLOSING_TICKS = _to_ticks(CLOSING_TIMEOUT_S)
