--- /dev/null
+++ b/src/chicoryproxy/seal.py
@@ -0,0 +1,290 @@
+"""Authentication of messages between instances, with a keyed hash and a replay window.
+
+A sealed message is a header (form, key id, session, counter, length of the sender's id), the
+sender's id, the body and a tag. The tag is a keyed BLAKE2b over all of it and over the receiver's
+id and the channel, so that a message is of no use at another receiver. The window follows the
+sliding window of IPsec (RFC 4303, section 3.4.3).
+
+The session number is injected and must rise with each start of a process, for which the time of
+the start in milliseconds serves. A receiver that restarts has forgotten its windows; messages
+captured before then can be replayed to it once, which the counters and epochs inside the messages
+have to bear.
+"""
+
+import hashlib
+import hmac
+import struct
+from abc import ABC, abstractmethod
+from collections import Counter, OrderedDict
+from collections.abc import Mapping, Sequence
+from enum import Enum, unique
+
+from msgspec import Struct
+
+from chicoryproxy.ids import InstanceId
+
+TAG_BYTES = 16
+KEY_ID_BYTES = 2
+MIN_KEY_BYTES = 16
+MAX_KEY_BYTES = 64
+WINDOW_MESSAGES = 1024
+MAX_SENDERS = 16_384
+FORM = 1
+
+_HEADER = struct.Struct("!B2sQIB")
+_MAX_COUNTER = (1 << 32) - 1
+
+
+@unique
+class Channel(Enum):
+    """What a sealed message is for; a message of one channel is refused on the other."""
+
+    PEER = b"peer"
+    VIEW = b"view"
+
+
+@unique
+class SealProblem(Enum):
+    """Why a received message was not accepted."""
+
+    TRUNCATED = "truncated"
+    FOREIGN = "foreign"
+    UNKNOWN_KEY = "unknown_key"
+    WRONG_TAG = "wrong_tag"
+    REPLAYED = "replayed"
+    UNLISTED_ADDRESS = "unlisted_address"
+
+
+class Opened(Struct, frozen=True):
+    """The body of an accepted message and the instance that sent it."""
+
+    sender: InstanceId
+    body: bytes
+
+
+class _Parts(Struct, frozen=True):
+    key_id: bytes
+    session: int
+    counter: int
+    sender: InstanceId
+    body_at: int
+
+
+class Seal(ABC):
+    """Seals messages for peers and opens theirs.
+
+    :param sender: the id of this instance.
+    :param session: number that rises with each start of this process.
+    :param channel: what the messages are for.
+
+    :ivar problems: number of refused messages for each reason.
+    """
+
+    def __init__(self, sender: InstanceId, session: int, channel: Channel) -> None:
+        self.problems: Counter[SealProblem] = Counter()
+        self._sender = sender
+        self._sender_bytes = sender.encode()
+        self._channel = channel
+        self._session = session
+        self._counter = 0
+
+    @abstractmethod
+    def seal(self, body: bytes, receiver: InstanceId) -> bytes:
+        """Seal a body for one receiver."""
+
+    @abstractmethod
+    def _check(self, data: bytes, parts: _Parts, host: str) -> SealProblem | None:
+        """Check that the stated sender has sent the message."""
+
+    @abstractmethod
+    def _get_body(self, data: bytes, parts: _Parts) -> bytes:
+        """Return the body of a checked message."""
+
+    @abstractmethod
+    def set_peers(self, hosts: Mapping[InstanceId, str]) -> None:
+        """Take the addresses of the listed peers."""
+
+    def open(self, data: bytes, host: str) -> Opened | SealProblem:
+        """Check a received message.
+
+        :param data: the message as received.
+        :param host: address that it came from.
+        :returns: the body with its sender, or the reason to refuse it, which is counted.
+        """
+        result = self._open(data, host)
+        if isinstance(result, SealProblem):
+            self.problems[result] += 1
+        return result
+
+    def _open(self, data: bytes, host: str) -> Opened | SealProblem:
+        parts = _read_parts(data)
+        if isinstance(parts, SealProblem):
+            return parts
+        problem = self._check(data, parts, host)
+        if problem is not None:
+            return problem
+        return Opened(parts.sender, self._get_body(data, parts))
+
+    def _write_header(self, key_id: bytes) -> bytes:
+        self._count()
+        header = _HEADER.pack(FORM, key_id, self._session, self._counter, len(self._sender_bytes))
+        return header + self._sender_bytes
+
+    def _count(self) -> None:
+        if self._counter == _MAX_COUNTER:
+            self._session += 1
+            self._counter = 0
+        self._counter += 1
+
+
+class KeyedSeal(Seal):
+    """Seal with a secret key that all instances share.
+
+    :param keys: the key to seal with, then the other key that is accepted during a rotation.
+    """
+
+    def __init__(
+        self, sender: InstanceId, session: int, channel: Channel, keys: Sequence[bytes]
+    ) -> None:
+        super().__init__(sender, session, channel)
+        self._keys = {_derive_key_id(key): key for key in reversed(keys)}
+        self._key = keys[0]
+        self._key_id = _derive_key_id(keys[0])
+        self._windows = _Windows()
+
+    def seal(self, body: bytes, receiver: InstanceId) -> bytes:
+        """Seal a body for one receiver."""
+        data = self._write_header(self._key_id) + body
+        return data + self._compute_tag(self._key, data, receiver)
+
+    def set_peers(self, hosts: Mapping[InstanceId, str]) -> None:
+        """Ignore the list: a key says more than an address."""
+
+    def _check(self, data: bytes, parts: _Parts, host: str) -> SealProblem | None:
+        if len(data) < parts.body_at + TAG_BYTES:
+            return SealProblem.TRUNCATED
+        key = self._keys.get(parts.key_id)
+        if key is None:
+            return SealProblem.UNKNOWN_KEY
+        tag = self._compute_tag(key, data[:-TAG_BYTES], self._sender)
+        if not hmac.compare_digest(tag, data[-TAG_BYTES:]):
+            return SealProblem.WRONG_TAG
+        if not self._windows.accept(parts):
+            return SealProblem.REPLAYED
+        return None
+
+    def _get_body(self, data: bytes, parts: _Parts) -> bytes:
+        return data[parts.body_at : -TAG_BYTES]
+
+    def _compute_tag(self, key: bytes, data: bytes, receiver: InstanceId) -> bytes:
+        tag = hashlib.blake2b(key=key, digest_size=TAG_BYTES, person=self._channel.value)
+        name = receiver.encode()
+        tag.update(bytes((len(name) & 0xFF,)))
+        tag.update(name)
+        tag.update(data)
+        return tag.digest()
+
+
+class AddressSeal(Seal):
+    """Without a key: accepts a sender only from the address that the list gives for it."""
+
+    def __init__(self, sender: InstanceId, session: int, channel: Channel) -> None:
+        super().__init__(sender, session, channel)
+        self._hosts: Mapping[InstanceId, str] = {}
+
+    def seal(self, body: bytes, receiver: InstanceId) -> bytes:
+        """Put the header before a body."""
+        return self._write_header(bytes(KEY_ID_BYTES)) + body
+
+    def set_peers(self, hosts: Mapping[InstanceId, str]) -> None:
+        """Take the addresses of the listed peers."""
+        self._hosts = dict(hosts)
+
+    def _check(self, data: bytes, parts: _Parts, host: str) -> SealProblem | None:
+        if self._hosts.get(parts.sender) != host:
+            return SealProblem.UNLISTED_ADDRESS
+        return None
+
+    def _get_body(self, data: bytes, parts: _Parts) -> bytes:
+        return data[parts.body_at :]
+
+
+class _Window:
+    """The newest session of a sender and which of its last messages have come."""
+
+    __slots__ = ("session", "highest", "seen")
+
+    def __init__(self, session: int) -> None:
+        self.session = session
+        self.highest = 0
+        self.seen = 0
+
+    def accept(self, counter: int) -> bool:
+        ahead = counter - self.highest
+        if ahead > 0:
+            self.seen = 1 if ahead >= WINDOW_MESSAGES else self._shift(ahead)
+            self.highest = counter
+            return True
+        bit = 1 << -ahead
+        if -ahead >= WINDOW_MESSAGES or self.seen & bit:
+            return False
+        self.seen |= bit
+        return True
+
+    def _shift(self, ahead: int) -> int:
+        return (self.seen << ahead | 1) & ((1 << WINDOW_MESSAGES) - 1)
+
+
+class _Windows:
+    """One window for each sender; the sender that was silent longest is forgotten first."""
+
+    def __init__(self) -> None:
+        self._by_sender: OrderedDict[InstanceId, _Window] = OrderedDict()
+
+    def accept(self, parts: _Parts) -> bool:
+        window = self._by_sender.get(parts.sender)
+        if window is None or parts.session > window.session:
+            window = self._add(parts)
+        elif parts.session < window.session:
+            return False
+        self._by_sender.move_to_end(parts.sender)
+        return window.accept(parts.counter)
+
+    def _add(self, parts: _Parts) -> _Window:
+        window = _Window(parts.session)
+        self._by_sender[parts.sender] = window
+        if len(self._by_sender) > MAX_SENDERS:
+            self._by_sender.popitem(last=False)
+        return window
+
+
+def create_seal(
+    sender: InstanceId, session: int, channel: Channel, keys: Sequence[bytes] = ()
+) -> Seal:
+    """Create the seal of one channel of this process.
+
+    :param keys: the key to seal with, then the previous key; without keys, addresses are checked.
+    """
+    if keys:
+        return KeyedSeal(sender, session, channel, keys)
+    return AddressSeal(sender, session, channel)
+
+
+def _derive_key_id(key: bytes) -> bytes:
+    return hashlib.blake2b(key, digest_size=KEY_ID_BYTES, person=b"key-id").digest()
+
+
+def _read_parts(data: bytes) -> _Parts | SealProblem:
+    if len(data) < _HEADER.size:
+        return SealProblem.TRUNCATED
+    form, key_id, session, counter, size = _HEADER.unpack_from(data)
+    if form != FORM:
+        return SealProblem.FOREIGN
+    body_at = _HEADER.size + size
+    if len(data) < body_at:
+        return SealProblem.TRUNCATED
+    try:
+        sender = InstanceId(data[_HEADER.size : body_at].decode())
+    except UnicodeDecodeError:
+        return SealProblem.FOREIGN
+    return _Parts(key_id, session, counter, sender, body_at)
