--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements that are run by hand: ``make bench``, ``make capacity``, ``make soak``."""
