Read and check the settings of an instance

The processes need their addresses, failure domain and targets. Settings come from YAML, the environment and flags, in that order; all faults are reported at once with file, line, column and the way to mend them.

--- /dev/null
+++ b/src/chicoryproxy/address.py
@@ -0,0 +1,52 @@
+"""Reads IP numbers with ports."""
+
+import ipaddress
+from enum import Enum, unique
+
+from chicoryproxy.model import Endpoint
+
+MAX_PORT = 65535
+
+
+@unique
+class AddressFault(Enum):
+    """Why a text is no endpoint."""
+
+    NO_PORT = "no port follows the IP number"
+    BAD_HOST = "the part before the port is no IP number"
+    BAD_PORT = "the port isn't between 1 and 65535"
+
+
+def parse_endpoint(text: str) -> Endpoint | AddressFault:
+    """Return the endpoint of ``10.0.0.7:6080`` or ``[2001:db8::7]:6080``.
+
+    IPv6 numbers come out in their shortest form, so that equal endpoints compare equal.
+    """
+    host, colon, port = text.rpartition(":")
+    if not colon:
+        return AddressFault.NO_PORT
+    if not (port.isascii() and port.isdecimal() and len(port) <= 5):
+        return AddressFault.BAD_PORT
+    if not 1 <= int(port) <= MAX_PORT:
+        return AddressFault.BAD_PORT
+    number = _parse_host(host)
+    if number is None:
+        return AddressFault.BAD_HOST
+    return Endpoint(number, int(port))
+
+
+def format_endpoint(endpoint: Endpoint) -> str:
+    """Return the text that ``parse_endpoint`` reads."""
+    if ":" in endpoint.host:
+        return f"[{endpoint.host}]:{endpoint.port}"
+    return f"{endpoint.host}:{endpoint.port}"
+
+
+def _parse_host(host: str) -> str | None:
+    bracketed = host.startswith("[") and host.endswith("]")
+    try:
+        if bracketed:
+            return str(ipaddress.IPv6Address(host[1:-1]))
+        return str(ipaddress.IPv4Address(host))
+    except ValueError:
+        return None
--- /dev/null
+++ b/src/chicoryproxy/conversion.py
@@ -0,0 +1,247 @@
+"""Converts a document's plain data into structs and collects every fault with its place.
+
+``msgspec.convert`` stops at the first fault; this module walks the structs and gives msgspec one
+leaf at a time, so that an operator sees all faults at once.
+"""
+
+import difflib
+import types
+from collections.abc import Iterable
+from enum import Enum, unique
+from typing import Annotated, Any, TypeVar, Union, cast, get_args, get_origin, get_type_hints
+
+import msgspec
+from msgspec import Meta, Struct
+
+from chicoryproxy.document import Data, Document, Path
+from chicoryproxy.finding import FindingList
+
+S = TypeVar("S", bound=Struct)
+
+_NAMES = {dict: "a mapping", list: "a list", str: "a text", bool: "true or false"}
+_NAMES |= {int: "a whole number", float: "a number", type(None): "nothing"}
+
+
+class Notes(Struct, frozen=True):
+    """What a type hint says about a key besides its type.
+
+    :param title: name of the kind of value, such as "a duration".
+    :param description: what the key does.
+    :param examples: values in their written form.
+    """
+
+    title: str
+    description: str
+    examples: tuple[str, ...]
+
+
+@unique
+class _Invalid(Enum):
+    """Stands for a value with a fault."""
+
+    INVALID = "invalid"
+
+
+def convert_document(document: Document, kind: type[S], findings: FindingList) -> S:
+    """Convert a document into a struct.
+
+    A value with a fault is replaced by the default of its key, or by an empty value, so that
+    later checks can go on with the rest.
+
+    :param kind: the struct of the whole document.
+    :param findings: takes what is wrong.
+    """
+    return cast(S, _Converter(document, findings).convert(document.data, kind, ()))
+
+
+def suggest_name(name: str, known: Iterable[str]) -> str:
+    """Return a remedy for an unknown name: the nearest known one, or all of them.
+
+    :param name: the name that was written.
+    :param known: the names that would be right.
+    """
+    names = sorted(known)
+    nearest = difflib.get_close_matches(name, names, n=1)
+    if nearest:
+        return f"write `{nearest[0]}`"
+    if not names:
+        return "remove it"
+    shown = ", ".join(f"`{known_name}`" for known_name in names[:12])
+    return f"write one of {shown}" + (", ..." if len(names) > 12 else "")
+
+
+def get_notes(hint: Any) -> Notes:
+    """Return the notes of a type hint, the outer ones before the inner ones."""
+    title, description = "", ""
+    examples: tuple[str, ...] = ()
+    for meta in reversed(_list_metas(hint)):
+        title = title or meta.title or ""
+        description = description or meta.description or ""
+        examples = examples or tuple(str(example) for example in meta.examples or ())
+    return Notes(title, description, examples)
+
+
+def _list_metas(hint: Any) -> list[Meta]:
+    if get_origin(hint) is Annotated:
+        inner = _list_metas(get_args(hint)[0])
+        return inner + [note for note in hint.__metadata__ if isinstance(note, Meta)]
+    if get_origin(hint) in (Union, types.UnionType):
+        return [meta for member in get_args(hint) for meta in _list_metas(member)]
+    return []
+
+
+def strip_optional(hint: Any) -> Any:
+    """Return a type hint without ``Annotated`` and without ``None``."""
+    if get_origin(hint) is Annotated:
+        return strip_optional(get_args(hint)[0])
+    if get_origin(hint) in (Union, types.UnionType):
+        members = [member for member in get_args(hint) if member is not type(None)]
+        if len(members) == 1:
+            return strip_optional(members[0])
+    return hint
+
+
+def get_hints(kind: type[Struct]) -> dict[str, Any]:
+    """Return the type hints of a struct's keys with their notes."""
+    hints = get_type_hints(kind, include_extras=True)
+    return {field.name: hints[field.name] for field in msgspec.structs.fields(kind)}
+
+
+class _Converter:
+    """Walks data and type hints side by side."""
+
+    def __init__(self, document: Document, findings: FindingList) -> None:
+        self._document = document
+        self._findings = findings
+
+    def convert(self, data: Data, hint: Any, path: Path) -> Any:
+        kind = strip_optional(hint)
+        origin = get_origin(kind)
+        if isinstance(kind, type) and issubclass(kind, Struct):
+            return self._convert_struct(data, kind, path)
+        if origin is dict:
+            return self._convert_mapping(data, get_args(kind)[1], path)
+        if origin is tuple:
+            return self._convert_sequence(data, get_args(kind)[0], path)
+        return self._convert_leaf(data, hint, path)
+
+    def _convert_struct(self, data: Data, kind: type[Struct], path: Path) -> Struct:
+        hints = get_hints(kind)
+        written = self._expect(data, dict, path, f"the keys {_quote(hints)}")
+        for key in written.keys() - hints.keys():
+            self._add((*path, key), f"unknown key `{key}`", suggest_name(key, hints))
+        values: dict[str, Any] = {}
+        for field in msgspec.structs.fields(kind):
+            key, hint = field.name, hints[field.name]
+            value: Any = _Invalid.INVALID
+            if key in written:
+                value = self.convert(written[key], hint, (*path, key))
+            elif field.required and isinstance(data, dict):
+                self._add_missing(key, hint, path)
+            if value is not _Invalid.INVALID:
+                values[key] = value
+            elif field.required:
+                values[key] = create_empty(hint)
+        return kind(**values)
+
+    def _convert_mapping(self, data: Data, hint: Any, path: Path) -> dict[str, Any]:
+        written = self._expect(data, dict, path, "names, each with its keys")
+        return {
+            key: self._convert_item(value, hint, (*path, key)) for key, value in written.items()
+        }
+
+    def _convert_sequence(self, data: Data, hint: Any, path: Path) -> tuple[Any, ...]:
+        written = self._expect(data, list, path, "a list, each entry after a `-`")
+        return tuple(
+            self._convert_item(value, hint, (*path, index)) for index, value in enumerate(written)
+        )
+
+    def _convert_item(self, data: Data, hint: Any, path: Path) -> Any:
+        value = self.convert(data, hint, path)
+        return create_empty(hint) if value is _Invalid.INVALID else value
+
+    def _convert_leaf(self, data: Data, hint: Any, path: Path) -> Any:
+        try:
+            return msgspec.convert(data, hint)
+        except msgspec.ValidationError as error:
+            self._add(path, _explain(data, hint, error), _suggest_value(data, hint))
+            return _Invalid.INVALID
+
+    def _expect(self, data: Data, kind: type, path: Path, remedy: str) -> Any:
+        if isinstance(data, kind):
+            return data
+        if data is not None or not path:
+            name = str(path[-1]) if path else "the document"
+            found = _NAMES[type(data)]
+            self._add(path, f"`{name}` is {found}, not {_NAMES[kind]}", f"write {remedy}")
+        else:
+            self._add(path, f"`{path[-1]}` is empty", f"write {remedy}, or remove the key")
+        return kind()
+
+    def _add_missing(self, key: str, hint: Any, path: Path) -> None:
+        description = get_notes(hint).description
+        about = f": {description}" if description else ""
+        self._add(path, f"`{key}` is missing", f"add `{key}`{about}")
+
+    def _add(self, path: Path, message: str, remedy: str) -> None:
+        self._findings.add(self._document.get_place(path), message, remedy)
+
+
+def create_empty(hint: Any) -> Any:
+    """Return an empty value of a type, which checks take as one that was reported already."""
+    kind = strip_optional(hint)
+    base = get_origin(kind) or kind
+    if isinstance(base, type) and issubclass(base, Enum):
+        return next(iter(base))
+    if isinstance(base, type) and issubclass(base, Struct):
+        hints = get_hints(base)
+        required = [field.name for field in msgspec.structs.fields(base) if field.required]
+        return base(**{name: create_empty(hints[name]) for name in required})
+    if kind is not hint and get_origin(hint) is not Annotated:
+        return None
+    return base() if base in (str, int, float, bool, dict, tuple) else None
+
+
+def describe_type(hint: Any) -> str:
+    """Return the name of a type for a person."""
+    title = get_notes(hint).title
+    kind = strip_optional(hint)
+    base = get_origin(kind) or kind
+    if title:
+        return title
+    if isinstance(base, type) and issubclass(base, Enum):
+        return " or ".join(f"`{_show_member(member)}`" for member in base)
+    names: dict[Any, str] = {**_NAMES, tuple: "a list"}
+    return names.get(base, getattr(base, "__name__", str(base)))
+
+
+def _show_member(member: Enum) -> str:
+    return str(member.value)
+
+
+def _explain(data: Data, hint: Any, error: Exception) -> str:
+    shown = data if isinstance(data, str) else _NAMES.get(type(data), "a value")
+    if isinstance(data, int | float) and not isinstance(data, bool):
+        shown = f"{data}"
+    bounds = str(error).partition(" - ")[0]
+    if "pattern" in bounds or "matching" in bounds or "enum" in bounds or "Expected `" in bounds:
+        reason = f"expected {describe_type(hint)}"
+    else:
+        reason = bounds[:1].lower() + bounds[1:]
+    return f"`{shown}` can't be used: {reason}"
+
+
+def _suggest_value(data: Data, hint: Any) -> str:
+    kind = strip_optional(hint)
+    if isinstance(kind, type) and issubclass(kind, Enum):
+        return suggest_name(str(data), (_show_member(member) for member in kind))
+    examples = get_notes(hint).examples
+    if examples:
+        return f"write a value such as {examples[0]}"
+    if kind is str and data is not None and not isinstance(data, str | dict | list):
+        return f'put it in quotation marks: "{data}"'
+    return f"write {describe_type(hint)}"
+
+
+def _quote(names: Iterable[str]) -> str:
+    return ", ".join(f"`{name}`" for name in names)
--- /dev/null
+++ b/src/chicoryproxy/quantity.py
@@ -0,0 +1,65 @@
+"""Durations, sizes and shares with their units."""
+
+import re
+from enum import Enum, unique
+
+DURATION_PATTERN = r"^[0-9]+(\.[0-9]+)?(ms|s|m|h|d)$"
+"""A number and its unit, such as ``300s`` or ``1.5m``."""
+
+SIZE_PATTERN = r"^[0-9]+(B|KB|MB|GB)$"
+"""A whole number and its unit, such as ``4KB``; 1 KB is 1,024 bytes."""
+
+PERCENT_PATTERN = r"^[0-9]+(\.[0-9]+)?%$"
+"""A number and the percent sign, such as ``10%``."""
+
+_SECONDS = {"ms": 0.001, "s": 1.0, "m": 60.0, "h": 3600.0, "d": 86400.0}
+_BYTES = {"B": 1, "KB": 1024, "MB": 1024**2, "GB": 1024**3}
+_PARTS = re.compile(r"([0-9.]+)([A-Za-z%]+)")
+
+
+@unique
+class QuantityFault(Enum):
+    """Why a text is no quantity."""
+
+    NO_DURATION = "no duration"
+    NO_SIZE = "no size"
+    NO_PERCENT = "no percentage"
+
+
+def parse_duration(text: str) -> float | QuantityFault:
+    """Return the seconds of a duration such as ``300s``."""
+    if not re.fullmatch(DURATION_PATTERN, text):
+        return QuantityFault.NO_DURATION
+    number, unit = _split(text)
+    return float(number) * _SECONDS[unit]
+
+
+def parse_size(text: str) -> int | QuantityFault:
+    """Return the bytes of a size such as ``4KB``."""
+    if not re.fullmatch(SIZE_PATTERN, text):
+        return QuantityFault.NO_SIZE
+    number, unit = _split(text)
+    return int(number) * _BYTES[unit]
+
+
+def parse_percent(text: str) -> float | QuantityFault:
+    """Return the share between 0 and 1 of a percentage such as ``10%``."""
+    if not re.fullmatch(PERCENT_PATTERN, text):
+        return QuantityFault.NO_PERCENT
+    number, _ = _split(text)
+    return float(number) / 100
+
+
+def format_duration(seconds: float) -> str:
+    """Return a duration as text with the largest unit that keeps it whole."""
+    for unit in ("d", "h", "m", "s"):
+        count = seconds / _SECONDS[unit]
+        if count >= 1 and count.is_integer():
+            return f"{int(count)}{unit}"
+    return f"{seconds * 1000:g}ms"
+
+
+def _split(text: str) -> tuple[str, str]:
+    parts = _PARTS.fullmatch(text)
+    assert parts is not None
+    return parts.group(1), parts.group(2)
--- /dev/null
+++ b/src/chicoryproxy/settings.py
@@ -0,0 +1,311 @@
+"""The settings of one instance: YAML, then environment variables, then flags.
+
+Every key can be set in the file, by an environment variable (``CHICORY_`` and the key in capital
+letters) and by a flag; the later one wins. All three are checked in the same way, and all faults
+are reported at once.
+"""
+
+from collections.abc import Mapping
+from enum import Enum, unique
+from typing import Annotated
+from urllib.parse import urlsplit
+
+from msgspec import Meta, Struct, structs
+
+from chicoryproxy.address import AddressFault, parse_endpoint
+from chicoryproxy.conversion import convert_document, get_hints, strip_optional, suggest_name
+from chicoryproxy.document import Data, Document, DocumentFault, Path, load_document
+from chicoryproxy.errors import SettingsError
+from chicoryproxy.finding import FindingList, Place
+from chicoryproxy.ids import DomainId, InstanceId, RegionId
+from chicoryproxy.model import Endpoint
+from chicoryproxy.quantity import DURATION_PATTERN, QuantityFault, parse_duration
+
+ENVIRONMENT_PREFIX = "CHICORY_"
+
+NAME_PATTERN = r"^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$"
+"""Names of instances, domains, regions, services and upstreams."""
+
+_MISSING_ENDPOINT = Endpoint("0.0.0.0", 0)
+
+
+@unique
+class LogFormat(Enum):
+    """How log lines are written."""
+
+    JSON = "json"
+    HUMAN = "human"
+
+
+Name = Annotated[
+    str,
+    Meta(
+        title="a name of letters, digits, `.`, `_` and `-`, at most 63",
+        pattern=NAME_PATTERN,
+    ),
+]
+EndpointText = Annotated[
+    str, Meta(title="an IP number and a port", examples=["10.0.0.7:6080", "'[2001:db8::7]:6080'"])
+]
+DurationText = Annotated[
+    str,
+    Meta(
+        title="a duration with its unit (ms, s, m, h or d)",
+        pattern=DURATION_PATTERN,
+        examples=["30s", "5m"],
+    ),
+]
+
+
+class WrittenSettings(Struct, frozen=True, kw_only=True):
+    """The settings as an operator writes them; each key's notes are its documentation."""
+
+    instance: Annotated[Name, Meta(description="name of this instance, unique in the fleet")]
+    domain: Annotated[Name, Meta(description="failure domain that this instance runs in")]
+    region: Annotated[Name, Meta(description="region that the failure domain belongs to")]
+    data: Annotated[EndpointText, Meta(description="where the entry takes IP-in-UDP packets (UDP)")]
+    peer: Annotated[
+        EndpointText, Meta(description="where the entry takes messages of other entries (UDP)")
+    ]
+    view: Annotated[
+        EndpointText,
+        Meta(description="where the view takes messages of other views (UDP and TCP)"),
+    ]
+    link: Annotated[
+        EndpointText,
+        Meta(description="where the view waits for the entry of its own instance (TCP)"),
+    ] = "127.0.0.1:7104"
+    control: Annotated[
+        EndpointText,
+        Meta(description="where `chicory-ctl` asks for this instance's state (TCP)"),
+    ] = "127.0.0.1:7105"
+    platform: Annotated[
+        str,
+        Meta(
+            title="an http or https URL",
+            description="URL of the platform's service",
+            examples=["http://10.0.0.2:8500"],
+        ),
+    ]
+    fabric: Annotated[
+        EndpointText,
+        Meta(description="where packets that return over the entry are sent, as IP-in-UDP"),
+    ]
+    key_file: Annotated[
+        str,
+        Meta(description="file with the key of messages between instances; empty: no key"),
+    ] = ""
+    previous_key_file: Annotated[
+        str,
+        Meta(description="file with the key that is also accepted while keys are rotated"),
+    ] = ""
+    statsd: Annotated[
+        EndpointText | None,
+        Meta(description="where metrics are sent (UDP); without it there are none"),
+    ] = None
+    log_format: Annotated[LogFormat, Meta(description="how log lines are written")] = LogFormat.JSON
+    log_sample: Annotated[
+        int,
+        Meta(
+            title="a whole number from 1",
+            description="log one in so many repeated equal decisions",
+            ge=1,
+            examples=[100],
+        ),
+    ] = 1
+    drain_timeout: Annotated[
+        DurationText, Meta(description="longest time that a graceful stop waits")
+    ] = "30s"
+
+
+class Settings(Struct, frozen=True, kw_only=True):
+    """The settings of one instance, checked.
+
+    :param data: where the entry takes IP-in-UDP packets.
+    :param peer: where the entry takes messages of other entries.
+    :param view: where the view takes messages of other views.
+    :param link: where the view waits for the entry of its own instance.
+    :param control: where ``chicory-ctl`` asks for the state.
+    :param platform: URL of the platform's service without a slash at its end.
+    :param fabric: where packets that return over the entry are sent.
+    :param key_file: empty if there is no key.
+    :param previous_key_file: empty if no key is being rotated.
+    :param statsd: ``None`` if no metrics are sent.
+    :param log_format: ``json`` or ``human``.
+    :param log_sample: one in so many repeated equal decisions is logged.
+    :param drain_timeout_s: longest time that a graceful stop waits, in seconds.
+    """
+
+    instance: InstanceId
+    domain: DomainId
+    region: RegionId
+    data: Endpoint
+    peer: Endpoint
+    view: Endpoint
+    platform: str
+    fabric: Endpoint
+    link: Endpoint = Endpoint("127.0.0.1", 7104)
+    control: Endpoint = Endpoint("127.0.0.1", 7105)
+    key_file: str = ""
+    previous_key_file: str = ""
+    statsd: Endpoint | None = None
+    log_format: str = LogFormat.JSON.value
+    log_sample: int = 1
+    drain_timeout_s: float = 30.0
+
+
+def load_settings(path: str, environ: Mapping[str, str], overrides: Mapping[str, str]) -> Settings:
+    """Read the settings of an instance.
+
+    :param path: YAML file; if empty, all keys come from ``environ`` and ``overrides``.
+    :param environ: environment variables; those that start with ``CHICORY_`` count.
+    :param overrides: values of flags by key; they win over the environment.
+    :raises SettingsError: with all findings.
+    """
+    findings = FindingList()
+    document: Document | DocumentFault = Document(path or "settings", {}, {})
+    if path:
+        document = load_document(path, findings)
+    if isinstance(document, DocumentFault):
+        raise SettingsError(findings)
+    document = _override(document, _collect_overrides(environ, overrides, findings), findings)
+    written = convert_document(document, WrittenSettings, findings)
+    settings = _Checker(document, findings).check(written)
+    if findings:
+        raise SettingsError(findings)
+    return settings
+
+
+class _Override(Struct, frozen=True):
+    """A value from outside the file."""
+
+    key: str
+    text: str
+    place: Place
+
+
+def _collect_overrides(
+    environ: Mapping[str, str], overrides: Mapping[str, str], findings: FindingList
+) -> list[_Override]:
+    """List the environment's values and then the flags' values."""
+    known = get_hints(WrittenSettings)
+    collected = []
+    for variable in sorted(environ):
+        if not variable.startswith(ENVIRONMENT_PREFIX):
+            continue
+        key = variable.removeprefix(ENVIRONMENT_PREFIX).lower()
+        place = Place(f"environment variable {variable}")
+        if key not in known:
+            variables = [ENVIRONMENT_PREFIX + name.upper() for name in known]
+            findings.add(place, "no such setting", suggest_name(variable, variables))
+            continue
+        collected.append(_Override(key, environ[variable], place))
+    for key, text in overrides.items():
+        place = Place(f"flag --{key.replace('_', '-')}")
+        if key not in known:
+            findings.add(place, "no such setting", suggest_name(key, known))
+            continue
+        collected.append(_Override(key, text, place))
+    return collected
+
+
+def _override(document: Document, overrides: list[_Override], findings: FindingList) -> Document:
+    """Return the document with the values from outside the file."""
+    if document.data is None:
+        document = structs.replace(document, data={})
+    if not isinstance(document.data, dict):
+        return document
+    hints = get_hints(WrittenSettings)
+    data: dict[str, Data] = dict(document.data)
+    places: dict[Path, Place] = dict(document.places)
+    for override in overrides:
+        value: Data = override.text
+        if strip_optional(hints[override.key]) is int and override.text.isdecimal():
+            value = int(override.text)
+        data[override.key] = value
+        places[(override.key,)] = override.place
+    return Document(document.source, data, places)
+
+
+class _Checker:
+    """Checks what the types alone can't say, and builds the settings."""
+
+    def __init__(self, document: Document, findings: FindingList) -> None:
+        self._document = document
+        self._findings = findings
+
+    def check(self, written: WrittenSettings) -> Settings:
+        endpoints = {
+            key: self._check_endpoint(key, getattr(written, key))
+            for key in ("data", "peer", "view", "link", "control", "fabric")
+        }
+        self._check_distinct(endpoints)
+        self._check_platform(written.platform)
+        if written.previous_key_file and not written.key_file:
+            self._add("previous_key_file", "there is no `key_file`", "add `key_file`")
+        drain_timeout_s = parse_duration(written.drain_timeout)
+        assert not isinstance(drain_timeout_s, QuantityFault)
+        return Settings(
+            instance=InstanceId(written.instance),
+            domain=DomainId(written.domain),
+            region=RegionId(written.region),
+            data=endpoints["data"],
+            peer=endpoints["peer"],
+            view=endpoints["view"],
+            link=endpoints["link"],
+            control=endpoints["control"],
+            platform=written.platform.rstrip("/"),
+            fabric=endpoints["fabric"],
+            key_file=written.key_file,
+            previous_key_file=written.previous_key_file,
+            statsd=self._check_endpoint("statsd", written.statsd) if written.statsd else None,
+            log_format=written.log_format.value,
+            log_sample=written.log_sample,
+            drain_timeout_s=drain_timeout_s,
+        )
+
+    def _check_endpoint(self, key: str, text: str) -> Endpoint:
+        endpoint = parse_endpoint(text)
+        if isinstance(endpoint, Endpoint):
+            return endpoint
+        # An empty text was reported as missing.
+        if text:
+            self._add_endpoint_finding(key, text, endpoint)
+        return _MISSING_ENDPOINT
+
+    def _add_endpoint_finding(self, key: str, text: str, fault: AddressFault) -> None:
+        self._add(
+            key,
+            f"`{text}` can't be used: {fault.value}",
+            "write a value such as 10.0.0.7:6080 or '[2001:db8::7]:6080'",
+        )
+
+    def _check_distinct(self, endpoints: Mapping[str, Endpoint]) -> None:
+        """Add a finding for two sockets of this instance at the same address."""
+        first: dict[Endpoint, str] = {}
+        for key, endpoint in endpoints.items():
+            if key == "fabric" or endpoint == _MISSING_ENDPOINT:
+                continue
+            if endpoint in first:
+                message = f"`{key}` and `{first[endpoint]}` are the same endpoint"
+                self._add(key, message, "give one of them another port")
+            first.setdefault(endpoint, key)
+
+    def _check_platform(self, url: str) -> None:
+        if url and not _is_http_url(url):
+            self._add(
+                "platform",
+                f"`{url}` is no http or https URL",
+                "write a value such as http://10.0.0.2:8500",
+            )
+
+    def _add(self, key: str, message: str, remedy: str) -> None:
+        self._findings.add(self._document.get_place((key,)), message, remedy)
+
+
+def _is_http_url(url: str) -> bool:
+    try:
+        parts = urlsplit(url)
+        return parts.scheme in ("http", "https") and bool(parts.hostname) and parts.port != 0
+    except ValueError:
+        return False
