Check versions in force with bounded model checking and k-induction

Change: spec/ with a generic transition system over z3 and the system of versions in force; make check-model runs spec.check, tests/test_spec.py a smaller depth; spec is formatted, linted and type-checked.

--- a/Makefile
+++ b/Makefile
@@ -14,14 +14,14 @@
 	touch $@
 
 format: setup
-	$(BIN)/black src tests benchmarks
-	$(BIN)/ruff check --fix src tests benchmarks
+	$(BIN)/black src spec tests benchmarks
+	$(BIN)/ruff check --fix src spec tests benchmarks
 
 check-format: setup
-	$(BIN)/black --check src tests benchmarks
+	$(BIN)/black --check src spec tests benchmarks
 
 lint: setup
-	$(BIN)/ruff check src tests benchmarks
+	$(BIN)/ruff check src spec tests benchmarks
 
 types: setup
 	$(BIN)/mypy
@@ -39,7 +39,7 @@
 	PYTHONPATH=src:. $(BIN)/python -m benchmarks.bench
 
 check-model: setup
-	PYTHONPATH=src:. $(BIN)/python -m benchmarks.check_model --depth full
+	PYTHONPATH=src:. $(BIN)/python -m spec.check --depth full
 
 soak: setup
 	PYTHONPATH=src:. $(BIN)/python -m benchmarks.soak --seed $(SEED) --steps $(STEPS)
--- /dev/null
+++ b/spec/check.py
@@ -0,0 +1,141 @@
+"""Checks all specifications: ``python -m spec.check --depth full``.
+
+Exit codes: 0 when every property holds, every mutant and every dropped assumption has its
+counterexample; 1 otherwise.
+"""
+
+import sys
+import time
+from dataclasses import dataclass
+from enum import Enum, unique
+from typing import Annotated
+
+import cappa
+from msgspec import Struct
+
+from spec.catalog import list_specifications
+from spec.system import Finding, Specification, Verdict, check_bounded, check_inductive
+from spec.trace import format_finding
+
+
+@unique
+class Depth(Enum):
+    """How far to look."""
+
+    QUICK = "quick"
+    FULL = "full"
+
+
+class Check(Struct, frozen=True):
+    """One check with its result.
+
+    :param passed: whether the result is the one that the check is for.
+    :param cpu_s: processor time that it took, in seconds.
+    """
+
+    name: str
+    passed: bool
+    finding: Finding
+    cpu_s: float
+
+
+@dataclass(frozen=True)
+class Arguments:
+    """Check the protocol's specification.
+
+    :param depth: quick as the tests do, or full.
+    :param only: name of the only specification to check.
+    :param traces: also print the counterexamples of mutants and dropped assumptions.
+    """
+
+    depth: Annotated[Depth, cappa.Arg(long=True)] = Depth.QUICK
+    only: Annotated[str, cappa.Arg(long=True)] = ""
+    traces: Annotated[bool, cappa.Arg(long=True)] = False
+
+
+def check_properties(specification: Specification, depth: int) -> Check:
+    """Check that all properties hold for runs of a length."""
+    start_s = time.process_time()
+    system = specification.create(frozenset(specification.rules))
+    finding = check_bounded(system, depth)
+    passed = finding.verdict == Verdict.HOLDS
+    return _end_check(specification, f"holds to depth {depth}", passed, finding, start_s)
+
+
+def check_induction(specification: Specification) -> Check:
+    """Check that k-induction closes."""
+    start_s = time.process_time()
+    system = specification.create(frozenset(specification.rules))
+    finding = check_inductive(system, specification.induction_depth)
+    passed = finding.verdict == Verdict.HOLDS
+    return _end_check(specification, f"k-induction, k = {finding.depth}", passed, finding, start_s)
+
+
+def check_mutants(specification: Specification) -> list[Check]:
+    """Check that each mutant breaks its property."""
+    result = []
+    for mutant in specification.mutants:
+        start_s = time.process_time()
+        system = specification.create(frozenset(specification.rules) - {mutant.rule})
+        finding = check_bounded(system, specification.full_depth, promise=mutant.promise)
+        passed = finding.verdict == Verdict.BROKEN
+        name = f"without {mutant.rule.name}: {mutant.promise.name}"
+        result.append(_end_check(specification, name, passed, finding, start_s))
+    return result
+
+
+def check_limits(specification: Specification) -> list[Check]:
+    """Check that each assumption is needed: without it the property breaks."""
+    result = []
+    for limit in specification.limits:
+        start_s = time.process_time()
+        finding = check_bounded(limit.create(), specification.full_depth, promise=limit.promise)
+        passed = finding.verdict == Verdict.BROKEN
+        name = f"not assuming that {limit.text}: {limit.promise.name}"
+        result.append(_end_check(specification, name, passed, finding, start_s))
+    return result
+
+
+def run_checks(specification: Specification, depth: Depth) -> list[Check]:
+    """Run all checks of a specification."""
+    is_full = depth == Depth.FULL
+    steps = specification.full_depth if is_full else specification.quick_depth
+    result = [check_properties(specification, steps)]
+    if specification.induction_depth:
+        result.append(check_induction(specification))
+    return result + check_mutants(specification) + check_limits(specification)
+
+
+def _end_check(
+    specification: Specification, name: str, passed: bool, finding: Finding, start_s: float
+) -> Check:
+    cpu_s = time.process_time() - start_s
+    return Check(f"{specification.name}: {name}", passed, finding, cpu_s)
+
+
+def main() -> int:
+    """Run the command line.
+
+    :returns: the exit code.
+    """
+    arguments = cappa.parse(Arguments)
+    failed = 0
+    start_s = time.process_time()
+    for specification in list_specifications():
+        if arguments.only in ("", specification.name):
+            for check in run_checks(specification, arguments.depth):
+                _print_check(check, arguments.traces)
+                failed += not check.passed
+    print(f"{failed} failed, {time.process_time() - start_s:.1f} s of processor time")
+    return int(failed > 0)
+
+
+def _print_check(check: Check, traces: bool) -> None:
+    outcome = "ok  " if check.passed else "FAIL"
+    print(f"{outcome} {check.name} ({check.finding.depth} steps, {check.cpu_s:.1f} s)", flush=True)
+    if traces or not check.passed:
+        print(format_finding(check.finding), flush=True)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/spec/system.py
@@ -0,0 +1,380 @@
+"""Transition systems over booleans and small integers, with two ways to check them.
+
+A :class:`System` states its variables, its initial states, its actions and its properties. Each
+action has a guard and assignments; variables without an assignment keep their value.
+:func:`check_bounded` unrolls the system step by step (bounded model checking, Biere et al. 1999)
+and :func:`check_inductive` tries k-induction with simple paths (Sheeran et al. 2000).
+"""
+
+from abc import ABC, abstractmethod
+from collections.abc import Callable, Sequence
+from enum import Enum
+
+import z3
+from msgspec import Struct
+
+SEED = 1
+
+
+class Rule(Enum):
+    """Base of the enumerations of rules; a mutant is a system without one of its rules."""
+
+
+class Label(Enum):
+    """Base of the enumerations of a system's action names."""
+
+
+class Promise(Enum):
+    """Base of the enumerations of a system's properties."""
+
+
+class Variable(Struct, frozen=True):
+    """A state variable.
+
+    :param bits: width of an unsigned integer; 0 for a boolean.
+    """
+
+    name: str
+    bits: int = 0
+
+
+class State:
+    """The variables of one point in time, as z3 expressions.
+
+    :param variables: the variables of the system.
+    :param suffix: makes the z3 names of this state unique.
+    """
+
+    def __init__(self, variables: Sequence[Variable], suffix: str) -> None:
+        self.values = {v.name: _create_expression(v, suffix) for v in variables}
+
+    def get(self, name: str, *indices: int) -> z3.ExprRef:
+        """Return the expression of a variable.
+
+        :param name: name of the variable, without indices.
+        :param indices: indices of the variable in a family.
+        """
+        return self.values[index_name(name, *indices)]
+
+
+class Assignment(Struct, frozen=True):
+    """Gives a variable its value after the step."""
+
+    name: str
+    value: z3.ExprRef | int | bool
+
+
+class Action(Struct, frozen=True):
+    """What may happen in one step.
+
+    :param label: name of the action.
+    :param arguments: instances, versions and so on that the action is about.
+    :param guard: condition on the state before.
+    :param assignments: values after; a later assignment of the same variable wins.
+    """
+
+    label: Label
+    arguments: tuple[int, ...]
+    guard: z3.BoolRef
+    assignments: tuple[Assignment, ...]
+
+
+class Change(Struct, frozen=True):
+    """A variable that a step changed, and its new value."""
+
+    name: str
+    value: int
+
+
+class Step(Struct, frozen=True):
+    """One step of a counterexample."""
+
+    label: Label
+    arguments: tuple[int, ...]
+    changes: tuple[Change, ...]
+
+
+class Verdict(Enum):
+    """Result of a check.
+
+    ``UNREACHABLE`` means that no run of that length exists, so that the check proves nothing.
+    """
+
+    HOLDS = "holds"
+    BROKEN = "broken"
+    NOT_CLOSED = "not closed"
+    UNREACHABLE = "unreachable"
+
+
+class Finding(Struct, frozen=True):
+    """Result of a check with the run that breaks a property.
+
+    :param depth: number of steps that were checked.
+    :param promise: the broken property.
+    :param steps: the counterexample.
+    :param start: initial values, in the order of the system's variables.
+    """
+
+    verdict: Verdict
+    depth: int
+    promise: Promise | None = None
+    steps: tuple[Step, ...] = ()
+    start: tuple[Change, ...] = ()
+
+
+class Mutant(Struct, frozen=True):
+    """A rule to take out and the property that breaks without it."""
+
+    rule: Rule
+    promise: Promise
+
+
+class Limit(Struct, frozen=True):
+    """An assumption that a property needs: the system without it has a counterexample.
+
+    :param text: the assumption in words.
+    :param create: returns the system without the assumption.
+    """
+
+    text: str
+    create: Callable[[], "System"]
+    promise: Promise
+
+
+class Specification(Struct, frozen=True):
+    """A system with all that is to be checked of it.
+
+    :param create: returns the system with the given rules.
+    :param rules: the enumeration of its rules.
+    :param promises: the enumeration of its properties.
+    :param quick_depth: steps that the tests check.
+    :param full_depth: steps that ``make check-model`` checks.
+    :param induction_depth: largest k of k-induction; 0 where it does not close.
+    """
+
+    name: str
+    create: Callable[[frozenset[Rule]], "System"]
+    rules: type[Rule]
+    promises: type[Promise]
+    mutants: tuple[Mutant, ...]
+    limits: tuple[Limit, ...]
+    quick_depth: int
+    full_depth: int
+    induction_depth: int = 0
+
+
+class Property(Struct, frozen=True):
+    """A condition that must hold in each state."""
+
+    promise: Promise
+    holds: z3.BoolRef
+
+
+class System(ABC):
+    """A transition system with a set of rules that can be taken out one by one.
+
+    :param rules: the rules that are in force.
+    """
+
+    def __init__(self, rules: frozenset[Rule]) -> None:
+        self.rules = rules
+
+    def has(self, rule: Rule) -> bool:
+        """Return whether a rule is in force."""
+        return rule in self.rules
+
+    @abstractmethod
+    def list_variables(self) -> tuple[Variable, ...]:
+        """Return the variables."""
+
+    @abstractmethod
+    def build_start(self, state: State) -> z3.BoolRef:
+        """Return the condition on initial states."""
+
+    @abstractmethod
+    def list_actions(self, state: State) -> tuple[Action, ...]:
+        """Return the actions that may follow a state."""
+
+    @abstractmethod
+    def list_properties(self, state: State) -> tuple[Property, ...]:
+        """Return the properties."""
+
+    def list_lemmas(self, state: State) -> tuple[z3.BoolRef, ...]:
+        """Return further invariants that help k-induction; they are checked as well."""
+        del state
+        return ()
+
+
+def index_name(name: str, *indices: int) -> str:
+    """Return the name of a member of a family of variables."""
+    return "_".join((name, *map(str, indices)))
+
+
+def assign(name: str, *indices: int, to: z3.ExprRef | int | bool) -> Assignment:
+    """Return an assignment of a member of a family of variables."""
+    return Assignment(index_name(name, *indices), to)
+
+
+def check_bounded(
+    system: System, depth: int, *, promise: Promise | None = None, with_lemmas: bool = False
+) -> Finding:
+    """Look for a run of at most ``depth`` steps that breaks a property.
+
+    :param system: the system.
+    :param depth: number of steps.
+    :param promise: the only property to check; ``None`` for all.
+    :param with_lemmas: whether a broken lemma counts as well.
+    :returns: the shortest counterexample, or ``HOLDS`` for that depth.
+    """
+    unrolling = _Unrolling(system, promise, with_lemmas)
+    unrolling.solver.add(system.build_start(unrolling.states[0]))
+    for length in range(depth + 1):
+        finding = unrolling.find_violation()
+        if finding is not None:
+            return finding
+        if length < depth:
+            unrolling.extend()
+    if unrolling.solver.check() != z3.sat:
+        return Finding(Verdict.UNREACHABLE, depth)
+    return Finding(Verdict.HOLDS, depth)
+
+
+def check_inductive(system: System, depth: int) -> Finding:
+    """Try to prove the properties for runs of any length by k-induction.
+
+    :param system: the system.
+    :param depth: largest k.
+    :returns: ``HOLDS`` with the k that closed, ``BROKEN`` with a counterexample of the base case,
+        or ``NOT_CLOSED``.
+    """
+    unrolling = _Unrolling(system, None, with_lemmas=True)
+    for k in range(1, depth + 1):
+        unrolling.assume_properties()
+        unrolling.extend()
+        unrolling.require_distinct()
+        if not unrolling.can_break():
+            base = check_bounded(system, k, with_lemmas=True)
+            return base if base.verdict != Verdict.HOLDS else Finding(Verdict.HOLDS, k)
+    return Finding(Verdict.NOT_CLOSED, depth)
+
+
+class _Unrolling:
+    """States joined by steps, in one solver."""
+
+    def __init__(self, system: System, promise: Promise | None, with_lemmas: bool) -> None:
+        self.system = system
+        self.promise = promise
+        self.with_lemmas = with_lemmas
+        self.solver = _create_solver()
+        self.variables = system.list_variables()
+        self.states = [State(self.variables, "@0")]
+        self.actions: list[tuple[Action, ...]] = []
+        self.choices: list[z3.BitVecRef] = []
+
+    def extend(self) -> None:
+        """Append a step."""
+        before = self.states[-1]
+        after = State(self.variables, f"@{len(self.states)}")
+        actions = self.system.list_actions(before)
+        choice = z3.BitVec(f"choice@{len(self.states)}", len(actions).bit_length())
+        self.solver.add(z3.ULT(choice, len(actions)))
+        for number, action in enumerate(actions):
+            self.solver.add(z3.Implies(choice == number, action.guard))
+        for variable in self.variables:
+            value = _build_next(variable, before, actions, choice)
+            self.solver.add(after.values[variable.name] == value)
+        self.states.append(after)
+        self.actions.append(actions)
+        self.choices.append(choice)
+
+    def can_break(self) -> bool:
+        """Return whether the last state can break a condition."""
+        conditions = self._list_conditions(self.states[-1])
+        return bool(self.solver.check(z3.Not(z3.And(conditions))) != z3.unsat)
+
+    def find_violation(self) -> Finding | None:
+        """Return a counterexample that ends in the last state."""
+        if not self.can_break():
+            return None
+        return self._read_finding(self.solver.model())
+
+    def assume_properties(self) -> None:
+        """Assume all conditions in the last state."""
+        self.solver.add(*self._list_conditions(self.states[-1]))
+
+    def require_distinct(self) -> None:
+        """Require that the last state differs from all before it."""
+        last = self.states[-1]
+        for state in self.states[:-1]:
+            different = [state.values[v.name] != last.values[v.name] for v in self.variables]
+            self.solver.add(z3.Or(different))
+
+    def _list_conditions(self, state: State) -> list[z3.BoolRef]:
+        result = [p.holds for p in self._list_properties(state)]
+        if self.with_lemmas:
+            result += self.system.list_lemmas(state)
+        return result
+
+    def _list_properties(self, state: State) -> list[Property]:
+        properties = self.system.list_properties(state)
+        return [p for p in properties if self.promise in (None, p.promise)]
+
+    def _read_finding(self, model: z3.ModelRef) -> Finding:
+        broken = None
+        for candidate in self._list_properties(self.states[-1]):
+            if not z3.is_true(model.eval(candidate.holds, model_completion=True)):
+                broken = candidate.promise
+                break
+        values = [self._read_state(model, state) for state in self.states]
+        steps = []
+        for number, choice in enumerate(self.choices):
+            action = self.actions[number][_read_value(model, choice)]
+            changes = _compare(values[number], values[number + 1])
+            steps.append(Step(action.label, action.arguments, changes))
+        return Finding(Verdict.BROKEN, len(steps), broken, tuple(steps), values[0])
+
+    def _read_state(self, model: z3.ModelRef, state: State) -> tuple[Change, ...]:
+        return tuple(
+            Change(v.name, _read_value(model, state.values[v.name])) for v in self.variables
+        )
+
+
+def _create_solver() -> z3.Solver:
+    solver = z3.SolverFor("QF_BV")
+    solver.set("random_seed", SEED)
+    return solver
+
+
+def _create_expression(variable: Variable, suffix: str) -> z3.ExprRef:
+    name = variable.name + suffix
+    return z3.BitVec(name, variable.bits) if variable.bits else z3.Bool(name)
+
+
+def _build_next(
+    variable: Variable, before: State, actions: Sequence[Action], choice: z3.BitVecRef
+) -> z3.ExprRef:
+    result = before.values[variable.name]
+    for number, action in enumerate(actions):
+        for assignment in action.assignments:
+            if assignment.name == variable.name:
+                result = z3.If(choice == number, _convert(variable, assignment.value), result)
+    return result
+
+
+def _convert(variable: Variable, value: z3.ExprRef | int | bool) -> z3.ExprRef:
+    if isinstance(value, bool):
+        return z3.BoolVal(value)
+    if isinstance(value, int):
+        return z3.BitVecVal(value, variable.bits)
+    return value
+
+
+def _read_value(model: z3.ModelRef, expression: z3.ExprRef) -> int:
+    value = model.eval(expression, model_completion=True)
+    if z3.is_bool(value):
+        return int(z3.is_true(value))
+    return int(value.as_long())
+
+
+def _compare(before: Sequence[Change], after: Sequence[Change]) -> tuple[Change, ...]:
+    return tuple(new for old, new in zip(before, after, strict=True) if old != new)
--- /dev/null
+++ b/tests/test_spec.py
@@ -0,0 +1,57 @@
+"""The specification of the protocol, at a bounded depth."""
+
+import pytest
+
+from spec.catalog import list_specifications
+from spec.check import check_induction, check_limits, check_mutants, check_properties
+from spec.system import Finding, Specification, Step, Verdict
+from spec.trace import format_finding
+from spec.versions import VersionPromise, VersionStep
+
+SPECIFICATIONS = list_specifications()
+INDUCTIVE = [s for s in SPECIFICATIONS if s.induction_depth]
+
+
+def name_specification(specification: Specification) -> str:
+    return specification.name
+
+
+each = pytest.mark.parametrize("specification", SPECIFICATIONS, ids=name_specification)
+
+
+@each
+def test_properties_hold(specification: Specification) -> None:
+    check = check_properties(specification, specification.quick_depth)
+    assert check.passed, format_finding(check.finding)
+
+
+@pytest.mark.parametrize("specification", INDUCTIVE, ids=name_specification)
+def test_induction_closes(specification: Specification) -> None:
+    check = check_induction(specification)
+    assert check.passed, format_finding(check.finding)
+
+
+@each
+def test_mutants_break_their_property(specification: Specification) -> None:
+    missed = [check.name for check in check_mutants(specification) if not check.passed]
+    assert missed == []
+
+
+@each
+def test_dropped_assumptions_break_their_property(specification: Specification) -> None:
+    missed = [check.name for check in check_limits(specification) if not check.passed]
+    assert missed == []
+
+
+@each
+def test_every_rule_and_promise_has_a_mutant(specification: Specification) -> None:
+    assert {m.rule for m in specification.mutants} == set(specification.rules)
+    assert {m.promise for m in specification.mutants} == set(specification.promises)
+
+
+def test_a_counterexample_is_printed_as_steps() -> None:
+    steps = (Step(VersionStep.DIE, (2,), ()),)
+    finding = Finding(Verdict.BROKEN, 1, VersionPromise.NEVER_REVERTS, steps)
+    lines = format_finding(finding).splitlines()
+    assert lines[0] == "broken, 1 steps"
+    assert lines[-1] == "   1  DIE(2): an instance dies; no change"
