--- /dev/null
+++ b/src/chicoryproxy/grants.py
@@ -0,0 +1,346 @@
+"""Leases of openings for upstreams that are not ready.
+
+``GrantOwner`` runs in the one instance that owns an upstream, ``GrantHolder`` in every entry.
+``docs/design/cold-starts.md`` compares the ways to share the rate of a cold upstream.
+"""
+
+from collections import deque
+from collections.abc import Iterator
+from itertools import count
+from typing import NewType
+
+from msgspec import Struct
+
+from chicoryproxy.ids import InstanceId, UpstreamId
+from chicoryproxy.messages import Grant, GrantRequest, OpeningOutcomes
+from chicoryproxy.model import Upstream, UpstreamCondition
+from chicoryproxy.ramp import Ramp, create_evidence_ramp
+from chicoryproxy.states import UpstreamState
+
+WINDOW_S = 1.0
+CLOCK_RATE_ERROR = 0.01
+OWNER_MARGIN_S = 3.0
+DEMAND_TIMEOUT_S = 2.0
+REQUEST_TIMEOUT_S = 0.2
+REFUSAL_WAIT_S = 0.1
+EARLY_RENEWAL_SHARE = 0.5
+
+LeaseNumber = NewType("LeaseNumber", int)
+"""Number of the request that a lease answers; at least one, so that it is true."""
+
+_RAMPED = frozenset(
+    {
+        UpstreamState.COLD,
+        UpstreamState.WARMING,
+        UpstreamState.SHEDDING,
+    }
+)
+
+
+class _Lease(Struct):
+    granted_at: float
+    openings: int
+
+
+class _Demand(Struct):
+    openings: int
+    at: float
+
+
+class _Owned:
+    """What the owner keeps of one upstream."""
+
+    def __init__(self, not_before: float) -> None:
+        self.not_before = not_before
+        self.ramp: Ramp | None = None
+        self.condition: UpstreamCondition | None = None
+        self.leases: deque[_Lease] = deque()
+        self.leased = 0
+        self.demands: dict[InstanceId, _Demand] = {}
+
+    def forget_before(self, limit: float) -> None:
+        """Forget the leases that were granted before a time."""
+        while self.leases and self.leases[0].granted_at < limit:
+            self.leased -= self.leases.popleft().openings
+
+
+class GrantOwner:
+    """Hands out leases of openings for the upstreams that this instance owns.
+
+    The bound of an upstream is the level of its ramp, in openings per second. The owner promises
+    that in every window of ``WINDOW_S`` the openings that entries forwarded, together with those
+    that outstanding leases still allow, don't exceed the highest bound of that window and of the
+    lease lifetime before it. The argument:
+
+    1. A lease granted at ``g`` is used only in ``[g, g + L]``. The holder counts the lifetime
+       from the sending of its request, which is before ``g``. ``L`` is ``lease_s`` with
+       ``CLOCK_RATE_ERROR`` added for a holder whose clock runs slowly.
+    2. Hence a window ``[w, w + WINDOW_S]`` is touched only by leases granted in
+       ``[w - L, w + WINDOW_S]``, an interval of the length ``WINDOW_S + L``.
+    3. At each grant the owner adds up the leases of the last ``WINDOW_S + L``, the new one
+       included, and the sum doesn't exceed the bound. For the last grant of any interval of that
+       length the sum covers the whole interval.
+    4. A new owner, and one that paused, waits ``L + WINDOW_S + margin_s`` first. ``L + WINDOW_S``
+       separates its leases from those of an owner that granted until it was replaced. The margin
+       covers the time for which the replaced owner may not know of its replacement, so it must
+       not be below the time that membership takes to spread.
+
+    The bound holds for packets as they leave the entries. When the ramp is cut, the leases that
+    are out end within ``L``.
+
+    The ramp of a new owner begins cold, and so does that of an owner after a pause.
+
+    :param lease_s: lifetime of a lease in seconds. The rate that the owner can use of a bound is
+        ``WINDOW_S / (WINDOW_S + lease_s)``, so short leases use more of it.
+    :param margin_s: see above, in seconds.
+    """
+
+    def __init__(self, lease_s: float, margin_s: float = OWNER_MARGIN_S) -> None:
+        self.lease_s = lease_s
+        self._span_s = WINDOW_S + lease_s * (1.0 + CLOCK_RATE_ERROR)
+        self._wait_s = self._span_s + margin_s
+        self._owned: dict[UpstreamId, _Owned] = {}
+
+    def become_owner(self, upstream: UpstreamId, now: float) -> None:
+        """Begin the wait for an upstream; without effect for one that is owned already."""
+        if upstream not in self._owned:
+            self._owned[upstream] = _Owned(now + self._wait_s)
+
+    def cease_owner(self, upstream: UpstreamId) -> None:
+        """Forget an upstream that another instance owns from now on."""
+        self._owned.pop(upstream, None)
+
+    def void(self, now: float) -> None:
+        """Begin all waits anew after a pause, in which another instance may have granted."""
+        for upstream in self._owned:
+            self._owned[upstream] = _Owned(now + self._wait_s)
+
+    def request(
+        self,
+        upstream: Upstream,
+        condition: UpstreamCondition,
+        holder: InstanceId,
+        openings: int,
+        now: float,
+    ) -> int:
+        """Decide on a request.
+
+        Under contention each holder gets a part in proportion to what it asked for of late.
+
+        :param condition: what this instance knows of the upstream; a higher epoch with ``COLD``
+            cuts the ramp before the decision.
+        :param openings: openings that the holder expects to need within a lease.
+        :returns: the number of openings granted; zero is a refusal.
+        """
+        self.become_owner(upstream.id, now)
+        owned = self._owned[upstream.id]
+        ramp = self._apply_condition(owned, upstream, condition, now)
+        share = _share_demand(owned, holder, max(1, openings), now)
+        if now < owned.not_before or condition.state not in _RAMPED:
+            return 0
+        span_s, bound = self._scale_bound(ramp.level)
+        owned.forget_before(now - span_s)
+        granted = min(openings, bound - owned.leased, max(1, int(bound * share)))
+        if granted <= 0:
+            return 0
+        owned.leases.append(_Lease(now, granted))
+        owned.leased += granted
+        return granted
+
+    def next_grant_s(self, upstream: UpstreamId, now: float) -> float:
+        """Return the seconds after which a refused holder may ask again with some prospect."""
+        owned = self._owned.get(upstream)
+        if owned is None or now < owned.not_before:
+            return self._wait_s if owned is None else owned.not_before - now
+        if not owned.leases:
+            return REFUSAL_WAIT_S
+        return max(REFUSAL_WAIT_S, owned.leases[0].granted_at + self._span_s - now)
+
+    def outcomes(self, outcomes: OpeningOutcomes, now: float) -> None:
+        """Take in an entry's evidence about an owned upstream."""
+        ramp = self._find_ramp(outcomes.upstream)
+        if ramp is not None:
+            ramp.note_openings(outcomes.answered, outcomes.refused, outcomes.lost, now)
+
+    def note_load(
+        self, upstream: UpstreamId, slots_used: int, connections: int, now: float
+    ) -> None:
+        """Take in a load reading of an owned upstream; negative values are unknown."""
+        ramp = self._find_ramp(upstream)
+        if ramp is not None:
+            ramp.note_load(slots_used, connections, now)
+
+    def level(self, upstream: UpstreamId) -> float:
+        """Return the bound of an owned upstream in openings per second; zero if there is none."""
+        ramp = self._find_ramp(upstream)
+        return 0.0 if ramp is None else ramp.level
+
+    def warmed(self) -> tuple[UpstreamId, ...]:
+        """Return the owned upstreams whose ramp has proved their full rate."""
+        return tuple(
+            upstream
+            for upstream, owned in self._owned.items()
+            if owned.ramp is not None and owned.ramp.is_complete
+        )
+
+    def _find_ramp(self, upstream: UpstreamId) -> Ramp | None:
+        owned = self._owned.get(upstream)
+        return None if owned is None else owned.ramp
+
+    def _apply_condition(
+        self, owned: _Owned, upstream: Upstream, condition: UpstreamCondition, now: float
+    ) -> Ramp:
+        known = owned.condition
+        if owned.ramp is None:
+            owned.ramp = create_evidence_ramp(upstream.warm_up, upstream.capacity, now)
+            owned.condition = condition
+        elif known is None or condition.epoch > known.epoch:
+            owned.condition = condition
+            if condition.state is UpstreamState.COLD:
+                owned.ramp.cut(now)
+            elif condition.state is UpstreamState.SHEDDING:
+                owned.ramp.step_back(now)
+        return owned.ramp
+
+    def _scale_bound(self, level: float) -> tuple[float, int]:
+        """Return the seconds to add up and the openings allowed in them.
+
+        Below one opening per window the window is stretched until it holds one.
+        """
+        if level <= 0.0:
+            return self._span_s, 0
+        if level * WINDOW_S < 1.0:
+            return self._span_s - WINDOW_S + 1.0 / level, 1
+        return self._span_s, int(level * WINDOW_S)
+
+
+def _share_demand(owned: _Owned, holder: InstanceId, openings: int, now: float) -> float:
+    """Note a holder's demand and return its share of the demand of late."""
+    owned.demands[holder] = _Demand(openings, now)
+    recent = now - DEMAND_TIMEOUT_S
+    owned.demands = {name: demand for name, demand in owned.demands.items() if demand.at >= recent}
+    return openings / sum(demand.openings for demand in owned.demands.values())
+
+
+class _HeldLease(Struct):
+    """A lease that a holder may use.
+
+    :ivar expires_at: counted from the sending of the request.
+    """
+
+    number: LeaseNumber
+    received_at: float
+    expires_at: float
+    openings: int
+
+
+class _Held:
+    """What a holder keeps of one upstream."""
+
+    def __init__(self) -> None:
+        self.leases: list[_HeldLease] = []
+        self.asked: GrantRequest | None = None
+        self.asked_at = 0.0
+        self.wait_until = 0.0
+        self.attempts = 0
+        self.demand = 1
+
+    def drop_expired(self, now: float) -> None:
+        """Forget leases that have expired; used-up ones stay for openings that come back."""
+        if self.leases and now >= self.leases[0].expires_at:
+            self.leases = [lease for lease in self.leases if now < lease.expires_at]
+
+
+class GrantHolder:
+    """The leases that this entry holds, by upstream.
+
+    There is at most one outstanding request for an upstream. A request that isn't answered
+    within ``request_timeout_s`` is given up and its number never accepted again.
+
+    :param request_timeout_s: seconds to wait for a grant.
+    """
+
+    def __init__(self, request_timeout_s: float = REQUEST_TIMEOUT_S) -> None:
+        self._request_timeout_s = request_timeout_s
+        self._held: dict[UpstreamId, _Held] = {}
+        self._numbers: Iterator[int] = count(1)
+
+    def take(self, upstream: UpstreamId, now: float) -> LeaseNumber | None:
+        """Use one opening of an unexpired lease.
+
+        :returns: number of the lease, which is true, or ``None`` when no opening is left.
+        """
+        held = self._held.setdefault(upstream, _Held())
+        held.attempts += 1
+        held.drop_expired(now)
+        for lease in held.leases:
+            if lease.openings:
+                lease.openings -= 1
+                return lease.number
+        return None
+
+    def give_back(self, upstream: UpstreamId, lease: LeaseNumber) -> None:
+        """Return an opening that was taken but not forwarded, as on a cancellation.
+
+        It has no effect when the lease is gone: then the opening is lost, never used late.
+        """
+        held = self._held.get(upstream)
+        if held is None:
+            return
+        for candidate in held.leases:
+            if candidate.number == lease:
+                candidate.openings += 1
+
+    def needs(self, upstream: UpstreamId, now: float) -> GrantRequest | None:
+        """Return the request to send now, if any.
+
+        A request asks for as many openings as were attempted since the request before. It is
+        sent when nothing is left of the leases, or after half of the last lease's lifetime.
+        """
+        held = self._held.setdefault(upstream, _Held())
+        held.drop_expired(now)
+        if now < held.wait_until or self._is_waiting(held, now) or _has_fresh_lease(held, now):
+            return None
+        held.demand = max(held.attempts, held.demand // 2, 1)
+        held.attempts = 0
+        held.asked = GrantRequest(next(self._numbers), upstream, held.demand)
+        held.asked_at = now
+        return held.asked
+
+    def receive(self, grant: Grant, now: float) -> bool:
+        """Take in a grant.
+
+        :returns: true when it gave openings that can be used now.
+        """
+        held = self._held.get(grant.upstream)
+        if held is None or held.asked is None or held.asked.request != grant.request:
+            return False
+        held.asked = None
+        if grant.openings <= 0:
+            held.wait_until = now + grant.lifetime_s
+            return False
+        expires_at = held.asked_at + grant.lifetime_s
+        if now >= expires_at:
+            return False
+        number = LeaseNumber(grant.request)
+        held.leases.append(_HeldLease(number, now, expires_at, grant.openings))
+        return True
+
+    def drop(self, upstream: UpstreamId) -> None:
+        """Give up the leases for an upstream whose state got worse."""
+        self._held.pop(upstream, None)
+
+    def void(self) -> None:
+        """Give up every lease and request after a pause."""
+        self._held.clear()
+
+    def _is_waiting(self, held: _Held, now: float) -> bool:
+        return held.asked is not None and now < held.asked_at + self._request_timeout_s
+
+
+def _has_fresh_lease(held: _Held, now: float) -> bool:
+    if not any(lease.openings for lease in held.leases):
+        return False
+    last = held.leases[-1]
+    half_life = last.received_at + EARLY_RENEWAL_SHARE * (last.expires_at - last.received_at)
+    return now < half_life
--- /dev/null
+++ b/tests/test_ramp.py
@@ -0,0 +1,78 @@
+"""Tests of the growth after a cold start."""
+
+import pytest
+
+from chicoryproxy.model import Capacity, WarmUp
+from chicoryproxy.ramp import create_evidence_ramp
+
+WARM_UP = WarmUp(cold_openings=2.0, full_openings=200.0, duration_s=30.0)
+CAPACITY = Capacity(slots=2, connections=2000)
+
+
+@pytest.fixture
+def ramp():
+    return create_evidence_ramp(WARM_UP, CAPACITY)
+
+
+def warm(ramp, use, now=0.0, limit_s=1000.0):
+    """Answer a share of the allowed openings each second; return the time of completion."""
+    start = now
+    while not ramp.is_complete and now < start + limit_s:
+        now += 1.0
+        ramp.note_openings(max(1, int(ramp.level * use)), 0, 0, now)
+    return now
+
+
+def test_it_starts_at_the_cold_level_and_time_alone_never_raises_it(ramp):
+    assert ramp.level == 2.0
+    ramp.note_openings(0, 0, 0, 3600.0)
+    assert ramp.level == 2.0
+
+
+def test_full_use_reaches_the_full_level_but_not_before_the_duration(ramp):
+    assert warm(ramp, use=1.0) >= WARM_UP.duration_s
+    assert ramp.is_complete
+    assert ramp.level == 200.0
+
+
+def test_low_demand_takes_longer(ramp):
+    quick = warm(create_evidence_ramp(WARM_UP, CAPACITY), use=1.0)
+    assert warm(ramp, use=0.1) > quick
+    assert ramp.is_complete
+
+
+def test_a_cut_goes_to_the_cold_level_at_once(ramp):
+    now = warm(ramp, use=1.0)
+    ramp.cut(now)
+    assert ramp.level == 2.0
+    assert not ramp.is_complete
+    assert warm(ramp, use=1.0, now=now) >= now + WARM_UP.duration_s
+
+
+@pytest.mark.parametrize("failure", ["refused", "lost"])
+def test_failures_take_the_level_back(ramp, failure):
+    now = warm(ramp, use=1.0, limit_s=10.0)
+    before = ramp.level
+    ramp.note_openings(**{"answered": 0, "refused": 0, "lost": 0, failure: 20}, now=now)
+    assert 2.0 <= ramp.level < before
+
+
+def test_a_saturated_reading_holds_the_level_unless_much_evidence_overrides_it(ramp):
+    ramp.note_load(2, 10, 1.9)
+    ramp.note_openings(3, 0, 0, 2.0)
+    assert ramp.level == 2.0
+    ramp.note_openings(40, 0, 0, 2.1)
+    assert ramp.level > 2.0
+
+
+def test_an_unknown_load_reading_has_no_effect(ramp):
+    ramp.note_load(-1, -1, 1.9)
+    ramp.note_openings(10, 0, 0, 2.0)
+    assert ramp.level > 2.0
+
+
+def test_an_upstream_that_bears_as_much_cold_stays_at_one_level():
+    ramp = create_evidence_ramp(WarmUp(5.0, 5.0, 10.0), CAPACITY)
+    assert ramp.level == 5.0
+    assert warm(ramp, use=1.0) >= 10.0
+    assert ramp.level == 5.0
