--- /dev/null
+++ b/src/chicoryproxy/conditions.py
@@ -0,0 +1,158 @@
+"""Conditions of the upstreams, as their owners spread them.
+
+An epoch starts at the version that made the upstream cold, so that every instance marks it cold
+alike and no change that an owner made under an older version replaces the mark.
+"""
+
+from collections.abc import Iterable
+
+import msgspec
+
+from chicoryproxy.ids import NO_VERSION, DomainId, UpstreamId
+from chicoryproxy.model import Configuration, Upstream, UpstreamCondition
+from chicoryproxy.outbox import Outbox
+from chicoryproxy.states import UpstreamState
+from chicoryproxy.versions import VersionChange, list_domains_in
+
+EPOCHS_PER_VERSION = 1 << 20
+"""Changes that owners may make under one version."""
+
+MAX_UNLISTED = 1024
+RECENT_S = 600.0
+
+_CAUTION = {
+    UpstreamState.READY: 0,
+    UpstreamState.WARMING: 1,
+    UpstreamState.SHEDDING: 2,
+    UpstreamState.DRAINING: 3,
+    UpstreamState.COLD: 4,
+    UpstreamState.UNREACHABLE: 5,
+    UpstreamState.GONE: 6,
+}
+"""Of two conditions with the same epoch the more cautious one counts."""
+
+
+def index_upstreams(configuration: Configuration) -> dict[UpstreamId, Upstream]:
+    """Return the upstreams of a configuration by id."""
+    return {
+        upstream.id: upstream
+        for service in configuration.services
+        for upstream in service.upstreams
+    }
+
+
+class ConditionStore:
+    """The newest condition known of each upstream.
+
+    Epoch zero is the condition of an upstream that no instance has rated yet.
+
+    :param outbox: takes the news to be spread and log lines.
+
+    ``revision`` rises with each change.
+    """
+
+    def __init__(self, outbox: Outbox) -> None:
+        self._outbox = outbox
+        self._conditions: dict[UpstreamId, UpstreamCondition] = {}
+        self._unlisted: dict[UpstreamId, UpstreamCondition] = {}
+        self._sorted: tuple[UpstreamCondition, ...] | None = None
+        self.revision = 0
+
+    def get(self, upstream: UpstreamId) -> UpstreamCondition | None:
+        """Return the condition of a listed upstream."""
+        return self._conditions.get(upstream)
+
+    def list_conditions(self) -> tuple[UpstreamCondition, ...]:
+        """Return the conditions of the listed upstreams in the order of their ids."""
+        if self._sorted is None:
+            ids = sorted(self._conditions)
+            self._sorted = tuple(self._conditions[upstream] for upstream in ids)
+        return self._sorted
+
+    def list_recent(self, now: float) -> tuple[UpstreamCondition, ...]:
+        """Return the conditions that a peer that knew all of them a while ago may lack."""
+        return tuple(
+            condition
+            for condition in self._conditions.values()
+            if condition.epoch > 0
+            and (condition.state is not UpstreamState.READY or now - condition.since_s < RECENT_S)
+        )
+
+    def apply_change(self, change: VersionChange, now: float) -> None:
+        """Mark upstreams cold that a version adds or brings back, and drop unlisted ones."""
+        listed = index_upstreams(change.current)
+        for gone in self._conditions.keys() - listed.keys():
+            del self._conditions[gone]
+        first = change.previous.version == NO_VERSION
+        epoch = 0 if first else change.current.version * EPOCHS_PER_VERSION
+        for upstream in self._list_fresh(change, listed):
+            self._mark_cold(upstream, epoch, now)
+        for upstream in listed.keys() & self._unlisted.keys():
+            self.receive((self._unlisted.pop(upstream),), now)
+        self._mark_changed()
+
+    def receive(self, conditions: Iterable[UpstreamCondition], now: float) -> None:
+        """Take in the conditions that a peer spreads."""
+        for condition in conditions:
+            known = self._conditions.get(condition.upstream)
+            if known is None:
+                self._keep_unlisted(condition)
+            elif _is_newer(condition, known):
+                self._put(condition, now)
+
+    def change(self, upstream: UpstreamId, state: UpstreamState, why: str, now: float) -> None:
+        """Change the condition of an upstream that this instance owns.
+
+        :param why: the evidence, for the log.
+        """
+        known = self._conditions[upstream]
+        self._put(UpstreamCondition(upstream, state, known.epoch + 1), now)
+        self._outbox.log("health", f"{state.value}: {why}", upstream)
+
+    def _list_fresh(
+        self, change: VersionChange, listed: dict[UpstreamId, Upstream]
+    ) -> list[UpstreamId]:
+        before = index_upstreams(change.previous)
+        returned = _list_returned(change)
+        fresh = []
+        for upstream in listed.values():
+            known = before.get(upstream.id)
+            if known is None or known.address != upstream.address or upstream.domain in returned:
+                fresh.append(upstream.id)
+        return fresh
+
+    def _mark_cold(self, upstream: UpstreamId, epoch: int, now: float) -> None:
+        if upstream not in self._conditions:
+            self._conditions[upstream] = UpstreamCondition(upstream, UpstreamState.COLD, 0, now)
+        if epoch > self._conditions[upstream].epoch:
+            cold = UpstreamCondition(upstream, UpstreamState.COLD, epoch, now)
+            self._conditions[upstream] = cold
+
+    def _keep_unlisted(self, condition: UpstreamCondition) -> None:
+        known = self._unlisted.pop(condition.upstream, condition)
+        newest = condition if _is_newer(condition, known) else known
+        self._unlisted[condition.upstream] = newest
+        if len(self._unlisted) > MAX_UNLISTED:
+            del self._unlisted[next(iter(self._unlisted))]
+
+    def _put(self, condition: UpstreamCondition, now: float) -> None:
+        self._conditions[condition.upstream] = msgspec.structs.replace(condition, since_s=now)
+        self._outbox.conditions.put(condition.upstream, condition)
+        self._mark_changed()
+
+    def _mark_changed(self) -> None:
+        self.revision += 1
+        self._sorted = None
+
+
+def _is_newer(condition: UpstreamCondition, known: UpstreamCondition) -> bool:
+    if condition.epoch != known.epoch:
+        return condition.epoch > known.epoch
+    return _CAUTION[condition.state] > _CAUTION[known.state]
+
+
+def _list_returned(change: VersionChange) -> frozenset[DomainId]:
+    """Return the domains that came back in service."""
+    known = {domain.id for domain in change.previous.domains}
+    returned = list_domains_in(change.current) - list_domains_in(change.previous)
+    return frozenset(returned & known)
--- /dev/null
+++ b/src/chicoryproxy/control.py
@@ -0,0 +1,302 @@
+"""The control core of an instance: membership, versions, readers and upstream conditions.
+
+It does no I/O. Each method takes what happened with the time and returns the actions that its
+driver has to carry out at once and in order.
+"""
+
+from msgspec import Struct
+
+from chicoryproxy.actions import ControlAction
+from chicoryproxy.budget import BudgetCount, ControlBudget
+from chicoryproxy.catchup import CatchUp, CatchUpState
+from chicoryproxy.conditions import ConditionStore
+from chicoryproxy.events import (
+    ConfigurationRead,
+    HealthReading,
+    InstancesRead,
+    PlatformUnread,
+)
+from chicoryproxy.exchange import VersionExchange
+from chicoryproxy.health import UpstreamEvidence, create_health_book
+from chicoryproxy.ids import NO_VERSION, DomainId, InstanceId, Version
+from chicoryproxy.leaving import Leaving
+from chicoryproxy.membership import Membership
+from chicoryproxy.messages import (
+    Ack,
+    EntryReport,
+    Gossip,
+    Member,
+    Ping,
+    PingRequest,
+    VersionBody,
+    VersionFetch,
+    ViewMessage,
+)
+from chicoryproxy.model import Configuration, FleetLimits, Instance, Upstream, UpstreamCondition
+from chicoryproxy.outbox import Outbox
+from chicoryproxy.owners import OwnerMap
+from chicoryproxy.reach import DomainReach, find_silent_domains
+from chicoryproxy.readers import ReaderDuty, WatchState
+from chicoryproxy.staleness import Staleness
+from chicoryproxy.versions import VersionStore
+from chicoryproxy.viewing import ViewBuilder
+
+VIEW_SHARE = 0.5
+"""Part of an instance's control budget that its view may use; the rest is the entry's."""
+
+ControlEvent = ConfigurationRead | InstancesRead | PlatformUnread | HealthReading
+"""Readings that ``ControlCore.receive_reading`` takes."""
+
+
+class PeerDescription(Struct, frozen=True):
+    """A member as the operator's tool shows it.
+
+    :param version: highest version that it said it has.
+    :param since_s: seconds since its state changed.
+    """
+
+    member: Member
+    version: Version
+    since_s: float
+
+
+class ControlDescription(Struct, frozen=True):
+    """State of the control core for the operator's tool.
+
+    :param version_age_s: seconds since the version in force was learned.
+    :param stale_reads: configurations older than the one in force that were served.
+    :param unread: reads of the platform that failed.
+    :param conditions: conditions of all listed upstreams.
+    :param evidence: evidence on the upstreams that this instance owns.
+    :param bulk_bytes: estimated bytes of the configurations sent to peers.
+    """
+
+    instance: Instance
+    version: Version
+    highest: Version
+    placed: Version
+    version_age_s: float
+    is_stale: bool
+    catch_up: CatchUpState
+    watch: WatchState
+    stale_reads: int
+    unread: int
+    peers: tuple[PeerDescription, ...]
+    conditions: tuple[UpstreamCondition, ...]
+    cut_off: tuple[DomainId, ...]
+    evidence: tuple[UpstreamEvidence, ...]
+    budget: tuple[BudgetCount, ...]
+    bulk_bytes: int
+
+
+class ControlCore:
+    """Decides for one instance what ``chicory-view`` does.
+
+    :param instance: this instance; its region bounds the membership.
+    :param seed: seed of every pseudo-random choice.
+
+    All times are seconds of one monotonic clock. Methods raise nothing on any input of the stated
+    types.
+    """
+
+    def __init__(self, instance: Instance, seed: int) -> None:
+        limits = FleetLimits()
+        self._budget = ControlBudget(limits.control_bytes_per_s * VIEW_SHARE)
+        self._outbox = Outbox(self._budget)
+        self._membership = Membership(instance, seed, self._outbox)
+        self._versions = VersionStore()
+        self._conditions = ConditionStore(self._outbox)
+        self._readers = ReaderDuty(instance, self._outbox)
+        self._staleness = Staleness(self._membership, self._outbox)
+        self._health = create_health_book(seed, self._conditions, self._outbox)
+        self._owners = OwnerMap()
+        self._reach = DomainReach(self._outbox)
+        catch_up = CatchUp(self._membership, self._versions, self._outbox)
+        self._catch_up = catch_up
+        self._exchange = VersionExchange(
+            self._membership, self._versions, self._conditions, catch_up, self._outbox
+        )
+        self._leaving = Leaving(self._membership, self._outbox)
+        self._views = ViewBuilder(
+            self._membership, self._versions, self._conditions, self._reach, self._outbox
+        )
+        self._followed: tuple[int, Version] | None = None
+
+    def get_instance(self, instance: InstanceId) -> Instance | None:
+        """Return the addresses of a member, ``None`` for one that isn't known."""
+        if instance == self._membership.own.id:
+            return self._membership.own
+        peer = self._membership.get_peer(instance)
+        return peer.instance if peer is not None else None
+
+    def receive_reading(self, event: ControlEvent, now: float) -> list[ControlAction]:
+        """Take in what the platform or an upstream said."""
+        self._begin(now)
+        match event:
+            case ConfigurationRead(configuration=configuration):
+                self._exchange.receive_configuration(configuration, now)
+            case InstancesRead(instances=instances):
+                self._exchange.receive_list(instances, now)
+                self._leaving.receive_list(instances)
+            case PlatformUnread(reason=reason):
+                self._readers.note_unread(reason, now)
+            case HealthReading():
+                self._health.receive_reading(event, now)
+                self._reach.receive_reading(event)
+        return self._finish(now)
+
+    def receive_message(
+        self, sender: InstanceId, message: ViewMessage, now: float
+    ) -> list[ControlAction]:
+        """Take in a message of a peer's view."""
+        self._begin(now)
+        match message:
+            case Ping(number=number, gossip=gossip):
+                self._receive_gossip(sender, gossip, now)
+                self._membership.receive_ping(sender, number)
+            case Ack(number=number, subject=subject, gossip=gossip):
+                self._receive_gossip(sender, gossip, now)
+                self._receive_ack(message, now)
+            case PingRequest(number=number, subject=subject, gossip=gossip):
+                self._receive_gossip(sender, gossip, now)
+                self._membership.receive_ping_request(sender, number, subject)
+            case VersionFetch(have=have):
+                self._exchange.receive_fetch(sender, have, now)
+            case VersionBody():
+                self._exchange.receive_body(sender, message, now)
+        return self._finish(now)
+
+    def receive_report(self, report: EntryReport, now: float) -> list[ControlAction]:
+        """Take in a report of this instance's entry."""
+        self._begin(now)
+        self._versions.prune(report.clean)
+        self._health.receive_report(report, now)
+        return self._finish(now)
+
+    def tick(self, now: float) -> list[ControlAction]:
+        """Do what is due; to be called about every 100 ms."""
+        self._begin(now)
+        self._staleness.tick(self._limits, now)
+        if self._versions.version == NO_VERSION:
+            self._readers.start(NO_VERSION)
+        self._membership.tick(now)
+        self._exchange.tick(now)
+        self._follow_members(now)
+        self._health.tick(now)
+        self._reach.tick(now)
+        self._leaving.tick(now)
+        self._views.note_tick()
+        return self._finish(now)
+
+    def begin_leaving(self, now: float) -> list[ControlAction]:
+        """Tell the peers that this instance is about to stop."""
+        self._begin(now)
+        self._leaving.begin(now)
+        return self._finish(now)
+
+    def may_stop(self, now: float) -> bool:
+        """Return whether the peers and the published list know that this instance leaves.
+
+        True as well when ``LEAVING_TIMEOUT_S`` is over.
+        """
+        return self._leaving.is_over(now)
+
+    def describe(self, now: float) -> ControlDescription:
+        """Return the state for the operator's tool."""
+        return ControlDescription(
+            instance=self._membership.own,
+            version=self._versions.version,
+            highest=self._versions.highest,
+            placed=self._versions.placed,
+            version_age_s=now - self._versions.learned_at,
+            is_stale=self._is_stale(),
+            catch_up=self._catch_up.state,
+            watch=self._readers.state,
+            stale_reads=self._versions.stale_reads,
+            unread=self._readers.unread,
+            peers=self._describe_peers(now),
+            conditions=self._conditions.list_conditions(),
+            cut_off=tuple(sorted(self._reach.cut_off)),
+            evidence=self._health.list_evidence(),
+            budget=self._budget.count(),
+            bulk_bytes=self._outbox.bulk_bytes,
+        )
+
+    @property
+    def _limits(self) -> FleetLimits:
+        return self._versions.configuration.fleet
+
+    def _begin(self, now: float) -> None:
+        self._outbox.begin(now, len(self._membership))
+        self._outbox.version = NO_VERSION if self._is_stale() else self._versions.version
+
+    def _finish(self, now: float) -> list[ControlAction]:
+        configuration = self._versions.configuration
+        if self._exchange.take_adopted():
+            self._budget.set_rate(configuration.fleet.control_bytes_per_s * VIEW_SHARE)
+            self._membership.configure(configuration.fleet)
+            self._follow_members(now)
+        if self._versions.version != NO_VERSION:
+            live = self._membership.list_reachable()
+            self._versions.raise_placed(live, self._limits.spread_s, now)
+            self._views.update(self._is_stale())
+        return self._outbox.drain()
+
+    def _is_stale(self) -> bool:
+        is_fetching = self._catch_up.state is CatchUpState.FETCHING
+        return self._staleness.is_stale or is_fetching
+
+    def _receive_gossip(self, sender: InstanceId, gossip: Gossip, now: float) -> None:
+        unknown = self._membership.receive_updates(sender, gossip.members, now)
+        self._conditions.receive(gossip.conditions, now)
+        self._exchange.hear(sender, gossip.version, unknown, now)
+
+    def _receive_ack(self, ack: Ack, now: float) -> None:
+        self._membership.receive_ack(ack.number, ack.subject)
+        self._staleness.receive_ack(ack.number, ack.subject, ack.gossip.version)
+        self._leaving.receive_ack(ack.number, ack.subject)
+
+    def _follow_members(self, now: float) -> None:
+        """Follow changes of the members or the configuration: readers, owners and reach."""
+        key = (self._membership.revision, self._versions.version)
+        if key == self._followed or self._versions.version == NO_VERSION:
+            return
+        self._followed = key
+        own = self._membership.own
+        alive = self._membership.list_alive(own.domain)
+        self._readers.update(alive, self._versions.version)
+        by_domain = group_upstreams(self._versions.configuration)
+        owned_domain = {upstream.id: upstream for upstream in by_domain.get(own.domain, ())}
+        self._owners.update(owned_domain, alive)
+        owned = self._owners.list_owned(own.id)
+        self._health.set_owned((owned_domain[upstream] for upstream in owned), now)
+        members = self._membership.build_members()
+        self._versions.retain({member.instance.id for member in members})
+        silent = find_silent_domains(members)
+        self._reach.update(silent, by_domain)
+
+    def _describe_peers(self, now: float) -> tuple[PeerDescription, ...]:
+        peers = []
+        for member in self._membership.build_members():
+            record = self._membership.get_peer(member.instance.id)
+            if record is not None:
+                version = self._versions.get_confirmed(member.instance.id)
+                peers.append(PeerDescription(member, version, now - record.since))
+        return tuple(peers)
+
+
+def group_upstreams(configuration: Configuration) -> dict[DomainId, list[Upstream]]:
+    """Return the upstreams of a configuration by failure domain."""
+    by_domain: dict[DomainId, list[Upstream]] = {}
+    for service in configuration.services:
+        for upstream in service.upstreams:
+            by_domain.setdefault(upstream.domain, []).append(upstream)
+    return by_domain
+
+
+def create_control_core(instance: Instance, seed: int) -> ControlCore:
+    """Create the control core of an instance that knows nothing yet.
+
+    :param seed: seed of every pseudo-random choice.
+    """
+    return ControlCore(instance, seed)
--- /dev/null
+++ b/src/chicoryproxy/health.py
@@ -0,0 +1,314 @@
+"""Conditions of the upstreams that this instance owns, out of several signals.
+
+See ``docs/design/health.md``. Caution is taken at once, since a false cut costs a warm-up while a
+missed one crushes an upstream; the way back has hysteresis and needs evidence.
+"""
+
+from collections import Counter
+from collections.abc import Iterable
+
+from msgspec import Struct
+
+from chicoryproxy.actions import ReadHealth
+from chicoryproxy.conditions import ConditionStore
+from chicoryproxy.draws import Draws
+from chicoryproxy.events import HealthReading
+from chicoryproxy.ids import UpstreamId
+from chicoryproxy.messages import EntryReport, OpeningOutcomes
+from chicoryproxy.model import Upstream, UpstreamCondition
+from chicoryproxy.outbox import Outbox
+from chicoryproxy.signals import LOAD_SIGNAL, OutcomeWindow, Verdict, create_signals
+from chicoryproxy.states import UpstreamState
+
+READ_INTERVAL_S = 1.0
+READ_JITTER = 0.25
+"""Largest deviation from the read interval, as a part of it."""
+
+OVERLOAD_CONFIRM_S = 1.0
+CALM_S = 5.0
+"""Time without a bad verdict before a state is left for a better one, in seconds."""
+
+DISTRUST_S = 30.0
+DISTRUST_WARM_UPS = 2.0
+"""Time for which answered openings have to contradict a signal before it is left out: so many
+warm-ups of the upstream, and ``DISTRUST_S`` at least."""
+
+FIRST_READ_S = 0.2
+"""Time over which the first reads of a new owner are spread, in seconds."""
+
+EARLY_WARMED = 0.5
+"""Part of the warm-up before which a report of a full ramp is about the time before the cut."""
+
+_CUTS = frozenset((Verdict.WARMING, Verdict.COLD, Verdict.UNREACHABLE))
+
+
+class SignalEvidence(Struct, frozen=True):
+    """What one signal says of an upstream.
+
+    :param is_distrusted: the verdict is left out since openings contradict it.
+    """
+
+    signal: str
+    verdict: Verdict
+    is_distrusted: bool
+
+
+class UpstreamEvidence(Struct, frozen=True):
+    """Why an upstream that this instance owns has its condition."""
+
+    condition: UpstreamCondition
+    signals: tuple[SignalEvidence, ...]
+
+
+class _Trust:
+    """How long a signal's verdict has been contradicted by answered openings."""
+
+    __slots__ = ("contradicted_since", "is_distrusted")
+
+    def __init__(self) -> None:
+        self.contradicted_since: float | None = None
+        self.is_distrusted = False
+
+    def update(self, verdict: Verdict, is_contradicted: bool, limit_s: float, now: float) -> None:
+        """Take in a verdict and whether openings contradict it.
+
+        :param limit_s: time of contradiction after which the signal is distrusted.
+        """
+        if verdict in (Verdict.WELL, Verdict.SILENT):
+            self.contradicted_since = None
+            self.is_distrusted = False
+        elif not is_contradicted:
+            self.contradicted_since = None
+        elif self.contradicted_since is None:
+            self.contradicted_since = now
+        elif now - self.contradicted_since >= limit_s:
+            self.is_distrusted = True
+
+
+class UpstreamHealth:
+    """Rates one upstream.
+
+    :param upstream: the upstream as published.
+    :param since: time of the change that made its condition what it is.
+    """
+
+    def __init__(self, upstream: Upstream, since: float) -> None:
+        self.upstream = upstream
+        self._window = OutcomeWindow()
+        self._signals = create_signals(upstream, self._window)
+        self._trusts = {signal.name: _Trust() for signal in self._signals}
+        self._evidence: tuple[SignalEvidence, ...] = ()
+        self._cut_at = since
+        self._bad_at: float | None = None
+        self._overloaded_since: float | None = None
+        self._answered_at: float | None = None
+        self._warmed_at: float | None = None
+
+    @property
+    def evidence(self) -> tuple[SignalEvidence, ...]:
+        """Verdicts of the last rating."""
+        return self._evidence
+
+    def observe_reading(self, reading: HealthReading, now: float) -> None:
+        """Take in a reading."""
+        for signal in self._signals:
+            signal.observe_reading(reading, now)
+
+    def observe_outcomes(self, outcomes: OpeningOutcomes, now: float) -> None:
+        """Take in what became of openings."""
+        self._window.add(outcomes, now)
+        if outcomes.answered:
+            self._answered_at = now
+
+    def observe_warmed(self, now: float) -> None:
+        """Take in that the ramp of grants reached full capacity."""
+        if now - self._cut_at >= EARLY_WARMED * self.upstream.warm_up.duration_s:
+            self._warmed_at = now
+
+    def note_cut(self, now: float) -> None:
+        """Start the warm-up anew."""
+        self._cut_at = now
+        self._warmed_at = None
+        self._overloaded_since = None
+
+    def rate(self, condition: UpstreamCondition, now: float) -> UpstreamState:
+        """Return the state that the evidence demands.
+
+        :param condition: the condition in force; its epoch is zero when no instance has rated
+            the upstream.
+        """
+        votes = self._judge(now)
+        if _CUTS & votes.keys():
+            self._bad_at = now
+        state = condition.state
+        if Verdict.UNREACHABLE in votes and not self._is_answering(now):
+            # A misleading endpoint must not hide an upstream that answers openings.
+            return UpstreamState.UNREACHABLE
+        if state is UpstreamState.UNREACHABLE:
+            is_back = Verdict.WELL in votes or self._is_answering(now)
+            return UpstreamState.COLD if is_back else state
+        if Verdict.COLD in votes:
+            return UpstreamState.COLD
+        if state in (UpstreamState.COLD, UpstreamState.WARMING):
+            return self._rate_warming(condition, votes, now)
+        if Verdict.WARMING in votes:
+            # An upstream that was ready has started anew.
+            return UpstreamState.COLD
+        return self._rate_load(state, votes[Verdict.OVERLOADED], now)
+
+    def describe(self) -> str:
+        """Return the verdicts that count, for the log."""
+        told = [
+            f"{entry.signal} {entry.verdict.value}"
+            for entry in self._evidence
+            if entry.verdict is not Verdict.SILENT and not entry.is_distrusted
+        ]
+        return ", ".join(told) or "openings answered"
+
+    def _judge(self, now: float) -> Counter[Verdict]:
+        is_answering = self._is_answering(now)
+        limit_s = max(DISTRUST_S, DISTRUST_WARM_UPS * self.upstream.warm_up.duration_s)
+        evidence = []
+        for signal in self._signals:
+            verdict = signal.judge(now)
+            trust = self._trusts[signal.name]
+            trust.update(verdict, is_answering, limit_s, now)
+            evidence.append(SignalEvidence(signal.name, verdict, trust.is_distrusted))
+        self._evidence = tuple(evidence)
+        return Counter(entry.verdict for entry in evidence if not entry.is_distrusted)
+
+    def _is_answering(self, now: float) -> bool:
+        outcomes = self._window.sum(now)
+        return outcomes.answered > outcomes.refused + outcomes.lost
+
+    def _is_calm(self, now: float) -> bool:
+        return self._bad_at is None or now - self._bad_at >= CALM_S
+
+    def _rate_warming(
+        self, condition: UpstreamCondition, votes: Counter[Verdict], now: float
+    ) -> UpstreamState:
+        if condition.epoch == 0 and Verdict.WARMING not in votes and self._says_ready():
+            return UpstreamState.READY
+        if condition.state is UpstreamState.COLD:
+            is_answered = self._answered_at is not None and self._answered_at > self._cut_at
+            return UpstreamState.WARMING if is_answered else UpstreamState.COLD
+        is_over = now - self._cut_at >= self.upstream.warm_up.duration_s
+        is_warm = self._warmed_at is not None and is_over and self._is_calm(now)
+        return UpstreamState.READY if is_warm else UpstreamState.WARMING
+
+    def _says_ready(self) -> bool:
+        return any(
+            entry.verdict is Verdict.WELL for entry in self._evidence if entry.signal == LOAD_SIGNAL
+        )
+
+    def _rate_load(self, state: UpstreamState, overloaded: int, now: float) -> UpstreamState:
+        if not overloaded:
+            self._overloaded_since = None
+            return UpstreamState.READY if self._is_calm(now) else state
+        self._bad_at = now
+        if self._overloaded_since is None:
+            self._overloaded_since = now
+        is_confirmed = now - self._overloaded_since >= OVERLOAD_CONFIRM_S
+        return UpstreamState.SHEDDING if overloaded > 1 or is_confirmed else state
+
+
+class HealthBook:
+    """Reads and rates the upstreams that this instance owns.
+
+    :param seed: seed of the jitter of the reads.
+    :param conditions: takes the changes.
+    :param outbox: takes the reads to be made.
+    """
+
+    def __init__(self, seed: int, conditions: ConditionStore, outbox: Outbox) -> None:
+        self._conditions = conditions
+        self._outbox = outbox
+        self._draws = Draws(seed, "health")
+        self._owned: dict[UpstreamId, UpstreamHealth] = {}
+        self._due_at: dict[UpstreamId, float] = {}
+        self._epochs: dict[UpstreamId, int] = {}
+
+    def set_owned(self, upstreams: Iterable[Upstream], now: float) -> None:
+        """Follow the ownership; a new owner goes on from the condition that was spread."""
+        wanted = {upstream.id: upstream for upstream in upstreams}
+        for lost in self._owned.keys() - wanted.keys():
+            del self._owned[lost], self._due_at[lost]
+            self._outbox.log("health", "owned by another instance", lost)
+        for upstream in wanted.values():
+            known = self._owned.get(upstream.id)
+            if known is None or known.upstream != upstream:
+                self._own(upstream, now)
+
+    def receive_reading(self, reading: HealthReading, now: float) -> None:
+        """Take in the reading of an upstream; one that isn't owned any more is left out."""
+        health = self._owned.get(reading.upstream)
+        if health is not None:
+            health.observe_reading(reading, now)
+            self._rate(health, now)
+
+    def receive_report(self, report: EntryReport, now: float) -> None:
+        """Take in what the entry reports of owned upstreams."""
+        for outcomes in report.outcomes:
+            if outcomes.upstream in self._owned:
+                self._owned[outcomes.upstream].observe_outcomes(outcomes, now)
+        for upstream in report.warmed:
+            if upstream in self._owned:
+                self._owned[upstream].observe_warmed(now)
+        told = {outcomes.upstream for outcomes in report.outcomes}.union(report.warmed)
+        for upstream in sorted(told & self._owned.keys()):
+            self._rate(self._owned[upstream], now)
+
+    def tick(self, now: float) -> None:
+        """Ask for the reads that are due, and rate again what time alone may change."""
+        for upstream, due_at in self._due_at.items():
+            if now >= due_at:
+                health = self._owned[upstream]
+                self._due_at[upstream] = now + self._draw_interval()
+                if health.upstream.health_url:
+                    self._outbox.add(ReadHealth(upstream, health.upstream.health_url))
+                self._rate(health, now)
+
+    def list_evidence(self) -> tuple[UpstreamEvidence, ...]:
+        """Return the evidence on each owned upstream."""
+        evidence = []
+        for upstream in sorted(self._owned):
+            condition = self._conditions.get(upstream)
+            if condition is not None:
+                signals = self._owned[upstream].evidence
+                evidence.append(UpstreamEvidence(condition, signals))
+        return tuple(evidence)
+
+    def _own(self, upstream: Upstream, now: float) -> None:
+        condition = self._conditions.get(upstream.id)
+        since = condition.since_s if condition is not None else now
+        self._owned[upstream.id] = UpstreamHealth(upstream, since)
+        self._due_at[upstream.id] = now + self._draws.draw_fraction() * FIRST_READ_S
+        self._outbox.log("health", "owned by this instance", upstream.id)
+
+    def _draw_interval(self) -> float:
+        return READ_INTERVAL_S * (1.0 + READ_JITTER * (2.0 * self._draws.draw_fraction() - 1.0))
+
+    def _rate(self, health: UpstreamHealth, now: float) -> None:
+        condition = self._conditions.get(health.upstream.id)
+        if condition is None:
+            return
+        self._note_epoch(health, condition, now)
+        state = health.rate(condition, now)
+        if state is condition.state:
+            return
+        self._conditions.change(health.upstream.id, state, health.describe(), now)
+        if state is UpstreamState.COLD:
+            health.note_cut(now)
+        self._epochs[health.upstream.id] = condition.epoch + 1
+
+    def _note_epoch(self, health: UpstreamHealth, condition: UpstreamCondition, now: float) -> None:
+        """Start the warm-up anew when a version or another owner made the upstream cold."""
+        known = self._epochs.get(health.upstream.id, condition.epoch)
+        if condition.epoch != known and condition.state is UpstreamState.COLD:
+            health.note_cut(now)
+        self._epochs[health.upstream.id] = condition.epoch
+
+
+def create_health_book(seed: int, conditions: ConditionStore, outbox: Outbox) -> HealthBook:
+    """Create the book of owned upstreams; it owns none at first."""
+    return HealthBook(seed, conditions, outbox)
--- /dev/null
+++ b/src/chicoryproxy/leaving.py
@@ -0,0 +1,70 @@
+"""The graceful end of an instance, as its peers have to learn of it."""
+
+from collections.abc import Iterable
+
+from chicoryproxy.ids import InstanceId
+from chicoryproxy.membership import Membership
+from chicoryproxy.model import Instance
+from chicoryproxy.outbox import Outbox
+
+LEAVING_TIMEOUT_S = 10.0
+"""Longest time that a leaving instance waits for its peers and for the published list."""
+
+RETRY_S = 0.5
+PROBES_PER_ROUND = 16
+
+
+class Leaving:
+    """Tells the peers and notes who has answered.
+
+    :param membership: gives the peers and spreads the news.
+    :param outbox: takes the log lines.
+    """
+
+    def __init__(self, membership: Membership, outbox: Outbox) -> None:
+        self._membership = membership
+        self._outbox = outbox
+        self._began_at: float | None = None
+        self._asked_at = 0.0
+        self._numbers: set[int] = set()
+        self._acked: set[InstanceId] = set()
+        self._is_listed = True
+
+    def begin(self, now: float) -> None:
+        """Announce the end to the peers."""
+        if self._began_at is not None:
+            return
+        self._began_at = now
+        self._membership.announce_leaving()
+        self._outbox.log("leaving", "announced", self._membership.own.id)
+        self._ask(now)
+
+    def receive_list(self, instances: Iterable[Instance]) -> None:
+        """Note whether the published list still has this instance in service."""
+        own = self._membership.own.id
+        self._is_listed = any(instance.id == own and not instance.leaving for instance in instances)
+
+    def receive_ack(self, number: int, subject: InstanceId) -> None:
+        """Note that a peer got the announcement."""
+        if number in self._numbers:
+            self._acked.add(subject)
+
+    def tick(self, now: float) -> None:
+        """Repeat the announcement to peers that haven't answered."""
+        if self._began_at is not None and now - self._asked_at >= RETRY_S:
+            self._ask(now)
+
+    def is_over(self, now: float) -> bool:
+        """Return whether this instance may stop."""
+        if self._began_at is None:
+            return False
+        is_known = not self._list_missing() and not self._is_listed
+        return is_known or now - self._began_at >= LEAVING_TIMEOUT_S
+
+    def _ask(self, now: float) -> None:
+        self._asked_at = now
+        for peer in self._membership.draw_from(self._list_missing(), PROBES_PER_ROUND):
+            self._numbers.add(self._membership.send_probe(peer))
+
+    def _list_missing(self) -> list[InstanceId]:
+        return [peer for peer in self._membership.list_reachable() if peer not in self._acked]
--- /dev/null
+++ b/src/chicoryproxy/membership.py
@@ -0,0 +1,492 @@
+"""Membership of the entry instances of one region.
+
+After SWIM (Das, Gupta and Motivala, 2002): probe, indirect probe, suspicion, refutation by
+incarnation, and news spread on the probes. A suspected target is told so by the probe itself, as
+in Lifeguard (Dadgar, Phillips and Currey, 2018). In difference to SWIM, an instance that stops
+answering is ``HIDDEN`` for as long as the published list names it, and is probed on.
+"""
+
+from collections.abc import Iterable, Sequence
+
+from msgspec import Struct
+
+from chicoryproxy.draws import Draws
+from chicoryproxy.ids import DomainId, Incarnation, InstanceId
+from chicoryproxy.messages import Member, MemberUpdate
+from chicoryproxy.model import FleetLimits, Instance
+from chicoryproxy.outbox import Outbox
+from chicoryproxy.states import MemberState
+
+ACK_SHARE = 0.4
+"""Part of the probe interval after which a probe without an answer is tried indirectly."""
+
+INDIRECT_PROBES = 3
+HIDDEN_EVERY = 4
+"""One of so many probes goes to a hidden instance; every second one while a partition heals."""
+
+HEALING_S = 10.0
+SMALL_GROUP = 16
+"""Peers up to which every one of them may speak with the same instance at the same moment."""
+
+MAX_GONE = 8192
+MAX_RELAYS = 256
+MAX_RECENT = 32
+TOLD_PER_MESSAGE = 16
+TOLD_MESSAGES = 8
+
+_RANKS = {
+    MemberState.ALIVE: 0,
+    MemberState.LEAVING: 1,
+    MemberState.SUSPECT: 2,
+    MemberState.HIDDEN: 3,
+    MemberState.GONE: 4,
+}
+_SILENT = frozenset((MemberState.SUSPECT, MemberState.HIDDEN))
+
+
+class PeerRecord:
+    """What this instance knows of a peer.
+
+    :ivar listed: false once a published list without it has been read.
+    :ivar leaving: it announced that it leaves.
+    """
+
+    __slots__ = ("instance", "state", "incarnation", "listed", "leaving", "since")
+
+    def __init__(self, instance: Instance, now: float) -> None:
+        self.instance = instance
+        self.state = MemberState.ALIVE
+        self.incarnation = Incarnation(0)
+        self.listed = True
+        self.leaving = False
+        self.since = now
+
+    @property
+    def shown_state(self) -> MemberState:
+        """The state with the announcements of the peer and of the list taken in."""
+        if self.state is MemberState.ALIVE and (self.leaving or self.instance.leaving):
+            return MemberState.LEAVING
+        return self.state
+
+
+class _Relay(Struct, frozen=True):
+    origin: InstanceId
+    number: int
+
+
+class Membership:
+    """The members of this instance's region and what is believed of each.
+
+    :param instance: this instance.
+    :param seed: seed of the probe order.
+    :param outbox: takes messages and log lines.
+
+    ``revision`` rises with each change that ``build_members`` shows, ``heals`` with each hidden
+    instance that came back, the last of which is ``last_healed``.
+    """
+
+    def __init__(self, instance: Instance, seed: int, outbox: Outbox) -> None:
+        self._own = instance
+        self._outbox = outbox
+        self._draws = Draws(seed, f"membership/{instance.id}")
+        self._limits = FleetLimits()
+        self._incarnation = Incarnation(0)
+        self._leaving = False
+        self._peers: dict[InstanceId, PeerRecord] = {}
+        self._gone: dict[InstanceId, Incarnation] = {}
+        self._suspected_at: dict[InstanceId, float] = {}
+        self._hidden: dict[InstanceId, None] = {}
+        self._order: list[InstanceId] = []
+        self._probes = 0
+        self._number = 0
+        self._next_probe_at = 0.0
+        self._target: InstanceId | None = None
+        self._target_number = 0
+        self._indirect_at = 0.0
+        self._relays: dict[int, _Relay] = {}
+        self._healed_at = -HEALING_S
+        self._reachable: list[InstanceId] | None = None
+        self._members: tuple[Member, ...] | None = None
+        self._outbox.describe_target = self._describe_target
+        self.revision = 0
+        self.heals = 0
+        self.last_healed: InstanceId | None = None
+
+    # Reading the members.
+
+    def __len__(self) -> int:
+        """Return the number of members that are not gone, this instance included."""
+        return len(self._peers) + 1
+
+    @property
+    def own(self) -> Instance:
+        """This instance."""
+        return self._own
+
+    @property
+    def is_leaving(self) -> bool:
+        """True once this instance announced that it leaves."""
+        return self._leaving
+
+    def get_peer(self, instance: InstanceId) -> PeerRecord | None:
+        """Return the record of a peer, ``None`` for one that is gone or was never listed."""
+        return self._peers.get(instance)
+
+    def is_gone(self, instance: InstanceId) -> bool:
+        """Return whether an instance was a member and is gone."""
+        return instance in self._gone
+
+    def build_members(self) -> tuple[Member, ...]:
+        """Return this instance and every peer that is not gone, in the order of their ids."""
+        if self._members is None:
+            own = MemberState.LEAVING if self._leaving else MemberState.ALIVE
+            members = [Member(self._own, own)]
+            members.extend(Member(peer.instance, peer.shown_state) for peer in self._peers.values())
+            self._members = tuple(sorted(members, key=lambda member: member.instance.id))
+        return self._members
+
+    def list_alive(self, domain: DomainId | None = None) -> list[Instance]:
+        """Return the members that are alive, this instance included, in the order of their ids.
+
+        :param domain: only those of this failure domain.
+        """
+        return [
+            member.instance
+            for member in self.build_members()
+            if member.state is MemberState.ALIVE and domain in (None, member.instance.domain)
+        ]
+
+    def list_reachable(self) -> Sequence[InstanceId]:
+        """Return the peers that answer, leaving ones included."""
+        if self._reachable is None:
+            self._reachable = sorted(
+                id_ for id_, peer in self._peers.items() if peer.state not in _SILENT
+            )
+        return self._reachable
+
+    def draw_reachable(self, count: int) -> list[InstanceId]:
+        """Return up to ``count`` pseudo-random peers that answer."""
+        return self.draw_from(self.list_reachable(), count)
+
+    def draw_from(self, instances: Sequence[InstanceId], count: int) -> list[InstanceId]:
+        """Return up to ``count`` pseudo-random instances out of the given ones."""
+        return self._draws.draw_sample(instances, count)
+
+    def list_instances(self) -> tuple[Instance, ...]:
+        """Return this instance and every peer that is not gone."""
+        return (self._own, *(peer.instance for peer in self._peers.values()))
+
+    def list_recent(self) -> tuple[Instance, ...]:
+        """Return the instances that became known last, which peers may lack."""
+        recent = list(self._peers.values())[-MAX_RECENT:]
+        return (self._own, *(peer.instance for peer in recent))
+
+    # Learning.
+
+    def configure(self, limits: FleetLimits) -> None:
+        """Use the times of a configuration."""
+        self._limits = limits
+
+    def learn_instances(self, instances: Iterable[Instance], now: float) -> tuple[Instance, ...]:
+        """Add or renew the given instances and remove none.
+
+        :returns: those that were unknown or different.
+        """
+        return tuple(
+            instance for instance in instances if self._learn_instance(instance, False, now)
+        )
+
+    def learn_list(self, instances: Iterable[Instance], now: float) -> tuple[Instance, ...]:
+        """Take in a published list, which may lag.
+
+        An instance that answers stays a member although the list lacks it; one that doesn't is
+        gone.
+
+        :returns: the instances that were unknown or different.
+        """
+        listed = {instance.id: instance for instance in instances}
+        learned = tuple(
+            instance for instance in listed.values() if self._learn_instance(instance, True, now)
+        )
+        for peer in list(self._peers.values()):
+            peer.listed = peer.instance.id in listed
+            if not peer.listed and peer.state is MemberState.HIDDEN:
+                self._remove(peer, now)
+        return learned
+
+    def receive_updates(
+        self, sender: InstanceId, updates: Iterable[MemberUpdate], now: float
+    ) -> tuple[InstanceId, ...]:
+        """Take in news of members.
+
+        :returns: the ids that this instance has never heard of.
+        """
+        unknown = []
+        for update in updates:
+            if update.instance == self._own.id:
+                self._receive_own(sender, update)
+            elif update.instance in self._peers:
+                self._receive_known(sender, self._peers[update.instance], update, now)
+            elif update.state is not MemberState.GONE and self._is_news(sender, update):
+                unknown.append(update.instance)
+        return tuple(unknown)
+
+    # Probing.
+
+    def receive_ping(self, sender: InstanceId, number: int) -> None:
+        """Answer a probe."""
+        self._outbox.send_ack(sender, number, self._own.id)
+
+    def receive_ping_request(self, sender: InstanceId, number: int, subject: InstanceId) -> None:
+        """Probe a peer on another's behalf."""
+        if subject not in self._peers:
+            return
+        if len(self._relays) >= MAX_RELAYS:
+            del self._relays[next(iter(self._relays))]
+        own_number = self.next_number()
+        self._relays[own_number] = _Relay(sender, number)
+        self._outbox.send_ping(subject, own_number)
+
+    def receive_ack(self, number: int, subject: InstanceId) -> None:
+        """Note that a peer proved alive."""
+        relay = self._relays.pop(number, None)
+        if relay is not None:
+            self._outbox.send_ack(relay.origin, relay.number, subject)
+        if number == self._target_number and subject == self._target:
+            self._target = None
+
+    def send_probe(self, target: InstanceId) -> int:
+        """Send a probe outside of the round.
+
+        :returns: its number.
+        """
+        number = self.next_number()
+        self._outbox.send_ping(target, number)
+        return number
+
+    def next_number(self) -> int:
+        """Return a probe number that was never used."""
+        self._number += 1
+        return self._number
+
+    def tell_states(self, target: InstanceId) -> None:
+        """Tell a joiner which members don't answer or leave; it would take them for alive."""
+        updates = [
+            MemberUpdate(peer.instance.id, peer.state, peer.incarnation)
+            for peer in self._peers.values()
+            if peer.state in _SILENT
+        ]
+        updates = updates[: TOLD_PER_MESSAGE * TOLD_MESSAGES]
+        for start in range(0, len(updates), TOLD_PER_MESSAGE):
+            part = tuple(updates[start : start + TOLD_PER_MESSAGE])
+            self._outbox.send_members(target, self.next_number(), part)
+
+    def resume(self, gap_s: float) -> None:
+        """Forgive the peers the silence of this instance's own pause.
+
+        :param gap_s: length of the pause in seconds.
+        """
+        self._target = None
+        for suspect in self._suspected_at:
+            self._suspected_at[suspect] += gap_s
+
+    def announce_leaving(self) -> None:
+        """Spread that this instance leaves."""
+        self._leaving = True
+        self._incarnation = Incarnation(self._incarnation + 1)
+        self._outbox.members.put(self._own.id, self._build_own())
+        self._mark_changed()
+
+    def tick(self, now: float) -> None:
+        """Run the probes and the suspicions that are due."""
+        self._check_suspicions(now)
+        if self._target is not None and now >= self._indirect_at:
+            self._probe_indirectly(self._target)
+            self._indirect_at = float("inf")
+        if now >= self._next_probe_at:
+            self._start_period(now)
+
+    def _start_period(self, now: float) -> None:
+        if self._target in self._peers:
+            self._suspect(self._peers[self._target], True, now)
+        interval = self._limits.probe_interval_s
+        self._next_probe_at = now + interval
+        self._indirect_at = now + interval * ACK_SHARE
+        self._target = self._choose_target(now)
+        if self._target is not None:
+            self._target_number = self.send_probe(self._target)
+
+    def _choose_target(self, now: float) -> InstanceId | None:
+        self._probes += 1
+        every = 2 if now - self._healed_at < HEALING_S else HIDDEN_EVERY
+        if self._hidden and (self._probes % every == 0 or not self.list_reachable()):
+            return self._choose_hidden()
+        return self._choose_next()
+
+    def _choose_hidden(self) -> InstanceId:
+        target = next(iter(self._hidden))
+        del self._hidden[target]
+        self._hidden[target] = None
+        self._ask_about(self._peers[target])
+        return target
+
+    def _ask_about(self, peer: PeerRecord) -> None:
+        """Tell a peer of a hidden instance; it answers if it knows that the instance is gone."""
+        hidden = MemberUpdate(peer.instance.id, MemberState.HIDDEN, peer.incarnation)
+        for target in self.draw_reachable(1):
+            self._outbox.send_members(target, self.next_number(), (hidden,))
+
+    def _choose_next(self) -> InstanceId | None:
+        for _ in range(2):
+            while self._order:
+                target = self._order.pop()
+                if target in self._peers and target not in self._hidden:
+                    return target
+            self._order = self._draws.draw_sample(list(self._peers), len(self._peers))
+        return None
+
+    def _probe_indirectly(self, target: InstanceId) -> None:
+        if target in self._hidden:
+            return
+        helpers = [id_ for id_ in self.draw_reachable(INDIRECT_PROBES + 1) if id_ != target]
+        for helper in helpers[:INDIRECT_PROBES]:
+            self._outbox.send_ping_request(helper, self._target_number, target)
+
+    # Changing the state of a peer.
+
+    def _learn_instance(self, instance: Instance, from_list: bool, now: float) -> bool:
+        if instance.id == self._own.id or instance.region != self._own.region:
+            return False
+        peer = self._peers.get(instance.id)
+        if peer is not None:
+            changed = peer.instance != instance
+            peer.instance = instance
+            if changed:
+                self._mark_changed()
+            return changed
+        if instance.id in self._gone:
+            return False
+        self._peers[instance.id] = PeerRecord(instance, now)
+        self._order.insert(
+            self._draws.draw_index(len(self._order) + 1),
+            instance.id,
+        )
+        self._outbox.log("member", "listed", instance.id)
+        self._mark_changed()
+        return True
+
+    def _is_news(self, sender: InstanceId, update: MemberUpdate) -> bool:
+        incarnation = self._gone.get(update.instance)
+        if incarnation is None:
+            return True
+        if update.state not in _SILENT and update.incarnation > incarnation:
+            # It refuted its removal, so it was only cut off while the list lacked it.
+            del self._gone[update.instance]
+            return True
+        gone = MemberUpdate(update.instance, MemberState.GONE, incarnation)
+        self._outbox.send_members(sender, self.next_number(), (gone,))
+        return False
+
+    def _receive_own(self, sender: InstanceId, update: MemberUpdate) -> None:
+        if update.incarnation < self._incarnation or update == self._build_own():
+            return
+        self._incarnation = Incarnation(update.incarnation + 1)
+        self._outbox.log("member", f"refutes {update.state.value}", self._own.id)
+        own = self._build_own()
+        self._outbox.members.put(own.instance, own)
+        self._outbox.send_members(sender, self.next_number(), (own,))
+
+    def _build_own(self) -> MemberUpdate:
+        state = MemberState.LEAVING if self._leaving else MemberState.ALIVE
+        return MemberUpdate(self._own.id, state, self._incarnation)
+
+    def _receive_known(
+        self, sender: InstanceId, peer: PeerRecord, update: MemberUpdate, now: float
+    ) -> None:
+        if sender == update.instance and update.incarnation < peer.incarnation:
+            # A restarted process has to raise its incarnation above that of the one before.
+            known = MemberUpdate(sender, peer.shown_state, peer.incarnation)
+            self._outbox.send_members(sender, self.next_number(), (known,))
+            return
+        self._receive_update(peer, update, now)
+
+    def _receive_update(self, peer: PeerRecord, update: MemberUpdate, now: float) -> None:
+        state = update.state
+        if state is MemberState.HIDDEN and peer.state is not MemberState.HIDDEN:
+            # A partition may have hidden the peer from the teller alone.
+            state = MemberState.SUSPECT
+        rank = _RANKS[peer.shown_state]
+        if (update.incarnation, _RANKS[state]) <= (peer.incarnation, rank):
+            return
+        peer.incarnation = update.incarnation
+        if state is MemberState.GONE:
+            self._remove(peer, now)
+        elif state is MemberState.SUSPECT:
+            self._suspect(peer, False, now)
+        elif state is not MemberState.HIDDEN:
+            peer.leaving = state is MemberState.LEAVING
+            self._revive(peer, now)
+
+    def _revive(self, peer: PeerRecord, now: float) -> None:
+        instance = peer.instance.id
+        if peer.state is MemberState.HIDDEN:
+            self._healed_at = now
+            self.heals += 1
+            self.last_healed = instance
+        self._suspected_at.pop(instance, None)
+        self._hidden.pop(instance, None)
+        self._set_state(peer, MemberState.ALIVE, now)
+
+    def _suspect(self, peer: PeerRecord, detected: bool, now: float) -> None:
+        if peer.state in _SILENT:
+            return
+        self._suspected_at[peer.instance.id] = now
+        self._set_state(peer, MemberState.SUSPECT, now)
+        if detected or len(self._peers) <= SMALL_GROUP:
+            # The probe tells the peer, which then refutes at once.
+            self.send_probe(peer.instance.id)
+
+    def _check_suspicions(self, now: float) -> None:
+        due = now - self._limits.suspicion_s
+        ended = [id_ for id_, since in self._suspected_at.items() if since <= due]
+        for instance in ended:
+            del self._suspected_at[instance]
+            peer = self._peers[instance]
+            if not peer.listed:
+                self._remove(peer, now)
+                continue
+            self._hidden[instance] = None
+            self._set_state(peer, MemberState.HIDDEN, now)
+
+    def _set_state(self, peer: PeerRecord, state: MemberState, now: float) -> None:
+        peer.state = state
+        peer.since = now
+        shown = peer.shown_state
+        self._outbox.log("member", shown.value, peer.instance.id)
+        if state is not MemberState.HIDDEN:
+            update = MemberUpdate(peer.instance.id, shown, peer.incarnation)
+            self._outbox.members.put(peer.instance.id, update)
+        self._mark_changed()
+
+    def _remove(self, peer: PeerRecord, now: float) -> None:
+        instance = peer.instance.id
+        self._set_state(peer, MemberState.GONE, now)
+        del self._peers[instance]
+        self._suspected_at.pop(instance, None)
+        self._hidden.pop(instance, None)
+        self._gone[instance] = peer.incarnation
+        if len(self._gone) > MAX_GONE:
+            del self._gone[next(iter(self._gone))]
+
+    def _describe_target(self, target: InstanceId) -> MemberUpdate | None:
+        if target in self._gone:
+            return MemberUpdate(target, MemberState.GONE, self._gone[target])
+        peer = self._peers.get(target)
+        if peer is None or peer.state not in _SILENT:
+            return None
+        return MemberUpdate(target, peer.state, peer.incarnation)
+
+    def _mark_changed(self) -> None:
+        self.revision += 1
+        self._members = None
+        self._reachable = None
--- /dev/null
+++ b/src/chicoryproxy/outbox.py
@@ -0,0 +1,124 @@
+"""Collects the actions of the control core and builds the gossip that messages carry."""
+
+from collections.abc import Callable
+
+from chicoryproxy.actions import ControlAction, LogControl, SendToView
+from chicoryproxy.budget import ControlBudget
+from chicoryproxy.ids import NO_VERSION, InstanceId, UpstreamId, Version
+from chicoryproxy.messages import (
+    Ack,
+    Gossip,
+    MemberUpdate,
+    Ping,
+    PingRequest,
+    Priority,
+    VersionBody,
+    VersionFetch,
+    ViewMessage,
+)
+from chicoryproxy.model import UpstreamCondition
+from chicoryproxy.sizes import (
+    MESSAGE_BYTES,
+    estimate_condition,
+    estimate_member,
+    estimate_message,
+)
+from chicoryproxy.spread import SpreadQueue, count_sends
+
+MAX_MESSAGE_BYTES = 1200
+FIXED_BYTES = MESSAGE_BYTES + 80
+"""Bytes of a probe message without its news, with room for the subject and one extra update."""
+
+
+class Outbox:
+    """Actions of one call of the control core.
+
+    :param budget: control budget of the view.
+    """
+
+    def __init__(self, budget: ControlBudget) -> None:
+        self._budget = budget
+        self._actions: list[ControlAction] = []
+        self._now = 0.0
+        self._group_size = 1
+        self._bulk_bytes = 0
+        self.version: Version = NO_VERSION
+        self.members: SpreadQueue[InstanceId, MemberUpdate] = SpreadQueue(estimate_member)
+        self.conditions: SpreadQueue[UpstreamId, UpstreamCondition] = SpreadQueue(
+            estimate_condition
+        )
+        self.describe_target: Callable[[InstanceId], MemberUpdate | None] = lambda _: None
+
+    @property
+    def bulk_bytes(self) -> int:
+        """Estimated bytes of the version bodies that were sent, outside of the budget."""
+        return self._bulk_bytes
+
+    def begin(self, now: float, group_size: int) -> None:
+        """Start the collection of one call.
+
+        :param group_size: number of instances that news has to reach.
+        """
+        self._now = now
+        self._group_size = group_size
+
+    def drain(self) -> list[ControlAction]:
+        """Return the collected actions and forget them."""
+        actions = self._actions
+        self._actions = []
+        return actions
+
+    def add(self, action: ControlAction) -> None:
+        """Add an action that is no message."""
+        self._actions.append(action)
+
+    def log(self, part: str, text: str, subject: str = "") -> None:
+        """Add a log line."""
+        self.add(LogControl(part, text, subject))
+
+    def send_ping(self, target: InstanceId, number: int) -> None:
+        """Send a probe."""
+        self._send(target, Ping(number, self._build_gossip(target)), Priority.MEMBERSHIP)
+
+    def send_ack(self, target: InstanceId, number: int, subject: InstanceId) -> None:
+        """Answer a probe for ``subject``."""
+        self._send(target, Ack(number, subject, self._build_gossip(target)), Priority.MEMBERSHIP)
+
+    def send_ping_request(self, target: InstanceId, number: int, subject: InstanceId) -> None:
+        """Ask a peer to probe ``subject``."""
+        message = PingRequest(number, subject, self._build_gossip(target))
+        self._send(target, message, Priority.MEMBERSHIP)
+
+    def send_members(
+        self, target: InstanceId, number: int, members: tuple[MemberUpdate, ...]
+    ) -> None:
+        """Send a probe that carries stated updates instead of those in the queue."""
+        self._send(target, Ping(number, Gossip(self.version, members)), Priority.MEMBERSHIP)
+
+    def send_fetch(self, target: InstanceId, have: Version) -> None:
+        """Ask a peer for its configuration and generations."""
+        self._send(target, VersionFetch(have), Priority.SAFETY)
+
+    def send_body(self, target: InstanceId, body: VersionBody, size: int) -> None:
+        """Send a configuration; it is counted as bulk, outside of the budget.
+
+        :param size: estimated bytes of the body, which the caller computes once for many peers.
+        """
+        self._bulk_bytes += size
+        self.add(SendToView(target, body, Priority.SAFETY))
+
+    def _send(self, target: InstanceId, message: ViewMessage, priority: Priority) -> None:
+        self._budget.charge(priority, estimate_message(message), self._now)
+        self.add(SendToView(target, message, priority))
+
+    def _build_gossip(self, target: InstanceId) -> Gossip:
+        available = self._budget.measure_available(Priority.MEMBERSHIP, self._now)
+        room = min(MAX_MESSAGE_BYTES, available) - FIXED_BYTES
+        max_sends = count_sends(self._group_size)
+        conditions = self.conditions.take(room, max_sends)
+        room -= sum(map(estimate_condition, conditions))
+        members = self.members.take(room, max_sends)
+        about = self.describe_target(target)
+        if about is not None and all(update.instance != target for update in members):
+            members = (about, *members)
+        return Gossip(self.version, members, conditions)
--- /dev/null
+++ b/src/chicoryproxy/owners.py
@@ -0,0 +1,53 @@
+"""Owners of the upstreams of one failure domain, kept up to date member by member.
+
+Gives the same owners as ``rendezvous.choose_owner``, with one score for each upstream when a
+member comes, and a new choice only for its own upstreams when a member goes.
+"""
+
+from collections.abc import Collection, Iterable
+
+from chicoryproxy.ids import InstanceId, UpstreamId
+from chicoryproxy.model import Instance
+from chicoryproxy.rendezvous import choose_owner, score
+
+
+class OwnerMap:
+    """Owner of each upstream among the live members of its domain."""
+
+    def __init__(self) -> None:
+        self._members: dict[InstanceId, Instance] = {}
+        self._owners: dict[UpstreamId, InstanceId | None] = {}
+
+    def update(self, upstreams: Collection[UpstreamId], members: Iterable[Instance]) -> None:
+        """Follow the upstreams and the live members of the domain."""
+        wanted = {member.id: member for member in members}
+        gone = self._members.keys() - wanted.keys()
+        added = wanted.keys() - self._members.keys()
+        self._members = wanted
+        kept = self._owners.keys() & set(upstreams)
+        self._owners = {
+            upstream: (
+                self._follow(upstream, gone, added) if upstream in kept else self._choose(upstream)
+            )
+            for upstream in upstreams
+        }
+
+    def list_owned(self, instance: InstanceId) -> list[UpstreamId]:
+        """Return the upstreams that an instance owns."""
+        return [upstream for upstream, owner in self._owners.items() if owner == instance]
+
+    def get_owner(self, upstream: UpstreamId) -> InstanceId | None:
+        """Return the owner of an upstream, ``None`` without a live member in its domain."""
+        return self._owners.get(upstream)
+
+    def _follow(
+        self, upstream: UpstreamId, gone: Collection[InstanceId], added: Iterable[InstanceId]
+    ) -> InstanceId | None:
+        owner = self._owners[upstream]
+        if owner is None or owner in gone:
+            return self._choose(upstream)
+        key = f"owner/{upstream}"
+        return max((owner, *added), key=lambda candidate: (score(key, candidate), candidate))
+
+    def _choose(self, upstream: UpstreamId) -> InstanceId | None:
+        return choose_owner(upstream, self._members.values())
--- /dev/null
+++ b/src/chicoryproxy/spread.py
@@ -0,0 +1,83 @@
+"""Queue of news that is spread on other messages, each a bounded number of times.
+
+After the piggybacked dissemination of SWIM (Das, Gupta and Motivala, 2002): news that was sent
+less often goes first.
+"""
+
+import math
+from collections.abc import Callable
+from typing import Generic, TypeVar
+
+Key = TypeVar("Key", bound=str)
+News = TypeVar("News")
+
+SENDS_PER_DOUBLING = 3
+
+
+def count_sends(members: int) -> int:
+    """Return how often one piece of news is sent in a group of ``members`` instances."""
+    return SENDS_PER_DOUBLING * math.ceil(math.log2(members + 1))
+
+
+class SpreadQueue(Generic[Key, News]):
+    """News by key; newer news of a key replaces older.
+
+    :param estimate: returns the bytes of a piece of news.
+    """
+
+    def __init__(self, estimate: Callable[[News], int]) -> None:
+        self._estimate = estimate
+        self._news: dict[Key, News] = {}
+        self._by_sends: list[dict[Key, None]] = [{}]
+        self._sends: dict[Key, int] = {}
+
+    def __len__(self) -> int:
+        return len(self._news)
+
+    def put(self, key: Key, news: News) -> None:
+        """Queue news to be sent as often as the group needs."""
+        self.discard(key)
+        self._news[key] = news
+        self._place(key, 0)
+
+    def discard(self, key: Key) -> None:
+        """Drop the news of a key."""
+        if key in self._news:
+            del self._news[key]
+            del self._by_sends[self._sends.pop(key)][key]
+
+    def take(self, max_bytes: float, max_sends: int) -> tuple[News, ...]:
+        """Return news for one message, least sent first, and count it as sent.
+
+        :param max_bytes: room in the message.
+        :param max_sends: number of sends after which news is dropped.
+        """
+        keys: list[Key] = []
+        room = max_bytes
+        for level in self._by_sends:
+            for key in level:
+                room -= self._estimate(self._news[key])
+                if room < 0:
+                    return self._finish(keys, max_sends)
+                keys.append(key)
+        return self._finish(keys, max_sends)
+
+    def _finish(self, keys: list[Key], max_sends: int) -> tuple[News, ...]:
+        taken = tuple(self._news[key] for key in keys)
+        for key in keys:
+            self._count_send(key, max_sends)
+        return taken
+
+    def _count_send(self, key: Key, max_sends: int) -> None:
+        sends = self._sends[key] + 1
+        if sends >= max_sends:
+            self.discard(key)
+            return
+        del self._by_sends[sends - 1][key]
+        self._place(key, sends)
+
+    def _place(self, key: Key, sends: int) -> None:
+        while len(self._by_sends) <= sends:
+            self._by_sends.append({})
+        self._by_sends[sends][key] = None
+        self._sends[key] = sends
--- /dev/null
+++ b/src/chicoryproxy/versions.py
@@ -0,0 +1,231 @@
+"""Versions of the configuration that are in force, and the generations that are retained.
+
+A version only rises, whatever the platform or a peer serves. See ``docs/design/versions.md``.
+"""
+
+from collections.abc import Collection, Iterable
+
+from msgspec import Struct
+
+from chicoryproxy.ids import NO_VERSION, DomainId, InstanceId, ServiceId, Version
+from chicoryproxy.messages import ServiceClean
+from chicoryproxy.model import Configuration, Generation, Service
+from chicoryproxy.states import DomainState
+
+MAX_GENERATIONS = 16
+"""Generations that are kept for one service."""
+
+EMPTY_CONFIGURATION = Configuration(NO_VERSION, (), ())
+
+
+class VersionChange(Struct, frozen=True):
+    """What adopting a configuration changed.
+
+    :param previous: configuration that was in force before; ``EMPTY_CONFIGURATION`` at the start.
+    :param current: configuration that is in force now.
+    """
+
+    previous: Configuration
+    current: Configuration
+
+
+def list_domains_in(configuration: Configuration) -> frozenset[DomainId]:
+    """Return the failure domains that operators have in service."""
+    return frozenset(
+        domain.id for domain in configuration.domains if domain.state is DomainState.IN
+    )
+
+
+def build_generation(
+    version: Version, service: Service, domains_in: Collection[DomainId]
+) -> Generation:
+    """Return the upstreams that take new flows: listed, not draining, domain in."""
+    members = tuple(
+        upstream
+        for upstream in service.upstreams
+        if not upstream.draining and upstream.domain in domains_in
+    )
+    return Generation(service.id, version, members)
+
+
+class VersionStore:
+    """The configuration in force, the generations and what peers have.
+
+    ``revision`` rises with each change of the configuration, the generations, ``highest`` or
+    ``placed``.
+    """
+
+    def __init__(self) -> None:
+        self._configuration = EMPTY_CONFIGURATION
+        self._learned_at = 0.0
+        self._highest = NO_VERSION
+        self._highest_source: InstanceId | None = None
+        self._placed = NO_VERSION
+        self._generations: dict[ServiceId, tuple[Generation, ...]] = {}
+        self._floors: dict[ServiceId, Version] = {}
+        self._confirmed: dict[InstanceId, Version] = {}
+        self._stale_reads = 0
+        self.revision = 0
+
+    @property
+    def configuration(self) -> Configuration:
+        """The configuration in force."""
+        return self._configuration
+
+    @property
+    def version(self) -> Version:
+        """Version of the configuration in force."""
+        return self._configuration.version
+
+    @property
+    def learned_at(self) -> float:
+        """Time at which the configuration in force was learned."""
+        return self._learned_at
+
+    @property
+    def highest(self) -> Version:
+        """Highest version that was heard of."""
+        return self._highest
+
+    @property
+    def highest_source(self) -> InstanceId | None:
+        """Peer that told of the highest version first; ``None`` for the platform."""
+        return self._highest_source
+
+    @property
+    def placed(self) -> Version:
+        """Version that new flows may be placed by."""
+        return self._placed
+
+    @property
+    def stale_reads(self) -> int:
+        """Number of configurations that were older than the one in force."""
+        return self._stale_reads
+
+    @property
+    def is_behind(self) -> bool:
+        """True while a peer is known to have a higher version."""
+        return self._highest > self.version
+
+    def list_generations(self) -> tuple[Generation, ...]:
+        """Return the retained generations by service, oldest first."""
+        return tuple(
+            generation
+            for service in sorted(self._generations)
+            for generation in self._generations[service]
+        )
+
+    def list_recent(self, versions: int) -> tuple[Generation, ...]:
+        """Return the generations that a peer that was current a while ago may lack.
+
+        :param versions: number of versions that count as recent.
+        """
+        oldest = self.version - versions
+        return tuple(
+            generation
+            for generations in self._generations.values()
+            for generation in generations
+            if len(generations) > 1 or generation.version > oldest
+        )
+
+    def get_confirmed(self, instance: InstanceId) -> Version:
+        """Return the highest version that a peer said it has."""
+        return self._confirmed.get(instance, NO_VERSION)
+
+    def adopt(self, configuration: Configuration, now: float) -> VersionChange | None:
+        """Put a configuration in force if it is newer.
+
+        :returns: ``None`` when it isn't.
+        """
+        if configuration.version <= self.version:
+            self._stale_reads += configuration.version < self.version
+            return None
+        change = VersionChange(self._configuration, configuration)
+        self._configuration = configuration
+        self._learned_at = now
+        self._highest = max(self._highest, configuration.version)
+        self._add_generations(configuration)
+        self.revision += 1
+        return change
+
+    def merge_generations(self, generations: Iterable[Generation]) -> None:
+        """Take in the generations that a peer retains."""
+        by_service: dict[ServiceId, list[Generation]] = {}
+        for generation in generations:
+            by_service.setdefault(generation.service, []).append(generation)
+        for service, learned in by_service.items():
+            if service in self._generations:
+                self._merge(service, learned)
+
+    def hear(self, instance: InstanceId, version: Version) -> bool:
+        """Note the version that a peer has.
+
+        :returns: true when it is higher than any heard of before.
+        """
+        if version > self._confirmed.get(instance, NO_VERSION):
+            self._confirmed[instance] = version
+        if version <= self._highest:
+            return False
+        self._highest = version
+        self._highest_source = instance
+        self.revision += 1
+        return True
+
+    def retain(self, members: Collection[InstanceId]) -> None:
+        """Drop what instances confirmed that are no members any more."""
+        for gone in self._confirmed.keys() - members:
+            del self._confirmed[gone]
+
+    def prune(self, clean: Iterable[ServiceClean]) -> None:
+        """Drop the generations that no slot needs any more, never the newest."""
+        for service in clean:
+            kept = self._generations.get(service.service, ())
+            bases = [entry.version for entry in kept if entry.version <= service.version]
+            if len(bases) > 1:
+                self._floors[service.service] = bases[-1]
+                self._keep(service.service, kept)
+
+    def raise_placed(self, live: Iterable[InstanceId], spread_s: float, now: float) -> None:
+        """Let new flows follow the version in force once it has spread.
+
+        :param live: the live peers, each of which has to confirm the version.
+        :param spread_s: time after which confirmations are not waited for any more.
+        """
+        if self._placed == self.version:
+            return
+        spread = now - self._learned_at >= spread_s
+        if spread or all(self.get_confirmed(peer) >= self.version for peer in live):
+            self._placed = self.version
+            self.revision += 1
+
+    def _add_generations(self, configuration: Configuration) -> None:
+        domains_in = list_domains_in(configuration)
+        services = {service.id: service for service in configuration.services}
+        for gone in self._generations.keys() - services.keys():
+            del self._generations[gone]
+            self._floors.pop(gone, None)
+        for service in services.values():
+            generation = build_generation(configuration.version, service, domains_in)
+            self._keep(service.id, (*self._generations.get(service.id, ()), generation))
+
+    def _merge(self, service: ServiceId, learned: Iterable[Generation]) -> None:
+        known = self._generations[service]
+        by_version = {generation.version: generation for generation in learned}
+        by_version.update({generation.version: generation for generation in known})
+        merged = tuple(by_version[version] for version in sorted(by_version))
+        self._keep(service, merged)
+        if self._generations[service] != known:
+            self.revision += 1
+
+    def _keep(self, service: ServiceId, generations: Iterable[Generation]) -> None:
+        floor = self._floors.get(service, NO_VERSION)
+        kept: list[Generation] = []
+        for generation in generations:
+            if generation.version < floor:
+                continue
+            if not kept or generation.members != kept[-1].members:
+                kept.append(generation)
+        before = self._generations.get(service)
+        self._generations[service] = tuple(kept[-MAX_GENERATIONS:])
+        if before is not None and before != self._generations[service]:
+            self.revision += 1
--- /dev/null
+++ b/src/chicoryproxy/viewing.py
@@ -0,0 +1,107 @@
+"""Builds the view that the entry of this instance gets."""
+
+import msgspec
+
+from chicoryproxy.actions import UpdateEntry
+from chicoryproxy.conditions import ConditionStore, index_upstreams
+from chicoryproxy.ids import DomainId
+from chicoryproxy.membership import Membership
+from chicoryproxy.messages import ViewUpdate
+from chicoryproxy.model import UpstreamCondition
+from chicoryproxy.outbox import Outbox
+from chicoryproxy.reach import DomainReach
+from chicoryproxy.states import UpstreamState
+from chicoryproxy.versions import VersionStore
+
+
+class _ViewKey(msgspec.Struct, frozen=True):
+    versions: int
+    is_stale: bool
+
+
+class _NewsKey(msgspec.Struct, frozen=True):
+    members: int
+    conditions: int
+    reach: int
+
+
+class ViewBuilder:
+    """Emits a view when something changed.
+
+    A change of the versions or of the staleness is passed on at once, others with the next tick,
+    so that a burst of news makes one view.
+
+    :param membership: gives the members.
+    :param versions: gives the configuration and the generations.
+    :param conditions: gives the conditions of the upstreams.
+    :param reach: gives the domains that this instance is cut off from.
+    :param outbox: takes the view.
+    """
+
+    def __init__(
+        self,
+        membership: Membership,
+        versions: VersionStore,
+        conditions: ConditionStore,
+        reach: DomainReach,
+        outbox: Outbox,
+    ) -> None:
+        self._membership = membership
+        self._versions = versions
+        self._conditions = conditions
+        self._reach = reach
+        self._outbox = outbox
+        self._number = 0
+        self._view_key: _ViewKey | None = None
+        self._news_key: _NewsKey | None = None
+        self._is_tick = False
+
+    def note_tick(self) -> None:
+        """Permit the next update to pass on news of members and conditions."""
+        self._is_tick = True
+
+    def update(self, is_stale: bool) -> None:
+        """Emit a view if it differs from the last one."""
+        view_key = _ViewKey(self._versions.revision, is_stale)
+        news_key = _NewsKey(
+            self._membership.revision, self._conditions.revision, self._reach.revision
+        )
+        has_news = news_key != self._news_key and self._is_tick
+        self._is_tick = False
+        if view_key == self._view_key and not has_news:
+            return
+        self._view_key = view_key
+        self._news_key = news_key
+        self._number += 1
+        self._outbox.add(UpdateEntry(self._build(is_stale)))
+
+    def _build(self, is_stale: bool) -> ViewUpdate:
+        return ViewUpdate(
+            number=self._number,
+            configuration=self._versions.configuration,
+            generations=self._versions.list_generations(),
+            members=self._membership.build_members(),
+            conditions=self._list_conditions(),
+            highest=self._versions.highest,
+            placed=self._versions.placed,
+            stale=is_stale,
+        )
+
+    def _list_conditions(self) -> tuple[UpstreamCondition, ...]:
+        conditions = self._conditions.list_conditions()
+        cut_off = self._reach.cut_off
+        if not cut_off:
+            return conditions
+        domains = self._index_domains()
+        return tuple(
+            (
+                msgspec.structs.replace(condition, state=UpstreamState.UNREACHABLE)
+                if domains[condition.upstream] in cut_off
+                else condition
+            )
+            for condition in conditions
+        )
+
+    def _index_domains(self) -> dict[str, DomainId]:
+        upstreams = index_upstreams(self._versions.configuration)
+        return {upstream.id: upstream.domain for upstream in upstreams.values()}
