--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -1,6 +1,7 @@
 """Several control cores together."""
 
 import pytest
+
 from tests.control_net import DOMAINS, ControlNet, make_configuration, make_upstream
 
 
