--- /dev/null
+++ b/src/chicoryproxy/caller_standin.py
@@ -0,0 +1,173 @@
+"""Stand-in for callers, for the demo and the tests: opens flows and checks every answer."""
+
+import asyncio
+from collections import Counter
+from collections.abc import Callable
+from enum import Enum, unique
+
+from chicoryproxy.ids import UpstreamId
+from chicoryproxy.packet import FLAG_ACK, FLAG_FIN, FLAG_RST, FLAG_SYN
+from chicoryproxy.segment import SEQUENCE_MASK, Peer, Segment, build_packet, read_segment
+from chicoryproxy.upstream_standin import FLAG_PSH, NAME_END
+
+RETRANSMIT_S = 0.4
+MAX_TRIES = 50
+FIRST_SEQUENCE = 5000
+
+
+@unique
+class FlowEnd(Enum):
+    """How a flow of a caller ended, or that it has not."""
+
+    OPEN = "open"
+    CLOSED = "closed"
+    REFUSED = "refused"
+    RESET = "reset"
+    SILENT = "silent"
+    MOVED = "moved"
+    WRONG_ANSWER = "wrong_answer"
+
+
+class CallerFlow:
+    """One flow of a caller: at most one segment waits for its answer.
+
+    :ivar upstream: name that the answers gave; empty before the first.
+    :ivar end: how the flow ended.
+    :ivar answered: number of requests that were answered in full.
+    """
+
+    def __init__(self, source: Peer, target: Peer, send: Callable[[bytes], None]) -> None:
+        self.source = source
+        self.target = target
+        self.upstream = UpstreamId("")
+        self.end = FlowEnd.OPEN
+        self.answered = 0
+        self._send = send
+        self._sequence = FIRST_SEQUENCE
+        self._acknowledged = 0
+        self._waiting: Segment | None = None
+        self._sent_at = 0.0
+        self._tries = 0
+        self._done: asyncio.Future[FlowEnd] | None = None
+
+    @property
+    def is_waiting(self) -> bool:
+        """True while a segment waits for its answer."""
+        return self._waiting is not None
+
+    async def open(self, now: float) -> FlowEnd:
+        """Open the flow; returns ``OPEN`` once the upstream has accepted it."""
+        return await self._ask(FLAG_SYN, b"", now)
+
+    async def request(self, payload: bytes, now: float) -> FlowEnd:
+        """Send a request; returns ``OPEN`` once it was answered in full."""
+        return await self._ask(FLAG_PSH | FLAG_ACK, payload, now)
+
+    async def close(self, now: float) -> FlowEnd:
+        """Close the flow; returns ``CLOSED`` once the upstream has closed it too."""
+        return await self._ask(FLAG_FIN | FLAG_ACK, b"", now)
+
+    def receive(self, segment: Segment) -> None:
+        """Take an answer."""
+        waiting = self._waiting
+        if segment.flags & FLAG_RST:
+            opening = waiting is not None and waiting.flags & FLAG_SYN
+            self._finish(FlowEnd.REFUSED if opening else FlowEnd.RESET)
+        elif waiting is None:
+            return
+        elif waiting.flags & FLAG_SYN:
+            if segment.flags & FLAG_SYN:
+                self._acknowledged = segment.sequence + 1 & SEQUENCE_MASK
+                self._sequence += 1
+                self._settle()
+        elif waiting.flags & FLAG_FIN:
+            if segment.flags & FLAG_FIN:
+                self._finish(FlowEnd.CLOSED)
+        elif segment.payload and segment.sequence == self._acknowledged:
+            self._check(waiting, segment)
+
+    def retransmit(self, now: float) -> None:
+        """Send the waiting segment again when it is due."""
+        if self._waiting is None or now - self._sent_at < RETRANSMIT_S:
+            return
+        self._tries += 1
+        if self._tries > MAX_TRIES:
+            # A FIN without an answer may have met a connection that is closed already.
+            closing = self._waiting.flags & FLAG_FIN
+            self._finish(FlowEnd.CLOSED if closing else FlowEnd.SILENT)
+            return
+        self._sent_at = now
+        self._send(build_packet(self._waiting))
+
+    async def _ask(self, flags: int, payload: bytes, now: float) -> FlowEnd:
+        if self.end is not FlowEnd.OPEN:
+            return self.end
+        self._done = asyncio.get_running_loop().create_future()
+        self._waiting = Segment(
+            self.source, self.target, flags, self._sequence, self._acknowledged, payload
+        )
+        self._sent_at = now
+        self._tries = 0
+        self._send(build_packet(self._waiting))
+        return await self._done
+
+    def _check(self, waiting: Segment, segment: Segment) -> None:
+        name, _, echo = segment.payload.partition(NAME_END)
+        upstream = UpstreamId(name.decode(errors="replace"))
+        if echo != waiting.payload:
+            self._finish(FlowEnd.WRONG_ANSWER)
+        elif self.upstream and upstream != self.upstream:
+            self._finish(FlowEnd.MOVED)
+        else:
+            self.upstream = upstream
+            self.answered += 1
+            self._sequence = self._sequence + len(waiting.payload) & SEQUENCE_MASK
+            self._acknowledged = segment.sequence + len(segment.payload) & SEQUENCE_MASK
+            self._settle()
+
+    def _finish(self, end: FlowEnd) -> None:
+        if self.end is FlowEnd.OPEN:
+            self.end = end
+        self._settle()
+
+    def _settle(self) -> None:
+        self._waiting = None
+        if self._done is not None and not self._done.done():
+            self._done.set_result(self.end)
+
+
+class CallerStandIn:
+    """Many callers behind one fabric.
+
+    :param send: gives a packet to the fabric.
+    :param clock: time in seconds.
+    """
+
+    def __init__(self, send: Callable[[bytes], None], clock: Callable[[], float]) -> None:
+        self.flows: dict[tuple[Peer, Peer], CallerFlow] = {}
+        self._send = send
+        self._clock = clock
+
+    def create_flow(self, source: Peer, target: Peer) -> CallerFlow:
+        """Make a flow that is not opened yet."""
+        flow = CallerFlow(source, target, self._send)
+        self.flows[(source, target)] = flow
+        return flow
+
+    def receive(self, packet: bytes) -> None:
+        """Take a packet from the fabric."""
+        segment = read_segment(packet)
+        flow = self.flows.get((segment.target, segment.source)) if segment else None
+        if segment is not None and flow is not None:
+            flow.receive(segment)
+
+    def tick(self) -> None:
+        """Send again what is due."""
+        now = self._clock()
+        for flow in list(self.flows.values()):
+            if flow.is_waiting:
+                flow.retransmit(now)
+
+    def count_ends(self) -> Counter[FlowEnd]:
+        """Count the flows by how they ended."""
+        return Counter(flow.end for flow in self.flows.values())
--- /dev/null
+++ b/src/chicoryproxy/keys.py
@@ -0,0 +1,42 @@
+"""Reading of the key files that the settings name.
+
+A key file holds one key as text on its first line, ``MIN_KEY_BYTES`` to ``MAX_KEY_BYTES`` long.
+"""
+
+from pathlib import Path
+
+from chicoryproxy.errors import SettingsError
+from chicoryproxy.finding import FindingList, Place
+from chicoryproxy.seal import MAX_KEY_BYTES, MIN_KEY_BYTES
+from chicoryproxy.settings import Settings
+
+
+def load_keys(settings: Settings) -> tuple[bytes, ...]:
+    """Read the key, then the key that is also accepted.
+
+    :returns: no key when the settings name no file.
+    :raises SettingsError: with a finding for each file that cannot be used.
+    """
+    findings = FindingList()
+    names = (settings.key_file, settings.previous_key_file)
+    keys = tuple(_load_key(name, findings) for name in names if name)
+    if findings:
+        raise SettingsError(findings)
+    return keys
+
+
+def _load_key(name: str, findings: FindingList) -> bytes:
+    place = Place(name)
+    try:
+        lines = Path(name).read_bytes().splitlines()
+    except OSError as error:
+        findings.add(place, f"the key can't be read: {error.strerror}", "name a readable file")
+        return b""
+    key = lines[0].strip() if lines else b""
+    if not MIN_KEY_BYTES <= len(key) <= MAX_KEY_BYTES:
+        findings.add(
+            place,
+            f"the key has {len(key)} bytes",
+            f"write {MIN_KEY_BYTES} to {MAX_KEY_BYTES} bytes on the first line",
+        )
+    return key
--- a/src/chicoryproxy/logs.py
+++ b/src/chicoryproxy/logs.py
@@ -122,6 +122,9 @@
         self._log = PartLogger(ROUTE_PART)
         self._lost_reported = 0
 
+    def __len__(self) -> int:
+        return len(self._queue)
+
     def add(self, decision: LogRoute) -> None:
         """Take a decision for writing, unless the sampling leaves it out."""
         if self._sample > 1 and self._is_repeated(decision):
--- a/src/chicoryproxy/metrics.py
+++ b/src/chicoryproxy/metrics.py
@@ -24,6 +24,7 @@
     PACKETS_RETURNED = "entry.packets.returned"
     PACKETS_PASSED = "entry.packets.passed"
     PACKETS_DROPPED = "entry.packets.dropped"
+    PACKETS_UNSENT = "entry.packets.unsent"
     RESETS_SENT = "entry.resets.sent"
     REFUSALS = "entry.refusals"
     VIEW_NUMBER = "entry.view.number"
--- /dev/null
+++ b/src/chicoryproxy/operations.py
@@ -0,0 +1,78 @@
+"""The control endpoint of a process: HTTP answers in JSON about its state.
+
+``GET /state`` describes the process; ``GET /explain?flow=HEX`` says why a flow goes where it goes.
+Nothing can be changed over it.
+"""
+
+from collections.abc import Callable
+from typing import Any
+
+import aiomisc
+import msgspec
+from aiohttp import web
+from msgspec import Struct
+
+from chicoryproxy.ids import FlowKey
+from chicoryproxy.model import Endpoint
+
+Describe = Callable[[], Any]
+Explain = Callable[[FlowKey], Any]
+
+_HEX = 16
+
+
+class OperationsFinding(Struct, frozen=True):
+    """Why a question has no answer."""
+
+    error: str
+
+
+class OperationsServer(aiomisc.Service):
+    """Answers operators' questions.
+
+    :param describe: returns the state as a struct.
+    :param explain: returns the steps of a decision; ``None`` if the process decides on no flows.
+    """
+
+    def __init__(
+        self, endpoint: Endpoint, describe: Describe, explain: Explain | None = None
+    ) -> None:
+        super().__init__()
+        self._endpoint = endpoint
+        self._describe = describe
+        self._explain = explain
+        self._runner: web.AppRunner | None = None
+
+    async def start(self) -> None:
+        """Serve until the service is stopped."""
+        application = web.Application()
+        application.router.add_get("/state", self._answer_state)
+        application.router.add_get("/explain", self._answer_explain)
+        self._runner = web.AppRunner(application, access_log=None)
+        await self._runner.setup()
+        await web.TCPSite(self._runner, self._endpoint.host, self._endpoint.port).start()
+        self.start_event.set()
+        await self.loop.create_future()
+
+    async def stop(self, exception: Exception | None = None) -> None:
+        """Close the endpoint."""
+        if self._runner is not None:
+            await self._runner.cleanup()
+
+    async def _answer_state(self, _request: web.Request) -> web.Response:
+        return _answer(self._describe())
+
+    async def _answer_explain(self, request: web.Request) -> web.Response:
+        if self._explain is None:
+            return _answer(OperationsFinding("this process decides on no flows"), 404)
+        try:
+            flow = FlowKey(int(request.query.get("flow", ""), _HEX))
+        except ValueError:
+            return _answer(OperationsFinding("flow must be a hexadecimal number"), 400)
+        return _answer(self._explain(flow))
+
+
+def _answer(value: Any, status: int = 200) -> web.Response:
+    return web.Response(
+        body=msgspec.json.encode(value), status=status, content_type="application/json"
+    )
--- /dev/null
+++ b/src/chicoryproxy/options.py
@@ -0,0 +1,58 @@
+"""The command line that both processes of an instance share."""
+
+import os
+from collections.abc import Sequence
+from dataclasses import dataclass, fields
+from typing import Annotated
+
+import cappa
+
+from chicoryproxy.errors import SettingsError
+from chicoryproxy.settings import Settings, load_settings
+
+VERSION = "0.1.0"
+
+
+@dataclass
+class InstanceOptions:
+    """Where the settings are, and settings that win over the file and the environment."""
+
+    settings: Annotated[str, cappa.Arg(long=True, help="YAML file with the settings.")] = ""
+    instance: Annotated[str, cappa.Arg(long=True, help="Name of this instance.")] = ""
+    domain: Annotated[str, cappa.Arg(long=True, help="Failure domain of this instance.")] = ""
+    region: Annotated[str, cappa.Arg(long=True, help="Region of this instance.")] = ""
+    data: Annotated[str, cappa.Arg(long=True, help="IP:PORT for IP-in-UDP packets.")] = ""
+    peer: Annotated[str, cappa.Arg(long=True, help="IP:PORT for messages of entries.")] = ""
+    view: Annotated[str, cappa.Arg(long=True, help="IP:PORT for messages of views.")] = ""
+    link: Annotated[str, cappa.Arg(long=True, help="IP:PORT between view and entry.")] = ""
+    control: Annotated[str, cappa.Arg(long=True, help="IP:PORT that tells the state.")] = ""
+    platform: Annotated[str, cappa.Arg(long=True, help="URL of the platform.")] = ""
+    fabric: Annotated[str, cappa.Arg(long=True, help="IP:PORT that takes answers.")] = ""
+    key_file: Annotated[str, cappa.Arg(long=True, help="File with the key.")] = ""
+    previous_key_file: Annotated[
+        str, cappa.Arg(long=True, help="File with a key that is also accepted.")
+    ] = ""
+    statsd: Annotated[str, cappa.Arg(long=True, help="IP:PORT of statsd.")] = ""
+    log_format: Annotated[str, cappa.Arg(long=True, help="json or human.")] = ""
+    log_sample: Annotated[
+        str, cappa.Arg(long=True, help="Log one in so many repeated equal decisions.")
+    ] = ""
+    drain_timeout: Annotated[
+        str, cappa.Arg(long=True, help="Longest time of a graceful stop, such as 30s.")
+    ] = ""
+
+
+def parse_settings(options: type[InstanceOptions], argv: Sequence[str] | None) -> Settings | None:
+    """Read the command line and the settings.
+
+    :param options: the command, a subclass with its name and description.
+    :returns: the settings; ``None`` after all findings were printed.
+    """
+    parsed = cappa.parse(options, argv=None if argv is None else list(argv), version=VERSION)
+    names = [field.name for field in fields(InstanceOptions) if field.name != "settings"]
+    overrides = {name: getattr(parsed, name) for name in names if getattr(parsed, name)}
+    try:
+        return load_settings(parsed.settings, os.environ, overrides)
+    except SettingsError as error:
+        error.show()
+        return None
--- /dev/null
+++ b/src/chicoryproxy/probe.py
@@ -0,0 +1,92 @@
+"""Reading of the upstreams' health and load endpoints over HTTP.
+
+An endpoint answers with a JSON object: ``state`` (a value of ``UpstreamState``), ``started_at``
+(seconds since the epoch), ``slots_used`` and ``connections``, each of which may be missing.
+"""
+
+import asyncio
+from collections.abc import Callable
+
+import aiohttp
+import msgspec
+from msgspec import Struct
+
+from chicoryproxy.events import HealthReading
+from chicoryproxy.ids import UpstreamId
+from chicoryproxy.metrics import Metric, Metrics
+from chicoryproxy.states import UpstreamState
+
+READ_TIMEOUT_S = 1.0
+MAX_ANSWER_BYTES = 16 * 1024
+MAX_READS_AT_ONCE = 64
+
+
+class HealthAnswer(Struct, frozen=True):
+    """What a health endpoint says."""
+
+    state: UpstreamState | None = None
+    started_at: float = 0.0
+    slots_used: int = -1
+    connections: int = -1
+
+
+class HealthProbe:
+    """Reads health endpoints, each at most once at a time.
+
+    :param receive: called with each reading.
+    """
+
+    def __init__(
+        self,
+        session: aiohttp.ClientSession,
+        receive: Callable[[HealthReading], None],
+        metrics: Metrics,
+    ) -> None:
+        self._session = session
+        self._receive = receive
+        self._metrics = metrics
+        self._tasks: dict[UpstreamId, asyncio.Task[None]] = {}
+        self._slots = asyncio.Semaphore(MAX_READS_AT_ONCE)
+
+    def read(self, upstream: UpstreamId, url: str) -> None:
+        """Read one endpoint, unless a read of it is still running."""
+        if upstream in self._tasks:
+            return
+        task = asyncio.get_running_loop().create_task(self._read(upstream, url))
+        self._tasks[upstream] = task
+        task.add_done_callback(lambda _: self._tasks.pop(upstream, None))
+
+    def stop(self) -> None:
+        """Give up all running reads."""
+        for task in list(self._tasks.values()):
+            task.cancel()
+
+    async def _read(self, upstream: UpstreamId, url: str) -> None:
+        self._metrics.count(Metric.HEALTH_READS)
+        async with self._slots:
+            reading = await self._ask(upstream, url)
+        if not reading.reachable:
+            self._metrics.count(Metric.HEALTH_FAILURES)
+        self._receive(reading)
+
+    async def _ask(self, upstream: UpstreamId, url: str) -> HealthReading:
+        clock = asyncio.get_running_loop().time
+        started = clock()
+        timeout = aiohttp.ClientTimeout(total=READ_TIMEOUT_S)
+        try:
+            async with self._session.get(url, timeout=timeout) as answer:
+                body = await answer.content.read(MAX_ANSWER_BYTES)
+            if answer.status != 200:
+                return HealthReading(upstream, reachable=False)
+            said = msgspec.json.decode(body, type=HealthAnswer)
+        except (aiohttp.ClientError, OSError, TimeoutError, ValueError, msgspec.MsgspecError):
+            return HealthReading(upstream, reachable=False)
+        return HealthReading(
+            upstream,
+            True,
+            said.state,
+            said.started_at,
+            said.slots_used,
+            said.connections,
+            clock() - started,
+        )
--- /dev/null
+++ b/src/chicoryproxy/readings.py
@@ -0,0 +1,72 @@
+"""The service that reads the platform and the upstreams' health endpoints for the view."""
+
+import aiohttp
+import aiomisc
+
+from chicoryproxy.events import HealthReading
+from chicoryproxy.ids import UpstreamId, Version
+from chicoryproxy.metrics import Metrics
+from chicoryproxy.platform import PlatformReader, PlatformWatch, ReceiveReading
+from chicoryproxy.probe import HealthProbe
+
+
+class Readings(aiomisc.Service):
+    """Owns the HTTP session, and goes on with the watch after a restart of the service.
+
+    :param url: of the platform's service.
+    :param receive: called with each reading.
+    """
+
+    def __init__(self, url: str, receive: ReceiveReading, metrics: Metrics, seed: int) -> None:
+        super().__init__()
+        self._url = url
+        self._receive = receive
+        self._metrics = metrics
+        self._seed = seed
+        self._after: Version | None = None
+        self._session: aiohttp.ClientSession | None = None
+        self._watch: PlatformWatch | None = None
+        self._probe: HealthProbe | None = None
+
+    def watch(self, after: Version) -> None:
+        """Watch the platform."""
+        self._after = after
+        if self._watch is not None:
+            self._watch.start(after)
+
+    def stop_watching(self) -> None:
+        """End the watch."""
+        self._after = None
+        if self._watch is not None:
+            self._watch.stop()
+
+    def read_health(self, upstream: UpstreamId, url: str) -> None:
+        """Read the health endpoint of an upstream once."""
+        if self._probe is not None:
+            self._probe.read(upstream, url)
+
+    async def start(self) -> None:
+        """Serve until the service is stopped."""
+        self._session = aiohttp.ClientSession(auto_decompress=False)
+        reader = PlatformReader(self._url, self._session, self._metrics)
+        self._watch = PlatformWatch(reader, self._receive, self._metrics, self._seed)
+        self._probe = HealthProbe(self._session, self._receive_health, self._metrics)
+        if self._after is not None:
+            self._watch.start(self._after)
+        self.start_event.set()
+        await self.loop.create_future()
+
+    async def stop(self, exception: Exception | None = None) -> None:
+        """Give up all running reads."""
+        if self._watch is not None:
+            self._watch.stop()
+        if self._probe is not None:
+            self._probe.stop()
+        if self._session is not None:
+            await self._session.close()
+        self._watch = None
+        self._probe = None
+        self._session = None
+
+    def _receive_health(self, reading: HealthReading) -> None:
+        self._receive(reading)
--- /dev/null
+++ b/src/chicoryproxy/segment.py
@@ -0,0 +1,74 @@
+"""TCP segments in IPv4 packets, for the stand-ins."""
+
+import socket
+
+import dpkt
+from msgspec import Struct
+
+from chicoryproxy.packet import TCP
+
+WINDOW_BYTES = 65_535
+SEQUENCE_MASK = (1 << 32) - 1
+
+
+class Peer(Struct, frozen=True, order=True):
+    """One end of a TCP connection."""
+
+    host: str
+    port: int
+
+
+class Segment(Struct, frozen=True):
+    """A TCP segment with its ends.
+
+    :param sequence: of the first byte of the payload.
+    :param acknowledged: next byte that the sender expects.
+    """
+
+    source: Peer
+    target: Peer
+    flags: int
+    sequence: int = 0
+    acknowledged: int = 0
+    payload: bytes = b""
+
+
+def build_packet(segment: Segment) -> bytes:
+    """Return the segment as an IPv4 packet with its checksums."""
+    tcp = dpkt.tcp.TCP(
+        sport=segment.source.port,
+        dport=segment.target.port,
+        seq=segment.sequence & SEQUENCE_MASK,
+        ack=segment.acknowledged & SEQUENCE_MASK,
+        flags=segment.flags,
+        win=WINDOW_BYTES,
+        data=segment.payload,
+    )
+    packet = dpkt.ip.IP(
+        src=socket.inet_aton(segment.source.host),
+        dst=socket.inet_aton(segment.target.host),
+        p=TCP,
+        ttl=64,
+        data=tcp,
+    )
+    packet.len = len(packet)
+    return bytes(packet)
+
+
+def read_segment(packet: bytes) -> Segment | None:
+    """Return the segment of an IPv4 packet; ``None`` if there is none."""
+    try:
+        ip = dpkt.ip.IP(packet)
+    except dpkt.UnpackError:
+        return None
+    tcp = ip.data
+    if not isinstance(tcp, dpkt.tcp.TCP):
+        return None
+    return Segment(
+        Peer(socket.inet_ntoa(ip.src), tcp.sport),
+        Peer(socket.inet_ntoa(ip.dst), tcp.dport),
+        tcp.flags,
+        tcp.seq,
+        tcp.ack,
+        bytes(tcp.data),
+    )
--- /dev/null
+++ b/src/chicoryproxy/supervisor.py
@@ -0,0 +1,180 @@
+"""Supervisor of the services of a process.
+
+A child that fails, or ends by itself, is created and started again after a backoff. An essential
+child that fails too often within a window makes the supervisor fail, and with it the process, so
+that whoever runs the process can replace the instance. The idea of restart intensity is that of
+the supervisors of Erlang/OTP.
+"""
+
+import asyncio
+import os
+import signal
+from collections import deque
+from collections.abc import Awaitable, Callable, Sequence
+from enum import IntEnum, unique
+
+import aiomisc
+import uvloop
+from msgspec import Struct
+
+from chicoryproxy.backoff import Backoff, BackoffLimits
+from chicoryproxy.logs import PartLogger
+from chicoryproxy.metrics import Metric, Metrics
+
+RESTART_LIMITS = BackoffLimits(first_s=0.05, longest_s=10.0)
+HEALTHY_S = 30.0
+MAX_FAILURES = 20
+FAILURE_WINDOW_S = 60.0
+PART = "supervisor"
+
+
+@unique
+class ExitCode(IntEnum):
+    """Exit codes of the processes."""
+
+    STOPPED = 0
+    GAVE_UP = 1
+    WRONG_SETTINGS = 2
+    FORCED = 128 + signal.SIGTERM
+
+
+class Child(Struct, frozen=True):
+    """A supervised service.
+
+    :param create: makes a new service; its ``start`` runs as long as the service does.
+    :param is_essential: the process is of no use without it.
+    """
+
+    name: str
+    create: Callable[[], aiomisc.Service]
+    is_essential: bool = False
+
+
+class Supervisor(aiomisc.Service):
+    """Starts its children and starts them again when they fail.
+
+    :param seed: of the jitter of the backoff.
+    """
+
+    def __init__(self, children: Sequence[Child], metrics: Metrics, seed: int) -> None:
+        super().__init__()
+        self._children = children
+        self._metrics = metrics
+        self._seed = seed
+        self._log = PartLogger(PART)
+
+    async def start(self) -> None:
+        """Run all children until one of them has failed too often.
+
+        :raises ExceptionGroup: with the error of the child that was given up.
+        """
+        self.start_event.set()
+        async with asyncio.TaskGroup() as group:
+            for number, child in enumerate(self._children):
+                group.create_task(self._keep(child, Backoff(self._seed + number, RESTART_LIMITS)))
+
+    async def _keep(self, child: Child, backoff: Backoff) -> None:
+        failures: deque[float] = deque(maxlen=MAX_FAILURES)
+        while True:
+            started = self.loop.time()
+            error = await self._run(child)
+            now = self.loop.time()
+            failures.append(now)
+            self._metrics.count(Metric.CHILD_RESTARTS)
+            if child.is_essential and _is_too_often(failures, now):
+                self._log.error("Child is given up.", child=child.name, error=repr(error))
+                raise error
+            if now - started >= HEALTHY_S:
+                backoff.reset()
+            delay_s = backoff.next_delay()
+            self._log.warning(
+                "Child failed.", child=child.name, error=repr(error), restart_in_s=round(delay_s, 3)
+            )
+            await asyncio.sleep(delay_s)
+
+    async def _run(self, child: Child) -> Exception:
+        """Run a child once and return why it ended."""
+        service: aiomisc.Service | None = None
+        try:
+            service = child.create()
+            service.set_loop(self.loop)
+            await service.start()
+            return RuntimeError("the service ended by itself")
+        except Exception as error:
+            return error
+        finally:
+            if service is not None:
+                await self._stop_child(child, service)
+
+    async def _stop_child(self, child: Child, service: aiomisc.Service) -> None:
+        try:
+            await service.stop()
+        except Exception as error:
+            self._log.warning("Child did not stop.", child=child.name, error=repr(error))
+
+
+class _StopSignals:
+    """The first signal asks for a graceful stop, the second ends the process at once."""
+
+    def __init__(self) -> None:
+        self.asked = asyncio.Event()
+
+    def install(self, loop: asyncio.AbstractEventLoop) -> None:
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self._receive)
+
+    def _receive(self) -> None:
+        if self.asked.is_set():
+            os._exit(ExitCode.FORCED)
+        self.asked.set()
+
+
+def run_process(
+    name: str,
+    build: Callable[[], Supervisor],
+    drain: Callable[[], Awaitable[None]],
+) -> ExitCode:
+    """Run the supervisor of a process until it is asked to stop.
+
+    :param name: of the process, for the log.
+    :param build: makes the supervisor, on the loop.
+    :param drain: called after the first signal while the children still serve; returns when the
+        process may stop.
+    :returns: the exit code of the process.
+    """
+    return aiomisc.run(
+        _serve(name, build, drain),
+        loop_factory=uvloop.new_event_loop,
+        log_config=False,
+        catch_signals=(),
+        pool_size=2,
+    )
+
+
+async def _serve(
+    name: str, build: Callable[[], Supervisor], drain: Callable[[], Awaitable[None]]
+) -> ExitCode:
+    loop = asyncio.get_running_loop()
+    log = PartLogger(PART)
+    signals = _StopSignals()
+    signals.install(loop)
+    supervisor = build()
+    supervisor.set_loop(loop)
+    serving = loop.create_task(supervisor.start())
+    asked = loop.create_task(signals.asked.wait())
+    log.info("Process started.", process=name)
+    await asyncio.wait((serving, asked), return_when=asyncio.FIRST_COMPLETED)
+    if serving.done():
+        asked.cancel()
+        log.error("Process gives up.", process=name, error=repr(serving.exception()))
+        return ExitCode.GAVE_UP
+    log.info("Process stops gracefully.", process=name)
+    await drain()
+    serving.cancel()
+    await asyncio.wait((serving,))
+    log.info("Process stopped.", process=name)
+    return ExitCode.STOPPED
+
+
+def _is_too_often(failures: deque[float], now: float) -> bool:
+    return len(failures) == MAX_FAILURES and now - failures[0] <= FAILURE_WINDOW_S
--- /dev/null
+++ b/src/chicoryproxy/viewdriver.py
@@ -0,0 +1,186 @@
+"""Driver of the control core: carries its actions out on the platform, peers and the link."""
+
+import asyncio
+import time
+from collections.abc import Callable, Iterable, Sequence
+from typing import Any, Protocol
+
+from msgspec import Struct
+
+from chicoryproxy import codec
+from chicoryproxy.actions import (
+    ControlAction,
+    LogControl,
+    ReadHealth,
+    SendToView,
+    StopWatching,
+    UpdateEntry,
+    WatchPlatform,
+)
+from chicoryproxy.codec import DecodeProblem
+from chicoryproxy.events import InstancesRead
+from chicoryproxy.ids import InstanceId, Version
+from chicoryproxy.link import LinkServer
+from chicoryproxy.logs import OutputHandler, PartLogger, log_control
+from chicoryproxy.messages import EntryReport, VersionBody, ViewMessage, ViewUpdate
+from chicoryproxy.metrics import Metric, Metrics
+from chicoryproxy.model import Endpoint, Instance
+from chicoryproxy.platform import Reading
+from chicoryproxy.readings import Readings
+from chicoryproxy.settings import Settings
+from chicoryproxy.transport import TransportFactory
+
+TICK_S = 0.05
+DRAIN_POLL_S = 0.05
+PART = "view"
+
+
+class ControlCore(Protocol):
+    """What the driver uses of ``control.ControlCore``."""
+
+    def receive_reading(self, event: Reading, now: float) -> Sequence[ControlAction]: ...
+
+    def receive_message(
+        self, sender: InstanceId, message: ViewMessage, now: float
+    ) -> Sequence[ControlAction]: ...
+
+    def receive_report(self, report: EntryReport, now: float) -> Sequence[ControlAction]: ...
+
+    def tick(self, now: float) -> Sequence[ControlAction]: ...
+
+    def begin_leaving(self, now: float) -> Sequence[ControlAction]: ...
+
+    def may_stop(self, now: float) -> bool: ...
+
+    def describe(self) -> Any: ...
+
+
+class ViewState(Struct, frozen=True):
+    """State of the view process for operators.
+
+    :param core: what the core says of itself.
+    """
+
+    instance: InstanceId
+    is_leaving: bool
+    is_entry_connected: bool
+    version: Version
+    counters: dict[str, int]
+    core: Any
+
+
+class ViewDriver:
+    """Feeds the control core and carries its actions out.
+
+    :param core: decides.
+    :param settings: of the instance.
+    :param create_transport: makes the transport for messages between views.
+    :param seed: of retries.
+    """
+
+    def __init__(
+        self,
+        core: ControlCore,
+        settings: Settings,
+        create_transport: TransportFactory,
+        metrics: Metrics,
+        seed: int,
+    ) -> None:
+        self.metrics = metrics
+        self.peers = create_transport(self.receive_message)
+        self.link = LinkServer(settings.link, self.receive_report, metrics)
+        self.readings = Readings(settings.platform, self.receive_reading, metrics, seed)
+        self._core = core
+        self._settings = settings
+        self._clock = time.monotonic
+        self._log = PartLogger(PART)
+        self._is_leaving = False
+        self._update: ViewUpdate | None = None
+        self._addresses: dict[InstanceId, Endpoint] = {}
+
+    def receive_reading(self, event: Reading) -> None:
+        """Take a reading of the platform or of an upstream."""
+        if isinstance(event, InstancesRead):
+            self._learn(event.instances)
+        self._feed(lambda now: self._core.receive_reading(event, now))
+
+    def receive_message(self, sender: InstanceId, body: bytes) -> None:
+        """Take an accepted message of a peer."""
+        message = codec.decode_view_message(body)
+        if isinstance(message, DecodeProblem):
+            self.metrics.count(Metric.PEER_UNDECODED, label=message.value)
+            return
+        if isinstance(message, VersionBody):
+            self._learn(message.instances)
+        self._feed(lambda now: self._core.receive_message(sender, message, now))
+
+    def receive_report(self, report: EntryReport) -> None:
+        """Take a report of the entry."""
+        self._feed(lambda now: self._core.receive_report(report, now))
+
+    def tick(self) -> None:
+        """Let the core do what is due."""
+        self._feed(self._core.tick)
+
+    def flush_metrics(self, output: OutputHandler | None = None) -> None:
+        """Send the counters of the last second."""
+        self.metrics.set_gauge(Metric.VERSION_IN_FORCE, self._get_version())
+        self.metrics.set_total(Metric.LOG_LOST, output.lost if output else 0)
+        self.metrics.flush()
+
+    async def drain(self) -> None:
+        """Leave: serve on until the core may stop or the drain timeout is over."""
+        self._is_leaving = True
+        deadline = self._clock() + self._settings.drain_timeout_s
+        self._feed(self._core.begin_leaving)
+        while not self._core.may_stop(self._clock()):
+            if self._clock() >= deadline:
+                self._log.warning("The drain timeout is over.")
+                return
+            await asyncio.sleep(DRAIN_POLL_S)
+
+    def describe(self) -> ViewState:
+        """Return the state for operators."""
+        return ViewState(
+            self._settings.instance,
+            self._is_leaving,
+            self.link.is_connected,
+            self._get_version(),
+            self.metrics.get_totals(),
+            self._core.describe(),
+        )
+
+    def _get_version(self) -> Version:
+        return self._update.configuration.version if self._update else Version(0)
+
+    def _feed(self, call: Callable[[float], Iterable[ControlAction]]) -> None:
+        try:
+            for action in call(self._clock()):
+                self._carry_out(action)
+        except Exception:
+            self.metrics.count(Metric.CORE_FAULTS)
+            self._log.error("An event was left out.", exc_info=True)
+
+    def _carry_out(self, action: ControlAction) -> None:
+        if isinstance(action, SendToView):
+            self.peers.send(action.instance, codec.encode(action.message))
+        elif isinstance(action, UpdateEntry):
+            self._update = action.update
+            self._learn(member.instance for member in action.update.members)
+            self.link.publish(action.update)
+        elif isinstance(action, WatchPlatform):
+            self.readings.watch(action.after)
+        elif isinstance(action, StopWatching):
+            self.readings.stop_watching()
+        elif isinstance(action, ReadHealth):
+            self.readings.read_health(action.upstream, action.url)
+        elif isinstance(action, LogControl):
+            log_control(action)
+
+    def _learn(self, instances: Iterable[Instance]) -> None:
+        """Note where the views of instances listen."""
+        addresses = {instance.id: instance.view for instance in instances}
+        if addresses.items() <= self._addresses.items():
+            return
+        self._addresses |= addresses
+        self.peers.set_peers(dict(self._addresses))
