--- /dev/null
+++ b/tests/test_choke.py
@@ -0,0 +1,49 @@
+"""Tests of the choke point."""
+
+import pytest
+
+from chicoryproxy.actions import Forward
+from chicoryproxy.choke import create_gate
+from chicoryproxy.ids import DomainId, RegionId, ServiceId, UpstreamId, Version
+from chicoryproxy.model import Configuration, Domain, Endpoint, Service, Upstream
+from chicoryproxy.states import DomainState, DropReason, RefusalReason
+
+ADDRESS = Endpoint("127.0.0.1", 1)
+
+
+def make_service(name, *upstreams):
+    listed = tuple(Upstream(UpstreamId(u), DomainId(d), ADDRESS) for u, d in upstreams)
+    return Service(ServiceId(name), (), listed)
+
+
+@pytest.fixture
+def gate():
+    domains = (
+        Domain(DomainId("in"), RegionId("r")),
+        Domain(DomainId("out"), RegionId("r"), DomainState.OUT),
+    )
+    services = (
+        make_service("a", ("a1", "in"), ("a2", "out"), ("a3", "unlisted")),
+        make_service("b", ("b1", "in")),
+    )
+    return create_gate(Configuration(Version(1), domains, services))
+
+
+def test_a_listed_upstream_gets_one_prepared_action(gate):
+    permit = gate.permit(ServiceId("a"), UpstreamId("a1"))
+    assert permit == (Forward(UpstreamId("a1"), ADDRESS),)
+    assert gate.permit(ServiceId("a"), UpstreamId("a1")) is permit
+
+
+@pytest.mark.parametrize(
+    ("service", "upstream", "reason"),
+    [
+        ("a", "b1", DropReason.NOT_LISTED),
+        ("b", "a1", DropReason.NOT_LISTED),
+        ("a", "a3", DropReason.NOT_LISTED),
+        ("c", "a1", DropReason.UNKNOWN_SERVICE),
+        ("a", "a2", RefusalReason.DOMAIN_OUT),
+    ],
+)
+def test_nothing_else_leaves(gate, service, upstream, reason):
+    assert gate.permit(ServiceId(service), UpstreamId(upstream)) is reason
