--- a/src/chicoryproxy/document.py
+++ b/src/chicoryproxy/document.py
@@ -1,6 +1,7 @@
 """Reads YAML into plain data and remembers where each value was written."""
 
 from enum import Enum, unique
+from math import isfinite
 from typing import Any
 
 from msgspec import Struct
@@ -186,7 +187,10 @@
 
 
 def _read_float(text: str) -> float:
-    return float(text.replace("_", "").replace(".inf", "inf").replace(".nan", "nan"))
+    number = float(text.replace("_", ""))
+    if not isfinite(number):
+        raise ValueError(text)
+    return number
 
 
 _READERS: dict[str, Any] = {
