--- a/src/chicoryproxy/conversion.py
+++ b/src/chicoryproxy/conversion.py
@@ -227,11 +227,9 @@
     shown = data if isinstance(data, str) else _NAMES.get(type(data), "a value")
     if isinstance(data, int | float) and not isinstance(data, bool):
         shown = f"{data}"
-    bounds = str(error).partition(" - ")[0]
-    if "pattern" in bounds or "matching" in bounds or "enum" in bounds or "Expected `" in bounds:
+    reason = str(error).partition(" - ")[0]
+    if get_notes(hint).title or "Expected `" in reason or "enum" in reason:
         reason = f"expected {describe_type(hint)}"
-    else:
-        reason = bounds[:1].lower() + bounds[1:]
     return f"`{shown}` can't be used: {reason}"
 
 
--- a/src/chicoryproxy/document.py
+++ b/src/chicoryproxy/document.py
@@ -183,7 +183,10 @@
 
 
 def _read_int(text: str) -> int:
-    return int(text.replace("_", ""), 0) if not text.lstrip("+-").startswith("0") else int(text)
+    digits = text.replace("_", "")
+    # YAML 1.2 reads a leading zero as decimal, unless a letter follows it.
+    base = 0 if digits.lstrip("+-")[:2] in ("0x", "0o") else 10
+    return int(digits, base)
 
 
 def _read_float(text: str) -> float:
--- a/src/chicoryproxy/layers.py
+++ b/src/chicoryproxy/layers.py
@@ -55,15 +55,15 @@
         return f"{self.kind.value} at {self.place}{reason}{until}"
 
 
-class Setting(Struct, frozen=True):
+class LayeredValue(Struct, frozen=True):
     """A value in base units with its layer."""
 
     value: Any
     layer: Layer
 
 
-Settings = dict[str, Setting]
-"""Settings by their key, such as ``capacity.slots``."""
+LayeredValues = dict[str, LayeredValue]
+"""Values by their key, such as ``capacity.slots``."""
 
 
 class Key(Struct, frozen=True):
@@ -110,10 +110,10 @@
     return values
 
 
-def list_built_in() -> Settings:
+def list_built_in() -> LayeredValues:
     """Return the built-in value of each key."""
     layer = Layer(LayerKind.BUILT_IN)
-    return {name: Setting(key.built_in, layer) for name, key in KEYS.items()}
+    return {name: LayeredValue(key.built_in, layer) for name, key in KEYS.items()}
 
 
 def list_keys(level: Level) -> list[str]:
