--- a/src/chicoryproxy/control.py
+++ b/src/chicoryproxy/control.py
@@ -154,9 +154,9 @@
             case Ping(number=number, gossip=gossip):
                 self._receive_gossip(sender, gossip, now)
                 self._membership.receive_ping(sender, number)
-            case Ack(number=number, subject=subject, gossip=gossip):
+            case Ack(gossip=gossip):
                 self._receive_gossip(sender, gossip, now)
-                self._receive_ack(message, now)
+                self._receive_ack(sender, message, now)
             case PingRequest(number=number, subject=subject, gossip=gossip):
                 self._receive_gossip(sender, gossip, now)
                 self._membership.receive_ping_request(sender, number, subject)
@@ -251,8 +251,8 @@
         self._conditions.receive(gossip.conditions, now)
         self._exchange.hear(sender, gossip.version, unknown, now)
 
-    def _receive_ack(self, ack: Ack, now: float) -> None:
-        self._membership.receive_ack(ack.number, ack.subject)
+    def _receive_ack(self, sender: InstanceId, ack: Ack, now: float) -> None:
+        self._membership.receive_ack(sender, ack.number, ack.subject, now)
         self._staleness.receive_ack(ack.number, ack.subject, ack.gossip.version)
         self._leaving.receive_ack(ack.number, ack.subject)
 
