--- a/src/chicoryproxy/membership.py
+++ b/src/chicoryproxy/membership.py
@@ -522,6 +522,8 @@
                 self._remove(peer, now)
                 continue
             self._hidden[instance] = None
+            # Those who haven't heard of the suspicion learn of it from `_ask_about`.
+            self._outbox.members.discard(instance)
             self._set_state(peer, MemberState.HIDDEN, now)
 
     def _set_state(
@@ -552,6 +554,9 @@
         peer = self._peers.get(target)
         if peer is None or peer.state not in _SILENT:
             return None
+        if peer.state is MemberState.HIDDEN and len(self._hidden) > SMALL_GROUP:
+            # Refutations by a whole domain would take minutes to spread; answers heal it sooner.
+            return None
         return MemberUpdate(target, peer.state, peer.incarnation)
 
     def _mark_changed(self) -> None:
