--- a/src/chicoryproxy/control.py
+++ b/src/chicoryproxy/control.py
@@ -192,6 +192,8 @@
         """Tell the peers that this instance is about to stop."""
         self._begin(now)
         self._leaving.begin(now)
+        # The list, which only readers get, has to show that this instance leaves.
+        self._readers.start(self._versions.version)
         return self._finish(now)
 
     def may_stop(self, now: float) -> bool:
@@ -264,7 +266,8 @@
         self._followed = key
         own = self._membership.own
         alive = self._membership.list_alive(own.domain)
-        self._readers.update(alive, self._versions.version)
+        if not self._membership.is_leaving:
+            self._readers.update(alive, self._versions.version)
         by_domain = group_upstreams(self._versions.configuration)
         owned_domain = {upstream.id: upstream for upstream in by_domain.get(own.domain, ())}
         self._owners.update(owned_domain, alive)
--- a/src/chicoryproxy/membership.py
+++ b/src/chicoryproxy/membership.py
@@ -276,6 +276,15 @@
         self._outbox.send_ping(target, number)
         return number
 
+    def send_own_state(self, target: InstanceId) -> int:
+        """Send a probe that surely carries the state of this instance.
+
+        :returns: its number.
+        """
+        number = self.next_number()
+        self._outbox.send_members(target, number, (self._build_own(),))
+        return number
+
     def next_number(self) -> int:
         """Return a probe number that was never used."""
         self._number += 1
