--- a/src/chicoryproxy/layers.py
+++ b/src/chicoryproxy/layers.py
@@ -11,6 +11,7 @@
 from chicoryproxy.finding import Place
 from chicoryproxy.model import Capacity, FleetLimits, FlowLimits, WarmUp
 from chicoryproxy.notation import parse_value
+from chicoryproxy.quantity import format_duration, format_size
 from chicoryproxy.states import DomainState, ReturnPath
 
 
@@ -66,6 +67,16 @@
 """Values by their key, such as ``capacity.slots``."""
 
 
+@unique
+class Unit(Enum):
+    """Base unit of a value."""
+
+    NONE = "none"
+    SECONDS = "seconds"
+    BYTES = "bytes"
+    SHARE = "share"
+
+
 class Key(Struct, frozen=True):
     """A key that layers set.
 
@@ -75,6 +86,7 @@
 
     level: Level
     built_in: Any
+    unit: Unit = Unit.NONE
 
 
 _FLEET, _LIMITS, _CAPACITY, _WARM_UP = FleetLimits(), FlowLimits(), Capacity(), WarmUp()
@@ -83,22 +95,22 @@
     "state": Key(Level.DOMAIN, DomainState.IN),
     "draining": Key(Level.UPSTREAM, False),
     "return_path": Key(Level.SERVICE, ReturnPath.DIRECT),
-    "limits.idle_timeout": Key(Level.SERVICE, _LIMITS.idle_timeout_s),
-    "limits.opening_timeout": Key(Level.SERVICE, _LIMITS.opening_timeout_s),
-    "limits.retry_ratio": Key(Level.SERVICE, _LIMITS.retry_ratio),
+    "limits.idle_timeout": Key(Level.SERVICE, _LIMITS.idle_timeout_s, Unit.SECONDS),
+    "limits.opening_timeout": Key(Level.SERVICE, _LIMITS.opening_timeout_s, Unit.SECONDS),
+    "limits.retry_ratio": Key(Level.SERVICE, _LIMITS.retry_ratio, Unit.SHARE),
     "weight": Key(Level.UPSTREAM, 1),
     "capacity.slots": Key(Level.UPSTREAM, _CAPACITY.slots),
     "capacity.connections": Key(Level.UPSTREAM, _CAPACITY.connections),
     "warm_up.cold_openings": Key(Level.UPSTREAM, _WARM_UP.cold_openings),
     "warm_up.full_openings": Key(Level.UPSTREAM, _WARM_UP.full_openings),
-    "warm_up.duration": Key(Level.UPSTREAM, _WARM_UP.duration_s),
-    "fleet.control_rate": Key(Level.INSTANCE, _FLEET.control_bytes_per_s),
+    "warm_up.duration": Key(Level.UPSTREAM, _WARM_UP.duration_s, Unit.SECONDS),
+    "fleet.control_rate": Key(Level.INSTANCE, _FLEET.control_bytes_per_s, Unit.BYTES),
     "fleet.flow_table_size": Key(Level.INSTANCE, _FLEET.flow_table_size),
-    "fleet.spread": Key(Level.FLEET, _FLEET.spread_s),
-    "fleet.lease": Key(Level.FLEET, _FLEET.lease_s),
-    "fleet.probe_interval": Key(Level.FLEET, _FLEET.probe_interval_s),
-    "fleet.suspicion": Key(Level.FLEET, _FLEET.suspicion_s),
-    "fleet.pause": Key(Level.FLEET, _FLEET.pause_s),
+    "fleet.spread": Key(Level.FLEET, _FLEET.spread_s, Unit.SECONDS),
+    "fleet.lease": Key(Level.FLEET, _FLEET.lease_s, Unit.SECONDS),
+    "fleet.probe_interval": Key(Level.FLEET, _FLEET.probe_interval_s, Unit.SECONDS),
+    "fleet.suspicion": Key(Level.FLEET, _FLEET.suspicion_s, Unit.SECONDS),
+    "fleet.pause": Key(Level.FLEET, _FLEET.pause_s, Unit.SECONDS),
 }
 """All keys of ``defaults`` and of exceptions' ``change``."""
 
@@ -116,6 +128,20 @@
     return {name: LayeredValue(key.built_in, layer) for name, key in KEYS.items()}
 
 
+def format_value(key: str, value: Any) -> str:
+    """Return a value in base units as operators write it."""
+    unit = KEYS[key].unit
+    if unit is Unit.SECONDS:
+        return format_duration(value)
+    if unit is Unit.BYTES:
+        return format_size(value)
+    if unit is Unit.SHARE:
+        return f"{value * 100:g}%"
+    if isinstance(value, Enum):
+        return str(value.value)
+    return str(value).lower() if isinstance(value, bool) else f"{value:g}"
+
+
 def list_keys(level: Level) -> list[str]:
     """Return the names of the keys of a level."""
     return [name for name, key in KEYS.items() if key.level is level]
--- a/src/chicoryproxy/quantity.py
+++ b/src/chicoryproxy/quantity.py
@@ -59,6 +59,14 @@
     return f"{seconds * 1000:g}ms"
 
 
+def format_size(size: int) -> str:
+    """Return a size as text with the largest unit that keeps it whole."""
+    for unit in ("GB", "MB", "KB"):
+        if size and size % _BYTES[unit] == 0:
+            return f"{size // _BYTES[unit]}{unit}"
+    return f"{size}B"
+
+
 def _split(text: str) -> tuple[str, str]:
     parts = _PARTS.fullmatch(text)
     assert parts is not None
--- a/src/chicoryproxy/settings.py
+++ b/src/chicoryproxy/settings.py
@@ -133,7 +133,21 @@
         document = load_document(path, findings)
     if isinstance(document, DocumentFault):
         raise SettingsError(findings)
-    document = _override(document, _collect_overrides(environ, overrides, findings), findings)
+    return create_settings(document, environ, overrides, findings)
+
+
+def create_settings(
+    document: Document,
+    environ: Mapping[str, str],
+    overrides: Mapping[str, str],
+    findings: FindingList,
+) -> Settings:
+    """Check a document with its overrides.
+
+    :param findings: what is wrong already; takes the rest.
+    :raises SettingsError: with all findings.
+    """
+    document = _override(document, _collect_overrides(environ, overrides, findings))
     written = convert_document(document, WrittenSettings, findings)
     settings = _Checker(document, findings).check(written)
     if findings:
@@ -174,7 +188,7 @@
     return collected
 
 
-def _override(document: Document, overrides: list[_Override], findings: FindingList) -> Document:
+def _override(document: Document, overrides: list[_Override]) -> Document:
     """Return the document with the values from outside the file."""
     if document.data is None:
         document = structs.replace(document, data={})
