--- a/src/chicoryproxy/address.py
+++ b/src/chicoryproxy/address.py
@@ -1,8 +1,7 @@
-"""Reads IP numbers with ports, and URLs."""
+"""Reads IP numbers with ports."""
 
 import ipaddress
 from enum import Enum, unique
-from urllib.parse import urlsplit
 
 from chicoryproxy.model import Endpoint
 
@@ -43,21 +42,6 @@
     return f"{endpoint.host}:{endpoint.port}"
 
 
-def is_unicast(host: str) -> bool:
-    """Return whether an IP number names one host."""
-    number = ipaddress.ip_address(host)
-    return not (number.is_unspecified or number.is_multicast)
-
-
-def is_http_url(url: str) -> bool:
-    """Return whether a text is an http or https URL with a host."""
-    try:
-        parts = urlsplit(url)
-        return parts.scheme in ("http", "https") and bool(parts.hostname) and parts.port != 0
-    except ValueError:
-        return False
-
-
 def _parse_host(host: str) -> str | None:
     bracketed = host.startswith("[") and host.endswith("]")
     try:
--- a/src/chicoryproxy/choke.py
+++ b/src/chicoryproxy/choke.py
@@ -47,6 +47,11 @@
     return Gate({service.id: _permit_all(service, states) for service in configuration.services})
 
 
+def is_permitted(gate: Gate | None, service: ServiceId, upstream: UpstreamId) -> bool:
+    """Return whether packets of a service may leave for an upstream now."""
+    return gate is not None and isinstance(gate.permit(service, upstream), tuple)
+
+
 def _permit_all(
     service: Service, states: Mapping[DomainId, DomainState]
 ) -> Mapping[UpstreamId, Permit]:
--- a/src/chicoryproxy/codec.py
+++ b/src/chicoryproxy/codec.py
@@ -198,12 +198,11 @@
 def _write_answer(root: Any, name: str, message: FlowAnswer) -> None:
     body = root.init(name)
     body.query = message.query
-    body.complete = message.complete
     _write_records(body.init("records"), message.records)
 
 
 def _read_answer(reader: Any, _kind: type[FlowAnswer]) -> FlowAnswer:
-    return FlowAnswer(reader.query, _read_records(reader.records), reader.complete)
+    return FlowAnswer(reader.query, _read_records(reader.records))
 
 
 def _write_handover(root: Any, name: str, message: Handover) -> None:
--- a/src/chicoryproxy/flowtable.py
+++ b/src/chicoryproxy/flowtable.py
@@ -13,6 +13,7 @@
 from chicoryproxy.states import DropReason
 
 SHARDS = 1024
+MAX_SHARDS_PER_CALL = 32
 TICK_S = 4.0
 IDLE_TIMEOUT_S = 300.0
 HALF_OPEN_TIMEOUT_S = 12.0
@@ -158,7 +159,8 @@
     def expire(self, now: float, limit: int) -> int:
         """Remove overdue records, going on where the last call ended.
 
-        The call ends with the shard in which it has looked at ``limit`` records or more.
+        The call ends with the shard in which it has looked at ``limit`` records or more, and after
+        ``MAX_SHARDS_PER_CALL`` shards.
 
         :param limit: number of records to look at.
         :returns: number of records removed.
@@ -166,9 +168,11 @@
         tick = _tick(now)
         before = self._count
         looked = 0
-        for _ in range(SHARDS):
+        for _ in range(MAX_SHARDS_PER_CALL):
             shard = self._shards[self._hand]
             self._hand = (self._hand + 1) & _SHARD_MASK
+            if not shard:
+                continue
             looked += len(shard)
             self._expire_shard(shard, tick)
             if looked >= limit:
--- a/src/chicoryproxy/grants.py
+++ b/src/chicoryproxy/grants.py
@@ -334,6 +334,11 @@
         """Give up every lease and request after a pause."""
         self._held.clear()
 
+    def is_waiting(self, upstream: UpstreamId, now: float) -> bool:
+        """Return whether the answer to a request is due."""
+        held = self._held.get(upstream)
+        return held is not None and self._is_waiting(held, now)
+
     def _is_waiting(self, held: _Held, now: float) -> bool:
         return held.asked is not None and now < held.asked_at + self._request_timeout_s
 
--- /dev/null
+++ b/src/chicoryproxy/homes.py
@@ -0,0 +1,175 @@
+"""Which live instance of the region is home of a slot, and which owns an upstream."""
+
+from collections.abc import Sequence
+
+from msgspec import Struct
+
+from chicoryproxy.ids import DomainId, InstanceId, RegionId, UpstreamId
+from chicoryproxy.messages import Member, SlotName
+from chicoryproxy.model import Instance
+from chicoryproxy.rendezvous import choose_homes, choose_owner
+from chicoryproxy.states import MemberState
+
+LIVE_STATES = frozenset({MemberState.ALIVE, MemberState.SUSPECT})
+LISTED_STATES = LIVE_STATES | {MemberState.LEAVING, MemberState.HIDDEN}
+ANSWERING_STATES = LIVE_STATES | {MemberState.LEAVING}
+
+
+class MemberChange(Struct, frozen=True):
+    """What an update of the members changed.
+
+    :param live_changed: the set of possible homes is another one.
+    :param returned: instances that were hidden and are live again.
+    :param healed: failure domains of which every instance was hidden and one is live again.
+    """
+
+    live_changed: bool
+    returned: tuple[InstanceId, ...]
+    healed: tuple[DomainId, ...]
+
+
+class HomeDirectory:
+    """The instances of the own region and the roles that rendezvous gives them.
+
+    Suspects keep their roles, so that a lost probe moves no home. This instance counts as live
+    until it leaves, whatever the list says.
+
+    :param own: id of this instance.
+    :param domain: its failure domain.
+    :param region: region whose instances share the packets of a flow.
+    """
+
+    def __init__(self, own: InstanceId, domain: DomainId, region: RegionId) -> None:
+        self.own = own
+        self.domain = domain
+        self.region = region
+        self.leaving = False
+        self._members: dict[InstanceId, Member] = {}
+        self._candidates: tuple[InstanceId, ...] = (own,)
+        self._homes: dict[SlotName, Sequence[InstanceId]] = {}
+
+    def update(self, members: Sequence[Member]) -> MemberChange:
+        """Take the members of a view and return what changed."""
+        before = self._members
+        hidden_domains = self.hidden_domains()
+        self._members = {
+            member.instance.id: member
+            for member in members
+            if member.instance.region == self.region
+        }
+        returned = tuple(
+            name for name in self._members if _has_returned(before.get(name), self._members[name])
+        )
+        live = {self._members[name].instance.domain for name in returned}
+        healed = tuple(sorted(live & hidden_domains))
+        return MemberChange(self._recount(), returned, healed)
+
+    def leave(self) -> None:
+        """Give up all roles of this instance."""
+        self.leaving = True
+        self._recount()
+
+    def drop_role(self, instance: InstanceId) -> bool:
+        """Note that a peer leaves; it stops being a home at once.
+
+        :returns: whether the set of possible homes changed.
+        """
+        member = self._members.get(instance)
+        if member is None or member.state is MemberState.LEAVING:
+            return False
+        self._members[instance] = Member(instance=member.instance, state=MemberState.LEAVING)
+        return self._recount()
+
+    def homes_of(self, slot: SlotName) -> Sequence[InstanceId]:
+        """Return the home of a slot and its successor, best first."""
+        homes = self._homes.get(slot)
+        if homes is None:
+            homes = choose_homes(slot, self._candidates)
+            self._homes[slot] = homes
+        return homes
+
+    def is_home(self, slot: SlotName) -> bool:
+        """Return whether this instance is home of the slot."""
+        homes = self.homes_of(slot)
+        return not homes or homes[0] == self.own
+
+    def answering_peers(self) -> tuple[InstanceId, ...]:
+        """Return the peers that can be asked now."""
+        return self._peers_in(ANSWERING_STATES)
+
+    def listed_peers(self) -> tuple[InstanceId, ...]:
+        """Return the peers that may hold flows, hidden ones included."""
+        return self._peers_in(LISTED_STATES)
+
+    def is_isolated(self) -> bool:
+        """Return whether this instance alone of its failure domain sees none of its peers.
+
+        The peers can't tell this from a stopped process, so they don't expect it to place flows.
+        """
+        if self.answering_peers():
+            return False
+        return any(
+            member.instance.domain == self.domain
+            for name, member in self._members.items()
+            if member.state is MemberState.HIDDEN and name != self.own
+        )
+
+    def is_hidden(self, instance: InstanceId) -> bool:
+        """Return whether a peer is believed to be cut off."""
+        member = self._members.get(instance)
+        return member is not None and member.state is MemberState.HIDDEN
+
+    def owner_of(self, upstream: UpstreamId, domain: DomainId) -> InstanceId | None:
+        """Return the live instance of an upstream's failure domain that grants its openings."""
+        return choose_owner(upstream, self._live_in(domain))
+
+    def _recount(self) -> bool:
+        live = [
+            name
+            for name, member in self._members.items()
+            if member.state in LIVE_STATES and name != self.own
+        ]
+        if not self.leaving:
+            live.append(self.own)
+        candidates = tuple(sorted(live))
+        if candidates == self._candidates:
+            return False
+        self._candidates = candidates
+        self._homes.clear()
+        return True
+
+    def _peers_in(self, states: frozenset[MemberState]) -> tuple[InstanceId, ...]:
+        return tuple(
+            name
+            for name, member in self._members.items()
+            if member.state in states and name != self.own
+        )
+
+    def _live_in(self, domain: DomainId) -> list[Instance]:
+        return [
+            member.instance
+            for name, member in self._members.items()
+            if member.instance.domain == domain and name in self._candidates
+        ]
+
+    def hidden_domains(self) -> set[DomainId]:
+        """Return the failure domains that this instance is cut off from."""
+        hidden = set()
+        seen = {self.domain}
+        for member in self._members.values():
+            if member.state is MemberState.HIDDEN:
+                hidden.add(member.instance.domain)
+            elif member.state is not MemberState.GONE:
+                seen.add(member.instance.domain)
+        return hidden - seen
+
+
+def _has_returned(before: Member | None, after: Member) -> bool:
+    if before is None or before.state is not MemberState.HIDDEN:
+        return False
+    return after.state in ANSWERING_STATES
+
+
+def create_home_directory(own: InstanceId, domain: DomainId, region: RegionId) -> HomeDirectory:
+    """Create a directory that knows this instance only."""
+    return HomeDirectory(own, domain, region)
--- a/src/chicoryproxy/messages.py
+++ b/src/chicoryproxy/messages.py
@@ -92,14 +92,10 @@
 
 
 class FlowAnswer(Struct, frozen=True):
-    """Records of a peer for the slots of a query.
-
-    :param complete: more answers to the same query follow when it is false.
-    """
+    """All records of a peer for the slots of a query."""
 
     query: int
     records: tuple[FlowRecord, ...]
-    complete: bool = True
 
 
 class Handover(Struct, frozen=True):
--- a/src/chicoryproxy/packet.py
+++ b/src/chicoryproxy/packet.py
@@ -37,9 +37,10 @@
     :ivar source: origin in the same form.
     :ivar flags: TCP flags; zero for UDP.
     :ivar has_data: the transport payload is not empty.
+    :ivar transport: offset of the transport header in bytes.
     """
 
-    __slots__ = ("target", "source", "flags", "has_data", "protocol")
+    __slots__ = ("target", "source", "flags", "has_data", "protocol", "transport")
 
     def __init__(
         self,
@@ -48,12 +49,14 @@
         flags: int,
         has_data: bool,
         protocol: int,
+        transport: int,
     ) -> None:
         self.target = target
         self.source = source
         self.flags = flags
         self.has_data = has_data
         self.protocol = protocol
+        self.transport = transport
 
     @property
     def is_opening(self) -> bool:
@@ -118,7 +121,7 @@
     number = _NUMBERS[protocol]
     source_key = number + source + data[offset : offset + 2]
     target_key = number + target + data[offset + 2 : offset + 4]
-    return PacketHead(target_key, source_key, flags, body < size, protocol)
+    return PacketHead(target_key, source_key, flags, body < size, protocol, offset)
 
 
 def hash_flow(head: PacketHead) -> FlowKey:
--- /dev/null
+++ b/src/chicoryproxy/parts.py
@@ -0,0 +1,117 @@
+"""The parts of a packet core that its decisions share."""
+
+from chicoryproxy.actions import LogRoute, PacketAction, SendToPeer
+from chicoryproxy.budget import ControlBudget
+from chicoryproxy.grants import REFUSAL_WAIT_S, GrantHolder, GrantOwner
+from chicoryproxy.hints import HintBatches
+from chicoryproxy.homes import create_home_directory
+from chicoryproxy.ids import (
+    DomainId,
+    FlowKey,
+    InstanceId,
+    RegionId,
+    ServiceId,
+    SlotIndex,
+    UpstreamId,
+)
+from chicoryproxy.messages import Grant, GrantRequest, Priority, SlotName, SlotReleases
+from chicoryproxy.model import FleetLimits
+from chicoryproxy.openings import create_openings
+from chicoryproxy.outcomes import OutcomeCounts
+from chicoryproxy.records import create_flow_records
+from chicoryproxy.route import PacketAtHand
+from chicoryproxy.settlement import create_settlement
+from chicoryproxy.states import DropReason, RefusalReason, RouteReason
+from chicoryproxy.takeover import create_take_over
+from chicoryproxy.world import create_world
+
+
+class EntryParts:
+    """The state of one entry, each part with one job.
+
+    :param own: id of this instance.
+    :param domain: its failure domain.
+    :param region: its region.
+    :param fleet: limits that hold until the first view.
+    """
+
+    def __init__(
+        self, own: InstanceId, domain: DomainId, region: RegionId, fleet: FleetLimits
+    ) -> None:
+        self.own = own
+        self.directory = create_home_directory(own, domain, region)
+        self.world = create_world(self.directory)
+        self.records = create_flow_records(fleet.flow_table_size)
+        self.budget = ControlBudget(fleet.control_bytes_per_s)
+        self.hints = HintBatches(self.budget)
+        self.holder = GrantHolder()
+        self.owner = GrantOwner(fleet.lease_s)
+        self.openings = create_openings(self.directory, self.holder, fleet.spread_s)
+        self.take_over = create_take_over()
+        self.settlement = create_settlement(self.directory)
+        self.outcomes = OutcomeCounts()
+
+    def log(
+        self,
+        packet: PacketAtHand,
+        reason: RouteReason | DropReason | RefusalReason,
+        target: UpstreamId | InstanceId | None,
+    ) -> LogRoute:
+        """Build the log line of a decision on a packet."""
+        return self.log_flow(reason, packet.route.id, packet.flow, packet.slot.slot, target)
+
+    def log_flow(
+        self,
+        reason: RouteReason | DropReason | RefusalReason,
+        service: ServiceId | None,
+        flow: FlowKey | None,
+        slot: SlotIndex | None,
+        target: UpstreamId | InstanceId | None,
+    ) -> LogRoute:
+        """Build the log line of a decision."""
+        return LogRoute(reason, service, flow, slot, self.world.version, target)
+
+    def change_homes(self) -> None:
+        """Note that homes moved."""
+        kept = [
+            slots.name(slot)
+            for slots in self.world.built_slots()
+            for slot in slots.pending()
+            if self.directory.is_home(slots.name(slot))
+        ]
+        self.take_over.change_homes(kept)
+        self.settlement.forget()
+
+    def has_live_older(self, slot: SlotName) -> bool:
+        """Return whether a slot has a live record on another upstream than the newest."""
+        route = self.world.find_service(slot.service)
+        if route is None or route.slots is None:
+            return False
+        newest = route.slots.newest(slot.slot)
+        return self.records.has_live(slot, newest)
+
+    def decide_grant(self, holder: InstanceId, request: GrantRequest, now: float) -> Grant:
+        """Decide on a request for openings; zero openings unless this instance is the owner."""
+        refusal = Grant(request.request, request.upstream, 0, REFUSAL_WAIT_S)
+        upstream = self.world.find_upstream(request.upstream)
+        condition = self.world.conditions.get(request.upstream)
+        if upstream is None or condition is None or self.world.is_stale:
+            return refusal
+        if self.directory.owner_of(upstream.id, upstream.domain) != self.own:
+            self.owner.cease_owner(upstream.id)
+            return refusal
+        openings = self.owner.request(upstream, condition, holder, request.openings, now)
+        if openings == 0:
+            wait_s = self.owner.next_grant_s(upstream.id, now)
+            return Grant(request.request, request.upstream, 0, wait_s)
+        return Grant(request.request, request.upstream, openings, self.owner.lease_s)
+
+    def tell_release(self, peer: InstanceId, releases: SlotReleases) -> list[PacketAction]:
+        """Build the message that repeats releases for a peer; none for this instance itself."""
+        if peer == self.own:
+            return []
+        return [SendToPeer(peer, releases, Priority.HANDOVER)]
+
+
+Actions = list[PacketAction]
+"""What a decision asks the driver to do."""
--- a/src/chicoryproxy/peer.capnp
+++ b/src/chicoryproxy/peer.capnp
@@ -54,7 +54,6 @@
 struct FlowAnswer {
   query @0 :UInt64;
   records @1 :RecordTable;
-  complete @2 :Bool;
 }
 
 struct Handover {
--- /dev/null
+++ b/src/chicoryproxy/peers.py
@@ -0,0 +1,156 @@
+"""Messages between entries: records, slot queries and releases, grants, leaving."""
+
+from collections.abc import Callable
+
+from chicoryproxy.actions import SendToPeer
+from chicoryproxy.handover import LeavingEntry
+from chicoryproxy.ids import InstanceId
+from chicoryproxy.messages import (
+    EntryMessage,
+    FlowAnswer,
+    FlowHints,
+    FlowQuery,
+    FlowRecord,
+    Grant,
+    GrantRequest,
+    Handover,
+    HandoverAck,
+    LeavingAck,
+    LeavingNotice,
+    OpeningOutcomes,
+    Priority,
+    SlotActivity,
+    SlotName,
+    SlotQuery,
+    SlotReleases,
+    SlotReport,
+)
+from chicoryproxy.parts import Actions, EntryParts
+from chicoryproxy.slots import ServiceSlots
+from chicoryproxy.states import UpstreamState
+
+MAX_RECORDS_PER_ANSWER = 20_000
+
+
+class PeerExchange:
+    """Answers peers and takes their answers.
+
+    :param parts: state of the entry.
+    :param leaving: state of the own graceful stop.
+    """
+
+    def __init__(self, parts: EntryParts, leaving: LeavingEntry) -> None:
+        self._parts = parts
+        self._leaving = leaving
+        self._handlers: dict[type, Callable[..., Actions]] = {
+            FlowHints: self._take_hints,
+            FlowQuery: self._answer_query,
+            FlowAnswer: self._take_answer,
+            Handover: self._take_handover,
+            HandoverAck: self._note_handover,
+            SlotQuery: self._report_slots,
+            SlotReport: self._take_report,
+            SlotReleases: self._take_releases,
+            GrantRequest: self._grant,
+            Grant: self._take_grant,
+            OpeningOutcomes: self._take_outcomes,
+            LeavingNotice: self._note_leaving,
+            LeavingAck: self._note_acknowledged,
+        }
+
+    def receive(self, sender: InstanceId, message: EntryMessage, now: float) -> Actions:
+        """Take a message of a peer."""
+        return self._handlers[type(message)](sender, message, now)
+
+    def _take_hints(self, sender: InstanceId, message: FlowHints, now: float) -> Actions:
+        for record in message.records:
+            self._take_record(record, now)
+        return []
+
+    def _take_record(self, record: FlowRecord, now: float) -> None:
+        route = self._parts.world.find_service(record.service)
+        if route is not None and record.upstream in route.upstreams:
+            self._parts.records.take(record, now)
+
+    def _answer_query(self, sender: InstanceId, message: FlowQuery, now: float) -> Actions:
+        records: list[FlowRecord] = []
+        for slots in self._parts.world.built_slots():
+            records += self._records_for(slots, sender, MAX_RECORDS_PER_ANSWER - len(records))
+        answer = FlowAnswer(message.query, tuple(records))
+        return [SendToPeer(sender, answer, Priority.SAFETY)]
+
+    def _records_for(self, slots: ServiceSlots, home: InstanceId, limit: int) -> list[FlowRecord]:
+        """Return the records of a home's slots that the slots' bases don't imply."""
+        found: list[FlowRecord] = []
+        for slot in slots.held():
+            name = slots.name(slot)
+            homes = self._parts.directory.homes_of(name)
+            if homes and homes[0] == home:
+                besides = None if slots.has_datagrams else slots.base(slot)
+                found += self._parts.records.records_of(name, besides, limit - len(found))
+        return found
+
+    def _take_answer(self, sender: InstanceId, message: FlowAnswer, now: float) -> Actions:
+        for record in message.records:
+            self._take_record(record, now)
+        self._parts.take_over.receive(sender, message)
+        return []
+
+    def _take_handover(self, sender: InstanceId, message: Handover, now: float) -> Actions:
+        for record in message.records:
+            self._take_record(record, now)
+        return [SendToPeer(sender, HandoverAck(message.number), Priority.SAFETY)]
+
+    def _note_handover(self, sender: InstanceId, message: HandoverAck, now: float) -> Actions:
+        self._leaving.note_acknowledged(message.number)
+        return []
+
+    def _report_slots(self, sender: InstanceId, message: SlotQuery, now: float) -> Actions:
+        activities = tuple(self._report_slot(slot) for slot in message.slots)
+        return [SendToPeer(sender, SlotReport(message.query, activities), Priority.HANDOVER)]
+
+    def _report_slot(self, slot: SlotName) -> SlotActivity:
+        return SlotActivity(
+            slot,
+            self._parts.world.newest_version(slot.service),
+            self._parts.has_live_older(slot),
+        )
+
+    def _take_report(self, sender: InstanceId, message: SlotReport, now: float) -> Actions:
+        self._parts.settlement.receive(sender, message)
+        return []
+
+    def _take_releases(self, sender: InstanceId, message: SlotReleases, now: float) -> Actions:
+        for release in message.releases:
+            route = self._parts.world.find_service(release.slot.service)
+            if route is None or route.slots is None or self._parts.has_live_older(release.slot):
+                continue
+            route.slots.apply_release(release)
+        return []
+
+    def _grant(self, sender: InstanceId, message: GrantRequest, now: float) -> Actions:
+        grant = self._parts.decide_grant(sender, message, now)
+        return [SendToPeer(sender, grant, Priority.SAFETY)]
+
+    def _take_grant(self, sender: InstanceId, message: Grant, now: float) -> Actions:
+        if self._parts.world.state_of(message.upstream) is not UpstreamState.GONE:
+            self._parts.holder.receive(message, now)
+        return []
+
+    def _take_outcomes(self, sender: InstanceId, message: OpeningOutcomes, now: float) -> Actions:
+        self._parts.outcomes.add(message)
+        return []
+
+    def _note_leaving(self, sender: InstanceId, message: LeavingNotice, now: float) -> Actions:
+        if message.instance == sender and self._parts.directory.drop_role(sender):
+            self._parts.change_homes()
+        return [SendToPeer(sender, LeavingAck(self._parts.own), Priority.SAFETY)]
+
+    def _note_acknowledged(self, sender: InstanceId, message: LeavingAck, now: float) -> Actions:
+        self._leaving.note_noticed(sender)
+        return []
+
+
+def create_peer_exchange(parts: EntryParts, leaving: LeavingEntry) -> PeerExchange:
+    """Create the exchange of one entry with its peers."""
+    return PeerExchange(parts, leaving)
--- /dev/null
+++ b/src/chicoryproxy/router.py
@@ -0,0 +1,418 @@
+"""The packet core of one entry: every decision on a packet, without I/O.
+
+``docs/design/overview.md`` states the rules R1 to R15 that the parts of the core apply.
+"""
+
+from collections.abc import Sequence
+
+from chicoryproxy.actions import Drop, PacketAction, SendToPeer
+from chicoryproxy.choke import is_permitted
+from chicoryproxy.decision import create_decider
+from chicoryproxy.flowtable import FlowFlag
+from chicoryproxy.handover import create_leaving_entry
+from chicoryproxy.ids import DomainId, FlowKey, InstanceId, RegionId, UpstreamId
+from chicoryproxy.messages import (
+    EntryMessage,
+    EntryReport,
+    FlowRecord,
+    GrantRequest,
+    OpeningOutcomes,
+    PassedPacket,
+    Priority,
+    ServiceClean,
+    SlotRelease,
+    ViewUpdate,
+)
+from chicoryproxy.model import FleetLimits
+from chicoryproxy.packet import UDP, PacketHead, hash_flow, read_packet
+from chicoryproxy.parts import Actions, EntryParts
+from chicoryproxy.peers import create_peer_exchange
+from chicoryproxy.returns import create_return_path
+from chicoryproxy.route import PacketAtHand, ServiceRoute
+from chicoryproxy.settlement import ReadySlot, announce
+from chicoryproxy.slots import Answer, ServiceSlots
+from chicoryproxy.states import DropReason, RouteReason
+
+EXPIRED_PER_TICK = 2000
+SETTLE_INTERVAL_S = 0.25
+OUTCOME_INTERVAL_S = 1.0
+REFRESH_IDLE_SHARE = 0.5
+MAX_RECORDS_PER_SLOT = 10_000
+
+_DROPS: dict[DropReason, tuple[Drop, ...]] = {reason: (Drop(reason),) for reason in DropReason}
+
+
+class PacketCore:
+    """Decides on every packet of one entry instance.
+
+    The same events give the same actions. Times are in seconds and never go back.
+
+    :param own: id of this instance.
+    :param domain: its failure domain.
+    :param region: its region, whose instances share the packets of a flow.
+    :param fleet: limits that hold until the first view.
+    """
+
+    def __init__(
+        self, own: InstanceId, domain: DomainId, region: RegionId, fleet: FleetLimits
+    ) -> None:
+        self._parts = EntryParts(own, domain, region, fleet)
+        self._leaving = create_leaving_entry(own)
+        self._decider = create_decider(self._parts)
+        self._returns = create_return_path(self._parts, self._decider)
+        self._exchange = create_peer_exchange(self._parts, self._leaving)
+        self._last_tick_s: float | None = None
+        self._next_settle_s = 0.0
+        self._next_outcome_s = 0.0
+        self._next_refresh_s = 0.0
+        self._report_outcomes: list[OpeningOutcomes] = []
+
+    def receive_packet(
+        self, data: bytes, source: Sequence[object], now: float
+    ) -> Sequence[PacketAction]:
+        """Decide on a packet that came from the fabric, or as an answer from an upstream.
+
+        :param data: the inner packet.
+        :param source: host and port of the outer source.
+        """
+        head = read_packet(data)
+        if isinstance(head, DropReason):
+            return _DROPS[head]
+        route = self._parts.world.routes.get(head.target)
+        if route is None:
+            return self._receive_answer(data, head, source, now)
+        slots = route.slots
+        if slots is None:
+            slots = self._parts.world.slots_of(route, now)
+        flow = hash_flow(head)
+        answer = slots.find_answer(flow)
+        if answer is not None and not self._parts.world.is_behind:
+            return self._forward_clean(answer, head, flow, route, slots, now)
+        packet = PacketAtHand(data, head, flow, route, slots, slots.name(slots.slot_of(flow)), None)
+        return self._route_contested(packet, now)
+
+    def receive_message(
+        self, sender: InstanceId, message: EntryMessage, now: float
+    ) -> Sequence[PacketAction]:
+        """Take a message of another entry."""
+        if self._parts.directory.is_hidden(sender):
+            self._note_heal()
+        if isinstance(message, PassedPacket):
+            return self._receive_passed(sender, message, now)
+        actions = self._exchange.receive(sender, message, now)
+        return actions + self._finish_rounds(now)
+
+    def update_view(self, update: ViewUpdate, now: float) -> Sequence[PacketAction]:
+        """Take a new view of the world."""
+        parts = self._parts
+        change = parts.world.update(update, now)
+        parts.budget.set_rate(parts.world.fleet.control_bytes_per_s)
+        parts.openings.spread_s = parts.world.fleet.spread_s
+        if parts.world.gate is not None:
+            parts.openings.update(parts.world.gate, parts.world.conditions)
+        parts.openings.note_hidden(sorted(parts.world.hidden_upstreams()), now)
+        parts.take_over.trust(change.contested)
+        if change.members.live_changed:
+            parts.change_homes()
+        if change.members.healed:
+            parts.take_over.distrust_all()
+        for service in update.configuration.services:
+            parts.records.learn_service(service)
+        self._leaving.drop_peers(parts.directory.answering_peers())
+        return self._decider.retry_waiting(now)
+
+    def tick(self, now: float) -> Sequence[PacketAction]:
+        """Do what is due; to be called every few tens of milliseconds."""
+        self._note_pause(now)
+        self._parts.records.table.expire(now, EXPIRED_PER_TICK)
+        self._decider.expire_openings(now)
+        actions: Actions = self._finish_rounds(now)
+        actions += self._decider.retry_waiting(now)
+        actions += self._ask_for_grants(now)
+        actions += self._settle(now)
+        actions += self._refresh_records(now)
+        actions += self._send_outcomes(now)
+        actions += self._leaving.tick(now)
+        actions += self._parts.hints.flush(now)
+        return actions
+
+    def begin_leaving(self, now: float) -> Sequence[PacketAction]:
+        """Begin the graceful stop: give up all roles and hand over the records."""
+        self._parts.directory.leave()
+        self._leaving.begin(self._parts.directory.answering_peers(), self._records_by_home())
+        self._parts.change_homes()
+        return self._leaving.tick(now)
+
+    def may_stop(self, now: float) -> bool:
+        """Return whether every peer knows of the stop and has the records."""
+        return self._leaving.is_done
+
+    def built_slots(self) -> list[ServiceSlots]:
+        """Return the slots of all services that had a packet."""
+        return self._parts.world.built_slots()
+
+    def take_report(self) -> EntryReport:
+        """Return what the view should know, and start collecting anew."""
+        outcomes, self._report_outcomes = tuple(self._report_outcomes), []
+        clean = tuple(
+            ServiceClean(slots.service, slots.version)
+            for slots in self._parts.world.built_slots()
+            if slots.has_spare_generations
+        )
+        return EntryReport(clean, outcomes, self._parts.owner.warmed())
+
+    def _forward_clean(
+        self,
+        answer: Answer,
+        head: PacketHead,
+        flow: FlowKey,
+        route: ServiceRoute,
+        slots: ServiceSlots,
+        now: float,
+    ) -> Sequence[PacketAction]:
+        if head.is_opening:
+            slot = slots.slot_of(flow)
+            reason = RouteReason.CLEAN_SLOT
+            log = self._parts.log_flow(reason, route.id, flow, slot, answer[0].upstream)
+            return (answer[0], log)
+        if head.protocol == UDP:
+            self._record_datagram(flow, route, answer[0].upstream, now)
+        return answer
+
+    def _record_datagram(
+        self, flow: FlowKey, route: ServiceRoute, upstream: UpstreamId, now: float
+    ) -> None:
+        """Record a flow without an opening packet, so that a later home can ask for it."""
+        records = self._parts.records
+        if records.table.find(flow) is None:
+            records.record(flow, route.id, upstream, FlowFlag(0), now)
+        else:
+            records.table.touch(flow, now)
+
+    def _route_contested(self, packet: PacketAtHand, now: float) -> Sequence[PacketAction]:
+        known = self._decider.follow_record(packet, now)
+        if known is not None:
+            return known
+        homes = self._parts.directory.homes_of(packet.slot)
+        if not homes:
+            return _DROPS[DropReason.NO_HOME]
+        if homes[0] == self._parts.own:
+            return self._decider.decide(packet, now)
+        return self._pass(packet, homes[0])
+
+    def _pass(self, packet: PacketAtHand, home: InstanceId) -> Sequence[PacketAction]:
+        is_behind = self._parts.world.is_behind
+        reason = RouteReason.PASSED_BEHIND if is_behind else RouteReason.PASSED_CONTESTED
+        message = PassedPacket(self._parts.world.version, packet.data)
+        return (
+            SendToPeer(home, message, Priority.SAFETY),
+            self._parts.log(packet, reason, home),
+        )
+
+    def _receive_passed(
+        self, sender: InstanceId, message: PassedPacket, now: float
+    ) -> Sequence[PacketAction]:
+        self._parts.world.note_version(message.version)
+        head = read_packet(message.packet)
+        if isinstance(head, DropReason):
+            return _DROPS[head]
+        route = self._parts.world.routes.get(head.target)
+        if route is None:
+            return self._receive_passed_answer(message.packet, head, now)
+        slots = self._parts.world.slots_of(route, now)
+        flow = hash_flow(head)
+        name = slots.name(slots.slot_of(flow))
+        packet = PacketAtHand(message.packet, head, flow, route, slots, name, sender)
+        return self._decider.decide(packet, now)
+
+    def _receive_answer(
+        self, data: bytes, head: PacketHead, source: Sequence[object], now: float
+    ) -> Sequence[PacketAction]:
+        route = self._parts.world.routes.get(head.source)
+        if route is None:
+            return _DROPS[DropReason.UNKNOWN_SERVICE]
+        upstream = route.find_sender(source)
+        if upstream is None:
+            return _DROPS[DropReason.UNKNOWN_SOURCE]
+        return self._returns.receive(data, head, route, upstream, now)
+
+    def _receive_passed_answer(
+        self, data: bytes, head: PacketHead, now: float
+    ) -> Sequence[PacketAction]:
+        route = self._parts.world.routes.get(head.source)
+        if route is None:
+            return _DROPS[DropReason.UNKNOWN_SERVICE]
+        return self._returns.receive_passed(data, head, route, now)
+
+    def _note_heal(self) -> None:
+        """A hidden peer speaks: hold all slots before the view says that it is back."""
+        self._parts.world.hold_all()
+        self._parts.take_over.distrust_all()
+
+    def _note_pause(self, now: float) -> None:
+        last, self._last_tick_s = self._last_tick_s, now
+        if last is None or now - last < self._parts.world.fleet.pause_s:
+            return
+        self._parts.world.is_stale = True
+        self._parts.holder.void()
+        self._parts.owner.void(now)
+        self._parts.take_over.distrust_all()
+
+    def _finish_rounds(self, now: float) -> Actions:
+        actions: Actions = []
+        for packet in self._parts.take_over.finish(now):
+            actions += self._decider.resume(packet, now)
+        return actions + self._release(now)
+
+    def _release(self, now: float) -> Actions:
+        released = [
+            release
+            for release in self._parts.settlement.finish(now)
+            if self._apply_release(release)
+        ]
+        return list(announce(released, self._parts.directory.answering_peers()))
+
+    def _apply_release(self, release: SlotRelease) -> bool:
+        """Release an own slot, unless a flow came up on an older candidate meanwhile."""
+        route = self._parts.world.find_service(release.slot.service)
+        if route is None or route.slots is None or self._parts.has_live_older(release.slot):
+            return False
+        return route.slots.apply_release(release)
+
+    def _settle(self, now: float) -> Actions:
+        if now < self._next_settle_s or self._parts.world.is_behind:
+            return []
+        self._next_settle_s = now + SETTLE_INTERVAL_S
+        ready = [
+            item
+            for slots in self._parts.world.built_slots()
+            for item in self._ready_slots(slots, now)
+        ]
+        return list(self._parts.settlement.start(ready, now))
+
+    def _ready_slots(self, slots: ServiceSlots, now: float) -> list[ReadySlot]:
+        route = self._parts.world.find_service(slots.service)
+        if route is None or not self._is_settled_version(slots):
+            return []
+        idle_timeout_s = route.service.limits.idle_timeout_s
+        return [
+            ReadySlot(slots.release(slot), idle_timeout_s)
+            for slot in slots.pending()
+            if self._is_ready(route, slots, slot, now)
+        ]
+
+    def _is_settled_version(self, slots: ServiceSlots) -> bool:
+        return self._parts.world.placed >= slots.version
+
+    def _is_ready(self, route: ServiceRoute, slots: ServiceSlots, slot: int, now: float) -> bool:
+        name = slots.name(slot)
+        if not self._parts.directory.is_home(name):
+            return False
+        newest = slots.newest(slot)
+        if newest is None or not self._parts.openings.takes_work(newest):
+            return False
+        if not self._parts.take_over.has_all_records(name) or self._parts.has_live_older(name):
+            return False
+        since = slots.changed_since(slot)
+        return since is None or now - since >= self._wait_for_older(route, slots, slot)
+
+    def _wait_for_older(self, route: ServiceRoute, slots: ServiceSlots, slot: int) -> float:
+        """Return how long a flow without a packet may still be alive on an older candidate."""
+        gate = self._parts.world.gate
+        usable = [
+            upstream
+            for upstream in slots.candidates(slot)
+            if upstream != slots.newest(slot) and is_permitted(gate, route.id, upstream)
+        ]
+        if usable:
+            return route.service.limits.idle_timeout_s
+        return self._parts.world.fleet.spread_s
+
+    def _refresh_records(self, now: float) -> Actions:
+        """Ask peers again for records that would expire here while their flows live there."""
+        if now < self._next_refresh_s:
+            return []
+        timeouts = [
+            route.service.limits.idle_timeout_s
+            for slots in self._parts.world.built_slots()
+            if slots.changed_count
+            and (route := self._parts.world.find_service(slots.service)) is not None
+        ]
+        if not timeouts:
+            return []
+        is_first = self._next_refresh_s == 0.0
+        self._next_refresh_s = now + min(timeouts) * REFRESH_IDLE_SHARE
+        if is_first:
+            return []
+        peers = self._parts.directory.answering_peers()
+        return list(self._parts.take_over.start(peers, now))
+
+    def _ask_for_grants(self, now: float) -> Actions:
+        actions: Actions = []
+        for request in self._parts.openings.take_requests():
+            actions += self._ask_owner(request, now)
+        return actions
+
+    def _ask_owner(self, request: GrantRequest, now: float) -> Actions:
+        upstream = self._parts.world.find_upstream(request.upstream)
+        if upstream is None:
+            return []
+        owner = self._parts.directory.owner_of(upstream.id, upstream.domain)
+        if owner is None:
+            return []
+        if owner == self._parts.own:
+            grant = self._parts.decide_grant(owner, request, now)
+            self._parts.holder.receive(grant, now)
+            return self._decider.retry_waiting(now)
+        return [SendToPeer(owner, request, Priority.SAFETY)]
+
+    def _send_outcomes(self, now: float) -> Actions:
+        if now < self._next_outcome_s:
+            return []
+        self._next_outcome_s = now + OUTCOME_INTERVAL_S
+        actions: Actions = []
+        for outcomes in self._parts.outcomes.take():
+            actions += self._deliver_outcomes(outcomes, now)
+        return actions
+
+    def _deliver_outcomes(self, outcomes: OpeningOutcomes, now: float) -> Actions:
+        upstream = self._parts.world.find_upstream(outcomes.upstream)
+        if upstream is None:
+            return []
+        owner = self._parts.directory.owner_of(upstream.id, upstream.domain)
+        if owner == self._parts.own:
+            self._parts.owner.outcomes(outcomes, now)
+            self._report_outcomes.append(outcomes)
+            return []
+        if owner is None:
+            return []
+        return [SendToPeer(owner, outcomes, Priority.HANDOVER)]
+
+    def _records_by_home(self) -> dict[InstanceId, list[FlowRecord]]:
+        """Return the records of contested slots by the instance that is their home now."""
+        found: dict[InstanceId, list[FlowRecord]] = {}
+        for slots in self._parts.world.built_slots():
+            for slot in slots.held():
+                name = slots.name(slot)
+                homes = self._parts.directory.homes_of(name)
+                besides = None if slots.has_datagrams else slots.base(slot)
+                records = self._parts.records.records_of(name, besides, MAX_RECORDS_PER_SLOT)
+                if homes and records:
+                    found.setdefault(homes[0], []).extend(records)
+        return found
+
+
+def create_packet_core(
+    own: InstanceId,
+    domain: DomainId,
+    region: RegionId,
+    fleet: FleetLimits | None = None,
+) -> PacketCore:
+    """Create the packet core of an entry that has no view yet.
+
+    :param own: id of the instance.
+    :param domain: its failure domain.
+    :param region: its region.
+    :param fleet: limits until the first view.
+    """
+    return PacketCore(own, domain, region, fleet or FleetLimits())
--- /dev/null
+++ b/src/chicoryproxy/slots.py
@@ -0,0 +1,310 @@
+"""Slots of one service: their candidates, and whether any entry may decide alone."""
+
+from array import array
+from collections.abc import Callable, Iterable, Mapping, Sequence
+from typing import TypeVar
+
+from msgspec import Struct
+
+from chicoryproxy.actions import Forward
+from chicoryproxy.ids import NO_VERSION, Epoch, FlowKey, ServiceId, SlotIndex, UpstreamId, Version
+from chicoryproxy.messages import SlotName, SlotRelease
+from chicoryproxy.model import Generation, UpstreamCondition
+from chicoryproxy.placement import PlacementTable, create_table
+
+NO_EPOCH = Epoch(0)
+NO_ANSWER = 0xFFFF
+
+Answer = tuple[Forward, ...]
+"""What the fast path returns for an upstream."""
+
+Value = TypeVar("Value")
+
+
+class SlotTable(Struct, frozen=True):
+    """A generation with the table that it gives."""
+
+    generation: Generation
+    table: PlacementTable
+
+
+class ServiceSlots:
+    """Candidates of the slots of one service over the retained generations.
+
+    A slot is clean when it has one candidate and nothing has put it on hold since its home's last
+    release. The fast path answers a packet of a clean slot by ``find_answer``. Memory for a slot
+    is three bytes; only slots with several candidates cost more.
+
+    :param service: id of the service.
+    :param has_datagrams: the service has flows without an opening packet.
+    :ivar size: number of slots, the largest of all retained tables.
+    """
+
+    def __init__(self, service: ServiceId, has_datagrams: bool) -> None:
+        self.service = service
+        self.has_datagrams = has_datagrams
+        self.size = 1
+        self.mask = 0
+        self._held = bytearray(1)
+        self._indexes = array("H", (NO_ANSWER,))
+        self._answers: list[Answer | None] = []
+        self._tables: tuple[SlotTable, ...] = ()
+        self._placed: PlacementTable | None = None
+        self._released: dict[int, Version] = {}
+        self._changed: dict[int, float] = {}
+        self._wanted: dict[int, float] = {}
+        self._epochs: dict[UpstreamId, Epoch] = {}
+
+    @property
+    def version(self) -> Version:
+        """Version of the newest generation."""
+        return self._tables[-1].generation.version if self._tables else NO_VERSION
+
+    @property
+    def changed_count(self) -> int:
+        """Number of slots with several candidates."""
+        return len(self._changed)
+
+    @property
+    def has_spare_generations(self) -> bool:
+        """Whether older generations are kept that no slot needs."""
+        return len(self._tables) > 1 and not self._changed
+
+    @property
+    def held_count(self) -> int:
+        """Number of slots that wait for a release of their home."""
+        return sum(self._held)
+
+    def find_answer(self, flow: FlowKey) -> Answer | None:
+        """Return the fast path's answer for a flow, ``None`` if its slot is contested."""
+        slot = flow & self.mask
+        if self._held[slot]:
+            return None
+        return self._answers[self._indexes[slot]]
+
+    def set_generations(
+        self, generations: Sequence[Generation], placed: Version, now: float
+    ) -> list[SlotName]:
+        """Take the retained generations; ``set_answers`` must follow.
+
+        :param placed: version that new flows may be placed by.
+        :returns: slots that were clean before and are contested now.
+        """
+        known = {item.generation: item for item in self._tables}
+        self._tables = tuple(
+            known.get(generation) or SlotTable(generation, create_table(generation))
+            for generation in sorted(generations, key=lambda item: item.version)
+        )
+        self._placed = self._choose_placed(placed)
+        self._resize(max((item.table.size for item in self._tables), default=1))
+        self._index_newest()
+        return self._find_changed(now)
+
+    def set_placed(self, placed: Version) -> None:
+        """Note a higher version that new flows may be placed by."""
+        self._placed = self._choose_placed(placed)
+
+    def set_answers(
+        self,
+        prepare: Callable[[UpstreamId], Answer | None],
+    ) -> None:
+        """Take the fast path's answers.
+
+        :param prepare: the answer for an upstream that takes openings without limits, ``None``
+            for any other.
+        """
+        members = self._tables[-1].table.upstreams if self._tables else ()
+        self._answers = [prepare(member.id) for member in members] or [None]
+
+    def hold_all(self) -> None:
+        """Hold every slot as contested until its home releases it."""
+        self._held = bytearray(b"\x01") * self.size
+
+    def note_conditions(self, conditions: Mapping[UpstreamId, UpstreamCondition]) -> list[SlotName]:
+        """Hold the slots of upstreams whose condition changed.
+
+        :returns: slots that were clean before.
+        """
+        changed = set()
+        for upstream in self._members():
+            epoch = _epoch_of(conditions, upstream)
+            if epoch > self._epochs.get(upstream, NO_EPOCH):
+                self._epochs[upstream] = epoch
+                changed.add(upstream)
+        return self.hold_upstreams(changed)
+
+    def hold_upstreams(self, upstreams: Iterable[UpstreamId]) -> list[SlotName]:
+        """Hold the slots whose newest placement is one of the upstreams.
+
+        :returns: slots that were clean before.
+        """
+        chosen = set(upstreams)
+        if not chosen:
+            return []
+        return [
+            self.name(slot)
+            for slot in range(self.size)
+            if self.newest(slot) in chosen and self._hold(slot)
+        ]
+
+    def _hold(self, slot: int) -> bool:
+        """Hold a slot; return whether it was clean before."""
+        was_clean = not self._held[slot]
+        self._held[slot] = 1
+        return was_clean
+
+    def slot_of(self, flow: FlowKey) -> SlotIndex:
+        """Return the slot of a flow."""
+        return SlotIndex(flow & self.mask)
+
+    def name(self, slot: int) -> SlotName:
+        """Return the name under which instances speak of a slot."""
+        return SlotName(self.service, SlotIndex(slot), self.size)
+
+    def held(self) -> list[int]:
+        """Return the slots that wait for a release of their home."""
+        return [slot for slot, value in enumerate(self._held) if value]
+
+    def is_held(self, slot: int) -> bool:
+        """Return whether a slot waits for a release of its home."""
+        return bool(self._held[slot])
+
+    def candidates(self, slot: int) -> list[UpstreamId]:
+        """Return the distinct candidates of a slot, oldest first."""
+        return list(dict.fromkeys(self._placements(slot)))
+
+    def base(self, slot: int) -> UpstreamId | None:
+        """Return the upstream of flows from before the slot was contested."""
+        return next(iter(self._placements(slot)), None)
+
+    def newest(self, slot: int) -> UpstreamId | None:
+        """Return the upstream that the newest generation gives a slot."""
+        return _placement(self._tables[-1].table, slot) if self._tables else None
+
+    def placed(self, slot: int) -> UpstreamId | None:
+        """Return the upstream that new flows of a slot are placed on."""
+        if self._placed is None:
+            return self.newest(slot)
+        return _placement(self._placed, slot)
+
+    def alternatives(self) -> list[UpstreamId]:
+        """Return the members of the newest generation."""
+        if not self._tables:
+            return []
+        return [member.id for member in self._tables[-1].generation.members]
+
+    def want(self, slot: int, now: float) -> None:
+        """Note that a packet met a slot on hold, so that its home tries to release it."""
+        self._wanted.setdefault(slot, now)
+
+    def pending(self) -> list[int]:
+        """Return the slots that their home should try to release."""
+        return [slot for slot in self._changed | self._wanted if self._held[slot]]
+
+    def changed_since(self, slot: int) -> float | None:
+        """Return since when a slot has several candidates, ``None`` if it has one."""
+        return self._changed.get(slot)
+
+    def epoch(self, slot: int) -> Epoch:
+        """Return the highest known epoch of the upstream of a slot."""
+        upstream = self.newest(slot)
+        return self._epochs.get(upstream, NO_EPOCH) if upstream else NO_EPOCH
+
+    def release(self, slot: int) -> SlotRelease:
+        """Return the release of a slot as of what this instance knows."""
+        return SlotRelease(self.name(slot), self.version, self.epoch(slot))
+
+    def apply_release(self, release: SlotRelease) -> bool:
+        """Take a home's release of a slot.
+
+        :returns: false when the release is older than what this instance knows.
+        """
+        slot = release.slot.slot
+        if release.slot.size != self.size or not 0 <= slot < self.size:
+            return False
+        if release.version < self.version or release.epoch < self.epoch(slot):
+            return False
+        self._released[slot] = self.version
+        self._changed.pop(slot, None)
+        self._wanted.pop(slot, None)
+        self._held[slot] = 0
+        return True
+
+    def _placements(self, slot: int) -> list[UpstreamId]:
+        found = (_placement(item.table, slot) for item in self._relevant(slot))
+        return [upstream for upstream in found if upstream is not None]
+
+    def _members(self) -> list[UpstreamId]:
+        found = {member.id: None for item in self._tables for member in item.generation.members}
+        return list(found)
+
+    def _choose_placed(self, placed: Version) -> PlacementTable | None:
+        tables = [item.table for item in self._tables if item.generation.version <= placed]
+        return tables[-1] if tables else None
+
+    def _relevant(self, slot: int) -> Sequence[SlotTable]:
+        """Return the generations that the last release of a slot left, oldest first."""
+        floor = self._released.get(slot, NO_VERSION)
+        start = 0
+        for index, item in enumerate(self._tables):
+            if item.generation.version <= floor:
+                start = index
+        return self._tables[start:]
+
+    def _index_newest(self) -> None:
+        table = self._tables[-1].table if self._tables else None
+        numbers = {
+            member.id: number for number, member in enumerate(table.upstreams if table else ())
+        }
+        newest = (self.newest(slot) for slot in range(self.size))
+        self._indexes = array("H", (numbers[name] if name else 0 for name in newest))
+
+    def _find_changed(self, now: float) -> list[SlotName]:
+        if len(self._tables) == 1:
+            self._released.clear()
+            self._changed.clear()
+            return []
+        contested = []
+        for slot in range(self.size):
+            if len(self.candidates(slot)) > 1:
+                self._changed.setdefault(slot, now)
+                if self._hold(slot):
+                    contested.append(self.name(slot))
+        return contested
+
+    def _resize(self, size: int) -> None:
+        if size == self.size:
+            return
+        before, self.size = self.size, size
+        self.mask = size - 1
+        self._released = _rename_slots(self._released, before, size) if size > before else {}
+        self._changed = _rename_slots(self._changed, before, size)
+        self._wanted = _rename_slots(self._wanted, before, size)
+        held = _rename_slots({slot: 1 for slot in range(before) if self._held[slot]}, before, size)
+        self._held = bytearray(size)
+        for slot in held:
+            self._held[slot] = 1
+
+
+def _placement(table: PlacementTable, slot: int) -> UpstreamId | None:
+    upstream = table.at(slot & (table.size - 1))
+    return upstream.id if upstream else None
+
+
+def _rename_slots(values: Mapping[int, Value], before: int, size: int) -> dict[int, Value]:
+    """Rename slots after a change of the table size; a slot is the lowest bits of a flow key."""
+    if size < before:
+        return {slot & (size - 1): value for slot, value in values.items()}
+    return {
+        slot + offset: value for slot, value in values.items() for offset in range(0, size, before)
+    }
+
+
+def _epoch_of(conditions: Mapping[UpstreamId, UpstreamCondition], upstream: UpstreamId) -> Epoch:
+    condition = conditions.get(upstream)
+    return Epoch(condition.epoch) if condition else NO_EPOCH
+
+
+def create_service_slots(service: ServiceId, has_datagrams: bool) -> ServiceSlots:
+    """Create the slots of a service that has no generation yet."""
+    return ServiceSlots(service, has_datagrams)
--- /dev/null
+++ b/src/chicoryproxy/world.py
@@ -0,0 +1,216 @@
+"""What an entry knows of the world outside its packets: its newest view, service by service."""
+
+from collections.abc import Iterable, Mapping, Sequence
+
+from msgspec import Struct
+
+from chicoryproxy.choke import Gate, create_gate
+from chicoryproxy.homes import HomeDirectory, MemberChange
+from chicoryproxy.ids import NO_VERSION, ServiceId, UpstreamId, Version
+from chicoryproxy.messages import SlotName, ViewUpdate
+from chicoryproxy.model import (
+    Configuration,
+    FleetLimits,
+    Generation,
+    Service,
+    Upstream,
+    UpstreamCondition,
+)
+from chicoryproxy.packet import pack_address
+from chicoryproxy.route import ServiceRoute
+from chicoryproxy.slots import Answer, ServiceSlots, create_service_slots
+from chicoryproxy.states import UpstreamState
+
+
+class WorldChange(Struct, frozen=True):
+    """What an update of the view changed.
+
+    :param contested: slots that were clean while this instance was their home and are contested
+        now; no flow of them has a record yet.
+    """
+
+    members: MemberChange
+    contested: tuple[SlotName, ...]
+
+
+class World:
+    """The newest view, and the slots of the services that had a packet.
+
+    :param directory: members and their roles.
+    :ivar routes: services by the address that callers use, see ``packet.pack_address``.
+    """
+
+    def __init__(self, directory: HomeDirectory) -> None:
+        self.directory = directory
+        self.routes: dict[bytes, ServiceRoute] = {}
+        self.gate: Gate | None = None
+        self.fleet = FleetLimits()
+        self.version: Version = NO_VERSION
+        self.placed: Version = NO_VERSION
+        self.highest: Version = NO_VERSION
+        self.is_stale = True
+        self.conditions: Mapping[UpstreamId, UpstreamCondition] = {}
+        self._services: dict[ServiceId, ServiceRoute] = {}
+        self._generations: dict[ServiceId, tuple[Generation, ...]] = {}
+        self._hidden: frozenset[UpstreamId] = frozenset()
+
+    @property
+    def is_behind(self) -> bool:
+        """Whether a peer knows a higher version, or a pause made the view stale."""
+        return self.is_stale or self.highest > self.version
+
+    def update(self, update: ViewUpdate, now: float) -> WorldChange:
+        """Take a new view."""
+        contested = self._update_services(update, now)
+        members = self.directory.update(update.members)
+        contested += self._note_hidden()
+        if members.healed:
+            self.hold_all()
+        for route in self._built():
+            self._answer(route)
+        return WorldChange(members, tuple(contested))
+
+    def note_version(self, version: Version) -> None:
+        """Note a version that a peer has."""
+        self.highest = max(self.highest, version)
+
+    def find_service(self, service: ServiceId) -> ServiceRoute | None:
+        """Return the route of a service by its id."""
+        return self._services.get(service)
+
+    def find_upstream(self, upstream: UpstreamId) -> Upstream | None:
+        """Return an upstream by its id."""
+        for route in self._services.values():
+            found = route.upstreams.get(upstream)
+            if found is not None:
+                return found
+        return None
+
+    def slots_of(self, route: ServiceRoute, now: float) -> ServiceSlots:
+        """Return the slots of a service; the first call builds them.
+
+        Slots that are built while there are peers start on hold: a peer may have placed flows
+        that this instance doesn't know of.
+        """
+        if route.slots is None:
+            route.slots = create_service_slots(route.id, route.has_datagrams)
+            route.slots.set_generations(self._generations_of(route.id), self.placed, now)
+            route.slots.note_conditions(self.conditions)
+            if self.directory.listed_peers():
+                route.slots.hold_all()
+            self._answer(route)
+        return route.slots
+
+    def built_slots(self) -> list[ServiceSlots]:
+        """Return the slots of all services that had a packet."""
+        return [route.slots for route in self._services.values() if route.slots is not None]
+
+    def hold_all(self) -> None:
+        """Hold all slots until their homes release them."""
+        for slots in self.built_slots():
+            slots.hold_all()
+
+    def newest_version(self, service: ServiceId) -> Version:
+        """Return the version of the newest generation of a service."""
+        generations = self._generations_of(service)
+        return generations[-1].version if generations else NO_VERSION
+
+    def state_of(self, upstream: UpstreamId) -> UpstreamState:
+        """Return the state of an upstream as this instance sees it."""
+        if upstream in self._hidden:
+            return UpstreamState.UNREACHABLE
+        condition = self.conditions.get(upstream)
+        return condition.state if condition else UpstreamState.READY
+
+    def _update_services(self, update: ViewUpdate, now: float) -> list[SlotName]:
+        self.highest = max(self.highest, update.highest, update.configuration.version)
+        self.is_stale = update.stale
+        self.conditions = {item.upstream: item for item in update.conditions}
+        if update.configuration.version > self.version:
+            self._take_configuration(update.configuration)
+        placed_rose = update.placed > self.placed
+        self.placed = max(self.placed, update.placed)
+        generations = _group(update.generations)
+        contested = []
+        for route in self._built():
+            slots = self.slots_of(route, now)
+            newer = generations.get(route.id, ())
+            if newer != self._generations.get(route.id, ()):
+                contested += slots.set_generations(newer, self.placed, now)
+            elif placed_rose:
+                slots.set_placed(self.placed)
+            contested += slots.note_conditions(self.conditions)
+        self._generations = generations
+        return self._keep_own(contested)
+
+    def _take_configuration(self, configuration: Configuration) -> None:
+        self.version = configuration.version
+        self.fleet = configuration.fleet
+        self.gate = create_gate(configuration)
+        services = {}
+        routes = {}
+        for service in configuration.services:
+            route = self._services.get(service.id) or ServiceRoute(service)
+            route.set_service(service)
+            services[service.id] = route
+            routes.update(dict.fromkeys(_address_keys(service), route))
+        self._services = services
+        self.routes = routes
+
+    def _note_hidden(self) -> list[SlotName]:
+        domains = self.directory.hidden_domains()
+        before = self._hidden
+        self._hidden = frozenset(
+            upstream.id
+            for route in self._services.values()
+            for upstream in route.service.upstreams
+            if domains and upstream.domain in domains
+        )
+        contested = []
+        for slots in self.built_slots():
+            contested += slots.hold_upstreams(self._hidden - before)
+        return self._keep_own(contested)
+
+    def hidden_upstreams(self) -> frozenset[UpstreamId]:
+        """Return the upstreams of failure domains that this instance is cut off from."""
+        return self._hidden
+
+    def _keep_own(self, slots: Iterable[SlotName]) -> list[SlotName]:
+        """Return the slots whose flows this instance, as their home, has all seen opened."""
+        return [
+            slot
+            for slot in slots
+            if self.directory.is_home(slot) and not self._services[slot.service].has_datagrams
+        ]
+
+    def _generations_of(self, service: ServiceId) -> Sequence[Generation]:
+        return self._generations.get(service, ())
+
+    def _built(self) -> list[ServiceRoute]:
+        return [route for route in self._services.values() if route.slots is not None]
+
+    def _answer(self, route: ServiceRoute) -> None:
+        if route.slots is not None:
+            route.slots.set_answers(lambda upstream: self._prepare(route.id, upstream))
+
+    def _prepare(self, service: ServiceId, upstream: UpstreamId) -> Answer | None:
+        if self.gate is None or self.state_of(upstream) is not UpstreamState.READY:
+            return None
+        permitted = self.gate.permit(service, upstream)
+        return permitted if isinstance(permitted, tuple) else None
+
+
+def _group(generations: Iterable[Generation]) -> dict[ServiceId, tuple[Generation, ...]]:
+    grouped: dict[ServiceId, list[Generation]] = {}
+    for generation in sorted(generations, key=lambda item: item.version):
+        grouped.setdefault(generation.service, []).append(generation)
+    return {service: tuple(items) for service, items in grouped.items()}
+
+
+def _address_keys(service: Service) -> list[bytes]:
+    return [pack_address(item.protocol, item.host, item.port) for item in service.addresses]
+
+
+def create_world(directory: HomeDirectory) -> World:
+    """Create a world without a view."""
+    return World(directory)
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -7,8 +7,10 @@
 import uvloop
 
 from chicoryproxy.model import Endpoint
+from chicoryproxy.testing import Deployment, create_al_batinah, create_tenggara
 
 HANG_GUARD_S = 120
+IDLE_TIMEOUT_S = 5.0
 
 
 @pytest.fixture
@@ -65,3 +67,15 @@
     yield pick
     for stream in held:
         stream.close()
+
+
+@pytest.fixture
+def tenggara() -> Deployment:
+    """Tenggara Kilang's deployment, with an idle timeout that a test can wait for."""
+    return create_tenggara(idle_timeout_s=IDLE_TIMEOUT_S)
+
+
+@pytest.fixture
+def al_batinah() -> Deployment:
+    """Al Batinah's deployment, with an idle timeout that a test can wait for."""
+    return create_al_batinah(idle_timeout_s=IDLE_TIMEOUT_S)
--- a/tests/test_codec.py
+++ b/tests/test_codec.py
@@ -100,7 +100,7 @@
     FlowHints(RECORDS),
     FlowHints(()),
     FlowQuery(5, (SLOT,)),
-    FlowAnswer(5, RECORDS, complete=False),
+    FlowAnswer(5, RECORDS),
     Handover(6, RECORDS),
     HandoverAck(6),
     SlotQuery(8, (SLOT,)),
--- a/tests/test_flowtable.py
+++ b/tests/test_flowtable.py
@@ -8,6 +8,7 @@
 from chicoryproxy.flowtable import (
     CLOSING_TIMEOUT_S,
     HALF_OPEN_TIMEOUT_S,
+    MAX_SHARDS_PER_CALL,
     SHARDS,
     TICK_S,
     FlowFlag,
@@ -26,7 +27,8 @@
 
 
 def sweep(table, now):
-    return table.expire(now, limit=10**9)
+    calls = SHARDS // MAX_SHARDS_PER_CALL
+    return sum(table.expire(now, limit=10**9) for _ in range(calls))
 
 
 def test_a_record_is_found_again(table):
@@ -133,3 +135,8 @@
 
 TestFlowTable = FlowTableMachine.TestCase
 TestFlowTable.settings = settings(derandomize=True, max_examples=25, deadline=None)
+
+
+def test_one_call_looks_at_a_bounded_number_of_shards(table):
+    table.record(SHARDS - 1, 0, FlowFlag(0), 0.0)
+    assert table.expire(10_000.0, limit=10**9) == 0
