--- /dev/null
+++ b/benchmarks/sizes.py
@@ -0,0 +1,231 @@
+"""Sizes of the published configuration, on a generated fleet.
+
+``python -m benchmarks.sizes`` prints the number and bytes of the values, what reading them costs
+in time and memory, and the platform calls of all readers together.
+"""
+
+import argparse
+import gc
+import time
+import tracemalloc
+from datetime import date
+
+import psutil
+from msgspec import Struct, structs
+
+from chicoryproxy.configuration import create_configuration
+from chicoryproxy.document import DocumentFault, read_document
+from chicoryproxy.finding import FindingList
+from chicoryproxy.ids import DomainId, RegionId, ServiceId, UpstreamId, Version
+from chicoryproxy.model import (
+    Capacity,
+    Configuration,
+    Domain,
+    Endpoint,
+    Service,
+    ServiceAddress,
+    Upstream,
+    WarmUp,
+)
+from chicoryproxy.published import (
+    INDEX_NAME,
+    Publication,
+    PublicationReader,
+    PublishedFault,
+    publish,
+)
+from chicoryproxy.states import DomainState, Protocol
+
+MAX_READS_PER_S = 2000
+READERS_PER_DOMAIN = 3
+WATCHES_PER_READER = 2
+WATCH_S = 30
+CHANGES_PER_DAY = 3100
+DAY_S = 86400
+REGIONS = 4
+MIB = 1024 * 1024
+TODAY = date(2026, 12, 3)
+
+
+class FleetSize(Struct, frozen=True):
+    """How large a generated fleet is."""
+
+    servers: int
+    addresses: int
+    domains: int
+
+
+def create_fleet(size: FleetSize) -> Configuration:
+    """Generate a fleet with one address a service and its servers spread over the domains."""
+    domains = tuple(
+        Domain(DomainId(f"domain-{number}"), RegionId(f"region-{number % REGIONS}"))
+        for number in range(size.domains)
+    )
+    members: list[list[Upstream]] = [[] for _ in range(size.addresses)]
+    for number in range(size.servers):
+        service = number % size.addresses
+        members[service].append(_create_upstream(service, number, domains))
+    services = (
+        Service(ServiceId(f"service-{number:05}"), (_create_address(number),), tuple(upstreams))
+        for number, upstreams in enumerate(members)
+    )
+    return Configuration(Version(1), domains, tuple(services))
+
+
+def _create_upstream(service: int, number: int, domains: tuple[Domain, ...]) -> Upstream:
+    host = f"10.{number >> 16}.{number >> 8 & 255}.{number & 255}"
+    return Upstream(
+        id=UpstreamId(f"service-{service:05}-{number:05}"),
+        domain=domains[number % len(domains)].id,
+        address=Endpoint(host, 6080),
+        capacity=Capacity(2 + number % 2, 2000),
+        warm_up=WarmUp(2.0, 200.0, 30.0 + number % 2 * 90.0),
+        health_url=f"http://{host}:9000/health",
+    )
+
+
+def _create_address(number: int) -> ServiceAddress:
+    return ServiceAddress(f"100.64.{number >> 8}.{number & 255}", 443, Protocol.TCP)
+
+
+def write_fleet(fleet: Configuration) -> str:
+    """Return a fleet in the form that operators write."""
+    lines = ["domains:"]
+    lines += [f"  {domain.id}: {{region: {domain.region}}}" for domain in fleet.domains]
+    lines.append("services:")
+    for service in fleet.services:
+        lines += [f"  {service.id}:", f'    addresses: ["{service.addresses[0].host}:443"]']
+        lines.append("    upstreams:")
+        for item in service.upstreams:
+            lines.append(f"      {item.id}:")
+            lines.append(f"        domain: {item.domain}")
+            lines.append(f"        address: {item.address.host}:{item.address.port}")
+            lines.append(f"        health: {item.health_url}")
+    return "\n".join(lines) + "\n"
+
+
+def report_values(publication: Publication) -> None:
+    """Print the number and bytes of the values."""
+    sizes = [len(body) for body in publication.parts.values()]
+    print(f"values: {len(sizes) + 1}, of which 1 index of {len(publication.index):,} bytes")
+    print(f"parts: {sum(sizes):,} bytes in all, largest {max(sizes):,}")
+
+
+def report_reading(publication: Publication) -> Configuration:
+    """Print what a reader's first reading costs; return what it read."""
+    gc.collect()
+    rss = psutil.Process().memory_info().rss
+    reader, configuration, seconds = _read(publication)
+    gc.collect()
+    grown = psutil.Process().memory_info().rss - rss
+    print(f"read and assembled in {seconds * 1000:.0f} ms, RSS grew by {grown / MIB:.1f} MiB")
+    del reader
+    tracemalloc.start()
+    reader, configuration, _ = _read(publication)
+    traced, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    kept = sum(map(len, publication.parts.values()))
+    print(f"a reader holds {traced / MIB:.1f} MiB besides {kept / MIB:.1f} MiB of values")
+    return configuration
+
+
+def _read(publication: Publication) -> tuple[PublicationReader, Configuration, float]:
+    started = time.perf_counter()
+    reader = PublicationReader()
+    names = reader.take_index(publication.index)
+    assert not isinstance(names, PublishedFault)
+    for name in names:
+        reader.take_part(name, publication.parts[name])
+    configuration = reader.finish()
+    assert isinstance(configuration, Configuration)
+    return reader, configuration, time.perf_counter() - started
+
+
+def report_changes(fleet: Configuration, publication: Publication) -> None:
+    """Print what a reader reads after a change."""
+    service = fleet.services[0]
+    drained = structs.replace(service.upstreams[0], draining=True)
+    upstreams = (drained, *service.upstreams[1:])
+    services = (structs.replace(service, upstreams=upstreams), *fleet.services[1:])
+    _report_change("one upstream", publication, structs.replace(fleet, services=services))
+    out = structs.replace(fleet.domains[0], state=DomainState.OUT)
+    domains = (out, *fleet.domains[1:])
+    _report_change("domain out", publication, structs.replace(fleet, domains=domains))
+
+
+def _report_change(label: str, before: Publication, changed: Configuration) -> None:
+    after = publish(structs.replace(changed, version=Version(2)))
+    assert isinstance(after, Publication)
+    reader, _, _ = _read(before)
+    started = time.perf_counter()
+    names = reader.take_index(after.index)
+    assert not isinstance(names, PublishedFault)
+    for name in names:
+        reader.take_part(name, after.parts[name])
+    reader.finish()
+    seconds = time.perf_counter() - started
+    read = len(after.index) + sum(len(after.parts[name]) for name in names)
+    print(
+        f"change of {label}: {len(names)} parts and the index, {read:,} bytes, "
+        f"{seconds * 1000:.0f} ms to assemble"
+    )
+
+
+def report_calls(size: FleetSize, parts: int) -> None:
+    """Print the platform calls of all readers."""
+    readers = READERS_PER_DOMAIN * size.domains
+    watches = readers * WATCHES_PER_READER / WATCH_S
+    changes = readers * CHANGES_PER_DAY * 2 / DAY_S
+    calls = watches + changes
+    print(
+        f"calls: {readers} readers, {watches:.1f}/s for waiting watches, {changes:.1f}/s for "
+        f"{CHANGES_PER_DAY} changes a day: {calls:.1f}/s of {MAX_READS_PER_S}/s "
+        f"({calls / MAX_READS_PER_S:.2%})"
+    )
+    burst = readers * (parts + 1)
+    print(
+        f"all readers start at once: {burst:,} calls for {INDEX_NAME} and its parts, "
+        f"{burst / MAX_READS_PER_S:.1f} s at the platform's rate"
+    )
+
+
+def report_check(text: str) -> None:
+    """Print how long an operator's check of a file takes."""
+    started = time.perf_counter()
+    findings = FindingList()
+    document = read_document(text, "fleet.yaml", findings)
+    assert not isinstance(document, DocumentFault)
+    parsed = time.perf_counter()
+    create_configuration(document, Version(1), TODAY, findings)
+    ended = time.perf_counter()
+    print(
+        f"check: {len(text):,} bytes of YAML, {parsed - started:.1f} s to parse, "
+        f"{ended - parsed:.1f} s to check and merge"
+    )
+
+
+def main() -> None:
+    """Measure and print."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--servers", type=int, default=24_000)
+    parser.add_argument("--addresses", type=int, default=13_000)
+    parser.add_argument("--domains", type=int, default=9)
+    parser.add_argument("--yaml", action="store_true", help="also check the fleet as YAML")
+    arguments = parser.parse_args()
+    size = FleetSize(arguments.servers, arguments.addresses, arguments.domains)
+    fleet = create_fleet(size)
+    started = time.perf_counter()
+    publication = publish(fleet)
+    assert isinstance(publication, Publication)
+    print(f"fleet: {size.servers:,} servers, {size.addresses:,} addresses, {size.domains} domains")
+    print(f"published in {(time.perf_counter() - started) * 1000:.0f} ms")
+    report_values(publication)
+    assert report_reading(publication) == fleet
+    report_changes(fleet, publication)
+    report_calls(size, len(publication.parts))
+    if arguments.yaml:
+        report_check(write_fleet(fleet))
+
+
+if __name__ == "__main__":
+    main()
--- a/src/chicoryproxy/address.py
+++ b/src/chicoryproxy/address.py
@@ -1,7 +1,8 @@
-"""Reads IP numbers with ports."""
+"""Reads IP numbers with ports, and URLs."""
 
 import ipaddress
 from enum import Enum, unique
+from urllib.parse import urlsplit
 
 from chicoryproxy.model import Endpoint
 
@@ -42,6 +43,21 @@
     return f"{endpoint.host}:{endpoint.port}"
 
 
+def is_unicast(host: str) -> bool:
+    """Return whether an IP number names one host."""
+    number = ipaddress.ip_address(host)
+    return not (number.is_unspecified or number.is_multicast)
+
+
+def is_http_url(url: str) -> bool:
+    """Return whether a text is an http or https URL with a host."""
+    try:
+        parts = urlsplit(url)
+        return parts.scheme in ("http", "https") and bool(parts.hostname) and parts.port != 0
+    except ValueError:
+        return False
+
+
 def _parse_host(host: str) -> str | None:
     bracketed = host.startswith("[") and host.endswith("]")
     try:
--- /dev/null
+++ b/src/chicoryproxy/comparison.py
@@ -0,0 +1,221 @@
+"""What a change of the configuration does to flows before it is published.
+
+The comparison uses the placement and the generations of the decision core, so that it says what
+every entry will do (``docs/design/overview.md``, rules R2, R3, R8 and R14).
+"""
+
+from collections import Counter
+from collections.abc import Collection, Mapping
+
+from msgspec import Struct
+
+from chicoryproxy.ids import DomainId, ServiceId, UpstreamId
+from chicoryproxy.model import Configuration, Service, Upstream
+from chicoryproxy.placement import PlacementTable, create_table
+from chicoryproxy.published import PublishedFault, publish
+from chicoryproxy.versions import build_generation, list_domains_in
+
+HINT_BYTES = 30
+"""Bytes of one flow's record in a hint."""
+
+
+class ServiceChange(Struct, frozen=True):
+    """What a change does to one service.
+
+    :param slots: number of slots of the larger placement table.
+    :param moved: slots whose new flows go to another upstream.
+    :param contested: moved slots whose flows stay at an upstream that is still used.
+    :param given_up: slots whose flows end, because their upstream is gone, has another address, or
+        its failure domain is out.
+    :param cold: upstreams that start cold.
+    :param contested_flows: flows of the contested slots, at most.
+    :param given_up_flows: flows of the slots that are given up and of draining upstreams that
+        are gone, at most.
+    """
+
+    service: ServiceId
+    slots: int
+    moved: int = 0
+    contested: int = 0
+    given_up: int = 0
+    cold: tuple[UpstreamId, ...] = ()
+    contested_flows: int = 0
+    given_up_flows: int = 0
+
+
+class Comparison(Struct, frozen=True):
+    """What a change does.
+
+    :param services: services whose placement, flows or upstreams change.
+    :param added: new services.
+    :param removed: services that are gone.
+    :param value_bytes: bytes of the published values that change.
+    :param hint_bytes: bytes that one entry sends in hints, at most.
+    :param hint_s: time that these hints take at the rate for control, in seconds.
+    """
+
+    services: tuple[ServiceChange, ...]
+    added: tuple[ServiceId, ...]
+    removed: tuple[ServiceId, ...]
+    value_bytes: int
+    hint_bytes: int
+    hint_s: float
+
+
+def compare(old: Configuration, new: Configuration, flows_per_upstream: int = 0) -> Comparison:
+    """Compare two configurations.
+
+    :param flows_per_upstream: open flows of one upstream; 0: as many as its capacity allows.
+    """
+    before = {service.id: service for service in old.services}
+    after = {service.id: service for service in new.services}
+    domains = _Domains(list_domains_in(old), list_domains_in(new))
+    changes = []
+    for name in sorted(before.keys() & after.keys()):
+        change = _ServiceComparison(before[name], after[name], domains).compare(
+            flows_per_upstream, old, new
+        )
+        if change.moved or change.given_up_flows or change.cold:
+            changes.append(change)
+    hint_bytes = HINT_BYTES * sum(change.contested_flows for change in changes)
+    return Comparison(
+        services=tuple(changes),
+        added=tuple(sorted(after.keys() - before.keys())),
+        removed=tuple(sorted(before.keys() - after.keys())),
+        value_bytes=_count_value_bytes(old, new),
+        hint_bytes=hint_bytes,
+        hint_s=hint_bytes / new.fleet.control_bytes_per_s,
+    )
+
+
+class _Domains(Struct, frozen=True):
+    """The failure domains in service before and after a change."""
+
+    before: Collection[DomainId]
+    after: Collection[DomainId]
+
+
+class _ServiceComparison:
+    """Compares the slots of one service before and after a change."""
+
+    def __init__(self, before: Service, after: Service, domains: _Domains) -> None:
+        self._before = before
+        self._after = after
+        self._domains = domains
+        self._usable_before = _list_usable(before, domains.before)
+        self._usable_after = _list_usable(after, domains.after)
+
+    def compare(
+        self, flows_per_upstream: int, old: Configuration, new: Configuration
+    ) -> ServiceChange:
+        """Compare the tables of both configurations slot by slot."""
+        cold = tuple(
+            name
+            for name in sorted(self._usable_after)
+            if not self._is_kept(self._usable_after[name], self._usable_before)
+        )
+        if self._has_same_members():
+            return ServiceChange(self._after.id, 0, cold=cold)
+        tables = (
+            create_table(build_generation(old.version, self._before, self._domains.before)),
+            create_table(build_generation(new.version, self._after, self._domains.after)),
+        )
+        return self._compare_tables(*tables, cold, flows_per_upstream)
+
+    def _compare_tables(
+        self,
+        before: PlacementTable,
+        after: PlacementTable,
+        cold: tuple[UpstreamId, ...],
+        flows_per_upstream: int,
+    ) -> ServiceChange:
+        slots = max(before.size, after.size)
+        # Sizes are powers of two, so a slot of the larger table lies in one slot of the smaller.
+        upstreams = [before.at(slot & (before.size - 1)) for slot in range(slots)]
+        totals = Counter(upstream.id for upstream in upstreams if upstream)
+        moved = 0
+        contested: Counter[UpstreamId] = Counter()
+        given_up: Counter[UpstreamId] = Counter()
+        for slot, old in enumerate(upstreams):
+            new = after.at(slot & (after.size - 1))
+            is_moved = (old and old.id) != (new and new.id)
+            moved += is_moved
+            if old is None:
+                continue
+            if not self._is_kept(old, self._usable_after):
+                given_up[old.id] += 1
+            elif is_moved:
+                contested[old.id] += 1
+        flows = {
+            name: flows_per_upstream or upstream.capacity.connections
+            for name, upstream in self._usable_before.items()
+        }
+        return ServiceChange(
+            service=self._after.id,
+            slots=slots,
+            moved=moved,
+            contested=contested.total(),
+            given_up=given_up.total(),
+            cold=cold,
+            contested_flows=_count_flows(contested, totals, flows),
+            given_up_flows=_count_flows(given_up, totals, flows) + self._count_drained(flows),
+        )
+
+    def _count_drained(self, flows: Mapping[UpstreamId, int]) -> int:
+        """Return the flows of upstreams that were draining, had no slot, and are given up."""
+        return sum(
+            flows[name]
+            for name, upstream in self._usable_before.items()
+            if upstream.draining and not self._is_kept(upstream, self._usable_after)
+        )
+
+    def _has_same_members(self) -> bool:
+        """Return whether placement and flows can't differ."""
+        if self._usable_before.keys() != self._usable_after.keys():
+            return False
+        return all(
+            _get_placement_key(upstream) == _get_placement_key(self._usable_after[name])
+            for name, upstream in self._usable_before.items()
+        )
+
+    def _is_kept(self, upstream: Upstream, usable: Mapping[UpstreamId, Upstream]) -> bool:
+        """Return whether an upstream is used on the other side under the same address."""
+        other = usable.get(upstream.id)
+        return other is not None and other.address == upstream.address
+
+
+class _PlacementKey(Struct, frozen=True):
+    """What placement and the course of flows depend on."""
+
+    upstream: UpstreamId
+    host: str
+    port: int
+    weight: int
+    draining: bool
+
+
+def _get_placement_key(upstream: Upstream) -> _PlacementKey:
+    address = upstream.address
+    return _PlacementKey(
+        upstream.id, address.host, address.port, upstream.weight, upstream.draining
+    )
+
+
+def _list_usable(service: Service, domains_in: Collection[DomainId]) -> dict[UpstreamId, Upstream]:
+    return {item.id: item for item in service.upstreams if item.domain in domains_in}
+
+
+def _count_flows(
+    slots: Mapping[UpstreamId, int],
+    totals: Mapping[UpstreamId, int],
+    flows: Mapping[UpstreamId, int],
+) -> int:
+    return round(sum(flows[name] * count / totals[name] for name, count in slots.items()))
+
+
+def _count_value_bytes(old: Configuration, new: Configuration) -> int:
+    before, after = publish(old), publish(new)
+    if isinstance(before, PublishedFault) or isinstance(after, PublishedFault):
+        return 0
+    changed = after.parts.keys() - before.parts.keys()
+    return len(after.index) + sum(len(after.parts[name]) for name in changed)
--- a/src/chicoryproxy/control.py
+++ b/src/chicoryproxy/control.py
@@ -154,9 +154,9 @@
             case Ping(number=number, gossip=gossip):
                 self._receive_gossip(sender, gossip, now)
                 self._membership.receive_ping(sender, number)
-            case Ack(number=number, subject=subject, gossip=gossip):
+            case Ack(gossip=gossip):
                 self._receive_gossip(sender, gossip, now)
-                self._receive_ack(message, now)
+                self._receive_ack(sender, message, now)
             case PingRequest(number=number, subject=subject, gossip=gossip):
                 self._receive_gossip(sender, gossip, now)
                 self._membership.receive_ping_request(sender, number, subject)
@@ -192,6 +192,8 @@
         """Tell the peers that this instance is about to stop."""
         self._begin(now)
         self._leaving.begin(now)
+        # The list, which only readers get, has to show that this instance leaves.
+        self._readers.start(self._versions.version)
         return self._finish(now)
 
     def may_stop(self, now: float) -> bool:
@@ -251,8 +253,8 @@
         self._conditions.receive(gossip.conditions, now)
         self._exchange.hear(sender, gossip.version, unknown, now)
 
-    def _receive_ack(self, ack: Ack, now: float) -> None:
-        self._membership.receive_ack(ack.number, ack.subject)
+    def _receive_ack(self, sender: InstanceId, ack: Ack, now: float) -> None:
+        self._membership.receive_ack(sender, ack.number, ack.subject, now)
         self._staleness.receive_ack(ack.number, ack.subject, ack.gossip.version)
         self._leaving.receive_ack(ack.number, ack.subject)
 
@@ -264,7 +266,8 @@
         self._followed = key
         own = self._membership.own
         alive = self._membership.list_alive(own.domain)
-        self._readers.update(alive, self._versions.version)
+        if not self._membership.is_leaving:
+            self._readers.update(alive, self._versions.version)
         by_domain = group_upstreams(self._versions.configuration)
         owned_domain = {upstream.id: upstream for upstream in by_domain.get(own.domain, ())}
         self._owners.update(owned_domain, alive)
--- a/src/chicoryproxy/conversion.py
+++ b/src/chicoryproxy/conversion.py
@@ -8,10 +8,11 @@
 import types
 from collections.abc import Iterable
 from enum import Enum, unique
+from functools import cache
 from typing import Annotated, Any, TypeVar, Union, cast, get_args, get_origin, get_type_hints
 
 import msgspec
-from msgspec import Meta, Struct
+from msgspec import UNSET, Meta, Struct, UnsetType
 
 from chicoryproxy.document import Data, Document, Path
 from chicoryproxy.finding import FindingList
@@ -70,6 +71,7 @@
     return f"write one of {shown}" + (", ..." if len(names) > 12 else "")
 
 
+@cache
 def get_notes(hint: Any) -> Notes:
     """Return the notes of a type hint, the outer ones before the inner ones."""
     title, description = "", ""
@@ -91,16 +93,17 @@
 
 
 def strip_optional(hint: Any) -> Any:
-    """Return a type hint without ``Annotated`` and without ``None``."""
+    """Return a type hint without ``Annotated`` and without ``None`` and ``UNSET``."""
     if get_origin(hint) is Annotated:
         return strip_optional(get_args(hint)[0])
     if get_origin(hint) in (Union, types.UnionType):
-        members = [member for member in get_args(hint) if member is not type(None)]
+        members = [member for member in get_args(hint) if member not in (type(None), UnsetType)]
         if len(members) == 1:
             return strip_optional(members[0])
     return hint
 
 
+@cache
 def get_hints(kind: type[Struct]) -> dict[str, Any]:
     """Return the type hints of a struct's keys with their notes."""
     hints = get_type_hints(kind, include_extras=True)
@@ -115,12 +118,16 @@
         self._findings = findings
 
     def convert(self, data: Data, hint: Any, path: Path) -> Any:
+        if data is None and path:
+            remedy = f"write {describe_type(hint)}, or remove the key"
+            self._add(path, f"`{path[-1]}` is empty", remedy)
+            return _Invalid.INVALID
         kind = strip_optional(hint)
         origin = get_origin(kind)
         if isinstance(kind, type) and issubclass(kind, Struct):
             return self._convert_struct(data, kind, path)
         if origin is dict:
-            return self._convert_mapping(data, get_args(kind)[1], path)
+            return self._convert_mapping(data, get_args(kind)[0], get_args(kind)[1], path)
         if origin is tuple:
             return self._convert_sequence(data, get_args(kind)[0], path)
         return self._convert_leaf(data, hint, path)
@@ -144,11 +151,13 @@
                 values[key] = create_empty(hint)
         return kind(**values)
 
-    def _convert_mapping(self, data: Data, hint: Any, path: Path) -> dict[str, Any]:
+    def _convert_mapping(self, data: Data, key_hint: Any, hint: Any, path: Path) -> dict[str, Any]:
         written = self._expect(data, dict, path, "names, each with its keys")
-        return {
-            key: self._convert_item(value, hint, (*path, key)) for key, value in written.items()
-        }
+        converted = {}
+        for key, value in written.items():
+            if self._convert_leaf(key, key_hint, (*path, key)) is not _Invalid.INVALID:
+                converted[key] = self._convert_item(value, hint, (*path, key))
+        return converted
 
     def _convert_sequence(self, data: Data, hint: Any, path: Path) -> tuple[Any, ...]:
         written = self._expect(data, list, path, "a list, each entry after a `-`")
@@ -170,12 +179,9 @@
     def _expect(self, data: Data, kind: type, path: Path, remedy: str) -> Any:
         if isinstance(data, kind):
             return data
-        if data is not None or not path:
-            name = str(path[-1]) if path else "the document"
-            found = _NAMES[type(data)]
-            self._add(path, f"`{name}` is {found}, not {_NAMES[kind]}", f"write {remedy}")
-        else:
-            self._add(path, f"`{path[-1]}` is empty", f"write {remedy}, or remove the key")
+        name = f"`{path[-1]}`" if path else "the document"
+        found = _NAMES[type(data)]
+        self._add(path, f"{name} is {found}, not {_NAMES[kind]}", f"write {remedy}")
         return kind()
 
     def _add_missing(self, key: str, hint: Any, path: Path) -> None:
@@ -197,9 +203,7 @@
         hints = get_hints(base)
         required = [field.name for field in msgspec.structs.fields(base) if field.required]
         return base(**{name: create_empty(hints[name]) for name in required})
-    if kind is not hint and get_origin(hint) is not Annotated:
-        return None
-    return base() if base in (str, int, float, bool, dict, tuple) else None
+    return base() if base in (str, int, float, bool, dict, tuple) else UNSET
 
 
 def describe_type(hint: Any) -> str:
@@ -223,11 +227,9 @@
     shown = data if isinstance(data, str) else _NAMES.get(type(data), "a value")
     if isinstance(data, int | float) and not isinstance(data, bool):
         shown = f"{data}"
-    bounds = str(error).partition(" - ")[0]
-    if "pattern" in bounds or "matching" in bounds or "enum" in bounds or "Expected `" in bounds:
+    reason = str(error).partition(" - ")[0]
+    if get_notes(hint).title or "Expected `" in reason or "enum" in reason:
         reason = f"expected {describe_type(hint)}"
-    else:
-        reason = bounds[:1].lower() + bounds[1:]
     return f"`{shown}` can't be used: {reason}"
 
 
--- a/src/chicoryproxy/document.py
+++ b/src/chicoryproxy/document.py
@@ -1,6 +1,7 @@
 """Reads YAML into plain data and remembers where each value was written."""
 
 from enum import Enum, unique
+from math import isfinite
 from typing import Any
 
 from msgspec import Struct
@@ -182,11 +183,17 @@
 
 
 def _read_int(text: str) -> int:
-    return int(text.replace("_", ""), 0) if not text.lstrip("+-").startswith("0") else int(text)
+    digits = text.replace("_", "")
+    # YAML 1.2 reads a leading zero as decimal, unless a letter follows it.
+    base = 0 if digits.lstrip("+-")[:2] in ("0x", "0o") else 10
+    return int(digits, base)
 
 
 def _read_float(text: str) -> float:
-    return float(text.replace("_", "").replace(".inf", "inf").replace(".nan", "nan"))
+    number = float(text.replace("_", ""))
+    if not isfinite(number):
+        raise ValueError(text)
+    return number
 
 
 _READERS: dict[str, Any] = {
--- a/src/chicoryproxy/exchange.py
+++ b/src/chicoryproxy/exchange.py
@@ -84,7 +84,9 @@
         body = self._build_body(have, now)
         self._outbox.send_body(sender, body, estimate_message(body))
         if have == NO_VERSION:
-            self._membership.tell_states(sender)
+            self._membership.tell_silent(sender)
+        else:
+            self._membership.tell_domain(sender, now)
 
     def receive_body(self, sender: InstanceId, body: VersionBody, now: float) -> None:
         """Take in what a peer has."""
--- /dev/null
+++ b/src/chicoryproxy/folder.py
@@ -0,0 +1,88 @@
+"""A folder that holds a publication's values as files, one a value, for an operators' pipeline.
+
+The system itself writes no shared state: a pipeline copies the files into the platform, the parts
+first and the index last.
+"""
+
+import os
+from enum import Enum, unique
+from pathlib import Path
+
+from msgspec import Struct
+
+from chicoryproxy.ids import NO_VERSION, Version
+from chicoryproxy.published import INDEX_NAME, Index, Publication, PublishedFault, decode_index
+
+
+@unique
+class FolderFault(Enum):
+    """Why a publication wasn't written."""
+
+    UNREADABLE = "the index in the folder can't be read"
+    NOT_HIGHER = "the folder holds this version or a higher one"
+    UNWRITABLE = "the folder can't be written"
+
+
+class WrittenPublication(Struct, frozen=True):
+    """What a publication changed in a folder.
+
+    :param added: names of the new parts.
+    :param removed: names of the parts that neither this version nor the one before names.
+    """
+
+    added: tuple[str, ...]
+    removed: tuple[str, ...]
+
+
+def read_version(folder: Path) -> Version | FolderFault:
+    """Return the version that a folder holds; ``NO_VERSION`` if it holds none."""
+    index = _read_index(folder)
+    if isinstance(index, FolderFault):
+        return index
+    return index.version if index else NO_VERSION
+
+
+def write_publication(
+    publication: Publication, version: Version, folder: Path
+) -> WrittenPublication | FolderFault:
+    """Write the values of a version, the index last.
+
+    The parts of the version before stay, because readers may still be reading them.
+    """
+    before = _read_index(folder)
+    if isinstance(before, FolderFault):
+        return before
+    if before is not None and version <= before.version:
+        return FolderFault.NOT_HIGHER
+    kept = {entry.name for entry in before.list_parts()} if before else set()
+    try:
+        folder.mkdir(parents=True, exist_ok=True)
+        present = {path.name for path in folder.glob(f"{INDEX_NAME}.*")}
+        added = sorted(publication.parts.keys() - present)
+        removed = sorted(present - publication.parts.keys() - kept)
+        for name in added:
+            _write(folder / name, publication.parts[name])
+        _write(folder / INDEX_NAME, publication.index)
+        for name in removed:
+            (folder / name).unlink()
+    except OSError:
+        return FolderFault.UNWRITABLE
+    return WrittenPublication(tuple(added), tuple(removed))
+
+
+def _read_index(folder: Path) -> Index | FolderFault | None:
+    try:
+        body = (folder / INDEX_NAME).read_bytes()
+    except FileNotFoundError:
+        return None
+    except OSError:
+        return FolderFault.UNREADABLE
+    index = decode_index(body)
+    return FolderFault.UNREADABLE if isinstance(index, PublishedFault) else index
+
+
+def _write(path: Path, body: bytes) -> None:
+    """Write a file so that a reader sees all of it or nothing."""
+    draft = path.with_name(f".{path.name}.draft")
+    draft.write_bytes(body)
+    os.replace(draft, path)
--- /dev/null
+++ b/src/chicoryproxy/inventory.py
@@ -0,0 +1,139 @@
+"""Checks the domains, services and upstreams of a written configuration against each other."""
+
+from collections.abc import Mapping
+from typing import TypeVar
+
+from msgspec import UNSET, Struct
+
+from chicoryproxy.address import AddressFault, is_http_url, is_unicast, parse_endpoint
+from chicoryproxy.conversion import suggest_name
+from chicoryproxy.document import Document, Path
+from chicoryproxy.finding import FindingList
+from chicoryproxy.ids import ServiceId, UpstreamId
+from chicoryproxy.model import Endpoint, ServiceAddress
+from chicoryproxy.schema import WrittenConfiguration, WrittenProtocol, WrittenService
+from chicoryproxy.states import Protocol
+
+T = TypeVar("T")
+
+PROTOCOLS: Mapping[WrittenProtocol, Protocol] = {
+    WrittenProtocol.TCP: Protocol.TCP,
+    WrittenProtocol.UDP: Protocol.UDP,
+}
+
+
+class Inventory(Struct, frozen=True):
+    """The endpoints of a configuration that passed all checks.
+
+    :param addresses: addresses of each service, in their own order.
+    :param upstreams: endpoint of each upstream.
+    """
+
+    addresses: Mapping[ServiceId, tuple[ServiceAddress, ...]]
+    upstreams: Mapping[UpstreamId, Endpoint]
+
+
+def check_inventory(
+    written: WrittenConfiguration, document: Document, findings: FindingList
+) -> Inventory:
+    """Check what exists; endpoints with a fault are left out of the result.
+
+    :param findings: takes what is wrong.
+    """
+    return _InventoryChecker(written, document, findings).check()
+
+
+class _InventoryChecker:
+    """Walks the services and remembers the first user of each endpoint and name."""
+
+    def __init__(
+        self, written: WrittenConfiguration, document: Document, findings: FindingList
+    ) -> None:
+        self._written = written
+        self._document = document
+        self._findings = findings
+        self._address_paths: dict[ServiceAddress, Path] = {}
+        self._endpoint_paths: dict[Endpoint, Path] = {}
+        self._upstream_paths: dict[str, Path] = {}
+        self._addresses: dict[ServiceId, tuple[ServiceAddress, ...]] = {}
+        self._upstreams: dict[UpstreamId, Endpoint] = {}
+
+    def check(self) -> Inventory:
+        for name, service in self._written.services.items():
+            self._addresses[ServiceId(name)] = self._check_addresses(name, service)
+            self._check_upstreams(name, service)
+        self._check_loops()
+        return Inventory(self._addresses, self._upstreams)
+
+    def _check_addresses(self, name: str, service: WrittenService) -> tuple[ServiceAddress, ...]:
+        path: Path = ("services", name, "addresses")
+        if not service.addresses and path in self._document.places:
+            self._add(path, f"`{name}` has no address", "add one, or remove the service")
+        addresses = []
+        for index, text in enumerate(service.addresses):
+            endpoint = self._check_endpoint((*path, index), text)
+            if endpoint is None:
+                continue
+            address = ServiceAddress(endpoint.host, endpoint.port, PROTOCOLS[service.protocol])
+            self._check_first(self._address_paths, address, (*path, index), text)
+            addresses.append(address)
+        return tuple(addresses)
+
+    def _check_upstreams(self, name: str, service: WrittenService) -> None:
+        path: Path = ("services", name, "upstreams")
+        if not service.upstreams and path in self._document.places:
+            self._add(path, f"`{name}` has no upstream", "add one, or remove the service")
+        for upstream, written in service.upstreams.items():
+            here: Path = (*path, upstream)
+            self._check_first(self._upstream_paths, upstream, here, upstream)
+            self._check_domain(here, written.domain)
+            if written.health is not UNSET and not is_http_url(str(written.health)):
+                message = f"`{written.health}` is no http or https URL"
+                self._add((*here, "health"), message, "write a value such as http://10.0.0.7:9000/")
+            endpoint = self._check_endpoint((*here, "address"), written.address)
+            if endpoint is None:
+                continue
+            self._check_first(self._endpoint_paths, endpoint, (*here, "address"), written.address)
+            self._upstreams[UpstreamId(upstream)] = endpoint
+
+    def _check_domain(self, path: Path, domain: str) -> None:
+        # An empty text was reported as missing.
+        if domain and domain not in self._written.domains:
+            message = f"`{domain}` is no failure domain of `domains`"
+            self._add((*path, "domain"), message, suggest_name(domain, self._written.domains))
+
+    def _check_endpoint(self, path: Path, text: str) -> Endpoint | None:
+        if not text:
+            return None
+        endpoint = parse_endpoint(text)
+        if isinstance(endpoint, AddressFault):
+            remedy = "write a value such as 10.0.0.7:6080 or '[2001:db8::7]:6080'"
+            self._add(path, f"`{text}` can't be used: {endpoint.value}", remedy)
+            return None
+        if not is_unicast(endpoint.host):
+            message = f"`{text}` can't be used: the IP number doesn't name one host"
+            self._add(path, message, "write the IP number of one host")
+            return None
+        return endpoint
+
+    def _check_first(self, first: dict[T, Path], value: T, path: Path, text: str) -> None:
+        """Add a finding if a value is used a second time."""
+        if value not in first:
+            first[value] = path
+            return
+        place = self._document.get_place(first[value])
+        self._add(path, f"`{text}` is used twice, first at {place}", "give each its own")
+
+    def _check_loops(self) -> None:
+        """Add findings for upstreams whose packets the fabric would bring back to an entry."""
+        hosts = {address.host for address in self._address_paths}
+        for endpoint, path in self._endpoint_paths.items():
+            if endpoint.host in hosts:
+                self._add(
+                    path,
+                    f"`{endpoint.host}` is an address of a service, so packets would loop",
+                    "write the upstream's own IP number",
+                )
+
+    def _add(self, path: Path, message: str, remedy: str) -> None:
+        self._findings.add(self._document.get_place(path), message, remedy)
--- /dev/null
+++ b/src/chicoryproxy/keytable.py
@@ -0,0 +1,95 @@
+"""Documents each key of the written forms from their schemas."""
+
+from collections.abc import Iterator
+from enum import Enum
+from typing import Any, get_args, get_origin
+
+import msgspec
+from msgspec import UNSET, Struct
+
+from chicoryproxy.conversion import describe_type, get_hints, get_notes, strip_optional
+from chicoryproxy.layers import KEYS, format_value
+
+
+class KeyRow(Struct, frozen=True):
+    """One key.
+
+    :param key: its path; ``NAME`` stands for a name that the operator chooses.
+    :param kind: what may be written.
+    :param default: value without the key; "required" if there is none.
+    :param description: what it does.
+    """
+
+    key: str
+    kind: str
+    default: str
+    description: str
+
+
+def list_rows(kind: type[Struct], prefix: str = "") -> Iterator[KeyRow]:
+    """Yield the rows of a written form, in the order of the schema."""
+    hints = get_hints(kind)
+    for field in msgspec.structs.fields(kind):
+        hint = hints[field.name]
+        key = prefix + field.name
+        yield KeyRow(
+            key, _describe(hint), _describe_default(key, field), get_notes(hint).description
+        )
+        nested = _find_nested(hint)
+        if nested:
+            yield from list_rows(nested.kind, f"{key}{nested.suffix}.")
+
+
+def render_rows(kind: type[Struct]) -> str:
+    """Return a Markdown table of a written form."""
+    lines = ["| key | value | default | meaning |", "|---|---|---|---|"]
+    for row in list_rows(kind):
+        lines.append(f"| `{row.key}` | {row.kind} | {row.default} | {row.description} |")
+    return "\n".join(lines)
+
+
+class _Nested(Struct, frozen=True):
+    """Keys below a key."""
+
+    kind: type[Struct]
+    suffix: str
+
+
+def _find_nested(hint: Any) -> _Nested | None:
+    kind = strip_optional(hint)
+    origin = get_origin(kind)
+    suffix = ""
+    if origin is dict:
+        kind, suffix = strip_optional(get_args(kind)[1]), ".NAME"
+    elif origin is tuple:
+        kind, suffix = strip_optional(get_args(kind)[0]), "[]"
+    if isinstance(kind, type) and issubclass(kind, Struct):
+        return _Nested(kind, suffix)
+    return None
+
+
+def _describe(hint: Any) -> str:
+    kind = strip_optional(hint)
+    origin = get_origin(kind)
+    if origin is dict:
+        return "names, each with its keys"
+    if origin is tuple:
+        nested = _find_nested(hint)
+        return "a list" if nested else f"a list, each {describe_type(get_args(kind)[0])}"
+    if _find_nested(hint):
+        return "keys"
+    return describe_type(hint)
+
+
+def _describe_default(key: str, field: Any) -> str:
+    if field.required:
+        return "required"
+    layer_key = key.removeprefix("defaults.")
+    if layer_key in KEYS and layer_key != key:
+        return f"`{format_value(layer_key, KEYS[layer_key].built_in)}`"
+    default = field.default
+    if isinstance(default, Enum):
+        return f"`{default.value}`"
+    if default is UNSET or default is None or isinstance(default, Struct) or default in ("", ()):
+        return "none"
+    return f"`{default}`"
--- /dev/null
+++ b/src/chicoryproxy/layers.py
@@ -0,0 +1,171 @@
+"""The keys that defaults and exceptions set, and the layers that their values come from."""
+
+from enum import Enum, unique
+from functools import cache
+from typing import Any
+
+import msgspec
+from msgspec import UNSET, Struct
+
+from chicoryproxy.conversion import get_hints, strip_optional
+from chicoryproxy.finding import Place
+from chicoryproxy.model import Capacity, FleetLimits, FlowLimits, WarmUp
+from chicoryproxy.notation import parse_value
+from chicoryproxy.quantity import format_duration, format_size
+from chicoryproxy.states import DomainState, ReturnPath
+
+
+@unique
+class Level(Enum):
+    """What a key belongs to."""
+
+    FLEET = "the fleet"
+    INSTANCE = "an instance"
+    DOMAIN = "a failure domain"
+    SERVICE = "a service"
+    UPSTREAM = "an upstream"
+
+
+@unique
+class LayerKind(Enum):
+    """Where a value comes from; later ones win."""
+
+    BUILT_IN = "built in"
+    DEFAULT = "default"
+    OWN = "own entry"
+    EXCEPTION = "exception"
+
+
+class Layer(Struct, frozen=True):
+    """A place that values come from.
+
+    :param reason: the reason of an exception; empty for others.
+    :param until: the last day of an exception in ISO form; empty if it has none.
+    """
+
+    kind: LayerKind
+    place: Place | None = None
+    reason: str = ""
+    until: str = ""
+
+    def __str__(self) -> str:
+        if self.place is None:
+            return self.kind.value
+        reason = f": {self.reason}" if self.reason else ""
+        until = f" (until {self.until})" if self.until else ""
+        return f"{self.kind.value} at {self.place}{reason}{until}"
+
+
+class LayeredValue(Struct, frozen=True):
+    """A value in base units with its layer."""
+
+    value: Any
+    layer: Layer
+
+
+LayeredValues = dict[str, LayeredValue]
+"""Values by their key, such as ``capacity.slots``."""
+
+
+@unique
+class Unit(Enum):
+    """Base unit of a value."""
+
+    NONE = "none"
+    SECONDS = "seconds"
+    BYTES = "bytes"
+    SHARE = "share"
+
+
+class Key(Struct, frozen=True):
+    """A key that layers set.
+
+    :param level: what it belongs to.
+    :param built_in: value in base units if no layer sets it.
+    """
+
+    level: Level
+    built_in: Any
+    unit: Unit = Unit.NONE
+
+
+_FLEET, _LIMITS, _CAPACITY, _WARM_UP = FleetLimits(), FlowLimits(), Capacity(), WarmUp()
+
+KEYS: dict[str, Key] = {
+    "state": Key(Level.DOMAIN, DomainState.IN),
+    "draining": Key(Level.UPSTREAM, False),
+    "return_path": Key(Level.SERVICE, ReturnPath.DIRECT),
+    "limits.idle_timeout": Key(Level.SERVICE, _LIMITS.idle_timeout_s, Unit.SECONDS),
+    "limits.opening_timeout": Key(Level.SERVICE, _LIMITS.opening_timeout_s, Unit.SECONDS),
+    "limits.retry_ratio": Key(Level.SERVICE, _LIMITS.retry_ratio, Unit.SHARE),
+    "weight": Key(Level.UPSTREAM, 1),
+    "capacity.slots": Key(Level.UPSTREAM, _CAPACITY.slots),
+    "capacity.connections": Key(Level.UPSTREAM, _CAPACITY.connections),
+    "warm_up.cold_openings": Key(Level.UPSTREAM, _WARM_UP.cold_openings),
+    "warm_up.full_openings": Key(Level.UPSTREAM, _WARM_UP.full_openings),
+    "warm_up.duration": Key(Level.UPSTREAM, _WARM_UP.duration_s, Unit.SECONDS),
+    "fleet.control_rate": Key(Level.INSTANCE, _FLEET.control_bytes_per_s, Unit.BYTES),
+    "fleet.flow_table_size": Key(Level.INSTANCE, _FLEET.flow_table_size),
+    "fleet.spread": Key(Level.FLEET, _FLEET.spread_s, Unit.SECONDS),
+    "fleet.lease": Key(Level.FLEET, _FLEET.lease_s, Unit.SECONDS),
+    "fleet.probe_interval": Key(Level.FLEET, _FLEET.probe_interval_s, Unit.SECONDS),
+    "fleet.suspicion": Key(Level.FLEET, _FLEET.suspicion_s, Unit.SECONDS),
+    "fleet.pause": Key(Level.FLEET, _FLEET.pause_s, Unit.SECONDS),
+}
+"""All keys of ``defaults`` and of exceptions' ``change``."""
+
+
+def list_values(written: Struct) -> dict[str, Any]:
+    """Return the values that a written struct sets, in base units, by their key."""
+    values: dict[str, Any] = {}
+    _collect(written, "", values)
+    return values
+
+
+def list_built_in() -> LayeredValues:
+    """Return the built-in value of each key."""
+    layer = Layer(LayerKind.BUILT_IN)
+    return {name: LayeredValue(key.built_in, layer) for name, key in KEYS.items()}
+
+
+def format_value(key: str, value: Any) -> str:
+    """Return a value in base units as operators write it."""
+    unit = KEYS[key].unit
+    if unit is Unit.SECONDS:
+        return format_duration(value)
+    if unit is Unit.BYTES:
+        return format_size(value)
+    if unit is Unit.SHARE:
+        return f"{value * 100:g}%"
+    if isinstance(value, Enum):
+        return str(value.value)
+    return str(value).lower() if isinstance(value, bool) else f"{value:g}"
+
+
+def list_keys(level: Level) -> list[str]:
+    """Return the names of the keys of a level."""
+    return [name for name, key in KEYS.items() if key.level is level]
+
+
+def _collect(written: Struct, prefix: str, values: dict[str, Any]) -> None:
+    for name, hint, nested in _list_fields(type(written), prefix):
+        value = getattr(written, name)
+        if value is UNSET:
+            continue
+        if nested:
+            _collect(value, f"{prefix}{name}.", values)
+        else:
+            values[prefix + name] = parse_value(hint, value)
+
+
+@cache
+def _list_fields(kind: type[Struct], prefix: str) -> list[tuple[str, Any, bool]]:
+    """Return the name and type hint of each field that is a key or holds keys."""
+    hints = get_hints(kind)
+    fields = []
+    for field in msgspec.structs.fields(kind):
+        target = strip_optional(hints[field.name])
+        nested = isinstance(target, type) and issubclass(target, Struct)
+        if nested or prefix + field.name in KEYS:
+            fields.append((field.name, hints[field.name], nested))
+    return fields
--- a/src/chicoryproxy/leaving.py
+++ b/src/chicoryproxy/leaving.py
@@ -64,7 +64,7 @@
     def _ask(self, now: float) -> None:
         self._asked_at = now
         for peer in self._membership.draw_from(self._list_missing(), PROBES_PER_ROUND):
-            self._numbers.add(self._membership.send_probe(peer))
+            self._numbers.add(self._membership.send_own_state(peer))
 
     def _list_missing(self) -> list[InstanceId]:
         return [peer for peer in self._membership.list_reachable() if peer not in self._acked]
--- a/src/chicoryproxy/membership.py
+++ b/src/chicoryproxy/membership.py
@@ -31,8 +31,9 @@
 MAX_GONE = 8192
 MAX_RELAYS = 256
 MAX_RECENT = 32
-TOLD_PER_MESSAGE = 16
+TOLD_PER_MESSAGE = 12
 TOLD_MESSAGES = 8
+MAX_URGENT = 64
 
 _RANKS = {
     MemberState.ALIVE: 0,
@@ -49,9 +50,10 @@
 
     :ivar listed: false once a published list without it has been read.
     :ivar leaving: it announced that it leaves.
+    :ivar proved: it was heard of as alive from another source than a list.
     """
 
-    __slots__ = ("instance", "state", "incarnation", "listed", "leaving", "since")
+    __slots__ = ("instance", "state", "incarnation", "listed", "leaving", "proved", "since")
 
     def __init__(self, instance: Instance, now: float) -> None:
         self.instance = instance
@@ -59,6 +61,7 @@
         self.incarnation = Incarnation(0)
         self.listed = True
         self.leaving = False
+        self.proved = False
         self.since = now
 
     @property
@@ -96,6 +99,8 @@
         self._gone: dict[InstanceId, Incarnation] = {}
         self._suspected_at: dict[InstanceId, float] = {}
         self._hidden: dict[InstanceId, None] = {}
+        self._urgent: dict[InstanceId, None] = {}
+        self._domains_healed_at: dict[DomainId, float] = {}
         self._order: list[InstanceId] = []
         self._probes = 0
         self._number = 0
@@ -247,13 +252,20 @@
         self._relays[own_number] = _Relay(sender, number)
         self._outbox.send_ping(subject, own_number)
 
-    def receive_ack(self, number: int, subject: InstanceId) -> None:
+    def receive_ack(self, sender: InstanceId, number: int, subject: InstanceId, now: float) -> None:
         """Note that a peer proved alive."""
         relay = self._relays.pop(number, None)
         if relay is not None:
             self._outbox.send_ack(relay.origin, relay.number, subject)
         if number == self._target_number and subject == self._target:
             self._target = None
+        peer = self._peers.get(subject)
+        if peer is None or sender != subject:
+            return
+        peer.proved = True
+        if peer.state is MemberState.HIDDEN:
+            # The others find out by their own probes, so this is no news to spread.
+            self._revive(peer, False, now)
 
     def send_probe(self, target: InstanceId) -> int:
         """Send a probe outside of the round.
@@ -264,22 +276,46 @@
         self._outbox.send_ping(target, number)
         return number
 
+    def send_own_state(self, target: InstanceId) -> int:
+        """Send a probe that surely carries the state of this instance.
+
+        :returns: its number.
+        """
+        number = self.next_number()
+        self._outbox.send_members(target, number, (self._build_own(),))
+        return number
+
     def next_number(self) -> int:
         """Return a probe number that was never used."""
         self._number += 1
         return self._number
 
-    def tell_states(self, target: InstanceId) -> None:
-        """Tell a joiner which members don't answer or leave; it would take them for alive."""
-        updates = [
-            MemberUpdate(peer.instance.id, peer.state, peer.incarnation)
+    def tell_silent(self, target: InstanceId) -> None:
+        """Tell a joiner which members don't answer; it would take them for alive."""
+        self._tell(target, [peer for peer in self._peers.values() if peer.state in _SILENT])
+
+    def tell_domain(self, target: InstanceId, now: float) -> None:
+        """Tell a peer which members of this instance's domain answer, while a partition heals."""
+        if now - self._healed_at > HEALING_S:
+            return
+        domain = self._own.domain
+        answering = [
+            peer
             for peer in self._peers.values()
-            if peer.state in _SILENT
+            if peer.state is MemberState.ALIVE and peer.instance.domain == domain
+        ]
+        self._tell(target, self._draws.draw_sample(answering, TOLD_PER_MESSAGE * TOLD_MESSAGES))
+
+    def _tell(self, target: InstanceId, peers: Sequence[PeerRecord]) -> None:
+        updates = [
+            MemberUpdate(peer.instance.id, peer.shown_state, peer.incarnation)
+            for peer in peers[: TOLD_PER_MESSAGE * TOLD_MESSAGES]
+            if peer.instance.id != target
         ]
-        updates = updates[: TOLD_PER_MESSAGE * TOLD_MESSAGES]
         for start in range(0, len(updates), TOLD_PER_MESSAGE):
             part = tuple(updates[start : start + TOLD_PER_MESSAGE])
-            self._outbox.send_members(target, self.next_number(), part)
+            if not self._outbox.try_send_members(target, self.next_number(), part):
+                return
 
     def resume(self, gap_s: float) -> None:
         """Forgive the peers the silence of this instance's own pause.
@@ -337,6 +373,11 @@
             self._outbox.send_members(target, self.next_number(), (hidden,))
 
     def _choose_next(self) -> InstanceId | None:
+        while self._urgent:
+            urgent = next(iter(self._urgent))
+            del self._urgent[urgent]
+            if urgent in self._peers:
+                return urgent
         for _ in range(2):
             while self._order:
                 target = self._order.pop()
@@ -388,7 +429,10 @@
         return False
 
     def _receive_own(self, sender: InstanceId, update: MemberUpdate) -> None:
-        if update.incarnation < self._incarnation or update == self._build_own():
+        own = self._build_own()
+        if update.incarnation < self._incarnation and update.state is not own.state:
+            self._outbox.send_members(sender, self.next_number(), (own,))
+        if update.incarnation < self._incarnation or update == own:
             return
         self._incarnation = Incarnation(update.incarnation + 1)
         self._outbox.log("member", f"refutes {update.state.value}", self._own.id)
@@ -408,13 +452,42 @@
             known = MemberUpdate(sender, peer.shown_state, peer.incarnation)
             self._outbox.send_members(sender, self.next_number(), (known,))
             return
-        self._receive_update(peer, update, now)
+        if update.state is MemberState.HIDDEN:
+            self._receive_hidden(peer, update, now)
+        elif self._is_witnessed(sender, peer, update, now):
+            self._revive(peer, False, now)
+        else:
+            self._receive_update(peer, update, now)
+
+    def _receive_hidden(self, peer: PeerRecord, update: MemberUpdate, now: float) -> None:
+        """Check a peer that is hidden from the teller, maybe by a partition from it alone."""
+        if peer.state in _SILENT or update.incarnation < peer.incarnation:
+            return
+        if not peer.proved:
+            peer.incarnation = update.incarnation
+            self._suspect(peer, False, now)
+        elif len(self._urgent) < MAX_URGENT:
+            self._urgent[peer.instance.id] = None
+
+    def _is_witnessed(
+        self, sender: InstanceId, peer: PeerRecord, update: MemberUpdate, now: float
+    ) -> bool:
+        """Return whether a peer of the same domain, itself back from hiding, vouches for another.
+
+        What hid the teller has most likely hidden the other as well, so this instance needn't
+        wait for the other's refutation.
+        """
+        if peer.state is not MemberState.HIDDEN or update.state is not MemberState.ALIVE:
+            return False
+        domain = peer.instance.domain
+        teller = self._peers.get(sender)
+        is_neighbour = teller is not None and teller.instance.domain == domain
+        healed_at = self._domains_healed_at.get(domain, -HEALING_S)
+        is_recent = now - healed_at < HEALING_S
+        return is_neighbour and is_recent and update.incarnation >= peer.incarnation
 
     def _receive_update(self, peer: PeerRecord, update: MemberUpdate, now: float) -> None:
         state = update.state
-        if state is MemberState.HIDDEN and peer.state is not MemberState.HIDDEN:
-            # A partition may have hidden the peer from the teller alone.
-            state = MemberState.SUSPECT
         rank = _RANKS[peer.shown_state]
         if (update.incarnation, _RANKS[state]) <= (peer.incarnation, rank):
             return
@@ -423,19 +496,21 @@
             self._remove(peer, now)
         elif state is MemberState.SUSPECT:
             self._suspect(peer, False, now)
-        elif state is not MemberState.HIDDEN:
+        else:
             peer.leaving = state is MemberState.LEAVING
-            self._revive(peer, now)
+            peer.proved = True
+            self._revive(peer, True, now)
 
-    def _revive(self, peer: PeerRecord, now: float) -> None:
+    def _revive(self, peer: PeerRecord, is_news: bool, now: float) -> None:
         instance = peer.instance.id
         if peer.state is MemberState.HIDDEN:
             self._healed_at = now
-            self.heals += 1
+            self._domains_healed_at[peer.instance.domain] = now
             self.last_healed = instance
+            self.heals += 1
         self._suspected_at.pop(instance, None)
         self._hidden.pop(instance, None)
-        self._set_state(peer, MemberState.ALIVE, now)
+        self._set_state(peer, MemberState.ALIVE, now, is_news)
 
     def _suspect(self, peer: PeerRecord, detected: bool, now: float) -> None:
         if peer.state in _SILENT:
@@ -456,14 +531,18 @@
                 self._remove(peer, now)
                 continue
             self._hidden[instance] = None
+            # Those who haven't heard of the suspicion learn of it from `_ask_about`.
+            self._outbox.members.discard(instance)
             self._set_state(peer, MemberState.HIDDEN, now)
 
-    def _set_state(self, peer: PeerRecord, state: MemberState, now: float) -> None:
+    def _set_state(
+        self, peer: PeerRecord, state: MemberState, now: float, is_news: bool = True
+    ) -> None:
         peer.state = state
         peer.since = now
         shown = peer.shown_state
         self._outbox.log("member", shown.value, peer.instance.id)
-        if state is not MemberState.HIDDEN:
+        if is_news and state is not MemberState.HIDDEN:
             update = MemberUpdate(peer.instance.id, shown, peer.incarnation)
             self._outbox.members.put(peer.instance.id, update)
         self._mark_changed()
@@ -484,6 +563,9 @@
         peer = self._peers.get(target)
         if peer is None or peer.state not in _SILENT:
             return None
+        if peer.state is MemberState.HIDDEN and len(self._hidden) > SMALL_GROUP:
+            # Refutations by a whole domain would take minutes to spread; answers heal it sooner.
+            return None
         return MemberUpdate(target, peer.state, peer.incarnation)
 
     def _mark_changed(self) -> None:
--- a/src/chicoryproxy/model.py
+++ b/src/chicoryproxy/model.py
@@ -125,13 +125,25 @@
     flow_table_size: int = 600_000
 
 
+class InstanceLimits(Struct, frozen=True):
+    """Limits of one instance that replace those of ``FleetLimits``."""
+
+    instance: InstanceId
+    control_bytes_per_s: int
+    flow_table_size: int
+
+
 class Configuration(Struct, frozen=True):
-    """One version of the effective configuration of the fleet."""
+    """One version of the effective configuration of the fleet.
+
+    :param instances: limits of the instances that differ from the fleet's.
+    """
 
     version: Version
     domains: tuple[Domain, ...]
     services: tuple[Service, ...]
     fleet: FleetLimits = FleetLimits()
+    instances: tuple[InstanceLimits, ...] = ()
 
 
 class Instance(Struct, frozen=True):
--- a/src/chicoryproxy/outbox.py
+++ b/src/chicoryproxy/outbox.py
@@ -95,6 +95,19 @@
         """Send a probe that carries stated updates instead of those in the queue."""
         self._send(target, Ping(number, Gossip(self.version, members)), Priority.MEMBERSHIP)
 
+    def try_send_members(
+        self, target: InstanceId, number: int, members: tuple[MemberUpdate, ...]
+    ) -> bool:
+        """Send as ``send_members`` does if the budget has room.
+
+        :returns: false when the message was left out.
+        """
+        message = Ping(number, Gossip(self.version, members))
+        if not self._budget.allow(Priority.HANDOVER, estimate_message(message), self._now):
+            return False
+        self.add(SendToView(target, message, Priority.HANDOVER))
+        return True
+
     def send_fetch(self, target: InstanceId, have: Version) -> None:
         """Ask a peer for its configuration and generations."""
         self._send(target, VersionFetch(have), Priority.SAFETY)
--- a/src/chicoryproxy/quantity.py
+++ b/src/chicoryproxy/quantity.py
@@ -3,14 +3,14 @@
 import re
 from enum import Enum, unique
 
-DURATION_PATTERN = r"^[0-9]+(\.[0-9]+)?(ms|s|m|h|d)$"
+DURATION_PATTERN = r"^[0-9]{1,9}(\.[0-9]{1,6})?(ms|s|m|h|d)$"
 """A number and its unit, such as ``300s`` or ``1.5m``."""
 
-SIZE_PATTERN = r"^[0-9]+(B|KB|MB|GB)$"
+SIZE_PATTERN = r"^[0-9]{1,9}(B|KB|MB|GB)$"
 """A whole number and its unit, such as ``4KB``; 1 KB is 1,024 bytes."""
 
-PERCENT_PATTERN = r"^[0-9]+(\.[0-9]+)?%$"
-"""A number and the percent sign, such as ``10%``."""
+PERCENT_PATTERN = r"^(100|[0-9]{1,2}(\.[0-9]{1,6})?)%$"
+"""A number up to 100 and the percent sign, such as ``10%``."""
 
 _SECONDS = {"ms": 0.001, "s": 1.0, "m": 60.0, "h": 3600.0, "d": 86400.0}
 _BYTES = {"B": 1, "KB": 1024, "MB": 1024**2, "GB": 1024**3}
@@ -59,6 +59,14 @@
     return f"{seconds * 1000:g}ms"
 
 
+def format_size(size: int) -> str:
+    """Return a size as text with the largest unit that keeps it whole."""
+    for unit in ("GB", "MB", "KB"):
+        if size and size % _BYTES[unit] == 0:
+            return f"{size // _BYTES[unit]}{unit}"
+    return f"{size}B"
+
+
 def _split(text: str) -> tuple[str, str]:
     parts = _PARTS.fullmatch(text)
     assert parts is not None
--- a/src/chicoryproxy/settings.py
+++ b/src/chicoryproxy/settings.py
@@ -8,24 +8,21 @@
 from collections.abc import Mapping
 from enum import Enum, unique
 from typing import Annotated
-from urllib.parse import urlsplit
 
 from msgspec import Meta, Struct, structs
 
-from chicoryproxy.address import AddressFault, parse_endpoint
+from chicoryproxy.address import AddressFault, is_http_url, parse_endpoint
 from chicoryproxy.conversion import convert_document, get_hints, strip_optional, suggest_name
 from chicoryproxy.document import Data, Document, DocumentFault, Path, load_document
 from chicoryproxy.errors import SettingsError
 from chicoryproxy.finding import FindingList, Place
 from chicoryproxy.ids import DomainId, InstanceId, RegionId
 from chicoryproxy.model import Endpoint
-from chicoryproxy.quantity import DURATION_PATTERN, QuantityFault, parse_duration
+from chicoryproxy.notation import Count, DurationText, EndpointText, Name, UrlText
+from chicoryproxy.quantity import QuantityFault, parse_duration
 
 ENVIRONMENT_PREFIX = "CHICORY_"
 
-NAME_PATTERN = r"^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$"
-"""Names of instances, domains, regions, services and upstreams."""
-
 _MISSING_ENDPOINT = Endpoint("0.0.0.0", 0)
 
 
@@ -37,27 +34,7 @@
     HUMAN = "human"
 
 
-Name = Annotated[
-    str,
-    Meta(
-        title="a name of letters, digits, `.`, `_` and `-`, at most 63",
-        pattern=NAME_PATTERN,
-    ),
-]
-EndpointText = Annotated[
-    str, Meta(title="an IP number and a port", examples=["10.0.0.7:6080", "'[2001:db8::7]:6080'"])
-]
-DurationText = Annotated[
-    str,
-    Meta(
-        title="a duration with its unit (ms, s, m, h or d)",
-        pattern=DURATION_PATTERN,
-        examples=["30s", "5m"],
-    ),
-]
-
-
-class WrittenSettings(Struct, frozen=True, kw_only=True):
+class WrittenSettings(Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
     """The settings as an operator writes them; each key's notes are its documentation."""
 
     instance: Annotated[Name, Meta(description="name of this instance, unique in the fleet")]
@@ -79,14 +56,7 @@
         EndpointText,
         Meta(description="where `chicory-ctl` asks for this instance's state (TCP)"),
     ] = "127.0.0.1:7105"
-    platform: Annotated[
-        str,
-        Meta(
-            title="an http or https URL",
-            description="URL of the platform's service",
-            examples=["http://10.0.0.2:8500"],
-        ),
-    ]
+    platform: Annotated[UrlText, Meta(description="URL of the platform's service")]
     fabric: Annotated[
         EndpointText,
         Meta(description="where packets that return over the entry are sent, as IP-in-UDP"),
@@ -105,13 +75,8 @@
     ] = None
     log_format: Annotated[LogFormat, Meta(description="how log lines are written")] = LogFormat.JSON
     log_sample: Annotated[
-        int,
-        Meta(
-            title="a whole number from 1",
-            description="log one in so many repeated equal decisions",
-            ge=1,
-            examples=[100],
-        ),
+        Count,
+        Meta(description="log one in so many repeated equal decisions"),
     ] = 1
     drain_timeout: Annotated[
         DurationText, Meta(description="longest time that a graceful stop waits")
@@ -168,7 +133,21 @@
         document = load_document(path, findings)
     if isinstance(document, DocumentFault):
         raise SettingsError(findings)
-    document = _override(document, _collect_overrides(environ, overrides, findings), findings)
+    return create_settings(document, environ, overrides, findings)
+
+
+def create_settings(
+    document: Document,
+    environ: Mapping[str, str],
+    overrides: Mapping[str, str],
+    findings: FindingList,
+) -> Settings:
+    """Check a document with its overrides.
+
+    :param findings: what is wrong already; takes the rest.
+    :raises SettingsError: with all findings.
+    """
+    document = _override(document, _collect_overrides(environ, overrides, findings))
     written = convert_document(document, WrittenSettings, findings)
     settings = _Checker(document, findings).check(written)
     if findings:
@@ -209,7 +188,7 @@
     return collected
 
 
-def _override(document: Document, overrides: list[_Override], findings: FindingList) -> Document:
+def _override(document: Document, overrides: list[_Override]) -> Document:
     """Return the document with the values from outside the file."""
     if document.data is None:
         document = structs.replace(document, data={})
@@ -292,7 +271,7 @@
             first.setdefault(endpoint, key)
 
     def _check_platform(self, url: str) -> None:
-        if url and not _is_http_url(url):
+        if url and not is_http_url(url):
             self._add(
                 "platform",
                 f"`{url}` is no http or https URL",
@@ -301,11 +280,3 @@
 
     def _add(self, key: str, message: str, remedy: str) -> None:
         self._findings.add(self._document.get_place((key,)), message, remedy)
-
-
-def _is_http_url(url: str) -> bool:
-    try:
-        parts = urlsplit(url)
-        return parts.scheme in ("http", "https") and bool(parts.hostname) and parts.port != 0
-    except ValueError:
-        return False
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -2,9 +2,19 @@
 
 import pytest
 
+from chicoryproxy.ids import ServiceId, Version
+from chicoryproxy.messages import EntryReport, Gossip, Ping, ServiceClean
+from chicoryproxy.states import MemberState
 from tests.control_net import DOMAINS, ControlNet, make_configuration, make_upstream
 
 
+@pytest.fixture
+def net() -> ControlNet:
+    net = ControlNet(7)
+    net.run(5.0)
+    return net
+
+
 @pytest.mark.parametrize("seed", [1, 2, 3])
 def test_every_instance_gets_a_version_although_a_reader_is_dead(seed: int) -> None:
     net = ControlNet(21, seed, loss=0.05)
@@ -24,8 +34,7 @@
         assert sum(entry.id in net.watching for entry in watching) == 3
 
 
-def test_a_stale_platform_never_reverts_a_version() -> None:
-    net = ControlNet(7)
+def test_a_stale_platform_never_reverts_a_version(net: ControlNet) -> None:
     net.publish(make_configuration(5))
     net.run(3.0)
     net.publish(make_configuration(4, [make_upstream(0, DOMAINS[0])]))
@@ -34,9 +43,7 @@
     assert {len(view.conditions) for view in net.views.values()} == {6}
 
 
-def test_a_new_version_places_flows_once_all_live_peers_have_it() -> None:
-    net = ControlNet(7)
-    net.run(5.0)
+def test_a_new_version_places_flows_once_all_live_peers_have_it(net: ControlNet) -> None:
     cut_off = net.instances[0].id
     net.cut = lambda sender, target: cut_off in (sender, target)
     net.watching.discard(cut_off)
@@ -46,3 +53,121 @@
     assert net.views[net.instances[1].id].placed == 1
     net.run(2.5)
     assert net.views[net.instances[1].id].placed == 2
+
+
+def test_a_version_reaches_three_hundred_instances_with_a_reader_dead() -> None:
+    net = ControlNet(300)
+    net.run_until(lambda: net.all_have(1), 8.0)
+    net.run(3.0)
+    net.kill(sorted(net.watching)[0])
+    net.publish(make_configuration(2))
+    net.run_until(lambda: net.all_have(2), 8.0)
+
+
+def test_a_version_reaches_everyone_while_most_messages_are_lost() -> None:
+    net = ControlNet(21)
+    net.run(3.0)
+    net.loss = 0.4
+    net.publish(make_configuration(2))
+    net.run_until(lambda: net.all_have(2), 8.0)
+
+
+def test_an_instance_that_hears_of_a_higher_version_is_behind_until_it_has_it(
+    net: ControlNet,
+) -> None:
+    behind, teller = net.instances[0].id, net.instances[1].id
+    net.cut = lambda sender, target: sender == behind
+    net.call(behind, "receive_message", teller, Ping(1, Gossip(Version(9))))
+    view = net.views[behind]
+    assert (view.highest, view.configuration.version) == (9, 1)
+    net.cut = lambda sender, target: False
+    net.publish(make_configuration(9))
+    net.run(1.0)
+    assert net.views[behind].configuration.version == 9
+
+
+def test_a_paused_instance_is_stale_until_a_fresh_peer_confirms(net: ControlNet) -> None:
+    paused = net.instances[0].id
+    net.paused.add(paused)
+    net.watching.discard(paused)
+    net.run(5.0)
+    net.publish(make_configuration(2))
+    net.run(1.0)
+    net.paused.discard(paused)
+    net.cut = lambda sender, target: paused in (sender, target)
+    net.run(1.0)
+    assert net.views[paused].stale
+    net.cut = lambda sender, target: False
+    net.run_until(lambda: not net.views[paused].stale, 2.0)
+    assert net.views[paused].configuration.version == 2
+
+
+def test_two_instances_that_wake_up_together_do_not_confirm_each_other(net: ControlNet) -> None:
+    pair = {entry.id for entry in net.instances[:2]}
+    net.paused |= pair
+    net.run(1.5)
+    net.paused -= pair
+    net.cut = lambda sender, target: (sender in pair) != (target in pair)
+    net.run(1.0)
+    assert all(net.views[id_].stale for id_ in pair)
+    net.run(net.views[min(pair)].configuration.fleet.spread_s)
+    assert not any(net.views[id_].stale for id_ in pair)
+
+
+def test_a_pause_does_not_make_an_instance_blame_its_peers(net: ControlNet) -> None:
+    paused = net.instances[0].id
+    net.paused.add(paused)
+    net.run(30.0)
+    net.paused.discard(paused)
+    net.run(3.0)
+    states = {member.state for member in net.views[paused].members}
+    assert states == {MemberState.ALIVE}
+
+
+def test_a_view_is_given_only_when_something_changed(net: ControlNet) -> None:
+    numbers = {id_: view.number for id_, view in net.views.items()}
+    net.run(10.0)
+    assert {id_: view.number for id_, view in net.views.items()} == numbers
+    net.publish(make_configuration(2))
+    net.run(1.0)
+    assert all(net.views[id_].number > number for id_, number in numbers.items())
+
+
+def test_a_report_of_a_clean_service_prunes_the_view(net: ControlNet) -> None:
+    net.publish(make_configuration(2, [make_upstream(0, DOMAINS[0])]))
+    net.run(1.0)
+    reporter = net.instances[0].id
+    assert len(net.views[reporter].generations) == 2
+    clean = (ServiceClean(ServiceId("recovery-log"), Version(2)),)
+    net.call(reporter, "receive_report", EntryReport(clean=clean))
+    assert [entry.version for entry in net.views[reporter].generations] == [2]
+
+
+@pytest.mark.parametrize("count", [10, 100])
+def test_control_traffic_stays_within_the_budget(count: int) -> None:
+    net = ControlNet(count, loss=0.02)
+    net.run(10.0)
+    net.sent_bytes.clear()
+    net.kill(net.instances[1].id)
+    net.publish(make_configuration(2))
+    net.run(20.0)
+    limit = net.views[net.instances[0].id].configuration.fleet.control_bytes_per_s
+    assert max(net.sent_bytes.values()) <= 20.0 * limit
+
+
+def test_the_same_seed_gives_the_same_actions() -> None:
+    first, second = ControlNet(9, 5, loss=0.1), ControlNet(9, 5, loss=0.1)
+    for net in (first, second):
+        net.run(10.0)
+    assert first.sent_bytes == second.sent_bytes
+    assert first.views == second.views
+
+
+def test_the_description_tells_the_version_of_each_peer(net: ControlNet) -> None:
+    net.publish(make_configuration(2))
+    net.run(2.0)
+    description = net.cores[net.instances[0].id].describe(net.now)
+    assert (description.version, description.placed) == (2, 2)
+    assert {peer.version for peer in description.peers} == {2}
+    assert len(description.peers) == len(net.instances) - 1
+    assert description.evidence
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -61,7 +61,7 @@
     assert 'put it in quotation marks: "7"' in texts
     assert "`control` and `link` are the same endpoint" in texts
     assert "write `json`" in texts
-    assert "write a value such as 30s" in texts
+    assert "write a value such as 300s" in texts
     assert "environment variable CHICORY_STATS: no such setting" in texts
     assert "write `CHICORY_STATSD`" in texts
     assert "flag --statsd: `nowhere` can't be used" in texts
