Hold the size estimates against the codec; merge late after a start alone

Cause: the estimates were nearly twice the encoded bytes of gossip, so news was held back for nothing; and an instance that joined without any answer never asked its peers again.

--- a/src/chicoryproxy/catchup.py
+++ b/src/chicoryproxy/catchup.py
@@ -14,7 +14,7 @@
 from chicoryproxy.versions import VersionStore
 
 PEERS_ASKED = 3
-JOIN_S = 1.0
+JOIN_S = 2.0
 """Longest time that a start or a skipped version waits for the answers of peers, in seconds."""
 
 RETRY_S = 0.4
@@ -46,6 +46,7 @@
         self._outbox = outbox
         self._state = CatchUpState.JOINING
         self._is_list_known = False
+        self._is_alone = False
         self._began_at: float | None = None
         self._asked_at = 0.0
         self._asked: set[InstanceId] = set()
@@ -59,8 +60,14 @@
         """How far this instance is."""
         return self._state
 
+    @property
+    def is_alone(self) -> bool:
+        """True when the last wait ended although listed peers never answered."""
+        return self._is_alone
+
     def begin(self, now: float) -> None:
-        """Ask peers for the generations that this instance skipped."""
+        """Ask peers for the generations that this instance lacks."""
+        self._is_alone = False
         self._state = CatchUpState.FETCHING
         self._answered.clear()
         self._asked.clear()
@@ -113,6 +120,7 @@
         if self._state is CatchUpState.JOINING and not self._has_configuration():
             return False
         self._state = CatchUpState.CURRENT
+        self._is_alone = wanted > 0 and not self._answered
         self._outbox.log("version", f"caught up with {len(self._answered)} peers")
         return True
 
--- a/src/chicoryproxy/control.py
+++ b/src/chicoryproxy/control.py
@@ -121,6 +121,7 @@
             self._membership, self._versions, self._conditions, self._reach, self._outbox
         )
         self._followed: tuple[int, Version] | None = None
+        self._now = 0.0
 
     def get_instance(self, instance: InstanceId) -> Instance | None:
         """Return the addresses of a member, ``None`` for one that isn't known."""
@@ -203,8 +204,9 @@
         """
         return self._leaving.is_over(now)
 
-    def describe(self, now: float) -> ControlDescription:
-        """Return the state for the operator's tool."""
+    def describe(self) -> ControlDescription:
+        """Return the state for the operator's tool, as of the last call with a time."""
+        now = self._now
         return ControlDescription(
             instance=self._membership.own,
             version=self._versions.version,
@@ -229,6 +231,7 @@
         return self._versions.configuration.fleet
 
     def _begin(self, now: float) -> None:
+        self._now = now
         self._outbox.begin(now, len(self._membership))
         self._outbox.version = NO_VERSION if self._is_stale() else self._versions.version
 
--- a/src/chicoryproxy/exchange.py
+++ b/src/chicoryproxy/exchange.py
@@ -119,6 +119,8 @@
             self._outbox.log("version", f"{sender} has version {version}", str(version))
         if self._versions.is_behind:
             self._catch_up.follow(now)
+        if self._catch_up.is_alone and version > NO_VERSION:
+            self._catch_up.begin(now)
         is_stranger = self._membership.get_peer(sender) is None
         if (unknown or is_stranger) and now - self._strangers_at >= STRANGER_FETCH_S:
             self._strangers_at = now
--- a/src/chicoryproxy/sizes.py
+++ b/src/chicoryproxy/sizes.py
@@ -18,8 +18,8 @@
 MESSAGE_BYTES = 120
 """IP and UDP headers, authentication, framing and the fixed fields of a message."""
 
-MEMBER_BYTES = 24
-CONDITION_BYTES = 40
+MEMBER_BYTES = 14
+CONDITION_BYTES = 28
 INSTANCE_BYTES = 160
 UPSTREAM_BYTES = 160
 SERVICE_BYTES = 160
@@ -28,12 +28,12 @@
 
 def estimate_member(update: MemberUpdate) -> int:
     """Return the bytes of a piece of membership knowledge."""
-    return MEMBER_BYTES + _round_word(len(update.instance) + 1)
+    return MEMBER_BYTES + len(update.instance)
 
 
 def estimate_condition(condition: UpstreamCondition) -> int:
     """Return the bytes of an upstream's condition."""
-    return CONDITION_BYTES + _round_word(len(condition.upstream) + 1)
+    return CONDITION_BYTES + len(condition.upstream)
 
 
 def estimate_message(message: ViewMessage) -> int:
@@ -42,7 +42,7 @@
         case Ping(gossip=gossip):
             return MESSAGE_BYTES + _estimate_gossip(gossip)
         case Ack(subject=subject, gossip=gossip) | PingRequest(subject=subject, gossip=gossip):
-            return MESSAGE_BYTES + _round_word(len(subject) + 1) + _estimate_gossip(gossip)
+            return MESSAGE_BYTES + len(subject) + _estimate_gossip(gossip)
         case VersionFetch():
             return MESSAGE_BYTES
         case VersionBody():
@@ -73,8 +73,4 @@
 
 
 def _estimate_instance(instance: Instance) -> int:
-    return INSTANCE_BYTES + _round_word(len(instance.id) + 1)
-
-
-def _round_word(size: int) -> int:
-    return (size + 7) // 8 * 8
+    return INSTANCE_BYTES + len(instance.id)
