Read JSON and folders of files as a configuration

A folder lets people edit defaults and exceptions in YAML beside a generated inventory. The readers, the splitting and the assembly get modules of their own; behaviour is unchanged.

--- a/src/chicoryproxy/check.py
+++ b/src/chicoryproxy/check.py
@@ -11,26 +11,28 @@
 import cappa
 import msgspec
 from rich.console import Console
-from rich.table import Table
 
-from chicoryproxy.comparison import Comparison, compare
+from chicoryproxy.checkreport import print_comparison, print_effective
+from chicoryproxy.comparison import compare
 from chicoryproxy.configuration import (
     EffectiveConfiguration,
+    EffectiveValue,
     ServiceFault,
     create_configuration,
 )
 from chicoryproxy.conversion import suggest_name
-from chicoryproxy.document import Document, DocumentFault, load_document
+from chicoryproxy.document import Document, DocumentFault
 from chicoryproxy.errors import ChicoryError, ConfigurationError, FindingsError
+from chicoryproxy.files import load_document
 from chicoryproxy.finding import FindingList
 from chicoryproxy.folder import FolderFault, read_version, write_publication
 from chicoryproxy.ids import ServiceId, Version
 from chicoryproxy.keytable import render_rows
-from chicoryproxy.layers import format_value
 from chicoryproxy.options import VERSION
-from chicoryproxy.published import PublishedFault, publish
+from chicoryproxy.published import PublishedFault
 from chicoryproxy.schema import WrittenConfiguration
 from chicoryproxy.settings import WrittenSettings, create_settings
+from chicoryproxy.splitter import publish
 
 SCHEMA_DIALECT = "https://json-schema.org/draft/2020-12/schema"
 WIDTH = 240
@@ -52,7 +54,9 @@
     """The command was given something that it can't work with."""
 
 
-_FILE = Annotated[str, cappa.Arg(value_name="FILE", help="YAML file of the fleet.")]
+_FILE = Annotated[
+    str, cappa.Arg(value_name="FILE", help="YAML or JSON file of the fleet, or a folder of them.")
+]
 _DAY = Annotated[
     date | None,
     cappa.Arg(
@@ -84,7 +88,7 @@
         """Check and print."""
         effective = _load_configuration(self.file, self.day or date.today())
         if self.effective is not None:
-            _print_effective(console, effective, ServiceId(self.effective))
+            print_effective(console, _explain(effective, ServiceId(self.effective)))
             return
         services = effective.configuration.services
         upstreams = sum(len(service.upstreams) for service in services)
@@ -100,8 +104,8 @@
 class DiffCommand:
     """Compares two configurations."""
 
-    old: Annotated[str, cappa.Arg(value_name="OLD", help="YAML file that is in force.")]
-    new: Annotated[str, cappa.Arg(value_name="NEW", help="YAML file that is to be published.")]
+    old: Annotated[str, cappa.Arg(value_name="OLD", help="File or folder that is in force.")]
+    new: Annotated[str, cappa.Arg(value_name="NEW", help="File or folder that is to be published.")]
     flows_per_upstream: Annotated[
         int,
         cappa.Arg(
@@ -119,7 +123,7 @@
         old = _load_configuration(self.old, date.min)
         new = _load_configuration(self.new, self.day or date.today())
         comparison = compare(old.configuration, new.configuration, self.flows_per_upstream)
-        _print_comparison(console, comparison)
+        print_comparison(console, comparison)
 
 
 @cappa.command(
@@ -270,47 +274,12 @@
     return create_configuration(_load_document(path, findings), version, day, findings)
 
 
-def _print_effective(
-    console: Console, effective: EffectiveConfiguration, service: ServiceId
-) -> None:
+def _explain(effective: EffectiveConfiguration, service: ServiceId) -> tuple[EffectiveValue, ...]:
     values = effective.explain_service(service)
     if isinstance(values, ServiceFault):
         names = [item.id for item in effective.configuration.services]
         raise UsageError(f"{values.value} `{service}`; {suggest_name(service, names)}")
-    table = Table("of", "key", "value", "from", box=None, pad_edge=False)
-    for item in values:
-        shown = format_value(item.key, item.value.value)
-        table.add_row(str(item.target), item.key, shown, str(item.value.layer))
-    console.print(table)
-
-
-def _print_comparison(console: Console, comparison: Comparison) -> None:
-    columns = ("service", "slots", "moved", "contested", "given up", "flows contested")
-    table = Table(*columns, "flows given up", "starting cold", box=None, pad_edge=False)
-    for change in comparison.services:
-        table.add_row(
-            change.service,
-            f"{change.slots}",
-            f"{change.moved}",
-            f"{change.contested}",
-            f"{change.given_up}",
-            f"{change.contested_flows}",
-            f"{change.given_up_flows}",
-            ", ".join(change.cold) or "none",
-        )
-    if comparison.services:
-        console.print(table)
-    else:
-        console.print("no slot moves, and no upstream starts cold")
-    for label, names in (("added", comparison.added), ("removed", comparison.removed)):
-        if names:
-            console.print(f"services {label}: {', '.join(names)}")
-    if comparison.removed:
-        console.print("the flows of removed services end")
-    console.print(
-        f"control: {comparison.value_bytes} bytes of values to read; hints of at most "
-        f"{comparison.hint_bytes} bytes per entry, {comparison.hint_s:.1f} s at the control rate"
-    )
+    return values
 
 
 if __name__ == "__main__":
--- a/src/chicoryproxy/comparison.py
+++ b/src/chicoryproxy/comparison.py
@@ -12,7 +12,8 @@
 from chicoryproxy.ids import DomainId, ServiceId, UpstreamId
 from chicoryproxy.model import Configuration, Service, Upstream
 from chicoryproxy.placement import PlacementTable, create_table
-from chicoryproxy.published import PublishedFault, publish
+from chicoryproxy.published import PublishedFault
+from chicoryproxy.splitter import publish
 from chicoryproxy.versions import build_generation, list_domains_in
 
 HINT_BYTES = 30
--- a/src/chicoryproxy/configuration.py
+++ b/src/chicoryproxy/configuration.py
@@ -7,9 +7,10 @@
 from msgspec import UNSET, Struct
 
 from chicoryproxy.conversion import convert_document
-from chicoryproxy.document import Document, DocumentFault, Path, load_document
+from chicoryproxy.document import Document, DocumentFault, Path
 from chicoryproxy.errors import ConfigurationError
 from chicoryproxy.exceptions import ExceptionIndex, Target
+from chicoryproxy.files import load_document
 from chicoryproxy.finding import FindingList
 from chicoryproxy.ids import DomainId, InstanceId, RegionId, ServiceId, UpstreamId, Version
 from chicoryproxy.inventory import Inventory, check_inventory
--- /dev/null
+++ b/src/chicoryproxy/files.py
@@ -0,0 +1,95 @@
+"""Loads files, or a folder of files, as one document."""
+
+from pathlib import Path as FilePath
+
+from chicoryproxy.document import Data, Document, DocumentFault, Path
+from chicoryproxy.finding import FindingList, Place
+from chicoryproxy.jsonreader import read_json
+from chicoryproxy.yamlreader import read_yaml
+
+JSON_SUFFIX = ".json"
+SUFFIXES = (".yaml", ".yml", JSON_SUFFIX)
+
+
+def load_document(path: str, findings: FindingList) -> Document | DocumentFault:
+    """Read a file, or all YAML and JSON files of a folder as one document.
+
+    :param path: name of the file or folder.
+    :param findings: takes what is wrong.
+    :returns: ``DocumentFault.UNREADABLE`` if a file can't be read as UTF-8 text.
+    """
+    if not FilePath(path).is_dir():
+        return _load_file(path, findings)
+    files = sorted(item for item in FilePath(path).iterdir() if item.suffix in SUFFIXES)
+    if not files:
+        findings.add(Place(path), "the folder holds no YAML or JSON file", "name another folder")
+        return DocumentFault.UNREADABLE
+    documents = []
+    faults = []
+    for file in files:
+        document = _load_file(str(file), findings)
+        if isinstance(document, DocumentFault):
+            faults.append(document)
+        else:
+            documents.append(document)
+    if faults:
+        return max(faults, key=lambda fault: fault is DocumentFault.UNREADABLE)
+    return _join(path, documents, findings)
+
+
+def _load_file(path: str, findings: FindingList) -> Document | DocumentFault:
+    try:
+        text = FilePath(path).read_text(encoding="utf-8")
+    except OSError as error:
+        reason = error.strerror or str(error)
+        findings.add(Place(path), f"the file can't be read: {reason}", "name a readable file")
+        return DocumentFault.UNREADABLE
+    except UnicodeDecodeError as error:
+        findings.add(
+            Place(path), f"the file is no UTF-8 text: byte {error.start}", "save it as UTF-8"
+        )
+        return DocumentFault.UNREADABLE
+    if path.endswith(JSON_SUFFIX):
+        return read_json(text, path, findings)
+    return read_yaml(text, path, findings)
+
+
+def _join(source: str, documents: list[Document], findings: FindingList) -> Document:
+    """Join the top-level keys of several documents: mappings and lists grow."""
+    data: dict[str, Data] = {}
+    places: dict[Path, Place] = {(): Place(source)}
+    for document in documents:
+        if document.data is None:
+            continue
+        if not isinstance(document.data, dict):
+            place = document.get_place(())
+            findings.add(place, "the file is no mapping", "write the keys of a configuration")
+            continue
+        shifts = {key: len(item) for key, item in data.items() if isinstance(item, list)}
+        for path, place in document.places.items():
+            if len(path) > 1 and isinstance(path[1], int):
+                path = (path[0], path[1] + shifts.get(str(path[0]), 0), *path[2:])
+            places.setdefault(path, place)
+        for key, value in document.data.items():
+            data[key] = _grow(data, key, value, document, findings)
+    return Document(source, data, places)
+
+
+def _grow(
+    data: dict[str, Data], key: str, value: Data, document: Document, findings: FindingList
+) -> Data:
+    """Return the value of a top-level key with what another document adds to it."""
+    present = data.get(key)
+    if present is None:
+        return value
+    if isinstance(present, list) and isinstance(value, list):
+        return present + value
+    if isinstance(present, dict) and isinstance(value, dict):
+        for name in present.keys() & value.keys():
+            place = document.get_place((key, name))
+            findings.add(place, f"`{key}.{name}` is in another file too", "keep one of the two")
+        return {**value, **present}
+    findings.add(
+        document.get_place((key,)), f"`{key}` is in another file too", "keep one of the two"
+    )
+    return present
--- a/src/chicoryproxy/settings.py
+++ b/src/chicoryproxy/settings.py
@@ -13,8 +13,9 @@
 
 from chicoryproxy.address import AddressFault, is_http_url, parse_endpoint
 from chicoryproxy.conversion import convert_document, get_hints, strip_optional, suggest_name
-from chicoryproxy.document import Data, Document, DocumentFault, Path, load_document
+from chicoryproxy.document import Data, Document, DocumentFault, Path
 from chicoryproxy.errors import SettingsError
+from chicoryproxy.files import load_document
 from chicoryproxy.finding import FindingList, Place
 from chicoryproxy.ids import DomainId, InstanceId, RegionId
 from chicoryproxy.model import Endpoint
--- /dev/null
+++ b/src/chicoryproxy/splitter.py
@@ -0,0 +1,140 @@
+"""Splits a configuration into the values of its published form."""
+
+from collections import defaultdict
+from collections.abc import Callable, Iterator, Sequence
+from typing import TypeVar
+
+import msgspec
+import xxhash
+
+from chicoryproxy.ids import DomainId
+from chicoryproxy.model import Configuration, Service, Upstream
+from chicoryproxy.published import (
+    FORMAT,
+    INDEX_NAME,
+    MAX_VALUE_BYTES,
+    FaultReason,
+    Group,
+    Index,
+    Part,
+    PartEntry,
+    Profile,
+    Publication,
+    PublishedFault,
+    PublishedService,
+    PublishedUpstream,
+    ServicePart,
+    UpstreamPart,
+    compute_digest,
+)
+
+UPSTREAMS_PER_GROUP = 3000
+SERVICES_PER_GROUP = 1000
+
+Item = TypeVar("Item")
+
+
+def publish(configuration: Configuration) -> Publication | PublishedFault:
+    """Split a configuration into values.
+
+    A change of one upstream changes one part and the index. A failure domain that is taken out
+    changes the index alone.
+    """
+    groups: list[Group] = []
+    parts: dict[str, bytes] = {}
+    for labelled in _encode_groups(configuration):
+        entries = []
+        for label, body in labelled:
+            digest = compute_digest(body)
+            name = f"{INDEX_NAME}.{label}.{digest}"
+            if len(body) > MAX_VALUE_BYTES:
+                return PublishedFault(FaultReason.TOO_LARGE, name)
+            entries.append(PartEntry(name, digest))
+            parts[name] = body
+        groups.append(Group(tuple(entries)))
+    index = Index(
+        format=FORMAT,
+        version=configuration.version,
+        domains=configuration.domains,
+        fleet=configuration.fleet,
+        instances=configuration.instances,
+        groups=tuple(groups),
+    )
+    encoded = msgspec.json.encode(index)
+    if len(encoded) > MAX_VALUE_BYTES:
+        return PublishedFault(FaultReason.TOO_LARGE, INDEX_NAME)
+    return Publication(encoded, parts)
+
+
+def choose_groups(upstreams: int, services: int) -> int:
+    """Return the number of service groups, a power of two so that it rarely changes."""
+    groups = 1
+    while upstreams > groups * UPSTREAMS_PER_GROUP or services > groups * SERVICES_PER_GROUP:
+        groups *= 2
+    return groups
+
+
+def _encode_groups(configuration: Configuration) -> Iterator[Iterator[tuple[str, bytes]]]:
+    """Yield the labels and values of each group's parts."""
+    services = configuration.services
+    groups = choose_groups(sum(len(service.upstreams) for service in services), len(services))
+    grouped: dict[int, list[Service]] = defaultdict(list)
+    for service in services:
+        grouped[xxhash.xxh3_64_intdigest(service.id.encode()) % groups].append(service)
+    for group in sorted(grouped):
+        yield _encode_group(f"{group:03x}", grouped[group])
+
+
+def _encode_group(group: str, services: Sequence[Service]) -> Iterator[tuple[str, bytes]]:
+    bodies = _encode_pieces(services, _create_service_part)
+    for piece, body in enumerate(bodies):
+        yield f"services-{group}-{piece}", body
+    by_domain: dict[DomainId, list[tuple[Service, Upstream]]] = defaultdict(list)
+    for service in services:
+        for upstream in service.upstreams:
+            by_domain[upstream.domain].append((service, upstream))
+    for domain in sorted(by_domain):
+        for piece, body in enumerate(_encode_pieces(by_domain[domain], _create_upstream_part)):
+            yield f"upstreams-{group}-{domain}-{piece}", body
+
+
+def _encode_pieces(
+    items: Sequence[Item], create: Callable[[Sequence[Item]], Part]
+) -> Iterator[bytes]:
+    """Yield one value, or several when one would be too large."""
+    body = msgspec.json.encode(create(items))
+    if len(body) <= MAX_VALUE_BYTES or len(items) == 1:
+        yield body
+        return
+    half = len(items) // 2
+    yield from _encode_pieces(items[:half], create)
+    yield from _encode_pieces(items[half:], create)
+
+
+def _create_service_part(services: Sequence[Service]) -> ServicePart:
+    return ServicePart(
+        tuple(
+            PublishedService(service.id, service.addresses, service.return_path, service.limits)
+            for service in services
+        )
+    )
+
+
+def _create_upstream_part(members: Sequence[tuple[Service, Upstream]]) -> UpstreamPart:
+    profiles: dict[Profile, int] = {}
+    upstreams = []
+    for service, upstream in members:
+        profile = Profile(upstream.capacity, upstream.warm_up)
+        upstreams.append(
+            PublishedUpstream(
+                id=upstream.id,
+                service=service.id,
+                host=upstream.address.host,
+                port=upstream.address.port,
+                health=upstream.health_url,
+                weight=upstream.weight,
+                draining=upstream.draining,
+                profile=profiles.setdefault(profile, len(profiles)),
+            )
+        )
+    return UpstreamPart(members[0][1].domain, tuple(profiles), tuple(upstreams))
