Look up the digest of a part by its name

Taking a part walked all entries of the index. Behaviour is unchanged; the reader also says which version its index has, which a watch needs to refuse an older one before it reads the parts.

--- a/src/chicoryproxy/assembly.py
+++ b/src/chicoryproxy/assembly.py
@@ -8,7 +8,7 @@
 from msgspec import Struct
 
 from chicoryproxy.address import MAX_PORT
-from chicoryproxy.ids import DomainId, ServiceId, UpstreamId
+from chicoryproxy.ids import NO_VERSION, DomainId, ServiceId, UpstreamId, Version
 from chicoryproxy.model import Configuration, Endpoint, Service, ServiceAddress, Upstream
 from chicoryproxy.published import (
     INDEX_NAME,
@@ -50,9 +50,15 @@
 
     def __init__(self) -> None:
         self._index: Index | None = None
+        self._digests: dict[str, str] = {}
         self._groups: dict[Group, _AssembledGroup] = {}
         self._parts: dict[str, bytes] = {}
 
+    @property
+    def version(self) -> Version:
+        """Version of the last index; ``NO_VERSION`` before the first."""
+        return self._index.version if self._index else NO_VERSION
+
     def take_index(self, body: bytes) -> tuple[str, ...] | PublishedFault:
         """Take a reading of the index.
 
@@ -62,18 +68,17 @@
         if isinstance(index, PublishedFault):
             return index
         self._index = index
-        return tuple(entry.name for entry in index.list_parts() if entry.name not in self._parts)
+        self._digests = {entry.name: entry.digest for entry in index.list_parts()}
+        return tuple(name for name in self._digests if name not in self._parts)
 
     def take_part(self, name: str, body: bytes) -> PublishedFault | None:
         """Take a reading of a part; a value with another digest is refused."""
-        entries = self._index.list_parts() if self._index else ()
-        for entry in entries:
-            if entry.name == name:
-                if compute_digest(body) != entry.digest:
-                    return PublishedFault(FaultReason.DIGEST, name)
-                self._parts[name] = body
-                return None
-        return PublishedFault(FaultReason.MISSING, name)
+        if name not in self._digests:
+            return PublishedFault(FaultReason.MISSING, name)
+        if compute_digest(body) != self._digests[name]:
+            return PublishedFault(FaultReason.DIGEST, name)
+        self._parts[name] = body
+        return None
 
     def finish(self) -> Configuration | PublishedFault:
         """Assemble the version of the index; forget older ones if that succeeds."""
@@ -88,8 +93,7 @@
         configuration = _join_groups(self._index, [groups[item] for item in self._index.groups])
         if isinstance(configuration, Configuration):
             self._groups = groups
-            named = {entry.name for entry in self._index.list_parts()}
-            self._parts = {name: body for name, body in self._parts.items() if name in named}
+            self._parts = {name: self._parts[name] for name in self._digests}
         return configuration
 
 
