Ask for slots by name at a take-over, and learn releases with the records

Cause: under random joins, kills and drains a joiner took over slots without their records: peers that did not yet count it among the live answered for other slots than it asked about, and it took an old generation for the base of a slot that had been released since. Ruled out: lost hints, since the records were at the peers. Change: a query names its slots with the asker's base; answers carry as of which version each slot was released; a slot is trusted only after its own question.

--- a/src/chicoryproxy/codec.py
+++ b/src/chicoryproxy/codec.py
@@ -36,6 +36,7 @@
     PassedPacket,
     Ping,
     PingRequest,
+    SlotFloor,
     SlotQuery,
     SlotReleases,
     SlotReport,
@@ -199,10 +200,14 @@
     body = root.init(name)
     body.query = message.query
     _write_records(body.init("records"), message.records)
+    floors = body.init("floors", len(message.floors))
+    for index, floor in enumerate(message.floors):
+        floors[index].from_dict(msgspec.to_builtins(floor))
 
 
 def _read_answer(reader: Any, _kind: type[FlowAnswer]) -> FlowAnswer:
-    return FlowAnswer(reader.query, _read_records(reader.records))
+    floors = msgspec.convert([floor.to_dict() for floor in reader.floors], tuple[SlotFloor, ...])
+    return FlowAnswer(reader.query, _read_records(reader.records), floors)
 
 
 def _write_handover(root: Any, name: str, message: Handover) -> None:
--- a/src/chicoryproxy/decision.py
+++ b/src/chicoryproxy/decision.py
@@ -141,7 +141,8 @@
     def _hold(self, packet: PacketAtHand, now: float) -> Actions:
         if not self._parts.take_over.hold(packet):
             return self._drop(packet, DropReason.QUEUE_FULL)
-        return list(self._parts.take_over.start(self._parts.directory.answering_peers(), now))
+        peers = self._parts.directory.answering_peers()
+        return list(self._parts.take_over.start(peers, now))
 
     def _decide_unknown(self, packet: PacketAtHand, now: float) -> Actions:
         if packet.head.is_opening or packet.head.protocol != TCP:
--- a/src/chicoryproxy/messages.py
+++ b/src/chicoryproxy/messages.py
@@ -80,22 +80,40 @@
     size: int
 
 
+class SlotQuestion(Struct, frozen=True):
+    """A slot whose records are asked for.
+
+    :param base: upstream that the asker takes for flows without a record, empty if there is none;
+        records that name it are left out of the answer unless the answerer has another base.
+    """
+
+    slot: SlotName
+    base: UpstreamId
+
+
 class FlowQuery(Struct, frozen=True):
-    """Asks a peer for the records of flows that it keeps for contested slots.
+    """Asks a peer for what it keeps of contested slots.
 
     :param query: number that the answer repeats.
-    :param slots: the slots; none means all slots that the sender is home of.
     """
 
     query: int
-    slots: tuple[SlotName, ...]
+    questions: tuple[SlotQuestion, ...]
+
+
+class SlotFloor(Struct, frozen=True):
+    """The version as of which a slot was last released."""
+
+    slot: SlotName
+    version: Version
 
 
 class FlowAnswer(Struct, frozen=True):
-    """All records of a peer for the slots of a query."""
+    """All records of a peer for the slots of a query, and the releases that it knows of."""
 
     query: int
     records: tuple[FlowRecord, ...]
+    floors: tuple[SlotFloor, ...] = ()
 
 
 class Handover(Struct, frozen=True):
--- a/src/chicoryproxy/parts.py
+++ b/src/chicoryproxy/parts.py
@@ -73,13 +73,7 @@
 
     def change_homes(self) -> None:
         """Note that homes moved."""
-        kept = [
-            slots.name(slot)
-            for slots in self.world.built_slots()
-            for slot in slots.pending()
-            if self.directory.is_home(slots.name(slot))
-        ]
-        self.take_over.change_homes(kept)
+        self.take_over.change_homes(self.directory.is_home)
         self.settlement.forget()
 
     def has_live_older(self, slot: SlotName) -> bool:
--- a/src/chicoryproxy/peer.capnp
+++ b/src/chicoryproxy/peer.capnp
@@ -46,14 +46,25 @@
   size @2 :UInt32;
 }
 
+struct SlotQuestion {
+  slot @0 :SlotName;
+  base @1 :Text;
+}
+
 struct FlowQuery {
   query @0 :UInt64;
-  slots @1 :List(SlotName);
+  questions @1 :List(SlotQuestion);
+}
+
+struct SlotFloor {
+  slot @0 :SlotName;
+  version @1 :UInt64;
 }
 
 struct FlowAnswer {
   query @0 :UInt64;
   records @1 :RecordTable;
+  floors @2 :List(SlotFloor);
 }
 
 struct Handover {
--- a/src/chicoryproxy/peers.py
+++ b/src/chicoryproxy/peers.py
@@ -4,7 +4,7 @@
 
 from chicoryproxy.actions import SendToPeer
 from chicoryproxy.handover import LeavingEntry
-from chicoryproxy.ids import InstanceId
+from chicoryproxy.ids import NO_VERSION, InstanceId
 from chicoryproxy.messages import (
     EntryMessage,
     FlowAnswer,
@@ -22,11 +22,11 @@
     SlotActivity,
     SlotName,
     SlotQuery,
+    SlotQuestion,
     SlotReleases,
     SlotReport,
 )
 from chicoryproxy.parts import Actions, EntryParts
-from chicoryproxy.slots import ServiceSlots
 from chicoryproxy.states import UpstreamState
 
 MAX_RECORDS_PER_ANSWER = 20_000
@@ -74,25 +74,34 @@
 
     def _answer_query(self, sender: InstanceId, message: FlowQuery, now: float) -> Actions:
         records: list[FlowRecord] = []
-        for slots in self._parts.world.built_slots():
-            records += self._records_for(slots, sender, MAX_RECORDS_PER_ANSWER - len(records))
-        answer = FlowAnswer(message.query, tuple(records))
+        floors = []
+        for question in message.questions:
+            limit = MAX_RECORDS_PER_ANSWER - len(records)
+            records += self._records_for(question, limit)
+            route = self._parts.world.find_service(question.slot.service)
+            if route is not None and route.slots is not None:
+                floors.append(route.slots.floor(question.slot))
+        known = tuple(floor for floor in floors if floor.version != NO_VERSION)
+        answer = FlowAnswer(message.query, tuple(records), known)
         return [SendToPeer(sender, answer, Priority.SAFETY)]
 
-    def _records_for(self, slots: ServiceSlots, home: InstanceId, limit: int) -> list[FlowRecord]:
-        """Return the records of a home's slots that the slots' bases don't imply."""
-        found: list[FlowRecord] = []
-        for slot in slots.held():
-            name = slots.name(slot)
-            homes = self._parts.directory.homes_of(name)
-            if homes and homes[0] == home:
-                besides = None if slots.has_datagrams else slots.base(slot)
-                found += self._parts.records.records_of(name, besides, limit - len(found))
-        return found
+    def _records_for(self, question: SlotQuestion, limit: int) -> list[FlowRecord]:
+        """Return the records of a slot that its base, as both sides see it, doesn't imply."""
+        route = self._parts.world.find_service(question.slot.service)
+        if route is None or route.slots is None:
+            return []
+        slots = route.slots
+        base = slots.base_name(question.slot.slot & slots.mask)
+        besides = base if base == question.base else None
+        return list(self._parts.records.records_of(question.slot, besides, limit))
 
     def _take_answer(self, sender: InstanceId, message: FlowAnswer, now: float) -> Actions:
         for record in message.records:
             self._take_record(record, now)
+        for floor in message.floors:
+            route = self._parts.world.find_service(floor.slot.service)
+            if route is not None and route.slots is not None:
+                route.slots.adopt_floor(floor)
         self._parts.take_over.receive(sender, message)
         return []
 
--- a/src/chicoryproxy/router.py
+++ b/src/chicoryproxy/router.py
@@ -20,6 +20,7 @@
     PassedPacket,
     Priority,
     ServiceClean,
+    SlotQuestion,
     SlotRelease,
     ViewUpdate,
 )
@@ -262,6 +263,7 @@
         actions: Actions = []
         for packet in self._parts.take_over.finish(now):
             actions += self._decider.resume(packet, now)
+        actions += self._parts.take_over.start(self._parts.directory.answering_peers(), now)
         return actions + self._release(now)
 
     def _release(self, now: float) -> Actions:
@@ -332,20 +334,28 @@
         """Ask peers again for records that would expire here while their flows live there."""
         if now < self._next_refresh_s:
             return []
+        is_first = self._next_refresh_s == 0.0
+        changed = [slots for slots in self._parts.world.built_slots() if slots.changed_count]
+        if not changed:
+            return []
         timeouts = [
             route.service.limits.idle_timeout_s
-            for slots in self._parts.world.built_slots()
-            if slots.changed_count
-            and (route := self._parts.world.find_service(slots.service)) is not None
+            for slots in changed
+            if (route := self._parts.world.find_service(slots.service)) is not None
         ]
-        if not timeouts:
-            return []
-        is_first = self._next_refresh_s == 0.0
         self._next_refresh_s = now + min(timeouts) * REFRESH_IDLE_SHARE
         if is_first:
             return []
-        peers = self._parts.directory.answering_peers()
-        return list(self._parts.take_over.start(peers, now))
+        self._parts.take_over.refresh(self._own_questions(changed))
+        return list(self._parts.take_over.start(self._parts.directory.answering_peers(), now))
+
+    def _own_questions(self, changed: list[ServiceSlots]) -> list[SlotQuestion]:
+        return [
+            SlotQuestion(slots.name(slot), slots.base_name(slot))
+            for slots in changed
+            for slot in slots.changed()
+            if self._parts.directory.is_home(slots.name(slot))
+        ]
 
     def _ask_for_grants(self, now: float) -> Actions:
         actions: Actions = []
@@ -395,8 +405,8 @@
             for slot in slots.held():
                 name = slots.name(slot)
                 homes = self._parts.directory.homes_of(name)
-                besides = None if slots.has_datagrams else slots.base(slot)
-                records = self._parts.records.records_of(name, besides, MAX_RECORDS_PER_SLOT)
+                base = slots.base_name(slot)
+                records = self._parts.records.records_of(name, base, MAX_RECORDS_PER_SLOT)
                 if homes and records:
                     found.setdefault(homes[0], []).extend(records)
         return found
--- a/src/chicoryproxy/slots.py
+++ b/src/chicoryproxy/slots.py
@@ -8,11 +8,12 @@
 
 from chicoryproxy.actions import Forward
 from chicoryproxy.ids import NO_VERSION, Epoch, FlowKey, ServiceId, SlotIndex, UpstreamId, Version
-from chicoryproxy.messages import SlotName, SlotRelease
+from chicoryproxy.messages import SlotFloor, SlotName, SlotRelease
 from chicoryproxy.model import Generation, UpstreamCondition
 from chicoryproxy.placement import PlacementTable, create_table
 
 NO_EPOCH = Epoch(0)
+NO_UPSTREAM = UpstreamId("")
 NO_ANSWER = 0xFFFF
 
 Answer = tuple[Forward, ...]
@@ -177,6 +178,11 @@
         """Return the upstream of flows from before the slot was contested."""
         return next(iter(self._placements(slot)), None)
 
+    def base_name(self, slot: int) -> UpstreamId:
+        """Return the base of a slot; an empty name when flows need a record in any case."""
+        base = None if self.has_datagrams else self.base(slot)
+        return base or NO_UPSTREAM
+
     def newest(self, slot: int) -> UpstreamId | None:
         """Return the upstream that the newest generation gives a slot."""
         return _placement(self._tables[-1].table, slot) if self._tables else None
@@ -197,6 +203,10 @@
         """Note that a packet met a slot on hold, so that its home tries to release it."""
         self._wanted.setdefault(slot, now)
 
+    def changed(self) -> list[int]:
+        """Return the slots with several candidates."""
+        return list(self._changed)
+
     def pending(self) -> list[int]:
         """Return the slots that their home should try to release."""
         return [slot for slot in self._changed | self._wanted if self._held[slot]]
@@ -220,16 +230,35 @@
         :returns: false when the release is older than what this instance knows.
         """
         slot = release.slot.slot
-        if release.slot.size != self.size or not 0 <= slot < self.size:
+        if not self.adopt_floor(SlotFloor(release.slot, release.version)):
             return False
         if release.version < self.version or release.epoch < self.epoch(slot):
             return False
-        self._released[slot] = self.version
         self._changed.pop(slot, None)
         self._wanted.pop(slot, None)
         self._held[slot] = 0
         return True
 
+    def floor(self, slot: SlotName) -> SlotFloor:
+        """Return as of which version a slot was last released, as far as this instance knows."""
+        if slot.size != self.size:
+            return SlotFloor(slot, NO_VERSION)
+        return SlotFloor(slot, self._released.get(slot.slot, NO_VERSION))
+
+    def adopt_floor(self, floor: SlotFloor) -> bool:
+        """Take the version as of which a slot was released; older generations don't count for it.
+
+        :returns: false when the slot is of a table of another size.
+        """
+        slot = floor.slot.slot
+        if floor.slot.size != self.size or not 0 <= slot < self.size:
+            return False
+        self._released[slot] = max(floor.version, self._released.get(slot, NO_VERSION))
+        if slot in self._changed and len(self.candidates(slot)) == 1:
+            del self._changed[slot]
+            self._wanted.setdefault(slot, 0.0)
+        return True
+
     def _placements(self, slot: int) -> list[UpstreamId]:
         found = (_placement(item.table, slot) for item in self._relevant(slot))
         return [upstream for upstream in found if upstream is not None]
--- a/src/chicoryproxy/takeover.py
+++ b/src/chicoryproxy/takeover.py
@@ -4,17 +4,18 @@
 queue.
 """
 
-from collections.abc import Iterable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 
 from msgspec import Struct
 
 from chicoryproxy.actions import SendToPeer
 from chicoryproxy.ids import InstanceId
-from chicoryproxy.messages import FlowAnswer, FlowQuery, Priority, SlotName
+from chicoryproxy.messages import FlowAnswer, FlowQuery, Priority, SlotName, SlotQuestion
 from chicoryproxy.route import PacketAtHand
 
 WAIT_S = 0.05
 MAX_WAITING_PACKETS = 4096
+MAX_SLOTS_PER_QUERY = 256
 
 
 class TakeOverCount(Struct, frozen=True):
@@ -31,26 +32,21 @@
 class TakeOver:
     """Keeps for which slots this instance knows all records.
 
-    One question to every peer covers all slots that this instance is home of. A slot is trusted
-    when a question was answered since this instance became its home, or when it was home already
-    as the slot became contested.
+    A slot is trusted when all peers answered a question about it since this instance became its
+    home, or when this instance was its home already as the slot became contested.
     """
 
     def __init__(self) -> None:
         self._trusted: set[SlotName] = set()
-        self._is_current = False
         self._query = 0
+        self._asked: frozenset[SlotName] = frozenset()
         self._missing: set[InstanceId] = set()
         self._deadline_s: float | None = None
         self._waiting: list[PacketAtHand] = []
+        self._refresh: list[SlotQuestion] = []
         self._rounds = 0
         self._unanswered = 0
 
-    @property
-    def is_running(self) -> bool:
-        """Whether a question is open."""
-        return self._deadline_s is not None
-
     def count(self) -> TakeOverCount:
         """Return the counters."""
         return TakeOverCount(self._rounds, self._unanswered)
@@ -61,26 +57,20 @@
 
     def has_all_records(self, slot: SlotName) -> bool:
         """Return whether this instance may decide on unknown flows of a slot."""
-        return self._is_current or slot in self._trusted
-
-    def change_homes(self, kept: Iterable[SlotName]) -> None:
-        """Note that homes moved.
+        return slot in self._trusted
 
-        :param kept: contested slots that this instance was home of and still is.
-        """
-        if self._is_current:
-            self._trusted = set(kept)
-        else:
-            self._trusted.intersection_update(kept)
-        self._is_current = False
+    def change_homes(self, is_home: Callable[[SlotName], bool]) -> None:
+        """Note that homes moved; only slots that this instance is still home of stay trusted."""
+        self._trusted = {slot for slot in self._trusted if is_home(slot)}
+        self._asked = frozenset(slot for slot in self._asked if is_home(slot))
 
     def distrust_all(self) -> None:
         """Ask anew before any further decision on unknown flows."""
         self._trusted.clear()
-        self._is_current = False
+        self._asked = frozenset()
 
     def hold(self, packet: PacketAtHand) -> bool:
-        """Keep a packet until the open question is answered.
+        """Keep a packet until the question about its slot is answered.
 
         :returns: false when the queue is full.
         """
@@ -89,19 +79,25 @@
         self._waiting.append(packet)
         return True
 
+    def refresh(self, questions: Iterable[SlotQuestion]) -> None:
+        """Ask about slots again without a packet that waits."""
+        self._refresh = list(questions)
+
     def start(self, peers: Sequence[InstanceId], now: float) -> list[SendToPeer]:
-        """Ask the peers, unless a question is open."""
-        if self.is_running:
+        """Ask the peers about the slots of the waiting packets, unless a question is open."""
+        questions = self._collect_questions()
+        if self._deadline_s is not None or not questions:
             return []
         self._query += 1
         self._rounds += 1
+        self._asked = frozenset(question.slot for question in questions)
         self._missing = set(peers)
         self._deadline_s = now + WAIT_S
-        query = FlowQuery(self._query, ())
+        query = FlowQuery(self._query, tuple(questions))
         return [SendToPeer(peer, query, Priority.SAFETY) for peer in peers]
 
     def receive(self, sender: InstanceId, answer: FlowAnswer) -> None:
-        """Note a peer's answer; its records are taken by the caller."""
+        """Note a peer's answer; its content is taken by the caller."""
         if answer.query == self._query:
             self._missing.discard(sender)
 
@@ -114,9 +110,20 @@
             return ()
         self._unanswered += len(self._missing)
         self._deadline_s = None
-        self._is_current = True
-        waiting, self._waiting = self._waiting, []
-        return waiting
+        self._trusted |= self._asked
+        ready = [packet for packet in self._waiting if packet.slot in self._asked]
+        self._waiting = [packet for packet in self._waiting if packet.slot not in self._asked]
+        return ready
+
+    def _collect_questions(self) -> list[SlotQuestion]:
+        questions = {
+            packet.slot: SlotQuestion(packet.slot, packet.slots.base_name(packet.slot.slot))
+            for packet in self._waiting
+        }
+        while self._refresh and len(questions) < MAX_SLOTS_PER_QUERY:
+            question = self._refresh.pop()
+            questions.setdefault(question.slot, question)
+        return list(questions.values())[:MAX_SLOTS_PER_QUERY]
 
 
 def create_take_over() -> TakeOver:
