Let chicory-check diff name addresses that go and values that change

A change of limits or capacity moves no slot and looked like none; an address that is removed ends its flows and was not shown. A total follows the services.

--- a/src/chicoryproxy/checkreport.py
+++ b/src/chicoryproxy/checkreport.py
@@ -1,11 +1,11 @@
 """Tables that ``chicory-check`` prints."""
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 
 from rich.console import Console
 from rich.table import Table
 
-from chicoryproxy.comparison import Comparison
+from chicoryproxy.comparison import Comparison, ServiceChange
 from chicoryproxy.configuration import EffectiveValue
 from chicoryproxy.layers import format_value
 
@@ -34,16 +34,37 @@
             f"{change.given_up_flows}",
             ", ".join(change.cold) or "none",
         )
+    if len(comparison.services) > 1:
+        table.add_section()
+        table.add_row(*_sum_up(comparison.services))
     if comparison.services:
         console.print(table)
     else:
         console.print("no slot moves, and no upstream starts cold")
-    for label, names in (("added", comparison.added), ("removed", comparison.removed)):
-        if names:
-            console.print(f"services {label}: {', '.join(names)}")
-    if comparison.removed:
-        console.print("the flows of removed services end")
+    addresses = [f"{item.host} port {item.port}" for item in comparison.removed_addresses]
+    _print_names(console, "services added", comparison.added)
+    _print_names(console, "services removed", comparison.removed)
+    _print_names(console, "addresses removed, their flows end", addresses)
+    _print_names(console, "services with other values changed", comparison.adjusted)
     console.print(
         f"control: {comparison.value_bytes} bytes of values to read; hints of at most "
         f"{comparison.hint_bytes} bytes per entry, {comparison.hint_s:.1f} s at the control rate"
     )
+
+
+def _sum_up(changes: Sequence[ServiceChange]) -> tuple[str, ...]:
+    return (
+        "total",
+        f"{sum(change.slots for change in changes)}",
+        f"{sum(change.moved for change in changes)}",
+        f"{sum(change.contested for change in changes)}",
+        f"{sum(change.given_up for change in changes)}",
+        f"{sum(change.contested_flows for change in changes)}",
+        f"{sum(change.given_up_flows for change in changes)}",
+        f"{sum(len(change.cold) for change in changes)}",
+    )
+
+
+def _print_names(console: Console, label: str, names: Sequence[str]) -> None:
+    if names:
+        console.print(f"{label}: {', '.join(names)}")
--- a/src/chicoryproxy/comparison.py
+++ b/src/chicoryproxy/comparison.py
@@ -10,7 +10,14 @@
 from msgspec import Struct
 
 from chicoryproxy.ids import DomainId, ServiceId, UpstreamId
-from chicoryproxy.model import Configuration, Service, Upstream
+from chicoryproxy.model import (
+    Capacity,
+    Configuration,
+    Service,
+    ServiceAddress,
+    Upstream,
+    WarmUp,
+)
 from chicoryproxy.placement import PlacementTable, create_table
 from chicoryproxy.published import PublishedFault
 from chicoryproxy.splitter import publish
@@ -50,6 +57,9 @@
     :param services: services whose placement, flows or upstreams change.
     :param added: new services.
     :param removed: services that are gone.
+    :param removed_addresses: addresses that no service has any more; their flows end.
+    :param adjusted: services whose return path, limits, capacity, warm-up or health endpoints
+        change.
     :param value_bytes: bytes of the published values that change.
     :param hint_bytes: bytes that one entry sends in hints, at most.
     :param hint_s: time that these hints take at the rate for control, in seconds.
@@ -58,6 +68,8 @@
     services: tuple[ServiceChange, ...]
     added: tuple[ServiceId, ...]
     removed: tuple[ServiceId, ...]
+    removed_addresses: tuple[ServiceAddress, ...]
+    adjusted: tuple[ServiceId, ...]
     value_bytes: int
     hint_bytes: int
     hint_s: float
@@ -83,6 +95,12 @@
         services=tuple(changes),
         added=tuple(sorted(after.keys() - before.keys())),
         removed=tuple(sorted(before.keys() - after.keys())),
+        removed_addresses=tuple(sorted(_list_addresses(old) - _list_addresses(new))),
+        adjusted=tuple(
+            name
+            for name in sorted(before.keys() & after.keys())
+            if _is_adjusted(before[name], after[name])
+        ),
         value_bytes=_count_value_bytes(old, new),
         hint_bytes=hint_bytes,
         hint_s=hint_bytes / new.fleet.control_bytes_per_s,
@@ -206,6 +224,34 @@
     return {item.id: item for item in service.upstreams if item.domain in domains_in}
 
 
+def _list_addresses(configuration: Configuration) -> set[ServiceAddress]:
+    return {address for service in configuration.services for address in service.addresses}
+
+
+def _is_adjusted(before: Service, after: Service) -> bool:
+    """Return whether values changed that no slot depends on."""
+    if (before.return_path, before.limits) != (after.return_path, after.limits):
+        return True
+    present = {upstream.id: upstream for upstream in before.upstreams}
+    return any(
+        _get_adjustable(present[upstream.id]) != _get_adjustable(upstream)
+        for upstream in after.upstreams
+        if upstream.id in present
+    )
+
+
+class _Adjustable(Struct, frozen=True):
+    """Values of an upstream that no slot depends on."""
+
+    capacity: Capacity
+    warm_up: WarmUp
+    health_url: str
+
+
+def _get_adjustable(upstream: Upstream) -> _Adjustable:
+    return _Adjustable(upstream.capacity, upstream.warm_up, upstream.health_url)
+
+
 def _count_flows(
     slots: Mapping[UpstreamId, int],
     totals: Mapping[UpstreamId, int],
--- a/tests/test_check.py
+++ b/tests/test_check.py
@@ -133,8 +133,26 @@
 
 
 def test_diff_of_a_change_that_moves_nothing_says_so(run, change):
+    _, output = run("diff", FLEET, FLEET, DAY)
+    assert "no slot moves" in output and "changed" not in output
     _, output = run("diff", FLEET, change(("idle_timeout: 10m", "idle_timeout: 9m")), DAY)
     assert "no slot moves" in output
+    assert "services with other values changed: recovery-log, report-archive" in output
+
+
+def test_diff_names_services_and_addresses_that_come_and_go(run, change):
+    _, output = run(
+        "diff",
+        FLEET,
+        change(
+            ("  recovery-log:\n", "  log:\n"),
+            ("service: recovery-log", "service: log"),
+            ("198.51.100.20:8443", "198.51.100.22:8443"),
+        ),
+        DAY,
+    )
+    assert "services added: log" in output and "services removed: recovery-log" in output
+    assert "addresses removed, their flows end: 198.51.100.20 port 8443" in output
 
 
 def test_publish_raises_the_version_and_writes_changed_parts_only(run, domain_out, tmp_path):
