Agree on the epochs of cold upstreams whatever versions were skipped

Change: a mark takes the first skipped version; an older condition is answered by the newer; a skipping instance fetches all conditions; owners spread theirs again after a partition.

--- a/src/chicoryproxy/catchup.py
+++ b/src/chicoryproxy/catchup.py
@@ -6,7 +6,7 @@
 
 from enum import Enum, unique
 
-from chicoryproxy.ids import NO_VERSION, InstanceId
+from chicoryproxy.ids import NO_VERSION, InstanceId, Version
 from chicoryproxy.membership import Membership
 from chicoryproxy.messages import VersionBody
 from chicoryproxy.model import Configuration
@@ -24,7 +24,7 @@
 class CatchUpState(Enum):
     """How far this instance is with what its peers know.
 
-    ``JOINING`` holds back the configuration, ``FETCHING`` only the generations in between.
+    ``JOINING`` holds back the configuration, ``FETCHING`` makes the view stale only.
     """
 
     JOINING = "joining"
@@ -47,6 +47,7 @@
         self._state = CatchUpState.JOINING
         self._is_list_known = False
         self._is_alone = False
+        self._have = NO_VERSION
         self._began_at: float | None = None
         self._asked_at = 0.0
         self._asked: set[InstanceId] = set()
@@ -65,8 +66,12 @@
         """True when the last wait ended although listed peers never answered."""
         return self._is_alone
 
-    def begin(self, now: float) -> None:
-        """Ask peers for the generations that this instance lacks."""
+    def begin(self, have: Version, now: float) -> None:
+        """Ask peers for the generations and the conditions that this instance lacks.
+
+        :param have: last version up to which it lacks nothing.
+        """
+        self._have = have
         self._is_alone = False
         self._state = CatchUpState.FETCHING
         self._answered.clear()
@@ -165,4 +170,4 @@
         missing = PEERS_ASKED - len(self._answered)
         for peer in self._membership.draw_from(fresh or silent, missing):
             self._asked.add(peer)
-            self._outbox.send_fetch(peer, self._versions.version)
+            self._outbox.send_fetch(peer, self._have)
--- a/src/chicoryproxy/conditions.py
+++ b/src/chicoryproxy/conditions.py
@@ -1,7 +1,8 @@
 """Conditions of the upstreams, as their owners spread them.
 
 An epoch starts at the version that made the upstream cold, so that every instance marks it cold
-alike and no change that an owner made under an older version replaces the mark.
+alike and no change that an owner made under an older version replaces the mark. An instance that
+skipped versions takes the first of them, so that its mark replaces no mark of its peers.
 """
 
 from collections.abc import Iterable
@@ -17,6 +18,7 @@
 EPOCHS_PER_VERSION = 1 << 20
 """Changes that owners may make under one version."""
 
+ANSWER_SENDS = 2
 MAX_UNLISTED = 1024
 RECENT_S = 600.0
 
@@ -84,21 +86,29 @@
         for gone in self._conditions.keys() - listed.keys():
             del self._conditions[gone]
         first = change.previous.version == NO_VERSION
-        epoch = 0 if first else change.current.version * EPOCHS_PER_VERSION
+        epoch = 0 if first else (change.previous.version + 1) * EPOCHS_PER_VERSION
         for upstream in self._list_fresh(change, listed):
             self._mark_cold(upstream, epoch, now)
         for upstream in listed.keys() & self._unlisted.keys():
             self.receive((self._unlisted.pop(upstream),), now)
         self._mark_changed()
 
-    def receive(self, conditions: Iterable[UpstreamCondition], now: float) -> None:
-        """Take in the conditions that a peer spreads."""
+    def receive(self, conditions: Iterable[UpstreamCondition], now: float) -> bool:
+        """Take in the conditions that a peer spreads.
+
+        :returns: true when the peer had older ones; the next messages carry the newer.
+        """
+        is_outdated = False
         for condition in conditions:
             known = self._conditions.get(condition.upstream)
             if known is None:
                 self._keep_unlisted(condition)
             elif _is_newer(condition, known):
                 self._put(condition, now)
+            elif _is_newer(known, condition):
+                is_outdated = True
+                self._answer(known)
+        return is_outdated
 
     def change(self, upstream: UpstreamId, state: UpstreamState, why: str, now: float) -> None:
         """Change the condition of an upstream that this instance owns.
@@ -109,6 +119,13 @@
         self._put(UpstreamCondition(upstream, state, known.epoch + 1), now)
         self._outbox.log("health", f"{state.value}: {why}", upstream)
 
+    def spread_again(self, upstreams: Iterable[UpstreamId], since: float) -> None:
+        """Spread the conditions that changed after a time, since the news of them may be lost."""
+        for upstream in upstreams:
+            condition = self._conditions.get(upstream)
+            if condition is not None and condition.since_s >= since:
+                self._outbox.conditions.put(upstream, condition)
+
     def _list_fresh(
         self, change: VersionChange, listed: dict[UpstreamId, Upstream]
     ) -> list[UpstreamId]:
@@ -135,6 +152,11 @@
         if len(self._unlisted) > MAX_UNLISTED:
             del self._unlisted[next(iter(self._unlisted))]
 
+    def _answer(self, known: UpstreamCondition) -> None:
+        if known.upstream not in self._outbox.conditions:
+            self._outbox.conditions.put(known.upstream, known)
+            self._outbox.conditions.limit(known.upstream, ANSWER_SENDS)
+
     def _put(self, condition: UpstreamCondition, now: float) -> None:
         self._conditions[condition.upstream] = msgspec.structs.replace(condition, since_s=now)
         self._outbox.conditions.put(condition.upstream, condition)
--- a/src/chicoryproxy/control.py
+++ b/src/chicoryproxy/control.py
@@ -182,6 +182,7 @@
             self._readers.start(NO_VERSION)
         self._membership.tick(now)
         self._exchange.tick(now)
+        self._merge_healed(now)
         self._follow_members(now)
         self._health.tick(now)
         self._reach.tick(now)
@@ -281,6 +282,14 @@
         silent = find_silent_domains(members)
         self._reach.update(silent, by_domain)
 
+    def _merge_healed(self, now: float) -> None:
+        heals = self._membership.take_heals()
+        if heals:
+            self._exchange.merge_healed(heals, now)
+            since = min(heal.hidden_at for heal in heals)
+            silence_s = self._limits.suspicion_s + self._limits.probe_interval_s
+            self._conditions.spread_again(self._health.list_owned(), since - silence_s)
+
     def _describe_peers(self, now: float) -> tuple[PeerDescription, ...]:
         peers = []
         for member in self._membership.build_members():
--- a/src/chicoryproxy/exchange.py
+++ b/src/chicoryproxy/exchange.py
@@ -8,7 +8,7 @@
 from chicoryproxy.catchup import CatchUp, CatchUpState
 from chicoryproxy.conditions import ConditionStore
 from chicoryproxy.ids import NO_VERSION, InstanceId, Version
-from chicoryproxy.membership import Membership
+from chicoryproxy.membership import Heal, Membership
 from chicoryproxy.messages import VersionBody
 from chicoryproxy.model import Configuration, Instance
 from chicoryproxy.outbox import Outbox
@@ -45,7 +45,7 @@
         self._catch_up = catch_up
         self._outbox = outbox
         self._is_adopted = False
-        self._heals = 0
+        self._healed: InstanceId | None = None
         self._healed_at = -HEAL_FETCH_S
         self._strangers_at = -STRANGER_FETCH_S
 
@@ -65,7 +65,7 @@
         stale_reads = self._versions.stale_reads
         if self._adopt(configuration, now):
             if configuration.version > previous + 1 and previous != NO_VERSION:
-                self._catch_up.begin(now)
+                self._catch_up.begin(previous, now)
                 self._finish_catch_up(now)
         elif self._versions.stale_reads > stale_reads:
             text = f"platform served the older version {configuration.version}"
@@ -85,8 +85,7 @@
         self._outbox.send_body(sender, body, estimate_message(body))
         if have == NO_VERSION:
             self._membership.tell_silent(sender)
-        else:
-            self._membership.tell_domain(sender, now)
+        self._membership.tell_domain(sender, now)
 
     def receive_body(self, sender: InstanceId, body: VersionBody, now: float) -> None:
         """Take in what a peer has."""
@@ -97,10 +96,13 @@
             self._catch_up.note_answer(sender, body)
             self._finish_catch_up(now)
             return
+        if sender == self._healed:
+            self._healed = None
         self._versions.merge_generations(body.generations)
         self._adopt(body.configuration, now)
         self._versions.merge_generations(body.generations)
-        self._conditions.receive(body.conditions, now)
+        if self._conditions.receive(body.conditions, now):
+            self._membership.send_probe(sender)
         self._catch_up.note_answer(sender, body)
         self._finish_catch_up(now)
 
@@ -120,7 +122,7 @@
         if self._versions.is_behind:
             self._catch_up.follow(now)
         if self._catch_up.is_alone and version > NO_VERSION:
-            self._catch_up.begin(now)
+            self._catch_up.begin(NO_VERSION, now)
         is_stranger = self._membership.get_peer(sender) is None
         if (unknown or is_stranger) and now - self._strangers_at >= STRANGER_FETCH_S:
             self._strangers_at = now
@@ -130,17 +132,24 @@
         """Repeat requests, end waits and merge views after a partition."""
         self._catch_up.tick(now)
         self._finish_catch_up(now)
-        self._merge_healed(now)
+        self._fetch_healed(now)
 
-    def _merge_healed(self, now: float) -> None:
-        heals = self._membership.heals
-        if heals == self._heals or now - self._healed_at < HEAL_FETCH_S:
-            return
-        self._heals = heals
-        self._healed_at = now
-        healed = self._membership.last_healed
-        if healed is not None:
-            self._outbox.send_fetch(healed, self._versions.version)
+    def merge_healed(self, heals: Collection[Heal], now: float) -> None:
+        """Fetch what the other side of a partition has.
+
+        In a large region a single instance that comes back is left to fetch by itself.
+        """
+        is_small = len(self._membership) <= NOTIFY_ALL_UP_TO
+        wanted = [heal.instance for heal in heals if heal.is_partition or is_small]
+        if wanted:
+            self._healed = wanted[-1]
+            self._fetch_healed(now)
+
+    def _fetch_healed(self, now: float) -> None:
+        if self._healed is not None and now - self._healed_at >= HEAL_FETCH_S:
+            self._healed_at = now
+            before = Version(max(0, self._versions.version - 1))
+            self._outbox.send_fetch(self._healed, before)
 
     def _finish_catch_up(self, now: float) -> None:
         was_joining = self._catch_up.state is CatchUpState.JOINING
--- a/src/chicoryproxy/health.py
+++ b/src/chicoryproxy/health.py
@@ -268,6 +268,10 @@
                     self._outbox.add(ReadHealth(upstream, health.upstream.health_url))
                 self._rate(health, now)
 
+    def list_owned(self) -> tuple[UpstreamId, ...]:
+        """Return the upstreams that this instance owns."""
+        return tuple(self._owned)
+
     def list_evidence(self) -> tuple[UpstreamEvidence, ...]:
         """Return the evidence on each owned upstream."""
         evidence = []
--- a/src/chicoryproxy/membership.py
+++ b/src/chicoryproxy/membership.py
@@ -73,6 +73,18 @@
         return self.state
 
 
+class Heal(Struct, frozen=True):
+    """A hidden instance that came back.
+
+    :param hidden_at: time at which it was hidden.
+    :param is_partition: others were hidden with it.
+    """
+
+    instance: InstanceId
+    hidden_at: float
+    is_partition: bool
+
+
 class _Relay(Struct, frozen=True):
     origin: InstanceId
     number: int
@@ -85,8 +97,7 @@
     :param seed: seed of the probe order.
     :param outbox: takes messages and log lines.
 
-    ``revision`` rises with each change that ``build_members`` shows, ``heals`` with each hidden
-    instance that came back, the last of which is ``last_healed``.
+    ``revision`` rises with each change that ``build_members`` shows.
     """
 
     def __init__(self, instance: Instance, seed: int, outbox: Outbox) -> None:
@@ -115,8 +126,7 @@
         self._members: tuple[Member, ...] | None = None
         self._outbox.describe_target = self._describe_target
         self.revision = 0
-        self.heals = 0
-        self.last_healed: InstanceId | None = None
+        self._heals: list[Heal] = []
 
     # Reading the members.
 
@@ -291,6 +301,12 @@
         self._number += 1
         return self._number
 
+    def take_heals(self) -> tuple[Heal, ...]:
+        """Return the hidden instances that came back since the last call."""
+        heals = tuple(self._heals)
+        self._heals.clear()
+        return heals
+
     def tell_silent(self, target: InstanceId) -> None:
         """Tell a joiner which members don't answer; it would take them for alive."""
         self._tell(target, [peer for peer in self._peers.values() if peer.state in _SILENT])
@@ -507,8 +523,7 @@
         if peer.state is MemberState.HIDDEN:
             self._healed_at = now
             self._domains_healed_at[peer.instance.domain] = now
-            self.last_healed = instance
-            self.heals += 1
+            self._heals.append(Heal(instance, peer.since, len(self._hidden) > 1))
         self._suspected_at.pop(instance, None)
         self._hidden.pop(instance, None)
         self._set_state(peer, MemberState.ALIVE, now, is_news)
--- a/src/chicoryproxy/spread.py
+++ b/src/chicoryproxy/spread.py
@@ -40,6 +40,10 @@
     def __len__(self) -> int:
         return len(self._news)
 
+    def __contains__(self, key: Key) -> bool:
+        """Return whether there is news of a key."""
+        return key in self._news
+
     def put(self, key: Key, news: News) -> None:
         """Queue news to be sent as often as the group needs."""
         self.discard(key)
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -1,5 +1,7 @@
 """Several control cores together."""
 
+import random
+
 import pytest
 
 from chicoryproxy.ids import ServiceId, Version
@@ -171,3 +173,49 @@
     assert {peer.version for peer in description.peers} == {2}
     assert len(description.peers) == len(net.instances) - 1
     assert description.evidence
+
+
+def play(net: ControlNet, version: int, choose: random.Random) -> int:
+    """Do one pseudo-random thing and return the version that is published now."""
+    live = sorted(net.cores)
+    act = choose.choice(("publish", "publish", "skip", "restart", "part", "heal", "pause", "wake"))
+    if act in ("publish", "skip"):
+        version += 1 if act == "publish" else 3
+        out = [domain for domain in DOMAINS if choose.random() < 0.2]
+        net.watching = set(choose.sample(sorted(net.watching), (len(net.watching) + 1) // 2))
+        net.publish(make_configuration(version, out=out))
+    elif act == "restart":
+        restarted = choose.choice(net.instances)
+        net.kill(restarted.id)
+        net.start(restarted)
+    elif act in ("part", "heal"):
+        side = {id_ for id_ in live if act == "part" and choose.random() < 0.4}
+        net.cut = lambda sender, target: (sender in side) != (target in side)
+    elif act == "pause":
+        net.paused.add(choose.choice(live))
+    else:
+        net.paused.clear()
+    net.run(choose.choice((0.1, 0.5, 2.0, 6.0)))
+    return version
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_all_instances_agree_after_a_random_history(seed: int) -> None:
+    choose = random.Random(seed)
+    net = ControlNet(choose.choice((3, 7, 12)), seed, loss=0.02)
+    version = 1
+    for _ in range(40):
+        version = play(net, version, choose)
+    net.cut = lambda sender, target: False
+    net.paused.clear()
+    net.watching = {id_ for id_ in net.cores if net.cores[id_].describe().watch.value != "idle"}
+    net.publish(make_configuration(version + 1))
+    net.run(40.0)
+    views = list(net.views.values())
+    assert {(view.configuration.version, view.placed, view.stale) for view in views} == {
+        (version + 1, version + 1, False)
+    }
+    assert {member.state for view in views for member in view.members} == {MemberState.ALIVE}
+    told = {tuple((c.upstream, c.state, c.epoch) for c in view.conditions) for view in views}
+    assert len(told) == 1
+    assert len({view.generations[-1].version for view in views}) == 1
