Choose a slot's upstream among high draws only, and measure placement and flow records

A table of 200 upstreams took 2.5 s of processor time because every draw of every member was compared. Sizes grow by four, from 512 slots up to 16 upstreams, so that a service of 7 stays clear of a step.

--- /dev/null
+++ b/benchmarks/flowtable.py
@@ -0,0 +1,203 @@
+"""Measures the flow table: ``PYTHONPATH=src python -m benchmarks.flowtable``.
+
+Each layout runs in a process of its own, so that the memory of one doesn't hide that of another.
+Bytes per flow are the growth of the resident set; times are processor time per operation.
+"""
+
+import gc
+import multiprocessing
+import time
+from abc import ABC, abstractmethod
+from array import array
+from collections.abc import Callable, Sequence
+from functools import partial
+
+import psutil
+import xxhash
+from msgspec import Struct
+
+from chicoryproxy.flowtable import FlowFlag, FlowTable
+
+SIZES = (300_000, 600_000)
+LOOKUPS = 300_000
+UPSTREAMS = 24
+REPEATS = 5
+EXPIRE_RECORDS = 2_000
+ESTABLISHED = FlowFlag(0)
+
+
+class Layout(ABC):
+    """A way to keep flow records."""
+
+    @abstractmethod
+    def insert(self, flow: int, number: int) -> None:
+        """Write a record."""
+
+    @abstractmethod
+    def find(self) -> Callable[[int], int | None]:
+        """Return the look-up as a callable."""
+
+
+class _PlainDict(Layout):
+    """One dictionary from flow key to a packed integer of its own."""
+
+    def __init__(self, size: int) -> None:
+        self._records: dict[int, int] = {}
+
+    def insert(self, flow: int, number: int) -> None:
+        self._records[flow] = number << 24 | (flow & 0xFF) << 8 | 1 << 40
+
+    def find(self) -> Callable[[int], int | None]:
+        return self._records.get
+
+
+class _OpenAddressing(Layout):
+    """Two arrays with linear probing, at most 3/4 full."""
+
+    def __init__(self, size: int) -> None:
+        slots = 1 << (size * 4 // 3).bit_length()
+        self._mask = slots - 1
+        self._keys = array("Q", bytes(8 * slots))
+        self._states = array("Q", bytes(8 * slots))
+
+    def insert(self, flow: int, number: int) -> None:
+        at = flow & self._mask
+        while self._keys[at] not in (0, flow):
+            at = (at + 1) & self._mask
+        self._keys[at] = flow
+        self._states[at] = number << 24
+
+    def find(self) -> Callable[[int], int | None]:
+        return self._find
+
+    def _find(self, flow: int) -> int | None:
+        keys = self._keys
+        mask = self._mask
+        at = flow & mask
+        while (key := keys[at]) != flow:
+            if not key:
+                return None
+            at = (at + 1) & mask
+        return self._states[at]
+
+
+class _Sharded(Layout):
+    """The table of the product."""
+
+    def __init__(self, size: int) -> None:
+        self.table = FlowTable(size)
+
+    def insert(self, flow: int, number: int) -> None:
+        self.table.record(flow, number, ESTABLISHED, float(flow & 0xFF))
+
+    def find(self) -> Callable[[int], int | None]:
+        return self.table.find
+
+
+LAYOUTS = {"plain dict": _PlainDict, "open addressing": _OpenAddressing, "FlowTable": _Sharded}
+
+
+class Figures(Struct):
+    """Results of one layout at one size."""
+
+    bytes_per_flow: float
+    insert_ns: float
+    longest_insert_ms: float
+    find_ns: float
+
+
+def make_flow(number: int) -> int:
+    """Return a flow key as the entry would compute it."""
+    return xxhash.xxh3_64_intdigest(number.to_bytes(8, "big"))
+
+
+def measure_layout(name: str, size: int) -> Figures:
+    """Fill a layout and look up known flows, the fastest of ``REPEATS`` rounds."""
+    process = psutil.Process()
+    gc.collect()
+    before = process.memory_info().rss
+    layout = LAYOUTS[name](size)
+    longest = 0.0
+    spent = 0.0
+    for number in range(size):
+        flow = make_flow(number)
+        started = time.perf_counter()
+        layout.insert(flow, number % UPSTREAMS)
+        took = time.perf_counter() - started
+        spent += took
+        longest = max(longest, took)
+    gc.collect()
+    used = process.memory_info().rss - before
+    find = layout.find()
+    flows = [make_flow(number) for number in range(0, size, size // LOOKUPS)]
+    found = min(measure_calls(find, flows) for _ in range(REPEATS))
+    return Figures(used / size, spent / size * 1e9, longest * 1e3, found)
+
+
+def measure_calls(call: Callable[[int], object], flows: Sequence[int]) -> float:
+    """Return nanoseconds per call, without the loop around it."""
+    started = time.process_time()
+    for flow in flows:
+        call(flow)
+    spent = time.process_time() - started
+    started = time.process_time()
+    for _flow in flows:
+        pass
+    return (spent - (time.process_time() - started)) / len(flows) * 1e9
+
+
+def _touch(table: FlowTable, now: float, flow: int) -> None:
+    table.touch(flow, now)
+
+
+def measure_table(size: int) -> Sequence[str]:
+    """Return lines on the operations that only the table of the product has."""
+    layout = _Sharded(size)
+    for number in range(size):
+        layout.insert(make_flow(number), number % UPSTREAMS)
+    table = layout.table
+    flows = [make_flow(number) for number in range(LOOKUPS)]
+    later = measure_calls(partial(_touch, table, 280.0), flows)
+    same = measure_calls(partial(_touch, table, 280.0), flows)
+    longest, total, calls = 0.0, 0.0, 0
+    while total < size:
+        started = time.perf_counter()
+        table.expire(290.0, EXPIRE_RECORDS)
+        longest = max(longest, time.perf_counter() - started)
+        total += EXPIRE_RECORDS
+        calls += 1
+    started = time.process_time()
+    found = sum(1 for slot in range(64) for _ in table.flows_of(slot, 512))
+    slot_us = (time.process_time() - started) / 64 * 1e6
+    started = time.process_time()
+    full = FlowTable(size // 10)
+    for flow in flows:
+        full.record(flow, 0, FlowFlag.HALF_OPEN, 0.0)
+    flood = (time.process_time() - started) / len(flows) * 1e9
+    return (
+        f"  touch in the same tick {same:.0f} ns, in a later tick {later:.0f} ns",
+        f"  expire({EXPIRE_RECORDS}): longest call {longest * 1e3:.2f} ms, {calls} calls a sweep",
+        f"  flows_of: {slot_us:.0f} us a slot of 512 with {found // 64} flows",
+        f"  opening into a full table under a flood: {flood:.0f} ns, {len(full)} records",
+    )
+
+
+def main() -> None:
+    """Print all figures."""
+    context = multiprocessing.get_context("spawn")
+    for size in SIZES:
+        print(f"{size} flows")
+        for name in LAYOUTS:
+            with context.Pool(1) as pool:
+                figures = pool.apply(measure_layout, (name, size))
+            print(
+                f"  {name:16} {figures.bytes_per_flow:6.1f} B/flow,"
+                f" insert {figures.insert_ns:5.0f} ns"
+                f" (longest {figures.longest_insert_ms:6.2f} ms), find {figures.find_ns:4.0f} ns"
+            )
+        with context.Pool(1) as pool:
+            print("\n".join(pool.apply(measure_table, (size,))))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/benchmarks/placement.py
@@ -0,0 +1,183 @@
+"""Compares placement policies: ``PYTHONPATH=src python -m benchmarks.placement``.
+
+For each number of upstreams: the fullest upstream against the mean, the slots that move when one
+upstream is added or removed against the least possible, and the time of a build. Then the memory
+and time of all tables of a large fleet.
+"""
+
+import time
+import tracemalloc
+from bisect import bisect_right
+from collections import Counter
+from collections.abc import Sequence
+
+import xxhash
+from msgspec import Struct
+
+from chicoryproxy.ids import DomainId, ServiceId, UpstreamId, Version
+from chicoryproxy.model import Endpoint, Generation, Upstream
+from chicoryproxy.placement import (
+    PlacementPolicy,
+    PlacementTable,
+    choose_size,
+    create_bounded_rendezvous,
+    create_modulo,
+    create_table,
+    create_weighted_rendezvous,
+)
+
+COUNTS = (2, 3, 7, 8, 16, 17, 50, 64, 65, 100, 200)
+SEEDS = 5
+RING_POINTS = 100
+FLEET_SERVICES = 13_000
+FLEET_UPSTREAMS = 24_000
+
+
+class _Ring(PlacementPolicy):
+    """Consistent hashing on a ring with ``RING_POINTS`` points for each member (Karger, 1997)."""
+
+    def _assign(self, members: Sequence[Upstream], size: int) -> Sequence[int]:
+        points = sorted(
+            (xxhash.xxh3_64_intdigest(f"{member.id}/{point}".encode()), index)
+            for index, member in enumerate(members)
+            for point in range(RING_POINTS * member.weight)
+        )
+        places = [place for place, _ in points]
+        hashes = (xxhash.xxh3_64_intdigest(f"slot/{slot}".encode()) for slot in range(size))
+        return [points[bisect_right(places, at) % len(points)][1] for at in hashes]
+
+
+class _Maglev(PlacementPolicy):
+    """Members take turns in claiming their next free slot (Eisenbud and others, 2016)."""
+
+    def _assign(self, members: Sequence[Upstream], size: int) -> Sequence[int]:
+        walks = [_walk(member.id, size) for member in members]
+        taken = [-1] * size
+        left = size
+        while left:
+            for index, walk in enumerate(walks):
+                slot = next(slot for slot in walk if taken[slot] < 0)
+                taken[slot] = index
+                left -= 1
+                if not left:
+                    break
+        return taken
+
+
+def _walk(name: str, size: int):
+    start = xxhash.xxh3_64_intdigest(f"{name}/start".encode())
+    step = xxhash.xxh3_64_intdigest(f"{name}/step".encode()) | 1
+    return ((start + number * step) % size for number in range(size))
+
+
+POLICIES = {
+    "modulo": create_modulo,
+    "ring": _Ring,
+    "maglev": _Maglev,
+    "rendezvous": create_weighted_rendezvous,
+    "bounded, slack 0.05": lambda: create_bounded_rendezvous(0.05),
+    "bounded, slack 0": create_bounded_rendezvous,
+}
+
+
+class Row(Struct):
+    """Figures of one policy for one number of upstreams, means over ``SEEDS`` sets of names."""
+
+    imbalance: float = 0.0
+    added: float = 0.0
+    removed: float = 0.0
+    build_s: float = 0.0
+
+
+def make_generation(service: str, count: int, weights: Sequence[int] = (1,)) -> Generation:
+    """Make a generation with names that depend on the service."""
+    members = tuple(
+        Upstream(
+            UpstreamId(f"{service}-{index}"),
+            DomainId("d"),
+            Endpoint("127.0.0.1", 1),
+            weights[index % len(weights)],
+        )
+        for index in range(count)
+    )
+    return Generation(ServiceId(service), Version(1), members)
+
+
+def measure_imbalance(table: PlacementTable) -> float:
+    """Return the slots of the fullest upstream, in proportion to weight, against the mean."""
+    counts = Counter(table.at(slot).id for slot in range(table.size))
+    total = sum(upstream.weight for upstream in table.upstreams)
+    return max(
+        counts[upstream.id] * total / (table.size * upstream.weight) for upstream in table.upstreams
+    )
+
+
+def measure_moved(old: PlacementTable, new: PlacementTable) -> float:
+    """Return the share of flows whose upstream differs."""
+    size = max(old.size, new.size)
+    moved = sum(
+        old.at(slot & (old.size - 1)).id != new.at(slot & (new.size - 1)).id for slot in range(size)
+    )
+    return moved / size
+
+
+def measure_policy(policy: PlacementPolicy, count: int, weights: Sequence[int]) -> Row:
+    """Measure a policy; movement is given as a multiple of the least possible movement."""
+    row = Row()
+    for seed in range(SEEDS):
+        generation = make_generation(f"s{seed}", count, weights)
+        more = make_generation(f"s{seed}", count + 1, weights)
+        fewer = Generation(generation.service, Version(2), generation.members[1:])
+        started = time.process_time()
+        table = policy.build(generation)
+        row.build_s += (time.process_time() - started) / SEEDS
+        row.imbalance += measure_imbalance(table) / SEEDS
+        added = more.members[-1].weight / sum(member.weight for member in more.members)
+        removed = generation.members[0].weight / sum(m.weight for m in generation.members)
+        row.added += measure_moved(table, policy.build(more)) / added / SEEDS
+        row.removed += measure_moved(table, policy.build(fewer)) / removed / SEEDS
+    return row
+
+
+def print_policies(counts: Sequence[int], weights: Sequence[int]) -> None:
+    """Print one line for each policy and number of upstreams."""
+    print(f"weights {weights}; moved: multiple of the least possible")
+    print("policy                count  slots  max/mean  moved+  moved-  build ms")
+    for name, create in POLICIES.items():
+        for count in counts:
+            row = measure_policy(create(), count, weights)
+            print(
+                f"{name:20} {count:6} {choose_size(count):6} {row.imbalance:9.3f}"
+                f" {row.added:7.2f} {row.removed:7.2f} {row.build_s * 1000:9.2f}"
+            )
+
+
+def print_fleet() -> None:
+    """Print memory and build time of the tables of a large fleet."""
+    extra = FLEET_UPSTREAMS - FLEET_SERVICES
+    generations = [
+        make_generation(f"service-{index}", 2 if index < extra else 1)
+        for index in range(FLEET_SERVICES)
+    ]
+    tracemalloc.start()
+    tables = [create_table(generation) for generation in generations]
+    used, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    started = time.process_time()
+    tables = [create_table(generation) for generation in generations]
+    spent = time.process_time() - started
+    print(
+        f"fleet: {len(tables)} tables, {used / 2**20:.1f} MiB,"
+        f" {spent:.2f} s of processor time, {spent / len(tables) * 1e6:.0f} us a table"
+    )
+
+
+def main() -> None:
+    """Print all figures."""
+    print_policies(COUNTS, (1,))
+    print_policies((7, 50), (1, 2, 3))
+    print_fleet()
+
+
+if __name__ == "__main__":
+    main()
--- a/src/chicoryproxy/flowtable.py
+++ b/src/chicoryproxy/flowtable.py
@@ -43,6 +43,8 @@
 
 _HALF_OPEN = int(FlowFlag.HALF_OPEN)
 _CLOSING = int(FlowFlag.CLOSING)
+_TOUCH_MASK = ~(TICK_MASK << FLAG_BITS)
+_MARK_MASK = ~(TICK_MASK << FLAG_BITS | _HALF_OPEN)
 
 
 class FlowState(Struct, frozen=True):
@@ -118,14 +120,15 @@
         :param number: number of the upstream, at least zero.
         :returns: ``FLOW_TABLE_FULL`` when every record is of an established flow, else ``None``.
         """
+        bits = int(flags)
         shard = self._shards[flow & _SHARD_MASK]
         if flow not in shard:
             if self._count >= self.capacity and not self._evict_half_open():
                 return DropReason.FLOW_TABLE_FULL
             self._count += 1
-        if flags & _HALF_OPEN:
+        if bits & _HALF_OPEN:
             self._half_open.append(flow)
-        shard[flow] = self._share(number << NUMBER_SHIFT | _tick(now) << FLAG_BITS | int(flags))
+        shard[flow] = self._share(number << NUMBER_SHIFT | _tick(now) << FLAG_BITS | bits)
         return None
 
     def touch(self, flow: FlowKey, now: float) -> None:
@@ -136,8 +139,7 @@
             return
         tick = _tick(now)
         if state >> FLAG_BITS & TICK_MASK != tick:
-            kept = state & ~(TICK_MASK << FLAG_BITS)
-            shard[flow] = self._share(kept | tick << FLAG_BITS)
+            shard[flow] = self._share(state & _TOUCH_MASK | tick << FLAG_BITS)
 
     def mark(self, flow: FlowKey, flags: FlowFlag, now: float) -> None:
         """Add flags to a record; any packet but an opening ends the half-open state.
@@ -148,7 +150,7 @@
         state = shard.get(flow)
         if state is None:
             return
-        kept = state & ~(TICK_MASK << FLAG_BITS | _HALF_OPEN)
+        kept = state & _MARK_MASK
         shard[flow] = self._share(kept | int(flags) | _tick(now) << FLAG_BITS)
 
     def close(self, flow: FlowKey) -> None:
@@ -216,9 +218,10 @@
         return False
 
     def _share(self, state: int) -> int:
-        if len(self._shared) > MAX_SHARED_STATES:
-            self._shared.clear()
-        return self._shared.setdefault(state, state)
+        shared = self._shared
+        if len(shared) > MAX_SHARED_STATES:
+            shared.clear()
+        return shared.setdefault(state, state)
 
 
 def _tick(now: float) -> int:
--- a/src/chicoryproxy/placement.py
+++ b/src/chicoryproxy/placement.py
@@ -7,24 +7,36 @@
 
 import hashlib
 import heapq
+import re
 import struct
 from abc import ABC, abstractmethod
 from array import array
-from collections.abc import Callable, Sequence
-from math import log
+from collections.abc import Iterable, Iterator, Sequence
+from itertools import repeat
+from math import exp, log
+
+import xxhash
 
 from chicoryproxy.ids import FlowKey
 from chicoryproxy.model import Generation, Upstream
 
-SLOTS_PER_UPSTREAM = 64
+SLOTS_PER_UPSTREAM = 32
 MIN_SLOTS = 512
 MAX_SLOTS = 32768
-SIZE_STEP = 8
-SCORE_BYTES = 8
-SCORE_SPAN = float(2**64)
+SIZE_STEP = 4
+
+MAX_MEMBERS = 65_536
+SMALL_MEMBERS = 256
+INDEX_BITS = 16
+INDEX_MASK = (1 << INDEX_BITS) - 1
+DRAW_BYTES = 8
+HIGH_PER_SLOT = 12.0
+DRAW_SPAN = float(2**48)
+LOG_OFFSET = 64.0
+LOG_SCALE = float(2**41)
+FIRST_CHOICE = 1 << 64
 
-ScoreRow = tuple[float, ...]
-"""Scores of all members for one slot, in the order of the members; the highest is preferred."""
+_DRAW = struct.Struct("<Q")
 
 
 class PlacementTable:
@@ -68,49 +80,55 @@
         :param generation: the order of its members has no influence.
         """
         weighted = (member for member in generation.members if member.weight > 0)
-        members = tuple(sorted(weighted, key=lambda member: member.id))
+        members = tuple(sorted(weighted, key=lambda member: member.id)[:MAX_MEMBERS])
         size = choose_size(len(members))
-        if not members:
-            return PlacementTable((), array("H", bytes(2 * size)))
-        return PlacementTable(members, self._assign(members, size))
+        typecode = "B" if len(members) <= SMALL_MEMBERS else "H"
+        indexes = self._assign(members, size) if len(members) > 1 else repeat(0, size)
+        return PlacementTable(members, array(typecode, indexes))
 
     @abstractmethod
-    def _assign(self, members: Sequence[Upstream], size: int) -> "array[int]":
-        """Return the index of a member for each slot."""
+    def _assign(self, members: Sequence[Upstream], size: int) -> Sequence[int]:
+        """Return the index of a member for each slot; there are at least two members."""
 
 
 class _Modulo(PlacementPolicy):
     """Slot number modulo the number of members, each repeated by its weight."""
 
-    def _assign(self, members: Sequence[Upstream], size: int) -> "array[int]":
+    def _assign(self, members: Sequence[Upstream], size: int) -> Sequence[int]:
         repeated = [index for index, member in enumerate(members) for _ in range(member.weight)]
-        return array("H", (repeated[slot % len(repeated)] for slot in range(size)))
+        return [repeated[slot % len(repeated)] for slot in range(size)]
 
 
 class _WeightedRendezvous(PlacementPolicy):
-    """Highest score, after Thaler and Ravishankar, "Using Name-Based Mappings to Increase Hit
+    """Highest priority, after Thaler and Ravishankar, "Using Name-Based Mappings to Increase Hit
     Rates" (1998); weights after Schindelhauer and Schomaker, "Weighted Distributed Hash Tables"
     (2005).
     """
 
-    def _assign(self, members: Sequence[Upstream], size: int) -> "array[int]":
-        return array("H", (row.index(max(row)) for row in _score_rows(members, size)))
+    def _assign(self, members: Sequence[Upstream], size: int) -> Sequence[int]:
+        return [priority & INDEX_MASK for priority in _rank_first(members, size)]
 
 
 class _BoundedRendezvous(PlacementPolicy):
-    """Weighted rendezvous in which no member takes more than its share, rounded up.
+    """Weighted rendezvous in which no member takes more than a bound.
 
     The bound is that of Mirrokni, Thorup and Zadimoghaddam, "Consistent Hashing with Bounded
-    Loads" (2018), with no slack. In place of their walk along a ring, the slots that exceed a
-    member's share are found by the deferred acceptance of Gale and Shapley (1962): a member keeps
-    the slots that score highest for it. The result doesn't depend on the order of the slots, and
-    a change of one member displaces few of the others' slots.
+    Loads" (2018). In place of their walk along a ring, the slots that exceed a member's bound are
+    moved by the deferred acceptance of Gale and Shapley (1962): a slot proposes to members in the
+    order of its priorities, and a member keeps the slots that it ranks highest, those of which it
+    is the first choice above all others. The result doesn't depend on the order of the proposals,
+    and a change of one member displaces few of the others' slots.
+
+    :param slack: part of a member's share by which it may exceed the share.
     """
 
-    def _assign(self, members: Sequence[Upstream], size: int) -> "array[int]":
-        bounds = _share_bounds(members, size)
-        rows = list(_score_rows(members, size))
-        return _accept_slots(rows, bounds)
+    def __init__(self, slack: float) -> None:
+        self._slack = slack
+
+    def _assign(self, members: Sequence[Upstream], size: int) -> Sequence[int]:
+        bounds = _bound_shares(members, size, self._slack)
+        firsts = _rank_first(members, size)
+        return _accept_slots(members, firsts, bounds)
 
 
 def create_modulo() -> PlacementPolicy:
@@ -123,9 +141,12 @@
     return _WeightedRendezvous()
 
 
-def create_bounded_rendezvous() -> PlacementPolicy:
-    """Create weighted rendezvous with at most the rounded-up share of slots for each member."""
-    return _BoundedRendezvous()
+def create_bounded_rendezvous(slack: float = 0.0) -> PlacementPolicy:
+    """Create weighted rendezvous with a bound on a member's slots: its share, rounded up.
+
+    :param slack: part of the share that is added to the bound before rounding.
+    """
+    return _BoundedRendezvous(slack)
 
 
 def create_table(generation: Generation) -> PlacementTable:
@@ -144,67 +165,93 @@
     return size
 
 
-def _share_bounds(members: Sequence[Upstream], size: int) -> list[int]:
+def _bound_shares(members: Sequence[Upstream], size: int, slack: float) -> list[int]:
     total = sum(member.weight for member in members)
-    return [-(-size * member.weight // total) for member in members]
-
-
-def _score_rows(members: Sequence[Upstream], size: int) -> "zip[ScoreRow]":
-    weights = {member.weight for member in members}
-    scale = _scale_for(len(weights) == 1)
-    return zip(
-        *(scale(_raw_scores(member, size), member.weight) for member in members), strict=True
-    )
-
-
-def _raw_scores(member: Upstream, size: int) -> Sequence[int]:
-    """Expand a member's id to one 64-bit score per slot, in a single call into C."""
-    stream = hashlib.shake_128(member.id.encode()).digest(size * SCORE_BYTES)
-    return struct.unpack(f"<{size}Q", stream)
+    allowed = size + int(size * slack)
+    return [-(-allowed * member.weight // total) for member in members]
 
 
-def _scale_for(equal_weights: bool) -> Callable[[Sequence[int], int], Sequence[float]]:
-    return _keep_scores if equal_weights else _weigh_scores
+def _rank_first(members: Sequence[Upstream], size: int) -> Sequence[int]:
+    """Return for each slot the highest priority, with the member's index in its lowest bits.
 
-
-def _keep_scores(scores: Sequence[int], _weight: int) -> Sequence[float]:
-    return scores
-
-
-def _weigh_scores(scores: Sequence[int], weight: int) -> Sequence[float]:
-    """Return ``log(u) / weight``: the highest wins with a probability in proportion to weight."""
-    return [log((value + 1) / SCORE_SPAN) / weight for value in scores]
-
-
-def _accept_slots(rows: Sequence[ScoreRow], bounds: Sequence[int]) -> "array[int]":
-    slots = array("H", bytes(2 * len(rows)))
-    accepted: list[list[tuple[float, int]]] = [[] for _ in bounds]
-    rankings: dict[int, list[int]] = {}
-    for slot, row in enumerate(rows):
-        proposer: int | None = slot
-        choice = row.index(max(row))
-        while proposer is not None:
-            rejected = _offer(accepted[choice], bounds[choice], rows[proposer][choice], proposer)
-            slots[proposer] = choice
-            proposer = rejected
-            if proposer is not None:
-                choice = _next_choice(rankings, proposer, rows[proposer])
+    Low priorities win so rarely that they aren't looked at; a slot without a high one takes the
+    order of ``_rank_all``.
+    """
+    total = sum(member.weight for member in members)
+    is_weighted = len({member.weight for member in members}) > 1
+    best = [0] * size
+    for index, member in enumerate(members):
+        draws = hashlib.shake_128(member.id.encode()).digest(size * DRAW_BYTES)
+        for slot in _find_high(draws, exp(-HIGH_PER_SLOT * member.weight / total)):
+            draw = _DRAW.unpack_from(draws, slot * DRAW_BYTES)[0]
+            priority = draw & ~INDEX_MASK | index
+            if is_weighted:
+                priority = _weigh(priority, member.weight)
+            if priority > best[slot]:
+                best[slot] = priority
+    for slot in (slot for slot, priority in enumerate(best) if not priority):
+        best[slot] = next(_rank_all(members, slot))
+    return best
+
+
+def _find_high(draws: bytes, floor: float) -> Iterable[int]:
+    """Return the slots whose draw, as a fraction of its span, may be above a floor."""
+    lowest = int(256 * floor)
+    if not lowest:
+        return range(len(draws) // DRAW_BYTES)
+    pattern = re.compile(b"[%s-\xff]" % re.escape(bytes((lowest,))), re.DOTALL)
+    return (match.start() for match in pattern.finditer(draws[DRAW_BYTES - 1 :: DRAW_BYTES]))
+
+
+def _weigh(priority: int, weight: int) -> int:
+    """Change a uniform priority so that its chance to be the highest is in proportion to weight.
+
+    The order is that of ``log(u) / weight`` for the uniform ``u``; the index stays as it is.
+    """
+    draw = ((priority >> INDEX_BITS) + 1) / DRAW_SPAN
+    scaled = int((log(draw) / weight + LOG_OFFSET) * LOG_SCALE)
+    return scaled << INDEX_BITS | priority & INDEX_MASK
+
+
+def _accept_slots(
+    members: Sequence[Upstream], firsts: Sequence[int], bounds: Sequence[int]
+) -> Sequence[int]:
+    slots = [0] * len(firsts)
+    accepted: list[list[tuple[int, int]]] = [[] for _ in members]
+    others: dict[int, Iterator[int]] = {}
+    for proposer, first in enumerate(firsts):
+        slot: int | None = proposer
+        priority = first | FIRST_CHOICE
+        while slot is not None:
+            choice = priority & INDEX_MASK
+            slots[slot] = choice
+            slot = _offer(accepted[choice], bounds[choice], priority, slot)
+            if slot is not None:
+                if slot not in others:
+                    others[slot] = _rank_others(members, slot, firsts[slot] & INDEX_MASK)
+                priority = next(others[slot])
     return slots
 
 
-def _offer(heap: list[tuple[float, int]], bound: int, score: float, slot: int) -> int | None:
-    """Give a member a slot; return the slot that it gives up for it, if any."""
-    if len(heap) < bound:
-        heapq.heappush(heap, (score, slot))
+def _offer(accepted: list[tuple[int, int]], bound: int, priority: int, slot: int) -> int | None:
+    """Give a member a slot; return the slot that it rejects for it, if any."""
+    if len(accepted) < bound:
+        heapq.heappush(accepted, (priority, slot))
         return None
-    return heapq.heappushpop(heap, (score, slot))[1]
+    return heapq.heappushpop(accepted, (priority, slot))[1]
+
+
+def _rank_others(members: Sequence[Upstream], slot: int, first: int) -> Iterator[int]:
+    """Return the priorities of all members but the first choice, highest first."""
+    ranking = _rank_all(members, slot)
+    return (priority for priority in ranking if priority & INDEX_MASK != first)
 
 
-def _next_choice(rankings: dict[int, list[int]], slot: int, row: ScoreRow) -> int:
-    """Return the best member that has not rejected the slot yet."""
-    ranking = rankings.get(slot)
-    if ranking is None:
-        ranking = sorted(range(len(row)), key=lambda index: (row[index], -index))
-        ranking.pop()
-        rankings[slot] = ranking
-    return ranking.pop()
+def _rank_all(members: Sequence[Upstream], slot: int) -> Iterator[int]:
+    """Return the priorities of all members by a second draw, highest first."""
+    is_weighted = len({member.weight for member in members}) > 1
+    priorities = []
+    for index, member in enumerate(members):
+        draw = xxhash.xxh3_64_intdigest(member.id.encode(), slot) & ~INDEX_MASK | index
+        priorities.append(_weigh(draw, member.weight) if is_weighted else draw)
+    return iter(sorted(priorities, reverse=True))
