--- a/benchmarks/control_slopes.py
+++ b/benchmarks/control_slopes.py
@@ -34,6 +34,7 @@
 from chicoryproxy.states import MemberState
 from chicoryproxy.versions import EMPTY_CONFIGURATION
 from tests.control_net import (
+    DOMAINS,
     TICK_S,
     ControlNet,
     make_configuration,
@@ -53,6 +54,8 @@
 LARGE_SETTLE_S = 60.0
 LARGE_S = 600.0
 PROBE_TICKS = 5
+PARTITION_S = 60.0
+HEAL_SIZES = (7, 60, 200)
 KILLS = 5
 LOSS = 0.01
 
@@ -256,6 +259,45 @@
     return LargeRow(members, replaced_per_day, sent, fleet.cpu_s / LARGE_S, state)
 
 
+class HealRow(Struct, frozen=True):
+    """Figures of a domain that was cut off for ``PARTITION_S``.
+
+    :param healed_s: time from the end of the partition until all instances have all as alive.
+    :param peak: the highest bytes per second of one instance in that time.
+    """
+
+    members: int
+    healed_s: float
+    peak: float
+
+
+def measure_heal(members: int) -> HealRow:
+    """Cut one of three domains off and heal."""
+    net = MeteredNet(members, loss=LOSS)
+    net.run(SETTLE_S)
+    side = {entry.id for entry in net.instances if entry.domain == DOMAINS[0]}
+    net.cut = lambda sender, target: (sender in side) != (target in side)
+    net.run(PARTITION_S)
+    net.cut = lambda sender, target: False
+    net.sent_bytes.clear()
+
+    def is_merged() -> bool:
+        views = net.views.values()
+        states = {member.state for view in views for member in view.members}
+        return states == {MemberState.ALIVE}
+
+    healed_s = net.run_until(is_merged, 300.0)
+    return HealRow(members, healed_s, max(net.sent_bytes.values()) / healed_s)
+
+
+def print_heals(rows: Sequence[HealRow]) -> None:
+    """Print the rows of healed partitions as a table in Markdown."""
+    print("| members | healed s | peak B/s |")
+    print("|---:|---:|---:|")
+    for row in rows:
+        print(f"| {row.members} | {row.healed_s:.1f} | {row.peak:.0f} |")
+
+
 def print_rows(rows: Sequence[Row]) -> None:
     """Print the measured rows as a table in Markdown."""
     print(
@@ -285,12 +327,15 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--sizes", type=int, nargs="+", default=DEFAULT_SIZES)
     parser.add_argument("--interval", type=float, default=FleetLimits().probe_interval_s)
-    parser.add_argument("--no-large", action="store_true")
+    parser.add_argument("--only-sizes", action="store_true")
     options = parser.parse_args()
     print_rows([measure(members, options.interval) for members in options.sizes])
-    if not options.no_large:
-        print()
-        print_large([measure_large(members, replaced) for members, replaced in LARGE_FLEETS])
+    if options.only_sizes:
+        return
+    print()
+    print_large([measure_large(members, replaced) for members, replaced in LARGE_FLEETS])
+    print()
+    print_heals([measure_heal(members) for members in HEAL_SIZES])
 
 
 if __name__ == "__main__":
--- a/src/chicoryproxy/control.py
+++ b/src/chicoryproxy/control.py
@@ -110,7 +110,7 @@
         self._staleness = Staleness(self._membership, self._outbox)
         self._health = create_health_book(seed, self._conditions, self._outbox)
         self._owners = OwnerMap()
-        self._reach = DomainReach(self._outbox)
+        self._reach = DomainReach(instance.id, self._outbox)
         catch_up = CatchUp(self._membership, self._versions, self._outbox)
         self._catch_up = catch_up
         self._exchange = VersionExchange(
--- a/src/chicoryproxy/reach.py
+++ b/src/chicoryproxy/reach.py
@@ -9,7 +9,7 @@
 
 from chicoryproxy.actions import ReadHealth
 from chicoryproxy.events import HealthReading
-from chicoryproxy.ids import DomainId, UpstreamId
+from chicoryproxy.ids import DomainId, InstanceId, UpstreamId
 from chicoryproxy.messages import Member
 from chicoryproxy.model import Upstream
 from chicoryproxy.outbox import Outbox
@@ -34,12 +34,14 @@
 class DomainReach:
     """Samples the upstreams of silent domains.
 
+    :param own: this instance; each samples different upstreams.
     :param outbox: takes the reads and the log lines.
 
     ``revision`` rises when a domain is cut off or reached again.
     """
 
-    def __init__(self, outbox: Outbox) -> None:
+    def __init__(self, own: InstanceId, outbox: Outbox) -> None:
+        self._own = own
         self._outbox = outbox
         self._silent: frozenset[DomainId] = frozenset()
         self._samples: dict[UpstreamId, Upstream] = {}
@@ -66,7 +68,7 @@
         self._samples = {
             upstream.id: upstream
             for domain in silent
-            for upstream in _choose_sample(upstreams.get(domain, ()))
+            for upstream in self._choose_sample(upstreams.get(domain, ()))
         }
         self._reached = {
             sample: reached for sample, reached in self._reached.items() if sample in self._samples
@@ -102,7 +104,7 @@
         samples = [sample.id for sample in self._samples.values() if sample.domain == domain]
         return any(self._reached.get(sample, True) for sample in samples)
 
-
-def _choose_sample(upstreams: Collection[Upstream]) -> list[Upstream]:
-    readable = [upstream for upstream in upstreams if upstream.health_url]
-    return sorted(readable, key=lambda upstream: score("sample", upstream.id))[:SAMPLE_SIZE]
+    def _choose_sample(self, upstreams: Collection[Upstream]) -> list[Upstream]:
+        readable = [upstream for upstream in upstreams if upstream.health_url]
+        key = f"sample/{self._own}"
+        return sorted(readable, key=lambda upstream: score(key, upstream.id))[:SAMPLE_SIZE]
