Take an upstream's own word that it drains; rate nothing while the view is stale

Cause: an upstream that drains before operators publish it kept getting openings, and an owner that woke up from a pause changed conditions that another may own by then. Change: a DRAINING verdict, confirmed for 1 s; the health book rests while the view is stale.

--- a/src/chicoryproxy/control.py
+++ b/src/chicoryproxy/control.py
@@ -142,7 +142,8 @@
             case PlatformUnread(reason=reason):
                 self._readers.note_unread(reason, now)
             case HealthReading():
-                self._health.receive_reading(event, now)
+                if not self._is_stale():
+                    self._health.receive_reading(event, now)
                 self._reach.receive_reading(event)
         return self._finish(now)
 
@@ -171,7 +172,8 @@
         """Take in a report of this instance's entry."""
         self._begin(now)
         self._versions.prune(report.clean)
-        self._health.receive_report(report, now)
+        if not self._is_stale():
+            self._health.receive_report(report, now)
         return self._finish(now)
 
     def tick(self, now: float) -> list[ControlAction]:
@@ -184,7 +186,9 @@
         self._exchange.tick(now)
         self._merge_healed(now)
         self._follow_members(now)
-        self._health.tick(now)
+        if not self._is_stale():
+            # After a pause another instance may own the upstreams.
+            self._health.tick(now)
         self._reach.tick(now)
         self._leaving.tick(now)
         self._views.note_tick()
--- a/src/chicoryproxy/health.py
+++ b/src/chicoryproxy/health.py
@@ -24,7 +24,7 @@
 READ_JITTER = 0.25
 """Largest deviation from the read interval, as a part of it."""
 
-OVERLOAD_CONFIRM_S = 1.0
+CONFIRM_S = 1.0
 CALM_S = 5.0
 """Time without a bad verdict before a state is left for a better one, in seconds."""
 
@@ -39,7 +39,7 @@
 EARLY_WARMED = 0.5
 """Part of the warm-up before which a report of a full ramp is about the time before the cut."""
 
-_CUTS = frozenset((Verdict.WARMING, Verdict.COLD, Verdict.UNREACHABLE))
+_BAD = frozenset((Verdict.DRAINING, Verdict.WARMING, Verdict.COLD, Verdict.UNREACHABLE))
 
 
 class SignalEvidence(Struct, frozen=True):
@@ -101,6 +101,7 @@
         self._cut_at = since
         self._bad_at: float | None = None
         self._overloaded_since: float | None = None
+        self._draining_since: float | None = None
         self._answered_at: float | None = None
         self._warmed_at: float | None = None
 
@@ -138,7 +139,7 @@
             the upstream.
         """
         votes = self._judge(now)
-        if _CUTS & votes.keys():
+        if _BAD & votes.keys():
             self._bad_at = now
         state = condition.state
         if Verdict.UNREACHABLE in votes and not self._is_answering(now):
@@ -154,6 +155,10 @@
         if Verdict.WARMING in votes:
             # An upstream that was ready has started anew.
             return UpstreamState.COLD
+        if self._is_draining(votes, now):
+            return UpstreamState.DRAINING
+        if state is UpstreamState.DRAINING and not self._says_ready():
+            return state
         return self._rate_load(state, votes[Verdict.OVERLOADED], now)
 
     def describe(self) -> str:
@@ -196,6 +201,15 @@
         is_warm = self._warmed_at is not None and is_over and self._is_calm(now)
         return UpstreamState.READY if is_warm else UpstreamState.WARMING
 
+    def _is_draining(self, votes: Counter[Verdict], now: float) -> bool:
+        """Return whether the upstream says for a while that it takes no more openings."""
+        if Verdict.DRAINING not in votes:
+            self._draining_since = None
+            return False
+        if self._draining_since is None:
+            self._draining_since = now
+        return now - self._draining_since >= CONFIRM_S
+
     def _says_ready(self) -> bool:
         return any(
             entry.verdict is Verdict.WELL for entry in self._evidence if entry.signal == LOAD_SIGNAL
@@ -208,7 +222,7 @@
         self._bad_at = now
         if self._overloaded_since is None:
             self._overloaded_since = now
-        is_confirmed = now - self._overloaded_since >= OVERLOAD_CONFIRM_S
+        is_confirmed = now - self._overloaded_since >= CONFIRM_S
         return UpstreamState.SHEDDING if overloaded > 1 or is_confirmed else state
 
 
@@ -233,6 +247,7 @@
         wanted = {upstream.id: upstream for upstream in upstreams}
         for lost in self._owned.keys() - wanted.keys():
             del self._owned[lost], self._due_at[lost]
+            self._epochs.pop(lost, None)
             self._outbox.log("health", "owned by another instance", lost)
         for upstream in wanted.values():
             known = self._owned.get(upstream.id)
--- a/src/chicoryproxy/signals.py
+++ b/src/chicoryproxy/signals.py
@@ -34,6 +34,7 @@
     SILENT = "silent"
     WELL = "well"
     OVERLOADED = "overloaded"
+    DRAINING = "draining"
     WARMING = "warming"
     COLD = "cold"
     UNREACHABLE = "unreachable"
@@ -128,6 +129,8 @@
             return Verdict.COLD
         if reading.state is UpstreamState.WARMING:
             return Verdict.WARMING
+        if reading.state is UpstreamState.DRAINING:
+            return Verdict.DRAINING
         if reading.state is UpstreamState.SHEDDING or self._is_full(reading):
             return Verdict.OVERLOADED
         return Verdict.WELL if reading.state is UpstreamState.READY else Verdict.SILENT
--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -118,6 +118,14 @@
     assert rated.step(1, slots_used=0) is UpstreamState.READY
 
 
+def test_an_upstream_that_says_that_it_drains_gets_no_openings_until_it_is_ready() -> None:
+    rated = Rated(UpstreamState.READY)
+    assert rated.step(1, state=UpstreamState.DRAINING) is UpstreamState.READY
+    assert rated.step(9, state=UpstreamState.DRAINING) is UpstreamState.DRAINING
+    assert rated.step(9) is UpstreamState.DRAINING
+    assert rated.step(int(CALM_S), slots_used=0) is UpstreamState.READY
+
+
 def test_a_misleading_endpoint_does_not_hide_an_upstream_that_answers() -> None:
     rated = Rated(UpstreamState.READY)
     for _ in range(10):
@@ -240,6 +248,22 @@
     assert list_epochs(net, "log-0") == {epoch + 1 for epoch in before}
 
 
+def test_an_owner_that_was_paused_changes_nothing_until_its_view_is_fresh(
+    net: ControlNet,
+) -> None:
+    owner = find_owner(net, "log-0", DOMAINS[0])
+    epochs = list_epochs(net, "log-0")
+    net.paused.add(owner)
+    net.run(3.0)
+    net.paused.discard(owner)
+    net.cut = lambda sender, target: owner in (sender, target)
+    net.run(0.5)
+    net.feed(owner, HealthReading(UpstreamId("log-0"), True, UpstreamState.COLD))
+    assert net.views[owner].stale
+    net.run(0.2)
+    assert list_epochs(net, "log-0") == epochs
+
+
 def test_upstreams_of_a_domain_that_is_cut_off_are_unreachable_and_return(
     net: ControlNet,
 ) -> None:
