Run both processes with the cores, and test them on loopback

Cause: the adapters and the cores had not met; lost log lines and ports of the ephemeral range made the tests of processes fail now and then. Change: chicory-entry and chicory-view; log lines wait for a blocked output in a bounded queue; streams between peers start at the instance's own address; tests use addresses of their own.

--- /dev/null
+++ b/src/chicoryproxy/entry.py
@@ -0,0 +1,91 @@
+"""``chicory-entry``: the data path of an instance."""
+
+import sys
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+import cappa
+
+from chicoryproxy.entrydriver import REPORT_INTERVAL_S, TICK_S, EntryDriver
+from chicoryproxy.errors import SettingsError
+from chicoryproxy.logs import EXIT_PATIENCE_S
+from chicoryproxy.metrics import FLUSH_INTERVAL_S
+from chicoryproxy.model import Endpoint
+from chicoryproxy.operations import OperationsServer
+from chicoryproxy.options import InstanceOptions, parse_settings
+from chicoryproxy.process import ProcessParts
+from chicoryproxy.router import create_packet_core
+from chicoryproxy.seal import Channel
+from chicoryproxy.settings import Settings
+from chicoryproxy.supervisor import Child, ExitCode, Supervisor, run_process
+from chicoryproxy.ticker import Ticker
+
+LOG_INTERVAL_S = 0.02
+CONTROL_PORT_OFFSET = 1
+"""The view answers at the control port of the settings, the entry at the port after it."""
+
+
+@cappa.command(
+    name="chicory-entry",
+    help="Carry packets from callers to upstreams.",
+    description=(
+        "Example: `chicory-entry --settings /etc/chicory/instance.yaml --log-format human`. "
+        "Exit codes: 0 after a graceful stop, 1 when a part failed too often, 2 when the settings "
+        "are wrong, 143 when a second signal ended it at once."
+    ),
+)
+@dataclass
+class EntryOptions(InstanceOptions):
+    """Options of ``chicory-entry``."""
+
+
+def create_children(driver: EntryDriver, parts: ProcessParts, settings: Settings) -> list[Child]:
+    """List the services of the process."""
+    control = Endpoint(settings.control.host, settings.control.port + CONTROL_PORT_OFFSET)
+    return [
+        Child("data", lambda: driver.data, is_essential=True),
+        Child("peers", lambda: driver.peers, is_essential=True),
+        Child("tick", lambda: Ticker(TICK_S, driver.tick), is_essential=True),
+        Child("link", lambda: driver.link),
+        Child("report", lambda: Ticker(REPORT_INTERVAL_S, driver.report)),
+        Child("log", lambda: Ticker(LOG_INTERVAL_S, lambda: driver.flush_log(parts.output))),
+        Child(
+            "metrics",
+            lambda: Ticker(FLUSH_INTERVAL_S, lambda: driver.flush_metrics(parts.output)),
+        ),
+        Child("operations", lambda: OperationsServer(control, driver.describe, driver.explain)),
+    ]
+
+
+def run_entry(settings: Settings) -> ExitCode:
+    """Run the process until it is asked to stop.
+
+    :raises SettingsError: when a key file cannot be used.
+    """
+    parts = ProcessParts(settings, Channel.PEER)
+    core = create_packet_core(settings.instance, settings.domain, settings.region)
+    driver = EntryDriver(core, settings, parts.create_transport, parts.metrics, parts.seed)
+
+    def build() -> Supervisor:
+        return Supervisor(create_children(driver, parts, settings), parts.metrics, parts.seed)
+
+    code = run_process("chicory-entry", build, driver.drain)
+    driver.route_log.flush(len(driver.route_log))
+    parts.output.drain(EXIT_PATIENCE_S)
+    return code
+
+
+def main(argv: Sequence[str] | None = None) -> None:
+    """Run ``chicory-entry`` and exit."""
+    settings = parse_settings(EntryOptions, argv)
+    if settings is None:
+        sys.exit(ExitCode.WRONG_SETTINGS)
+    try:
+        sys.exit(run_entry(settings))
+    except SettingsError as error:
+        error.show()
+        sys.exit(ExitCode.WRONG_SETTINGS)
+
+
+if __name__ == "__main__":
+    main()
--- a/src/chicoryproxy/entrydriver.py
+++ b/src/chicoryproxy/entrydriver.py
@@ -173,6 +173,12 @@
             if report != EntryReport():
                 self.link.report(report)
 
+    def flush_log(self, output: OutputHandler) -> None:
+        """Write routing decisions, as far as the output takes them."""
+        output.drain()
+        if not output.is_blocked:
+            self.route_log.flush()
+
     def flush_metrics(self, output: OutputHandler | None = None) -> None:
         """Send the counters of the last second."""
         metrics = self.metrics
--- a/src/chicoryproxy/logs.py
+++ b/src/chicoryproxy/logs.py
@@ -20,6 +20,8 @@
 
 QUEUE_LINES = 8192
 FLUSH_LINES = 256
+OUTPUT_LINES = 1024
+EXIT_PATIENCE_S = 1.0
 MAX_REPEATED_KEYS = 65_536
 ROUTE_PART = "route"
 
@@ -49,7 +51,9 @@
     def process(self, msg: Any, kwargs: Any) -> tuple[str, Any]:
         """Add the prefix to the text and the fields to the record."""
         options = {key: kwargs.pop(key) for key in ("exc_info", "stack_info") if key in kwargs}
-        return f"{self._prefix}{msg}", {**options, "extra": {**(self.extra or {}), **kwargs}}
+        # logging refuses a field that has the name of one of its own.
+        fields = {key + "_" if key in _RESERVED else key: value for key, value in kwargs.items()}
+        return f"{self._prefix}{msg}", {**options, "extra": {**(self.extra or {}), **fields}}
 
 
 class _HumanFormatter(logging.Formatter):
@@ -68,27 +72,50 @@
         return " ".join((text, *fields))
 
 
-class OutputHandler(logging.StreamHandler[TextIO]):
-    """Writes a line only when the output can take it without waiting.
+class OutputHandler(logging.Handler):
+    """Writes lines as far as the output can take them without waiting.
 
-    :ivar lost: lines that the output could not take.
+    Lines that it cannot take wait in a bounded queue for the next line or ``drain``.
+
+    :ivar lost: lines that found the queue full.
     """
 
     def __init__(self, stream: TextIO) -> None:
-        super().__init__(stream)
+        super().__init__()
         self.lost = 0
+        self._stream = stream
+        self._waiting: deque[str] = deque()
+
+    @property
+    def is_blocked(self) -> bool:
+        """True while lines wait."""
+        return bool(self._waiting)
 
     def emit(self, record: logging.LogRecord) -> None:
-        """Write the record, or count it as lost."""
-        if self._is_writable():
-            super().emit(record)
-        else:
+        """Write the record, or let it wait."""
+        if len(self._waiting) >= OUTPUT_LINES:
             self.lost += 1
+            return
+        try:
+            self._waiting.append(self.format(record) + "\n")
+            self.drain()
+        except Exception:
+            self.handleError(record)
+
+    def drain(self, patience_s: float = 0.0) -> None:
+        """Write the lines that wait.
+
+        :param patience_s: longest time to wait for the output before each line, in seconds.
+        """
+        while self._waiting and self._is_writable(patience_s):
+            self._stream.write(self._waiting.popleft())
+            self._stream.flush()
 
-    def _is_writable(self) -> bool:
+    def _is_writable(self, patience_s: float) -> bool:
         try:
-            _, ready, _ = select.select((), (self.stream,), (), 0)
+            _, ready, _ = select.select((), (self._stream,), (), patience_s)
         except (OSError, ValueError):
+            # The stream has no file behind it.
             return True
         return bool(ready)
 
--- a/src/chicoryproxy/supervisor.py
+++ b/src/chicoryproxy/supervisor.py
@@ -162,17 +162,17 @@
     supervisor.set_loop(loop)
     serving = loop.create_task(supervisor.start())
     asked = loop.create_task(signals.asked.wait())
-    log.info("Process started.", process=name)
+    log.info("Process started.", program=name)
     await asyncio.wait((serving, asked), return_when=asyncio.FIRST_COMPLETED)
     if serving.done():
         asked.cancel()
-        log.error("Process gives up.", process=name, error=repr(serving.exception()))
+        log.error("Process gives up.", program=name, error=repr(serving.exception()))
         return ExitCode.GAVE_UP
-    log.info("Process stops gracefully.", process=name)
+    log.info("Process stops gracefully.", program=name)
     await drain()
     serving.cancel()
     await asyncio.wait((serving,))
-    log.info("Process stopped.", process=name)
+    log.info("Process stopped.", program=name)
     return ExitCode.STOPPED
 
 
--- a/src/chicoryproxy/transport.py
+++ b/src/chicoryproxy/transport.py
@@ -28,7 +28,6 @@
 MAX_BYTES_IN_FLIGHT = 64 * 1024 * 1024
 STREAM_IDLE_S = 30.0
 CONNECT_TIMEOUT_S = 3.0
-RECEIVE_BUFFER_BYTES = 4 * 1024 * 1024
 
 _LENGTH = struct.Struct("!I")
 
@@ -121,7 +120,7 @@
     def _get_stream(self, peer: Endpoint) -> "_OutgoingStream":
         stream = self._streams.get(peer)
         if stream is None or stream.is_closed:
-            stream = _OutgoingStream(peer, Backoff(self._seed + hash(peer)))
+            stream = _OutgoingStream(self._endpoint.host, peer, Backoff(self._seed + peer.port))
             self._streams[peer] = stream
         self._streams.move_to_end(peer)
         if len(self._streams) > MAX_STREAMS:
@@ -178,7 +177,8 @@
 class _OutgoingStream:
     """A connection to one peer with a bounded queue; closes itself when idle."""
 
-    def __init__(self, peer: Endpoint, backoff: Backoff) -> None:
+    def __init__(self, host: str, peer: Endpoint, backoff: Backoff) -> None:
+        self._host = host
         self._peer = peer
         self._backoff = backoff
         self._queue: asyncio.Queue[bytes] = asyncio.Queue(MAX_QUEUED_FRAMES)
@@ -220,7 +220,10 @@
         async with asyncio.timeout(CONNECT_TIMEOUT_S):
             while True:
                 try:
-                    _, writer = await asyncio.open_connection(self._peer.host, self._peer.port)
+                    # Without a key, the receiver knows this instance by its address.
+                    _, writer = await asyncio.open_connection(
+                        self._peer.host, self._peer.port, local_addr=(self._host, 0)
+                    )
                     return writer
                 except OSError:
                     await asyncio.sleep(self._backoff.next_delay())
--- /dev/null
+++ b/src/chicoryproxy/view.py
@@ -0,0 +1,98 @@
+"""``chicory-view``: the control part of an instance."""
+
+import sys
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+import cappa
+
+from chicoryproxy.control import create_control_core
+from chicoryproxy.errors import SettingsError
+from chicoryproxy.logs import EXIT_PATIENCE_S
+from chicoryproxy.metrics import FLUSH_INTERVAL_S
+from chicoryproxy.model import Instance
+from chicoryproxy.operations import OperationsServer
+from chicoryproxy.options import InstanceOptions, parse_settings
+from chicoryproxy.process import ProcessParts
+from chicoryproxy.seal import Channel
+from chicoryproxy.settings import Settings
+from chicoryproxy.supervisor import Child, ExitCode, Supervisor, run_process
+from chicoryproxy.ticker import Ticker
+from chicoryproxy.viewdriver import TICK_S, ViewDriver
+
+LOG_INTERVAL_S = 0.05
+
+
+@cappa.command(
+    name="chicory-view",
+    help="Read the platform, speak with peers and give the entry its view.",
+    description=(
+        "Example: `chicory-view --settings /etc/chicory/instance.yaml --log-format human`. "
+        "Exit codes: 0 after a graceful stop, 1 when a part failed too often, 2 when the settings "
+        "are wrong, 143 when a second signal ended it at once."
+    ),
+)
+@dataclass
+class ViewOptions(InstanceOptions):
+    """Options of ``chicory-view``."""
+
+
+def create_instance(settings: Settings) -> Instance:
+    """Describe this instance as the platform's list does."""
+    return Instance(
+        settings.instance,
+        settings.domain,
+        settings.region,
+        settings.data,
+        settings.peer,
+        settings.view,
+    )
+
+
+def create_children(driver: ViewDriver, parts: ProcessParts, settings: Settings) -> list[Child]:
+    """List the services of the process."""
+    return [
+        Child("peers", lambda: driver.peers, is_essential=True),
+        Child("link", lambda: driver.link, is_essential=True),
+        Child("tick", lambda: Ticker(TICK_S, driver.tick), is_essential=True),
+        Child("readings", lambda: driver.readings, is_essential=True),
+        Child(
+            "metrics",
+            lambda: Ticker(FLUSH_INTERVAL_S, lambda: driver.flush_metrics(parts.output)),
+        ),
+        Child("log", lambda: Ticker(LOG_INTERVAL_S, parts.output.drain)),
+        Child("operations", lambda: OperationsServer(settings.control, driver.describe)),
+    ]
+
+
+def run_view(settings: Settings) -> ExitCode:
+    """Run the process until it is asked to stop.
+
+    :raises SettingsError: when a key file cannot be used.
+    """
+    parts = ProcessParts(settings, Channel.VIEW)
+    core = create_control_core(create_instance(settings), parts.seed)
+    driver = ViewDriver(core, settings, parts.create_transport, parts.metrics, parts.seed)
+
+    def build() -> Supervisor:
+        return Supervisor(create_children(driver, parts, settings), parts.metrics, parts.seed)
+
+    code = run_process("chicory-view", build, driver.drain)
+    parts.output.drain(EXIT_PATIENCE_S)
+    return code
+
+
+def main(argv: Sequence[str] | None = None) -> None:
+    """Run ``chicory-view`` and exit."""
+    settings = parse_settings(ViewOptions, argv)
+    if settings is None:
+        sys.exit(ExitCode.WRONG_SETTINGS)
+    try:
+        sys.exit(run_view(settings))
+    except SettingsError as error:
+        error.show()
+        sys.exit(ExitCode.WRONG_SETTINGS)
+
+
+if __name__ == "__main__":
+    main()
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,7 +1,8 @@
 """Fixtures that several test modules share."""
 
 import asyncio
-import socket
+import itertools
+import os
 
 import pytest
 import uvloop
@@ -9,9 +10,12 @@
 from chicoryproxy.model import Endpoint
 from chicoryproxy.testing import Deployment, create_al_batinah, create_tenggara
 
-HANG_GUARD_S = 120
+HANG_GUARD_S = 60
+FIRST_PORT = 10_000
 IDLE_TIMEOUT_S = 5.0
 
+_PORTS = itertools.count(FIRST_PORT)
+
 
 @pytest.fixture
 def run():
@@ -28,10 +32,13 @@
 def serve():
     """Start a service on the running loop and return its task once it serves."""
 
+    tasks = set()
+
     async def start(service):
         loop = asyncio.get_running_loop()
         service.set_loop(loop)
         task = loop.create_task(service.start())
+        tasks.add(task)
         started = loop.create_task(service.start_event.wait())
         await asyncio.wait((task, started), return_when=asyncio.FIRST_COMPLETED)
         if task.done():
@@ -43,30 +50,14 @@
 
 @pytest.fixture
 def pick_endpoint():
-    """Return loopback endpoints whose port is free for TCP and UDP."""
-    held = []
-
-    def pick(host="127.0.0.1"):
-        while True:
-            stream = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-            stream.bind((host, 0))
-            held.append(stream)
-            endpoint = Endpoint(*stream.getsockname())
-            with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as datagram:
-                try:
-                    datagram.bind((host, endpoint.port))
-                except OSError:
-                    continue
-            # Ports stay held until the end of the pick, so that no two picks are the same.
-            stream.close()
-            if endpoint not in picked:
-                picked.add(endpoint)
-                return endpoint
-
-    picked = set()
-    yield pick
-    for stream in held:
-        stream.close()
+    """Return loopback endpoints of this test process.
+
+    Their addresses are this process's own and their ports are below those that the system gives
+    out, so that neither another test run nor an outgoing connection can hold one of them.
+    """
+    number = os.getpid() % (64 * 256)
+    host = f"127.{64 + number // 256}.{number % 256}.1"
+    return lambda: Endpoint(host, next(_PORTS))
 
 
 @pytest.fixture
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -92,6 +92,12 @@
     assert stream.getvalue().endswith("INFO    view: Started. instance=a\n")
 
 
+def test_field_with_a_name_of_logging(output):
+    PartLogger("view").info("Started.", process="chicory-view", name="a")
+    (line,) = read_lines(output)
+    assert (line["process_"], line["name_"]) == ("chicory-view", "a")
+
+
 def test_output_that_takes_nothing():
     read_end, write_end = os.pipe()
     with os.fdopen(read_end), os.fdopen(write_end, "w") as stream:
@@ -99,7 +105,15 @@
         log = PartLogger("view")
         for _ in range(3000):
             log.info("A line that fills the pipe.")
+        assert handler.is_blocked
         assert handler.lost > 0
+        os.set_blocking(read_end, False)
+        taken = b""
+        while handler.is_blocked:
+            taken += os.read(read_end, 1 << 20)
+            handler.drain()
+        taken += os.read(read_end, 1 << 20)
+        assert taken.count(b"\n") == 3000 - handler.lost
         configure_logs(LogFormat.JSON, io.StringIO())
 
 
