Let entries ask homes for releases that they missed; split the router's duties

Ruled out: a refusal to release, since no home held the slots any more. Change: ReleaseQuery, sent to the homes of slots that are contested for longer than the idle timeout. Release and lease duties are modules of their own.

--- /dev/null
+++ b/src/chicoryproxy/leases.py
@@ -0,0 +1,73 @@
+"""What an entry does about grants besides deciding on packets: requests, answers and evidence."""
+
+from chicoryproxy.actions import SendToPeer
+from chicoryproxy.ids import InstanceId, UpstreamId
+from chicoryproxy.messages import GrantRequest, OpeningOutcomes, Priority
+from chicoryproxy.parts import Actions, EntryParts
+
+OUTCOME_INTERVAL_S = 1.0
+
+
+class LeaseDuty:
+    """Sends requests for openings to the owners, and evidence of how openings went.
+
+    :param parts: state of the entry.
+    """
+
+    def __init__(self, parts: EntryParts) -> None:
+        self._parts = parts
+        self._next_outcome_s = 0.0
+        self._reported: list[OpeningOutcomes] = []
+
+    def tick(self, now: float) -> Actions:
+        """Do what is due."""
+        return self._ask_owners(now) + self._send_outcomes(now)
+
+    def take_reported(self) -> tuple[OpeningOutcomes, ...]:
+        """Return the evidence on owned upstreams, for the view, and start collecting anew."""
+        reported, self._reported = tuple(self._reported), []
+        return reported
+
+    def _ask_owners(self, now: float) -> Actions:
+        actions: Actions = []
+        for request in self._parts.openings.take_requests():
+            owner = self._find_owner(request.upstream)
+            if owner == self._parts.own:
+                self._grant_self(request, now)
+            elif owner is not None:
+                actions.append(SendToPeer(owner, request, Priority.SAFETY))
+        return actions
+
+    def _grant_self(self, request: GrantRequest, now: float) -> None:
+        grant = self._parts.decide_grant(self._parts.own, request, now)
+        self._parts.holder.receive(grant, now)
+
+    def _send_outcomes(self, now: float) -> Actions:
+        if now < self._next_outcome_s:
+            return []
+        self._next_outcome_s = now + OUTCOME_INTERVAL_S
+        actions: Actions = []
+        for outcomes in self._parts.outcomes.take():
+            actions += self._deliver(outcomes, now)
+        return actions
+
+    def _deliver(self, outcomes: OpeningOutcomes, now: float) -> Actions:
+        owner = self._find_owner(outcomes.upstream)
+        if owner is None:
+            return []
+        if owner != self._parts.own:
+            return [SendToPeer(owner, outcomes, Priority.HANDOVER)]
+        self._parts.owner.outcomes(outcomes, now)
+        self._reported.append(outcomes)
+        return []
+
+    def _find_owner(self, name: UpstreamId) -> InstanceId | None:
+        upstream = self._parts.world.find_upstream(name)
+        if upstream is None:
+            return None
+        return self._parts.directory.owner_of(upstream.id, upstream.domain)
+
+
+def create_lease_duty(parts: EntryParts) -> LeaseDuty:
+    """Create the lease duty of one entry."""
+    return LeaseDuty(parts)
--- a/src/chicoryproxy/messages.py
+++ b/src/chicoryproxy/messages.py
@@ -175,6 +175,12 @@
     releases: tuple[SlotRelease, ...]
 
 
+class ReleaseQuery(Struct, frozen=True):
+    """Asks the home of slots to repeat the releases that it has given."""
+
+    slots: tuple[SlotName, ...]
+
+
 class GrantRequest(Struct, frozen=True):
     """Asks the owner of an upstream for openings.
 
@@ -347,6 +353,7 @@
     | SlotQuery
     | SlotReport
     | SlotReleases
+    | ReleaseQuery
     | GrantRequest
     | Grant
     | OpeningOutcomes
--- a/src/chicoryproxy/peer.capnp
+++ b/src/chicoryproxy/peer.capnp
@@ -24,6 +24,7 @@
     viewUpdate @18 :Data;
     entryReport @19 :Data;
     slotQuery @20 :SlotQuery;
+    releaseQuery @21 :ReleaseQuery;
   }
 }
 
@@ -87,6 +88,10 @@
   slots @1 :List(SlotName);
 }
 
+struct ReleaseQuery {
+  slots @0 :List(SlotName);
+}
+
 struct SlotReport {
   query @0 :UInt64;
   activities @1 :List(SlotActivity);
--- a/src/chicoryproxy/peers.py
+++ b/src/chicoryproxy/peers.py
@@ -19,6 +19,7 @@
     LeavingNotice,
     OpeningOutcomes,
     Priority,
+    ReleaseQuery,
     SlotActivity,
     SlotName,
     SlotQuery,
@@ -27,6 +28,7 @@
     SlotReport,
 )
 from chicoryproxy.parts import Actions, EntryParts
+from chicoryproxy.releases import ReleaseDuty
 from chicoryproxy.states import UpstreamState
 
 MAX_RECORDS_PER_ANSWER = 20_000
@@ -37,11 +39,13 @@
 
     :param parts: state of the entry.
     :param leaving: state of the own graceful stop.
+    :param releases: answers questions about released slots.
     """
 
-    def __init__(self, parts: EntryParts, leaving: LeavingEntry) -> None:
+    def __init__(self, parts: EntryParts, leaving: LeavingEntry, releases: ReleaseDuty) -> None:
         self._parts = parts
         self._leaving = leaving
+        self._releases = releases
         self._handlers: dict[type, Callable[..., Actions]] = {
             FlowHints: self._take_hints,
             FlowQuery: self._answer_query,
@@ -51,6 +55,7 @@
             SlotQuery: self._report_slots,
             SlotReport: self._take_report,
             SlotReleases: self._take_releases,
+            ReleaseQuery: self._repeat_releases,
             GrantRequest: self._grant,
             Grant: self._take_grant,
             OpeningOutcomes: self._take_outcomes,
@@ -137,6 +142,9 @@
             route.slots.apply_release(release)
         return []
 
+    def _repeat_releases(self, sender: InstanceId, message: ReleaseQuery, now: float) -> Actions:
+        return self._releases.answer(sender, message)
+
     def _grant(self, sender: InstanceId, message: GrantRequest, now: float) -> Actions:
         grant = self._parts.decide_grant(sender, message, now)
         return [SendToPeer(sender, grant, Priority.SAFETY)]
@@ -160,6 +168,8 @@
         return []
 
 
-def create_peer_exchange(parts: EntryParts, leaving: LeavingEntry) -> PeerExchange:
+def create_peer_exchange(
+    parts: EntryParts, leaving: LeavingEntry, releases: ReleaseDuty
+) -> PeerExchange:
     """Create the exchange of one entry with its peers."""
-    return PeerExchange(parts, leaving)
+    return PeerExchange(parts, leaving, releases)
--- /dev/null
+++ b/src/chicoryproxy/releases.py
@@ -0,0 +1,189 @@
+"""What an entry does for its contested slots besides deciding on packets.
+
+As home of a slot it keeps the records complete and releases the slot; as any other entry it asks
+the home for releases that it missed.
+"""
+
+from chicoryproxy.actions import SendToPeer
+from chicoryproxy.choke import is_permitted
+from chicoryproxy.ids import InstanceId
+from chicoryproxy.messages import (
+    Priority,
+    ReleaseQuery,
+    SlotName,
+    SlotQuestion,
+    SlotRelease,
+    SlotReleases,
+)
+from chicoryproxy.parts import Actions, EntryParts
+from chicoryproxy.route import ServiceRoute
+from chicoryproxy.settlement import ReadySlot, announce
+from chicoryproxy.slots import ServiceSlots
+
+SETTLE_INTERVAL_S = 0.25
+REFRESH_IDLE_SHARE = 0.5
+MIN_QUERY_INTERVAL_S = 1.0
+MAX_SLOTS_PER_QUERY = 32
+
+
+class ReleaseDuty:
+    """Releases own slots, refreshes their records and asks for missed releases.
+
+    :param parts: state of the entry.
+    """
+
+    def __init__(self, parts: EntryParts) -> None:
+        self._parts = parts
+        self._next_settle_s = 0.0
+        self._next_refresh_s = 0.0
+        self._next_query_s = 0.0
+
+    def tick(self, now: float) -> Actions:
+        """Do what is due."""
+        return self._settle(now) + self._refresh_records(now) + self._ask_for_releases(now)
+
+    def finish(self, now: float) -> Actions:
+        """Release the slots on which all peers agree."""
+        released = [
+            release
+            for release in self._parts.settlement.finish(now)
+            if self._apply_release(release)
+        ]
+        return list(announce(released, self._parts.directory.answering_peers()))
+
+    def answer(self, sender: InstanceId, query: ReleaseQuery) -> Actions:
+        """Repeat the releases of those slots of a query that are clean."""
+        releases = [
+            slots.release(slot.slot)
+            for slot in query.slots
+            if (slots := self._find_slots(slot)) is not None and slots.is_clean(slot.slot)
+        ]
+        if not releases:
+            return []
+        return [SendToPeer(sender, SlotReleases(tuple(releases)), Priority.HANDOVER)]
+
+    def _find_slots(self, slot: SlotName) -> ServiceSlots | None:
+        """Return the slots of a slot's service if their number is the same here."""
+        route = self._parts.world.find_service(slot.service)
+        if route is None or route.slots is None or route.slots.size != slot.size:
+            return None
+        return route.slots
+
+    def _apply_release(self, release: SlotRelease) -> bool:
+        """Release an own slot, unless a flow came up on an older candidate meanwhile."""
+        slots = self._find_slots(release.slot)
+        if slots is None or self._parts.has_live_older(release.slot):
+            return False
+        return slots.apply_release(release)
+
+    def _settle(self, now: float) -> Actions:
+        if now < self._next_settle_s or self._parts.world.is_behind:
+            return []
+        self._next_settle_s = now + SETTLE_INTERVAL_S
+        ready = [
+            item
+            for slots in self._parts.world.built_slots()
+            for item in self._ready_slots(slots, now)
+        ]
+        return list(self._parts.settlement.start(ready, now))
+
+    def _ready_slots(self, slots: ServiceSlots, now: float) -> list[ReadySlot]:
+        route = self._parts.world.find_service(slots.service)
+        if route is None or self._parts.world.placed < slots.version:
+            return []
+        idle_timeout_s = route.service.limits.idle_timeout_s
+        return [
+            ReadySlot(slots.release(slot), idle_timeout_s)
+            for slot in slots.pending()
+            if self._is_ready(route, slots, slot, now)
+        ]
+
+    def _is_ready(self, route: ServiceRoute, slots: ServiceSlots, slot: int, now: float) -> bool:
+        name = slots.name(slot)
+        newest = slots.newest(slot)
+        if newest is None or not self._parts.directory.is_home(name):
+            return False
+        if not self._parts.openings.takes_work(newest):
+            return False
+        since = slots.changed_since(slot)
+        if since is not None and now - since < self._wait_for_older(route, slots, slot):
+            return False
+        return not self._parts.has_live_older(name)
+
+    def _wait_for_older(self, route: ServiceRoute, slots: ServiceSlots, slot: int) -> float:
+        """Return how long a flow without a packet may still be alive on an older candidate."""
+        gate = self._parts.world.gate
+        newest = slots.newest(slot)
+        usable = [
+            upstream
+            for upstream in slots.candidates(slot)
+            if upstream != newest and is_permitted(gate, route.id, upstream)
+        ]
+        if usable:
+            return route.service.limits.idle_timeout_s
+        return self._parts.world.fleet.spread_s
+
+    def _refresh_records(self, now: float) -> Actions:
+        """Ask peers again for records that would expire here while their flows live there."""
+        if now < self._next_refresh_s:
+            return []
+        is_first = self._next_refresh_s == 0.0
+        changed = self._changed_slots()
+        if not changed:
+            return []
+        self._next_refresh_s = now + self._shortest_idle(changed) * REFRESH_IDLE_SHARE
+        if is_first:
+            return []
+        self._parts.take_over.refresh(self._own_questions(changed))
+        return list(self._parts.take_over.start(self._parts.directory.answering_peers(), now))
+
+    def _changed_slots(self) -> list[ServiceSlots]:
+        return [slots for slots in self._parts.world.built_slots() if slots.changed_count]
+
+    def _shortest_idle(self, changed: list[ServiceSlots]) -> float:
+        """Return the shortest idle timeout of the services of slots, in seconds."""
+        routes = (self._parts.world.find_service(slots.service) for slots in changed)
+        timeouts = [route.service.limits.idle_timeout_s for route in routes if route is not None]
+        return min(timeouts, default=MIN_QUERY_INTERVAL_S)
+
+    def _own_questions(self, changed: list[ServiceSlots]) -> list[SlotQuestion]:
+        return [
+            SlotQuestion(slots.name(slot), slots.base_name(slot))
+            for slots in changed
+            for slot in slots.changed()
+            if self._parts.directory.is_home(slots.name(slot))
+        ]
+
+    def _ask_for_releases(self, now: float) -> Actions:
+        """Ask homes about slots that are contested here longer than a release should take."""
+        if now < self._next_query_s:
+            return []
+        changed = self._changed_slots()
+        interval_s = max(MIN_QUERY_INTERVAL_S, self._shortest_idle(changed))
+        self._next_query_s = now + interval_s
+        by_home: dict[InstanceId, list[SlotName]] = {}
+        for slots in changed:
+            for slot in slots.changed():
+                self._note_overdue(by_home, slots, slot, now - interval_s)
+        return [
+            SendToPeer(home, ReleaseQuery(tuple(names[:MAX_SLOTS_PER_QUERY])), Priority.HANDOVER)
+            for home, names in by_home.items()
+        ]
+
+    def _note_overdue(
+        self,
+        by_home: dict[InstanceId, list[SlotName]],
+        slots: ServiceSlots,
+        slot: int,
+        limit_s: float,
+    ) -> None:
+        name = slots.name(slot)
+        homes = self._parts.directory.homes_of(name)
+        since = slots.changed_since(slot)
+        if homes and homes[0] != self._parts.own and since is not None and since <= limit_s:
+            by_home.setdefault(homes[0], []).append(name)
+
+
+def create_release_duty(parts: EntryParts) -> ReleaseDuty:
+    """Create the release duty of one entry."""
+    return ReleaseDuty(parts)
--- a/src/chicoryproxy/router.py
+++ b/src/chicoryproxy/router.py
@@ -6,38 +6,31 @@
 from collections.abc import Sequence
 
 from chicoryproxy.actions import Drop, PacketAction, SendToPeer
-from chicoryproxy.choke import is_permitted
 from chicoryproxy.decision import create_decider
 from chicoryproxy.flowtable import FlowFlag
 from chicoryproxy.handover import create_leaving_entry
 from chicoryproxy.ids import DomainId, FlowKey, InstanceId, RegionId, UpstreamId
+from chicoryproxy.leases import create_lease_duty
 from chicoryproxy.messages import (
     EntryMessage,
     EntryReport,
     FlowRecord,
-    GrantRequest,
-    OpeningOutcomes,
     PassedPacket,
     Priority,
     ServiceClean,
-    SlotQuestion,
-    SlotRelease,
     ViewUpdate,
 )
 from chicoryproxy.model import FleetLimits
 from chicoryproxy.packet import UDP, PacketHead, hash_flow, read_packet
 from chicoryproxy.parts import Actions, EntryParts
 from chicoryproxy.peers import create_peer_exchange
+from chicoryproxy.releases import create_release_duty
 from chicoryproxy.returns import create_return_path
 from chicoryproxy.route import PacketAtHand, ServiceRoute
-from chicoryproxy.settlement import ReadySlot, announce
 from chicoryproxy.slots import Answer, ServiceSlots
 from chicoryproxy.states import DropReason, RouteReason
 
 EXPIRED_PER_TICK = 2000
-SETTLE_INTERVAL_S = 0.25
-OUTCOME_INTERVAL_S = 1.0
-REFRESH_IDLE_SHARE = 0.5
 MAX_RECORDS_PER_SLOT = 10_000
 
 _DROPS: dict[DropReason, tuple[Drop, ...]] = {reason: (Drop(reason),) for reason in DropReason}
@@ -61,12 +54,10 @@
         self._leaving = create_leaving_entry(own)
         self._decider = create_decider(self._parts)
         self._returns = create_return_path(self._parts, self._decider)
-        self._exchange = create_peer_exchange(self._parts, self._leaving)
+        self._releases = create_release_duty(self._parts)
+        self._leases = create_lease_duty(self._parts)
+        self._exchange = create_peer_exchange(self._parts, self._leaving, self._releases)
         self._last_tick_s: float | None = None
-        self._next_settle_s = 0.0
-        self._next_outcome_s = 0.0
-        self._next_refresh_s = 0.0
-        self._report_outcomes: list[OpeningOutcomes] = []
 
     def receive_packet(
         self, data: bytes, source: Sequence[object], now: float
@@ -128,11 +119,9 @@
         self._parts.records.table.expire(now, EXPIRED_PER_TICK)
         self._decider.expire_openings(now)
         actions: Actions = self._finish_rounds(now)
+        actions += self._leases.tick(now)
         actions += self._decider.retry_waiting(now)
-        actions += self._ask_for_grants(now)
-        actions += self._settle(now)
-        actions += self._refresh_records(now)
-        actions += self._send_outcomes(now)
+        actions += self._releases.tick(now)
         actions += self._leaving.tick(now)
         actions += self._parts.hints.flush(now)
         return actions
@@ -154,13 +143,12 @@
 
     def take_report(self) -> EntryReport:
         """Return what the view should know, and start collecting anew."""
-        outcomes, self._report_outcomes = tuple(self._report_outcomes), []
         clean = tuple(
             ServiceClean(slots.service, slots.version)
             for slots in self._parts.world.built_slots()
             if slots.has_spare_generations
         )
-        return EntryReport(clean, outcomes, self._parts.owner.warmed())
+        return EntryReport(clean, self._leases.take_reported(), self._parts.owner.warmed())
 
     def _forward_clean(
         self,
@@ -264,139 +252,7 @@
         for packet in self._parts.take_over.finish(now):
             actions += self._decider.resume(packet, now)
         actions += self._parts.take_over.start(self._parts.directory.answering_peers(), now)
-        return actions + self._release(now)
-
-    def _release(self, now: float) -> Actions:
-        released = [
-            release
-            for release in self._parts.settlement.finish(now)
-            if self._apply_release(release)
-        ]
-        return list(announce(released, self._parts.directory.answering_peers()))
-
-    def _apply_release(self, release: SlotRelease) -> bool:
-        """Release an own slot, unless a flow came up on an older candidate meanwhile."""
-        route = self._parts.world.find_service(release.slot.service)
-        if route is None or route.slots is None or self._parts.has_live_older(release.slot):
-            return False
-        return route.slots.apply_release(release)
-
-    def _settle(self, now: float) -> Actions:
-        if now < self._next_settle_s or self._parts.world.is_behind:
-            return []
-        self._next_settle_s = now + SETTLE_INTERVAL_S
-        ready = [
-            item
-            for slots in self._parts.world.built_slots()
-            for item in self._ready_slots(slots, now)
-        ]
-        return list(self._parts.settlement.start(ready, now))
-
-    def _ready_slots(self, slots: ServiceSlots, now: float) -> list[ReadySlot]:
-        route = self._parts.world.find_service(slots.service)
-        if route is None or not self._is_settled_version(slots):
-            return []
-        idle_timeout_s = route.service.limits.idle_timeout_s
-        return [
-            ReadySlot(slots.release(slot), idle_timeout_s)
-            for slot in slots.pending()
-            if self._is_ready(route, slots, slot, now)
-        ]
-
-    def _is_settled_version(self, slots: ServiceSlots) -> bool:
-        return self._parts.world.placed >= slots.version
-
-    def _is_ready(self, route: ServiceRoute, slots: ServiceSlots, slot: int, now: float) -> bool:
-        name = slots.name(slot)
-        if not self._parts.directory.is_home(name):
-            return False
-        newest = slots.newest(slot)
-        if newest is None or not self._parts.openings.takes_work(newest):
-            return False
-        if not self._parts.take_over.has_all_records(name) or self._parts.has_live_older(name):
-            return False
-        since = slots.changed_since(slot)
-        return since is None or now - since >= self._wait_for_older(route, slots, slot)
-
-    def _wait_for_older(self, route: ServiceRoute, slots: ServiceSlots, slot: int) -> float:
-        """Return how long a flow without a packet may still be alive on an older candidate."""
-        gate = self._parts.world.gate
-        usable = [
-            upstream
-            for upstream in slots.candidates(slot)
-            if upstream != slots.newest(slot) and is_permitted(gate, route.id, upstream)
-        ]
-        if usable:
-            return route.service.limits.idle_timeout_s
-        return self._parts.world.fleet.spread_s
-
-    def _refresh_records(self, now: float) -> Actions:
-        """Ask peers again for records that would expire here while their flows live there."""
-        if now < self._next_refresh_s:
-            return []
-        is_first = self._next_refresh_s == 0.0
-        changed = [slots for slots in self._parts.world.built_slots() if slots.changed_count]
-        if not changed:
-            return []
-        timeouts = [
-            route.service.limits.idle_timeout_s
-            for slots in changed
-            if (route := self._parts.world.find_service(slots.service)) is not None
-        ]
-        self._next_refresh_s = now + min(timeouts) * REFRESH_IDLE_SHARE
-        if is_first:
-            return []
-        self._parts.take_over.refresh(self._own_questions(changed))
-        return list(self._parts.take_over.start(self._parts.directory.answering_peers(), now))
-
-    def _own_questions(self, changed: list[ServiceSlots]) -> list[SlotQuestion]:
-        return [
-            SlotQuestion(slots.name(slot), slots.base_name(slot))
-            for slots in changed
-            for slot in slots.changed()
-            if self._parts.directory.is_home(slots.name(slot))
-        ]
-
-    def _ask_for_grants(self, now: float) -> Actions:
-        actions: Actions = []
-        for request in self._parts.openings.take_requests():
-            actions += self._ask_owner(request, now)
-        return actions
-
-    def _ask_owner(self, request: GrantRequest, now: float) -> Actions:
-        upstream = self._parts.world.find_upstream(request.upstream)
-        if upstream is None:
-            return []
-        owner = self._parts.directory.owner_of(upstream.id, upstream.domain)
-        if owner is None:
-            return []
-        if owner == self._parts.own:
-            grant = self._parts.decide_grant(owner, request, now)
-            self._parts.holder.receive(grant, now)
-            return self._decider.retry_waiting(now)
-        return [SendToPeer(owner, request, Priority.SAFETY)]
-
-    def _send_outcomes(self, now: float) -> Actions:
-        if now < self._next_outcome_s:
-            return []
-        self._next_outcome_s = now + OUTCOME_INTERVAL_S
-        actions: Actions = []
-        for outcomes in self._parts.outcomes.take():
-            actions += self._deliver_outcomes(outcomes, now)
-        return actions
-
-    def _deliver_outcomes(self, outcomes: OpeningOutcomes, now: float) -> Actions:
-        upstream = self._parts.world.find_upstream(outcomes.upstream)
-        if upstream is None:
-            return []
-        owner = self._parts.directory.owner_of(upstream.id, upstream.domain)
-        if owner == self._parts.own:
-            self._parts.owner.outcomes(outcomes, now)
-            self._report_outcomes.append(outcomes)
-            return []
-        if owner is None:
-            return []
-        return [SendToPeer(owner, outcomes, Priority.HANDOVER)]
+        return actions + self._releases.finish(now)
 
     def _records_by_home(self) -> dict[InstanceId, list[FlowRecord]]:
         """Return the records of contested slots by the instance that is their home now."""
--- a/src/chicoryproxy/slots.py
+++ b/src/chicoryproxy/slots.py
@@ -170,6 +170,10 @@
         """Return whether a slot waits for a release of its home."""
         return bool(self._held[slot])
 
+    def is_clean(self, slot: int) -> bool:
+        """Return whether any entry may decide alone on packets of a slot."""
+        return not self._held[slot] and self._answers[self._indexes[slot]] is not None
+
     def candidates(self, slot: int) -> list[UpstreamId]:
         """Return the distinct candidates of a slot, oldest first."""
         return list(dict.fromkeys(self._placements(slot)))
