Keep records at living homes: hints for known flows, signs of life, informed successors

Change: a hint for each passed packet of a known flow; records for a new successor; a home that does not react to passed packets for 0.6 s is avoided for its successor; releases stay known when generations are pruned.

--- a/src/chicoryproxy/decision.py
+++ b/src/chicoryproxy/decision.py
@@ -67,7 +67,7 @@
         """Decide on a packet as the home of its slot."""
         if packet.head.flags & FLAG_RST:
             self.cancel(packet.flow)
-        known = self.follow_record(packet, now)
+        known = self._follow_as_home(packet, now)
         if known is not None:
             return known
         answer = packet.slots.find_answer(packet.flow)
@@ -81,7 +81,7 @@
     def resume(self, packet: PacketAtHand, now: float) -> Actions:
         """Decide on a packet that waited for the records of peers."""
         held = _as_held(packet, self._parts)
-        known = self.follow_record(held, now)
+        known = self._follow_as_home(held, now)
         if known is not None:
             return known
         return self._decide_unknown(held, now)
@@ -138,6 +138,14 @@
         actions.append(self._parts.log(packet, reason, None))
         return actions
 
+    def _follow_as_home(self, packet: PacketAtHand, now: float) -> Actions | None:
+        """Send a packet where its flow's record says, and tell the peer that passed it."""
+        known = self.follow_record(packet, now)
+        target = self._parts.records.find(packet.flow)
+        if known is not None and target is not None:
+            self._hint(packet, target.upstream, to_successor=False)
+        return known
+
     def _hold(self, packet: PacketAtHand, now: float) -> Actions:
         if not self._parts.take_over.hold(packet):
             return self._drop(packet, DropReason.QUEUE_FULL)
--- a/src/chicoryproxy/hints.py
+++ b/src/chicoryproxy/hints.py
@@ -9,13 +9,15 @@
 ENVELOPE_BYTES = 80
 MAX_RECORDS_PER_MESSAGE = 36
 MAX_RECORDS_WAITING = 10_000
+SIGN_INTERVAL_S = 0.25
 
 
 class HintBatches:
     """Collects records for each peer and sends them together at the next tick.
 
     Records for the successor go before records for the entry that passed a packet: without the
-    latter packets only keep taking the hop.
+    latter packets only keep taking the hop. A peer that passed packets and gets no records for
+    them gets an empty message now and then, as a sign that its home is there.
 
     :param budget: control budget of the instance.
     :ivar left_out: records that the budget did not allow.
@@ -28,6 +30,12 @@
             Priority.HANDOVER: {},
             Priority.HINT: {},
         }
+        self._passers: set[InstanceId] = set()
+        self._sign_sent_s: dict[InstanceId, float] = {}
+
+    def note_pass(self, peer: InstanceId) -> None:
+        """Note a peer that passed a packet."""
+        self._passers.add(peer)
 
     def add(self, peer: InstanceId, record: FlowRecord, priority: Priority) -> None:
         """Add a record for a peer."""
@@ -45,7 +53,18 @@
             self._waiting[priority] = {}
             for peer, records in waiting.items():
                 actions += self._flush_peer(peer, records, priority, now)
-        return actions
+        return actions + self._give_signs({action.instance for action in actions}, now)
+
+    def _give_signs(self, reached: set[InstanceId], now: float) -> list[SendToPeer]:
+        unreached = self._passers - reached
+        self._passers.clear()
+        self._sign_sent_s.update(dict.fromkeys(reached, now))
+        due = sorted(peer for peer in unreached if self._is_sign_due(peer, now))
+        self._sign_sent_s.update(dict.fromkeys(due, now))
+        return [SendToPeer(peer, FlowHints(()), Priority.SAFETY) for peer in due]
+
+    def _is_sign_due(self, peer: InstanceId, now: float) -> bool:
+        return now - self._sign_sent_s.get(peer, now - SIGN_INTERVAL_S) >= SIGN_INTERVAL_S
 
     def _flush_peer(
         self, peer: InstanceId, records: list[FlowRecord], priority: Priority, now: float
--- a/src/chicoryproxy/parts.py
+++ b/src/chicoryproxy/parts.py
@@ -2,6 +2,7 @@
 
 from chicoryproxy.actions import LogRoute, PacketAction, SendToPeer
 from chicoryproxy.budget import ControlBudget
+from chicoryproxy.contact import create_peer_contact
 from chicoryproxy.grants import REFUSAL_WAIT_S, GrantHolder, GrantOwner
 from chicoryproxy.hints import HintBatches
 from chicoryproxy.homes import create_home_directory
@@ -21,10 +22,13 @@
 from chicoryproxy.records import create_flow_records
 from chicoryproxy.route import PacketAtHand
 from chicoryproxy.settlement import create_settlement
+from chicoryproxy.slots import ServiceSlots
 from chicoryproxy.states import DropReason, RefusalReason, RouteReason
 from chicoryproxy.takeover import create_take_over
 from chicoryproxy.world import create_world
 
+MAX_RECORDS_PER_SLOT = 10_000
+
 
 class EntryParts:
     """The state of one entry, each part with one job.
@@ -50,6 +54,8 @@
         self.take_over = create_take_over()
         self.settlement = create_settlement(self.directory)
         self.outcomes = OutcomeCounts()
+        self.contact = create_peer_contact()
+        self._successors: dict[SlotName, InstanceId] = {}
 
     def log(
         self,
@@ -72,9 +78,24 @@
         return LogRoute(reason, service, flow, slot, self.world.version, target)
 
     def change_homes(self) -> None:
-        """Note that homes moved."""
+        """Note that homes moved; a new successor of an own slot gets its records."""
         self.take_over.change_homes(self.directory.is_home)
         self.settlement.forget()
+        for slots in self.world.built_slots():
+            for slot in slots.changed():
+                self._inform_successor(slots, slots.name(slot))
+
+    def _inform_successor(self, slots: ServiceSlots, name: SlotName) -> None:
+        homes = self.directory.homes_of(name)
+        if len(homes) < 2 or homes[0] != self.own:
+            self._successors.pop(name, None)
+            return
+        if self._successors.get(name) == homes[1]:
+            return
+        self._successors[name] = homes[1]
+        base = slots.base_name(name.slot)
+        for record in self.records.records_of(name, base, MAX_RECORDS_PER_SLOT):
+            self.hints.add(homes[1], record, Priority.HANDOVER)
 
     def has_live_older(self, slot: SlotName) -> bool:
         """Return whether a slot has a live record on another upstream than the newest."""
--- a/src/chicoryproxy/router.py
+++ b/src/chicoryproxy/router.py
@@ -22,7 +22,7 @@
 )
 from chicoryproxy.model import FleetLimits
 from chicoryproxy.packet import UDP, PacketHead, hash_flow, read_packet
-from chicoryproxy.parts import Actions, EntryParts
+from chicoryproxy.parts import MAX_RECORDS_PER_SLOT, Actions, EntryParts
 from chicoryproxy.peers import create_peer_exchange
 from chicoryproxy.releases import create_release_duty
 from chicoryproxy.returns import create_return_path
@@ -31,7 +31,6 @@
 from chicoryproxy.states import DropReason, RouteReason
 
 EXPIRED_PER_TICK = 2000
-MAX_RECORDS_PER_SLOT = 10_000
 
 _DROPS: dict[DropReason, tuple[Drop, ...]] = {reason: (Drop(reason),) for reason in DropReason}
 
@@ -89,7 +88,9 @@
         """Take a message of another entry."""
         if self._parts.directory.is_hidden(sender):
             self._note_heal()
+        self._parts.contact.note_heard(sender)
         if isinstance(message, PassedPacket):
+            self._parts.hints.note_pass(sender)
             return self._receive_passed(sender, message, now)
         actions = self._exchange.receive(sender, message, now)
         return actions + self._finish_rounds(now)
@@ -185,11 +186,20 @@
         homes = self._parts.directory.homes_of(packet.slot)
         if not homes:
             return _DROPS[DropReason.NO_HOME]
-        if homes[0] == self._parts.own:
+        home = self._choose_home(homes, now)
+        if home == self._parts.own:
             return self._decider.decide(packet, now)
-        return self._pass(packet, homes[0])
+        return self._pass(packet, home, now)
 
-    def _pass(self, packet: PacketAtHand, home: InstanceId) -> Sequence[PacketAction]:
+    def _choose_home(self, homes: Sequence[InstanceId], now: float) -> InstanceId:
+        """Return the first home that reacts to packets, or else the first of all."""
+        for home in homes:
+            if not self._parts.contact.is_silent(home, now):
+                return home
+        return homes[0]
+
+    def _pass(self, packet: PacketAtHand, home: InstanceId, now: float) -> Sequence[PacketAction]:
+        self._parts.contact.note_passed(home, now)
         is_behind = self._parts.world.is_behind
         reason = RouteReason.PASSED_BEHIND if is_behind else RouteReason.PASSED_CONTESTED
         message = PassedPacket(self._parts.world.version, packet.data)
@@ -243,6 +253,7 @@
         if last is None or now - last < self._parts.world.fleet.pause_s:
             return
         self._parts.world.is_stale = True
+        self._parts.contact.forget_all()
         self._parts.holder.void()
         self._parts.owner.void(now)
         self._parts.take_over.distrust_all()
--- a/src/chicoryproxy/slots.py
+++ b/src/chicoryproxy/slots.py
@@ -55,6 +55,7 @@
         self._changed: dict[int, float] = {}
         self._wanted: dict[int, float] = {}
         self._epochs: dict[UpstreamId, Epoch] = {}
+        self._pruned: Version = NO_VERSION
 
     @property
     def version(self) -> Version:
@@ -92,10 +93,13 @@
         :returns: slots that were clean before and are contested now.
         """
         known = {item.generation: item for item in self._tables}
+        oldest = self._tables[0].generation.version if self._tables else None
         self._tables = tuple(
             known.get(generation) or SlotTable(generation, create_table(generation))
             for generation in sorted(generations, key=lambda item: item.version)
         )
+        if oldest is not None and self._tables and self._tables[0].generation.version > oldest:
+            self._pruned = self._tables[0].generation.version
         self._placed = self._choose_placed(placed)
         self._resize(max((item.table.size for item in self._tables), default=1))
         self._index_newest()
@@ -244,10 +248,13 @@
         return True
 
     def floor(self, slot: SlotName) -> SlotFloor:
-        """Return as of which version a slot was last released, as far as this instance knows."""
+        """Return as of which version a slot was last released, as far as this instance knows.
+
+        Generations are pruned only when every slot has been released as of a later one.
+        """
         if slot.size != self.size:
-            return SlotFloor(slot, NO_VERSION)
-        return SlotFloor(slot, self._released.get(slot.slot, NO_VERSION))
+            return SlotFloor(slot, self._pruned)
+        return SlotFloor(slot, max(self._pruned, self._released.get(slot.slot, NO_VERSION)))
 
     def adopt_floor(self, floor: SlotFloor) -> bool:
         """Take the version as of which a slot was released; older generations don't count for it.
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -11,6 +11,7 @@
     FakeFleet,
     FlowOutcome,
     change_upstreams,
+    create_instances,
     create_upstream,
     set_domain,
 )
@@ -132,3 +133,79 @@
     fleet.kill(name)
     fleet.run(LATE_S)
     assert_all_done(fleet)
+
+
+def drain(fleet: FakeFleet, service: Service, index: int) -> None:
+    """Publish that an upstream of a service drains."""
+    current = next(item for item in fleet.platform.served.services if item.id == service.id)
+    upstreams = [
+        msgspec.structs.replace(item, draining=True) if number == index else item
+        for number, item in enumerate(current.upstreams)
+    ]
+    fleet.publish(change_upstreams(fleet.platform.served, service.id, upstreams))
+
+
+def join(fleet: FakeFleet, number: int) -> InstanceId:
+    """Start another instance and list it."""
+    domain = fleet.platform.instances[0].domain
+    region = fleet.platform.instances[0].region
+    instance = create_instances([domain], region, 1, first=number)[0]
+    fleet.platform.list_instances((*fleet.platform.instances, instance))
+    fleet.start_node(instance)
+    return instance.id
+
+
+def test_each_entry_passes_a_known_flow_once(fleet, service):
+    drain(fleet, service, 2)
+    fleet.run(1.0)
+    flow = fleet.open_flows(service, 200, 0.2, rounds=30, interval_s=0.1)
+    passed = sum(node.passed for node in fleet.nodes.values())
+    fleet.run(8.0)
+    others = len(fleet.nodes) - 1
+    more = sum(node.passed for node in fleet.nodes.values()) - passed
+    assert more <= others * (len(flow) + FLOWS)
+
+
+def test_joiner_learns_releases_with_the_records(fleet, service):
+    drain(fleet, service, 2)
+    fleet.run(LATE_S)
+    assert count_changed(fleet) == 0
+    opened = fleet.open_flows(service, FLOWS, 2.0, rounds=20, interval_s=1.0)
+    fleet.run(2.0)
+    join(fleet, 20)
+    fleet.run(1.0)
+    drain(fleet, service, 3)
+    fleet.run(LATE_S)
+    assert fleet.count(opened) == {FlowOutcome.DONE: FLOWS}
+
+
+def test_silent_home_is_avoided_before_membership_notices(fleet, service):
+    drain(fleet, service, 2)
+    fleet.run(0.5)
+    fleet.kill(InstanceId("entry-3"))
+    opened = fleet.open_flows(service, FLOWS, 1.0, ROUNDS, 0.2)
+    fleet.run(2.6)
+    assert fleet.count(opened)[FlowOutcome.OPENING] == 0
+
+
+def test_new_successor_has_the_records_of_a_killed_home(fleet, service):
+    drain(fleet, service, 2)
+    fleet.run(3.0)
+    for number in (20, 21, 22):
+        join(fleet, number)
+    fleet.run(3.0)
+    fleet.kill(InstanceId("entry-20"))
+    fleet.run(6.0)
+    fleet.kill(InstanceId("entry-21"))
+    fleet.run(LATE_S)
+    assert_all_done(fleet)
+
+
+def test_joiner_that_missed_the_releases_asks_for_them(fleet, service):
+    drain(fleet, service, 2)
+    fleet.run(2.0)
+    name = join(fleet, 20)
+    fleet.run(1.0)
+    fleet.fabric.remove(name)
+    fleet.run(LATE_S)
+    assert sum(item.changed_count for item in fleet.nodes[name].core.built_slots()) == 0
