--- a/src/chicoryproxy/parts.py
+++ b/src/chicoryproxy/parts.py
@@ -15,7 +15,7 @@
     SlotIndex,
     UpstreamId,
 )
-from chicoryproxy.messages import Grant, GrantRequest, Priority, SlotName, SlotReleases
+from chicoryproxy.messages import FlowRecord, Grant, GrantRequest, Priority, SlotName, SlotReleases
 from chicoryproxy.model import FleetLimits
 from chicoryproxy.openings import create_openings
 from chicoryproxy.outcomes import OutcomeCounts
@@ -28,6 +28,7 @@
 from chicoryproxy.world import create_world
 
 MAX_RECORDS_PER_SLOT = 10_000
+ENTRY_SHARE = 0.5
 
 
 class EntryParts:
@@ -46,7 +47,7 @@
         self.directory = create_home_directory(own, domain, region)
         self.world = create_world(self.directory)
         self.records = create_flow_records(fleet.flow_table_size)
-        self.budget = ControlBudget(fleet.control_bytes_per_s)
+        self.budget = ControlBudget(fleet.control_bytes_per_s * ENTRY_SHARE)
         self.hints = HintBatches(self.budget)
         self.holder = GrantHolder()
         self.owner = GrantOwner(fleet.lease_s)
@@ -85,6 +86,15 @@
             for slot in slots.changed():
                 self._inform_successor(slots, slots.name(slot))
 
+    def tell_successor(self, record: FlowRecord) -> None:
+        """Send a record of an own slot to the slot's successor."""
+        route = self.world.find_service(record.service)
+        if route is None or route.slots is None:
+            return
+        homes = self.directory.homes_of(route.slots.name(route.slots.slot_of(record.flow)))
+        if len(homes) > 1 and homes[0] == self.own:
+            self.hints.add(homes[1], record, Priority.HANDOVER)
+
     def _inform_successor(self, slots: ServiceSlots, name: SlotName) -> None:
         homes = self.directory.homes_of(name)
         if len(homes) < 2 or homes[0] != self.own:
--- a/src/chicoryproxy/peers.py
+++ b/src/chicoryproxy/peers.py
@@ -103,6 +103,7 @@
     def _take_answer(self, sender: InstanceId, message: FlowAnswer, now: float) -> Actions:
         for record in message.records:
             self._take_record(record, now)
+            self._parts.tell_successor(record)
         for floor in message.floors:
             route = self._parts.world.find_service(floor.slot.service)
             if route is not None and route.slots is not None:
--- a/src/chicoryproxy/router.py
+++ b/src/chicoryproxy/router.py
@@ -18,11 +18,12 @@
     PassedPacket,
     Priority,
     ServiceClean,
+    SlotName,
     ViewUpdate,
 )
 from chicoryproxy.model import FleetLimits
 from chicoryproxy.packet import UDP, PacketHead, hash_flow, read_packet
-from chicoryproxy.parts import MAX_RECORDS_PER_SLOT, Actions, EntryParts
+from chicoryproxy.parts import ENTRY_SHARE, MAX_RECORDS_PER_SLOT, Actions, EntryParts
 from chicoryproxy.peers import create_peer_exchange
 from chicoryproxy.releases import create_release_duty
 from chicoryproxy.returns import create_return_path
@@ -99,7 +100,7 @@
         """Take a new view of the world."""
         parts = self._parts
         change = parts.world.update(update, now)
-        parts.budget.set_rate(parts.world.fleet.control_bytes_per_s)
+        parts.budget.set_rate(parts.world.fleet.control_bytes_per_s * ENTRY_SHARE)
         parts.openings.spread_s = parts.world.fleet.spread_s
         if parts.world.gate is not None:
             parts.openings.update(parts.world.gate, parts.world.conditions)
@@ -142,6 +143,21 @@
         """Return the slots of all services that had a packet."""
         return self._parts.world.built_slots()
 
+    def own_contested_slots(self) -> list[tuple[SlotName, InstanceId]]:
+        """Return the slots with several candidates that this entry is home of, with successors."""
+        directory = self._parts.directory
+        names = [slots.name(slot) for slots in self.built_slots() for slot in slots.changed()]
+        homes = [(name, directory.homes_of(name)) for name in names]
+        return [
+            (name, found[1]) for name, found in homes if len(found) > 1 and directory.is_home(name)
+        ]
+
+    def records_of(self, slot: SlotName) -> Sequence[FlowRecord]:
+        """Return the records of a contested slot that its base doesn't imply."""
+        route = self._parts.world.find_service(slot.service)
+        base = route.slots.base_name(slot.slot) if route and route.slots else None
+        return self._parts.records.records_of(slot, base, MAX_RECORDS_PER_SLOT)
+
     def take_report(self) -> EntryReport:
         """Return what the view should know, and start collecting anew."""
         clean = tuple(
