Read the index and its parts from the platform

Cause: the watch decoded one value as the whole configuration; at 24,000 servers it has 5.4 MB, and a value of the platform holds one. Change: PlatformWatch reads the index, then the parts that it lacks with a gap between two, and hands a version on when all are there; the stand-in publishes that form. Result: a version with a missing or a wrong part is unread, and comes once the part is right.

--- a/src/chicoryproxy/platform.py
+++ b/src/chicoryproxy/platform.py
@@ -4,16 +4,20 @@
 and an ``ETag``. A watch repeats the ``ETag`` in ``If-None-Match`` and asks with ``Prefer:
 wait=SECONDS`` (RFC 7240) that the answer is held until the value changes; the answer is 200 with
 the new value or 304 after the wait.
+
+The value ``configuration`` is an index; the parts that it names are read one after the other, and
+a version is handed on when all of them are there (``docs/design/published-form.md``).
 """
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from enum import Enum, unique
 
 import aiohttp
 import msgspec
 from msgspec import Struct
 
+from chicoryproxy.assembly import PublicationReader
 from chicoryproxy.backoff import Backoff
 from chicoryproxy.events import (
     ConfigurationRead,
@@ -24,13 +28,17 @@
 from chicoryproxy.ids import Version
 from chicoryproxy.logs import PartLogger
 from chicoryproxy.metrics import Metric, Metrics
-from chicoryproxy.model import Configuration, Instance
+from chicoryproxy.model import Instance
+from chicoryproxy.published import INDEX_NAME, MAX_VALUE_BYTES, PublishedFault
 
 WAIT_S = 30
 ANSWER_TIMEOUT_S = 5.0
 MIN_INTERVAL_S = 0.5
-MAX_VALUE_BYTES = 1024 * 1024
-CONFIGURATION_PATH = "/v1/values/configuration"
+PART_INTERVAL_S = 0.02
+"""Gap between two parts, so that readers that start together keep within the platform's rate."""
+
+VALUES_PATH = "/v1/values/"
+CONFIGURATION_PATH = VALUES_PATH + INDEX_NAME
 INSTANCES_PATH = "/v1/instances"
 PART = "platform"
 
@@ -108,6 +116,7 @@
         self._seed = seed
         self._tasks: list[asyncio.Task[None]] = []
         self._version = Version(0)
+        self._publication = PublicationReader()
 
     @property
     def is_watching(self) -> bool:
@@ -121,8 +130,8 @@
             return
         loop = asyncio.get_running_loop()
         self._tasks = [
-            loop.create_task(self._watch(CONFIGURATION_PATH, self._take_configuration, 1)),
-            loop.create_task(self._watch(INSTANCES_PATH, self._take_instances, 2)),
+            loop.create_task(self._watch(CONFIGURATION_PATH, self._read_configuration, 1)),
+            loop.create_task(self._watch(INSTANCES_PATH, self._read_instances, 2)),
         ]
 
     def stop(self) -> None:
@@ -131,7 +140,9 @@
             task.cancel()
         self._tasks = []
 
-    async def _watch(self, path: str, take: Callable[[bytes], PlatformEvent], number: int) -> None:
+    async def _watch(
+        self, path: str, take: Callable[[bytes], Awaitable[PlatformEvent]], number: int
+    ) -> None:
         backoff = Backoff(self._seed + number)
         clock = asyncio.get_running_loop().time
         etag = ""
@@ -139,7 +150,7 @@
             started = clock()
             value = await self._reader.read(path, etag)
             if isinstance(value, Value):
-                event = take(value.body)
+                event = await take(value.body)
             elif value is ReadProblem.UNCHANGED:
                 event = None
             else:
@@ -160,19 +171,40 @@
             PartLogger(PART).warning("Read failed.", reason=event.reason)
         self._receive(event)
 
-    def _take_configuration(self, body: bytes) -> PlatformEvent:
-        try:
-            configuration = msgspec.json.decode(body, type=Configuration)
-        except (msgspec.MsgspecError, ValueError) as error:
-            return PlatformUnread(f"{CONFIGURATION_PATH}: {error}")
-        if configuration.version < self._version:
-            return PlatformUnread(
-                f"{CONFIGURATION_PATH}: version {configuration.version} is older than "
-                f"version {self._version}"
-            )
+    async def _read_configuration(self, body: bytes) -> PlatformEvent:
+        """Read the parts that an index names and that are not here yet."""
+        names = self._take_index(body)
+        if isinstance(names, PlatformUnread):
+            return names
+        for number, name in enumerate(names):
+            if number:
+                await asyncio.sleep(PART_INTERVAL_S)
+            value = await self._reader.read(VALUES_PATH + name)
+            if isinstance(value, ReadProblem):
+                return PlatformUnread(f"{name}: {value.value}")
+            fault = self._publication.take_part(name, value.body)
+            if fault is not None:
+                return PlatformUnread(str(fault))
+        configuration = self._publication.finish()
+        if isinstance(configuration, PublishedFault):
+            return PlatformUnread(str(configuration))
         self._version = configuration.version
         return ConfigurationRead(configuration)
 
+    def _take_index(self, body: bytes) -> tuple[str, ...] | PlatformUnread:
+        names = self._publication.take_index(body)
+        if isinstance(names, PublishedFault):
+            return PlatformUnread(str(names))
+        version = self._publication.version
+        if version < self._version:
+            return PlatformUnread(
+                f"{INDEX_NAME}: version {version} is older than version {self._version}"
+            )
+        return names
+
+    async def _read_instances(self, body: bytes) -> PlatformEvent:
+        return self._take_instances(body)
+
     def _take_instances(self, body: bytes) -> PlatformEvent:
         try:
             return InstancesRead(msgspec.json.decode(body, type=tuple[Instance, ...]))
--- a/src/chicoryproxy/platform_standin.py
+++ b/src/chicoryproxy/platform_standin.py
@@ -10,8 +10,10 @@
 
 from chicoryproxy.ids import UpstreamId
 from chicoryproxy.model import Configuration, Endpoint, Instance
-from chicoryproxy.platform import CONFIGURATION_PATH, INSTANCES_PATH
+from chicoryproxy.platform import CONFIGURATION_PATH, INSTANCES_PATH, VALUES_PATH
 from chicoryproxy.probe import HealthAnswer
+from chicoryproxy.published import PublishedFault
+from chicoryproxy.splitter import publish
 
 NO_WAIT_S = 0.0
 
@@ -62,8 +64,13 @@
             self._changed.notify_all()
 
     async def publish_configuration(self, configuration: Configuration) -> None:
-        """Serve a configuration."""
-        await self.publish(CONFIGURATION_PATH, msgspec.json.encode(configuration))
+        """Serve a configuration: its parts, then its index."""
+        publication = publish(configuration)
+        if isinstance(publication, PublishedFault):
+            raise ValueError(str(publication))
+        for name, body in publication.parts.items():
+            await self.publish(VALUES_PATH + name, body)
+        await self.publish(CONFIGURATION_PATH, publication.index)
 
     async def publish_instances(self, instances: tuple[Instance, ...]) -> None:
         """Serve an instance list."""
