--- /dev/null
+++ b/benchmarks/baselines.py
@@ -0,0 +1,121 @@
+"""Packet cores to compare with: plain hashing, and tracking of connections by each entry alone.
+
+Both have the interface of ``router.PacketCore`` as far as drivers use it, take the same views and
+place by the same tables. They send no messages, hold no opening back and build no reset.
+"""
+
+from collections.abc import Sequence
+
+from chicoryproxy.actions import Drop, Forward, PacketAction, Return
+from chicoryproxy.choke import Gate, create_gate
+from chicoryproxy.ids import NO_VERSION, FlowKey, InstanceId, ServiceId, UpstreamId
+from chicoryproxy.messages import EntryMessage, EntryReport, ViewUpdate
+from chicoryproxy.model import Generation, Service
+from chicoryproxy.packet import PacketHead, hash_flow, pack_address, read_packet
+from chicoryproxy.placement import PlacementTable, create_table
+from chicoryproxy.slots import ServiceSlots
+from chicoryproxy.states import DomainState, DropReason
+
+_RETURN = (Return(),)
+
+
+class CurrentService:
+    """A service with the table of its newest set of upstreams."""
+
+    def __init__(self, service: Service, table: PlacementTable) -> None:
+        self.id: ServiceId = service.id
+        self.table = table
+
+
+class HashingCore:
+    """Sends each packet to the upstream that the newest set gives its flow."""
+
+    def __init__(self) -> None:
+        self._version = NO_VERSION
+        self._services: dict[bytes, CurrentService] = {}
+        self._gate: Gate | None = None
+
+    def receive_packet(
+        self, data: bytes, source: Sequence[object], now: float
+    ) -> Sequence[PacketAction]:
+        """Forward a packet of a caller, return one of an upstream."""
+        head = read_packet(data)
+        if isinstance(head, DropReason):
+            return (Drop(head),)
+        service = self._services.get(head.target)
+        if service is None:
+            return _RETURN if head.source in self._services else (Drop(DropReason.UNKNOWN_SERVICE),)
+        found = self._forward(head, hash_flow(head), service)
+        return (Drop(DropReason.NOT_LISTED),) if found is None else (found,)
+
+    def update_view(self, update: ViewUpdate, now: float) -> Sequence[PacketAction]:
+        """Take a new view."""
+        configuration = update.configuration
+        if configuration.version <= self._version:
+            return ()
+        self._version = configuration.version
+        self._gate = create_gate(configuration)
+        usable = {domain.id for domain in configuration.domains if domain.state is DomainState.IN}
+        self._services = {}
+        for service in configuration.services:
+            members = tuple(
+                item for item in service.upstreams if item.domain in usable and not item.draining
+            )
+            table = create_table(Generation(service.id, configuration.version, members))
+            for address in service.addresses:
+                key = pack_address(address.protocol, address.host, address.port)
+                self._services[key] = CurrentService(service, table)
+        return ()
+
+    def receive_message(
+        self, sender: InstanceId, message: EntryMessage, now: float
+    ) -> Sequence[PacketAction]:
+        """Take no message."""
+        return ()
+
+    def tick(self, now: float) -> Sequence[PacketAction]:
+        """Do nothing."""
+        return ()
+
+    def begin_leaving(self, now: float) -> Sequence[PacketAction]:
+        """Do nothing: there is nobody to tell."""
+        return ()
+
+    def may_stop(self, now: float) -> bool:
+        """Return true."""
+        return True
+
+    def built_slots(self) -> list[ServiceSlots]:
+        """Return no slots."""
+        return []
+
+    def take_report(self) -> EntryReport:
+        """Return an empty report."""
+        return EntryReport()
+
+    def _forward(self, head: PacketHead, flow: FlowKey, service: CurrentService) -> Forward | None:
+        upstream = service.table.find(flow)
+        return None if upstream is None else self._permit(service, upstream.id)
+
+    def _permit(self, service: CurrentService, upstream: UpstreamId) -> Forward | None:
+        permitted = self._gate.permit(service.id, upstream) if self._gate else None
+        return permitted[0] if isinstance(permitted, tuple) else None
+
+
+class TrackingCore(HashingCore):
+    """Keeps each flow that this entry saw on the upstream of its first packet here."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._flows: dict[FlowKey, UpstreamId] = {}
+
+    def _forward(self, head: PacketHead, flow: FlowKey, service: CurrentService) -> Forward | None:
+        known = self._flows.get(flow)
+        if known is not None:
+            permitted = self._permit(service, known)
+            if permitted is not None:
+                return permitted
+        found = super()._forward(head, flow, service)
+        if found is not None:
+            self._flows[flow] = found.upstream
+        return found
