Read plain TCP packets in one step, and encode routing decisions in batches

Cause: under load read_packet took 3.6 us of the core's 6.2 us for a packet, and a log line 71.7 us through logging and pythonjsonlogger, more than ten packets. Change: TCP in IPv4 without options is unpacked by one struct; the head is a Struct without garbage collection; JSON lines of one flush are encoded by msgspec and written in batches that a pipe takes without waiting. Other lines still go through pythonjsonlogger.

--- a/src/chicoryproxy/logs.py
+++ b/src/chicoryproxy/logs.py
@@ -3,20 +3,26 @@
 Every line starts with the fixed prefix of the part that wrote it. Routing decisions are put into
 a bounded queue on the packet path and are formatted and written by ``RouteLog.flush``. A line
 that the queue or the output cannot take is counted as lost, never waited for.
+
+In JSON the routing decisions of one flush are encoded by ``msgspec`` and written in batches: the
+same line through ``logging`` and ``pythonjsonlogger`` costs more than a packet.
 """
 
 import logging
 import select
 import sys
+import time
 from collections import deque
+from collections.abc import Iterable, Iterator
 from enum import Enum, unique
 from typing import Any, TextIO
 
 from msgspec import Struct
+from msgspec.json import Encoder
 from pythonjsonlogger.msgspec import MsgspecFormatter
 
 from chicoryproxy.actions import LogControl, LogRoute
-from chicoryproxy.states import RefusalReason
+from chicoryproxy.states import DropReason, RefusalReason, RouteReason
 
 QUEUE_LINES = 8192
 FLUSH_LINES = 256
@@ -24,6 +30,8 @@
 EXIT_PATIENCE_S = 1.0
 MAX_REPEATED_KEYS = 65_536
 ROUTE_PART = "route"
+MAX_BATCH_BYTES = select.PIPE_BUF
+"""A pipe that ``select`` reports as writable takes this much without waiting."""
 
 _ROOT = "chicoryproxy"
 _RESERVED = frozenset(vars(logging.makeLogRecord({}))) | {"message", "asctime", "taskName", "part"}
@@ -78,11 +86,13 @@
     Lines that it cannot take wait in a bounded queue for the next line or ``drain``.
 
     :ivar lost: lines that found the queue full.
+    :ivar is_json: lines that are JSON already may be given to ``write_lines``.
     """
 
     def __init__(self, stream: TextIO) -> None:
         super().__init__()
         self.lost = 0
+        self.is_json = False
         self._stream = stream
         self._waiting: deque[str] = deque()
 
@@ -91,6 +101,15 @@
         """True while lines wait."""
         return bool(self._waiting)
 
+    def write_lines(self, lines: Iterable[str]) -> None:
+        """Write lines that are encoded already, or let them wait."""
+        for line in lines:
+            if len(self._waiting) >= OUTPUT_LINES:
+                self.lost += 1
+            else:
+                self._waiting.append(line)
+        self.drain()
+
     def emit(self, record: logging.LogRecord) -> None:
         """Write the record, or let it wait."""
         if len(self._waiting) >= OUTPUT_LINES:
@@ -105,12 +124,23 @@
     def drain(self, patience_s: float = 0.0) -> None:
         """Write the lines that wait.
 
-        :param patience_s: longest time to wait for the output before each line, in seconds.
+        :param patience_s: longest time to wait for the output before each batch, in seconds.
         """
         while self._waiting and self._is_writable(patience_s):
-            self._stream.write(self._waiting.popleft())
+            self._stream.write("".join(self._take_batch()))
             self._stream.flush()
 
+    def _take_batch(self) -> list[str]:
+        """Take as many lines as the output takes without waiting, at least one."""
+        batch = [self._waiting.popleft()]
+        size = _count_bytes(batch[0])
+        while self._waiting:
+            size += _count_bytes(self._waiting[0])
+            if size > MAX_BATCH_BYTES:
+                break
+            batch.append(self._waiting.popleft())
+        return batch
+
     def _is_writable(self, patience_s: float) -> bool:
         try:
             _, ready, _ = select.select((), (self._stream,), (), patience_s)
@@ -120,6 +150,10 @@
         return bool(ready)
 
 
+def _count_bytes(line: str) -> int:
+    return len(line) if line.isascii() else len(line.encode())
+
+
 class _RepeatKey(Struct, frozen=True):
     reason: Enum
     service: str | None
@@ -127,6 +161,29 @@
     version: int
 
 
+class RouteLine(Struct, frozen=True):
+    """A routing decision as a line of JSON, with the keys of the other lines first."""
+
+    time: str
+    level: str
+    part: str
+    message: str
+    reason: str
+    service: str | None
+    flow: str | None
+    slot: int | None
+    version: int
+    target: str | None
+
+
+_encode = Encoder().encode
+_TEXTS: dict[Enum, str] = {
+    reason: f"{kind.__name__.removesuffix('Reason').lower()} {reason.value}."
+    for kind in (RouteReason, DropReason, RefusalReason)
+    for reason in kind
+}
+
+
 class RouteLog:
     """Bounded queue of routing decisions, written off the packet path.
 
@@ -167,8 +224,13 @@
         :param limit: largest number of lines.
         :returns: how many lines still wait.
         """
-        for _ in range(min(limit, len(self._queue))):
-            self._write(self._queue.popleft())
+        decisions = [self._queue.popleft() for _ in range(min(limit, len(self._queue)))]
+        output = _find_json_output()
+        if output is not None:
+            output.write_lines(_encode_lines(decisions))
+        else:
+            for decision in decisions:
+                self._write(decision)
         if self.lost > self._lost_reported:
             self._log.warning("Lines were lost.", lines=self.lost - self._lost_reported)
             self._lost_reported = self.lost
@@ -185,18 +247,50 @@
         return count % self._sample != 0
 
     def _write(self, decision: LogRoute) -> None:
-        kind = type(decision.reason).__name__.removesuffix("Reason").lower()
         self._log.info(
-            f"{kind} {decision.reason.value}.",
+            _TEXTS[decision.reason],
             reason=decision.reason.value,
             service=decision.service,
-            flow=None if decision.flow is None else f"{decision.flow:016x}",
+            flow=_name_flow(decision),
             slot=decision.slot,
             version=decision.version,
             target=decision.target,
         )
 
 
+def _name_flow(decision: LogRoute) -> str | None:
+    return None if decision.flow is None else f"{decision.flow:016x}"
+
+
+def _find_json_output() -> OutputHandler | None:
+    """Return the output of this package's lines if it takes encoded ones."""
+    root = logging.getLogger(_ROOT)
+    if len(root.handlers) != 1 or not root.isEnabledFor(logging.INFO):
+        return None
+    handler = root.handlers[0]
+    return handler if isinstance(handler, OutputHandler) and handler.is_json else None
+
+
+def _encode_lines(decisions: Iterable[LogRoute]) -> Iterator[str]:
+    now = time.time()
+    at = time.strftime(logging.Formatter.default_time_format, time.localtime(now))
+    written = f"{at},{int(now % 1.0 * 1000.0):03d}"
+    for decision in decisions:
+        line = RouteLine(
+            written,
+            "INFO",
+            ROUTE_PART,
+            f"{ROUTE_PART}: {_TEXTS[decision.reason]}",
+            decision.reason.value,
+            decision.service,
+            _name_flow(decision),
+            decision.slot,
+            decision.version,
+            decision.target,
+        )
+        yield _encode(line).decode() + "\n"
+
+
 def log_control(decision: LogControl) -> None:
     """Write a decision of the control core under the prefix of its part."""
     PartLogger(decision.part).info(decision.text, subject=decision.subject)
@@ -208,7 +302,9 @@
     :returns: the handler, whose ``lost`` counts the lines that the stream did not take.
     """
     handler = OutputHandler(stream)
-    handler.setFormatter(_create_formatter(form, stream))
+    formatter = _create_formatter(form, stream)
+    handler.setFormatter(formatter)
+    handler.is_json = isinstance(formatter, MsgspecFormatter)
     root = logging.getLogger(_ROOT)
     root.handlers[:] = [handler]
     root.setLevel(logging.INFO)
--- a/src/chicoryproxy/packet.py
+++ b/src/chicoryproxy/packet.py
@@ -8,6 +8,7 @@
 import struct
 
 import xxhash
+from msgspec import Struct
 
 from chicoryproxy.ids import FlowKey
 from chicoryproxy.states import DropReason, Protocol
@@ -27,9 +28,13 @@
 UDP = int(Protocol.UDP)
 
 _NUMBERS = {TCP: bytes((TCP,)), UDP: bytes((UDP,))}
+_TCP_NUMBER = _NUMBERS[TCP]
+_PLAIN_IPV4 = 0x45
+_PLAIN_BYTES = IPV4_HEADER_BYTES + TCP_HEADER_BYTES
+_unpack_plain = struct.Struct("!2xH2xHxB2x4s4s2s2s8xBB").unpack_from
 
 
-class PacketHead:
+class PacketHead(Struct, frozen=True, gc=False):
     """The parts of a packet that a decision needs.
 
     :ivar target: destination as the bytes of protocol, address and port, the key of the service
@@ -40,23 +45,12 @@
     :ivar transport: offset of the transport header in bytes.
     """
 
-    __slots__ = ("target", "source", "flags", "has_data", "protocol", "transport")
-
-    def __init__(
-        self,
-        target: bytes,
-        source: bytes,
-        flags: int,
-        has_data: bool,
-        protocol: int,
-        transport: int,
-    ) -> None:
-        self.target = target
-        self.source = source
-        self.flags = flags
-        self.has_data = has_data
-        self.protocol = protocol
-        self.transport = transport
+    target: bytes
+    source: bytes
+    flags: int
+    has_data: bool
+    protocol: int
+    transport: int
 
     @property
     def is_opening(self) -> bool:
@@ -65,12 +59,32 @@
 
 
 def read_packet(data: bytes) -> PacketHead | DropReason:
-    """Read the head of an IPv4 or IPv6 packet.
+    """Read the head of an IPv4 or IPv6 packet; TCP in IPv4 without options in one step.
 
     :param data: the whole inner packet.
     :returns: the head, or the reason to drop the packet.
     """
     size = len(data)
+    if size >= _PLAIN_BYTES and data[0] == _PLAIN_IPV4:
+        total, fragment, protocol, source, target, source_port, target_port, words, flags = (
+            _unpack_plain(data)
+        )
+        body = IPV4_HEADER_BYTES + (words >> 4) * 4
+        is_whole = total == size and not fragment & FRAGMENT_BITS
+        if protocol == TCP and is_whole and _PLAIN_BYTES <= body <= size:
+            return PacketHead(
+                _TCP_NUMBER + target + target_port,
+                _TCP_NUMBER + source + source_port,
+                flags,
+                body < size,
+                TCP,
+                IPV4_HEADER_BYTES,
+            )
+    return _read_any(data, size)
+
+
+def _read_any(data: bytes, size: int) -> PacketHead | DropReason:
+    """Read any packet field by field."""
     if size < IPV4_HEADER_BYTES:
         return DropReason.TRUNCATED
     kind = data[0] >> 4
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -52,6 +52,47 @@
     assert line["target"] == "qa-desk-1"
 
 
+def test_route_line_has_the_form_of_the_other_lines(output):
+    log = RouteLog()
+    decision = decide(flow=255)
+    log.add(decision)
+    log.flush()
+    PartLogger("route").info(
+        "route clean_slot.",
+        reason="clean_slot",
+        service=decision.service,
+        flow="00000000000000ff",
+        slot=3,
+        version=1,
+        target=decision.target,
+    )
+    route, other = read_lines(output)
+    assert len(route.pop("time")) == len(other.pop("time"))
+    assert list(route.items()) == list(other.items())
+
+
+def test_human_route_line():
+    stream = io.StringIO()
+    configure_logs(LogFormat.HUMAN, stream)
+    log = RouteLog()
+    log.add(decide())
+    log.flush()
+    assert "route: route clean_slot." in stream.getvalue()
+
+
+def test_batch_of_route_lines_is_not_waited_for():
+    read_end, write_end = os.pipe()
+    with os.fdopen(read_end), os.fdopen(write_end, "w") as stream:
+        handler = configure_logs(LogFormat.JSON, stream)
+        log = RouteLog()
+        for flow in range(3000):
+            log.add(decide(flow=flow))
+        while log.flush():
+            pass
+        assert 0 < handler.lost < 3000
+        configure_logs(LogFormat.JSON, io.StringIO())
+
+
 def test_sampling_leaves_out_repeated_decisions_only(output):
     log = RouteLog(sample=10)
     for flow in range(20):
--- a/tests/test_packet.py
+++ b/tests/test_packet.py
@@ -5,7 +5,7 @@
 import dpkt
 import pytest
 
-from chicoryproxy.packet import hash_flow, hash_returned_flow, pack_address, read_packet
+from chicoryproxy.packet import PacketHead, hash_flow, hash_returned_flow, pack_address, read_packet
 from chicoryproxy.states import DropReason, Protocol
 
 
@@ -56,3 +56,26 @@
     data = bytearray(build_packet())
     data[9] = 1
     assert read_packet(bytes(data)) is DropReason.FOREIGN
+
+
+def test_options_of_the_ip_header_change_nothing_but_the_offset():
+    plain = build_packet(flags=dpkt.tcp.TH_PUSH | dpkt.tcp.TH_ACK, data=b"body")
+    options = b"\x01" * 4
+    with_options = bytearray(plain[:20] + options + plain[20:])
+    with_options[0] = 0x46
+    with_options[2:4] = len(with_options).to_bytes(2)
+    expected = read_packet(plain)
+    assert read_packet(bytes(with_options)) == PacketHead(
+        expected.target, expected.source, expected.flags, True, 6, 24
+    )
+
+
+@pytest.mark.parametrize("words", [0x40, 0xF0])
+def test_wrong_tcp_header_length_has_a_reason(words):
+    data = bytearray(build_packet(data=b"body"))
+    data[32] = words
+    assert read_packet(bytes(data)) is DropReason.TRUNCATED
+
+
+def test_packet_with_bytes_behind_its_end_has_a_reason():
+    assert read_packet(build_packet() + b"x") is DropReason.TRUNCATED
