End the ownership of upstreams when members change

An instance that lost an upstream to another and got it back before the next request kept its state and granted at once, while leases of the other owner were out. Touches EntryParts.change_homes by one line.

--- a/src/chicoryproxy/grants.py
+++ b/src/chicoryproxy/grants.py
@@ -5,7 +5,7 @@
 """
 
 from collections import deque
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from itertools import count
 from typing import NewType
 
@@ -110,6 +110,14 @@
         """Forget an upstream that another instance owns from now on."""
         self._owned.pop(upstream, None)
 
+    def keep(self, is_owned: Callable[[UpstreamId], bool]) -> None:
+        """Forget the upstreams that aren't owned any more; to be called when members change.
+
+        Without it an instance that loses an upstream and gets it back would not wait.
+        """
+        for upstream in [name for name in self._owned if not is_owned(name)]:
+            self.cease_owner(upstream)
+
     def void(self, now: float) -> None:
         """Begin all waits anew after a pause, in which another instance may have granted."""
         for upstream in self._owned:
--- a/src/chicoryproxy/parts.py
+++ b/src/chicoryproxy/parts.py
@@ -81,6 +81,7 @@
     def change_homes(self) -> None:
         """Note that homes moved; a new successor of an own slot gets its records."""
         self.take_over.change_homes(self.directory.is_home)
+        self.owner.keep(self._owns)
         self.settlement.forget()
         for slots in self.world.built_slots():
             for slot in slots.changed():
@@ -107,6 +108,13 @@
         for record in self.records.records_of(name, base, MAX_RECORDS_PER_SLOT):
             self.hints.add(homes[1], record, Priority.HANDOVER)
 
+    def _owns(self, name: UpstreamId) -> bool:
+        upstream = self.world.find_upstream(name)
+        return (
+            upstream is not None
+            and self.directory.owner_of(upstream.id, upstream.domain) == self.own
+        )
+
     def has_live_older(self, slot: SlotName) -> bool:
         """Return whether a slot has a live record on another upstream than the newest."""
         route = self.world.find_service(slot.service)
--- a/tests/test_grants.py
+++ b/tests/test_grants.py
@@ -71,6 +71,14 @@
     assert ask(owner, 100.0 + WAIT_S) == 10
 
 
+def test_an_owner_that_lost_an_upstream_waits_when_it_gets_it_back(owner):
+    assert ask(owner, WAIT_S) == 10
+    owner.keep(lambda upstream: upstream != NAME)
+    owner.become_owner(NAME, 100.0)
+    assert ask(owner, 101.0) == 0
+    assert ask(owner, 100.0 + WAIT_S) == 10
+
+
 @pytest.mark.parametrize(
     "state",
     [UpstreamState.DRAINING, UpstreamState.GONE, UpstreamState.UNREACHABLE, UpstreamState.READY],
