--- a/src/chicoryproxy/placement.py
+++ b/src/chicoryproxy/placement.py
@@ -30,7 +30,7 @@
 INDEX_BITS = 16
 INDEX_MASK = (1 << INDEX_BITS) - 1
 DRAW_BYTES = 8
-HIGH_PER_SLOT = 12.0
+HIGH_PER_SLOT = 12
 DRAW_SPAN = float(2**48)
 LOG_OFFSET = 64.0
 LOG_SCALE = float(2**41)
@@ -171,17 +171,38 @@
     return [-(-allowed * member.weight // total) for member in members]
 
 
-def _rank_first(members: Sequence[Upstream], size: int) -> Sequence[int]:
-    """Return for each slot the highest priority, with the member's index in its lowest bits.
+def _rank_first(members: Sequence[Upstream], size: int) -> list[int]:
+    """Return for each slot the highest priority, with the member's index in its lowest bits."""
+    if len(members) <= HIGH_PER_SLOT:
+        return _compare_all(members, size)
+    return _compare_high(members, size)
+
+
+def _compare_all(members: Sequence[Upstream], size: int) -> list[int]:
+    layout = struct.Struct(f"<{size}Q")
+    columns: list[Sequence[int]] = [layout.unpack(_draw(member, size)) for member in members]
+    if _is_weighted(members):
+        columns = [
+            [_weigh(draw, member.weight) for draw in draws]
+            for member, draws in zip(members, columns, strict=True)
+        ]
+    best = []
+    for row in zip(*columns, strict=True):
+        highest = max(row)
+        best.append(highest & ~INDEX_MASK | row.index(highest))
+    return best
+
 
-    Low priorities win so rarely that they aren't looked at; a slot without a high one takes the
-    order of ``_rank_all``.
+def _compare_high(members: Sequence[Upstream], size: int) -> list[int]:
+    """Leave out low draws, which hardly ever win.
+
+    A slot without a high draw takes the order of ``_rank_all``.
     """
     total = sum(member.weight for member in members)
-    is_weighted = len({member.weight for member in members}) > 1
+    is_weighted = _is_weighted(members)
     best = [0] * size
     for index, member in enumerate(members):
-        draws = hashlib.shake_128(member.id.encode()).digest(size * DRAW_BYTES)
+        draws = _draw(member, size)
         for slot in _find_high(draws, exp(-HIGH_PER_SLOT * member.weight / total)):
             draw = _DRAW.unpack_from(draws, slot * DRAW_BYTES)[0]
             priority = draw & ~INDEX_MASK | index
@@ -194,6 +215,15 @@
     return best
 
 
+def _draw(member: Upstream, size: int) -> bytes:
+    """Expand a member's id to one draw of ``DRAW_BYTES`` per slot, in a single call into C."""
+    return hashlib.shake_128(member.id.encode()).digest(size * DRAW_BYTES)
+
+
+def _is_weighted(members: Sequence[Upstream]) -> bool:
+    return len({member.weight for member in members}) > 1
+
+
 def _find_high(draws: bytes, floor: float) -> Iterable[int]:
     """Return the slots whose draw, as a fraction of its span, may be above a floor."""
     lowest = int(256 * floor)
@@ -249,7 +279,7 @@
 
 def _rank_all(members: Sequence[Upstream], slot: int) -> Iterator[int]:
     """Return the priorities of all members by a second draw, highest first."""
-    is_weighted = len({member.weight for member in members}) > 1
+    is_weighted = _is_weighted(members)
     priorities = []
     for index, member in enumerate(members):
         draw = xxhash.xxh3_64_intdigest(member.id.encode(), slot) & ~INDEX_MASK | index
