--- a/src/chicoryproxy/grants.py
+++ b/src/chicoryproxy/grants.py
@@ -97,10 +97,21 @@
 
     def __init__(self, lease_s: float, margin_s: float = OWNER_MARGIN_S) -> None:
         self.lease_s = lease_s
-        self._span_s = WINDOW_S + lease_s * (1.0 + CLOCK_RATE_ERROR)
+        self._margin_s = margin_s
+        self._span_s = _span_of(lease_s)
         self._wait_s = self._span_s + margin_s
         self._owned: dict[UpstreamId, _Owned] = {}
 
+    def set_lease(self, lease_s: float, now: float) -> None:
+        """Change the lifetime of leases; upstreams owned now wait out the longest before it."""
+        if lease_s == self.lease_s:
+            return
+        self.lease_s = lease_s
+        self._wait_s = max(self._span_s, _span_of(lease_s)) + self._margin_s
+        self.void(now)
+        self._span_s = _span_of(lease_s)
+        self._wait_s = self._span_s + self._margin_s
+
     def become_owner(self, upstream: UpstreamId, now: float) -> None:
         """Begin the wait for an upstream; without effect for one that is owned already."""
         if upstream not in self._owned:
@@ -222,6 +233,11 @@
         return self._span_s, int(level * WINDOW_S)
 
 
+def _span_of(lease_s: float) -> float:
+    """Return the length of time whose grants may be used in one window, in seconds."""
+    return WINDOW_S + lease_s * (1.0 + CLOCK_RATE_ERROR)
+
+
 def _share_demand(owned: _Owned, holder: InstanceId, openings: int, now: float) -> float:
     """Note a holder's demand and return its share of the demand of late."""
     owned.demands[holder] = _Demand(openings, now)
--- a/src/chicoryproxy/router.py
+++ b/src/chicoryproxy/router.py
@@ -102,6 +102,7 @@
         change = parts.world.update(update, now)
         parts.budget.set_rate(parts.world.fleet.control_bytes_per_s * ENTRY_SHARE)
         parts.openings.spread_s = parts.world.fleet.spread_s
+        parts.owner.set_lease(parts.world.fleet.lease_s, now)
         if parts.world.gate is not None:
             parts.openings.update(parts.world.gate, parts.world.conditions)
         parts.openings.note_hidden(sorted(parts.world.hidden_upstreams()), now)
--- a/tests/test_grants.py
+++ b/tests/test_grants.py
@@ -79,6 +79,14 @@
     assert ask(owner, 100.0 + WAIT_S) == 10
 
 
+def test_a_shorter_lease_is_granted_only_when_the_longer_ones_are_over(owner):
+    owner.set_lease(1.0, WAIT_S)
+    owner.set_lease(0.1, 100.0)
+    assert owner.lease_s == 0.1
+    assert ask(owner, 100.0 + 1.0 + WINDOW_S + MARGIN_S) == 0
+    assert ask(owner, 100.0 + 1.1 + WINDOW_S + MARGIN_S) == 10
+
+
 @pytest.mark.parametrize(
     "state",
     [UpstreamState.DRAINING, UpstreamState.GONE, UpstreamState.UNREACHABLE, UpstreamState.READY],
