--- a/spec/catalog.py
+++ b/spec/catalog.py
@@ -1,9 +1,9 @@
 """The specifications that are checked."""
 
-from spec import versions
+from spec import grants, versions
 from spec.system import Specification
 
 
 def list_specifications() -> tuple[Specification, ...]:
     """Return all specifications."""
-    return (versions.create_specification(),)
+    return (versions.create_specification(), grants.create_specification())
--- /dev/null
+++ b/spec/grants.py
@@ -0,0 +1,265 @@
+"""Grants of openings to a cold upstream: leases, their owner, pauses and two owners.
+
+Covers R10. Two instances of the upstream's failure domain may each believe that they own it, two
+entries hold leases and ask either of them. Grants may be lost, delayed and doubled; instances
+pause at any moment, and a holder may pause between any two of its steps. A dead owner is one that
+has ceased, a replacement is one that becomes owner.
+
+Time is counted in ticks: a lease lives ``LEASE_TICKS``, the bound counts the openings of any
+window of ``WINDOW_TICKS``, and of two running owners that can reach each other one ceases within
+``MARGIN_TICKS``. The bound is one opening a window.
+
+Left out: a bound above one, the ramp (the bound is constant), rates of clocks, an upstream that
+falls back into cold and is not yet known to be cold, and a pause between a holder's check of its
+lease and the packet's departure.
+"""
+
+from enum import unique
+
+import z3
+
+from spec.system import (
+    Action,
+    Assignment,
+    Label,
+    Limit,
+    Mutant,
+    Promise,
+    Property,
+    Rule,
+    Specification,
+    State,
+    System,
+    Variable,
+    assign,
+    index_name,
+)
+
+OWNERS = range(2)
+HOLDERS = range(2)
+LEASE_TICKS = 2
+WINDOW_TICKS = 1
+MARGIN_TICKS = 1
+SPAN_TICKS = LEASE_TICKS + WINDOW_TICKS
+WAIT_TICKS = SPAN_TICKS + MARGIN_TICKS
+CLOCK_BITS = 3
+
+
+@unique
+class GrantRule(Rule):
+    """Rules that a mutant takes out."""
+
+    BUDGET = "an owner adds up the leases that may still be used"
+    WINDOW = "an owner counts a lease for its lifetime and one window more"
+    NEW_OWNER_WAITS = "a new owner waits before its first grant"
+    MARGIN = "the wait includes the time for which a replaced owner goes on"
+    PAUSED_OWNER_WAITS = "an owner that paused waits like a new one"
+    FROM_REQUEST = "a holder counts the lifetime from the sending of its request"
+    EXPIRY = "a holder uses no lease after its lifetime"
+    NUMBER = "a holder accepts the grant for its outstanding request, once"
+
+
+@unique
+class GrantStep(Label):
+    """Actions."""
+
+    TICK = "time passes"
+    BECOME = "an instance becomes owner"
+    CEASE = "an owner ceases or dies"
+    PAUSE = "an instance pauses"
+    WAKE = "an instance wakes"
+    ASK = "an entry asks for an opening"
+    GRANT = "an owner grants the request"
+    RECEIVE = "an entry receives the grant"
+    LOSE = "the grant is lost"
+    OPEN = "an entry uses its lease"
+
+
+@unique
+class GrantPromise(Promise):
+    """Properties."""
+
+    BOUND = "openings to a cold upstream never exceed its bound"
+
+
+class GrantSystem(System):
+    """The system of this module.
+
+    State per owner: ``owns``, ``paused``, ``wait`` ticks since it became owner, ``granted`` ticks
+    since its last grant. Per holder: ``asked`` and ``request`` (ticks since its request),
+    ``flying`` while a grant for it is in the network, ``matching`` while that grant answers the
+    outstanding request, ``held`` and ``lease`` (ticks counted against the lifetime). ``opened``
+    is ticks since the last opening, ``both`` ticks for which two owners were running.
+
+    :param rules: the rules that are in force.
+    :param linked: whether two owners learn of each other within ``MARGIN_TICKS``.
+    """
+
+    def __init__(
+        self, rules: frozenset[Rule] = frozenset(GrantRule), linked: bool = True
+    ) -> None:
+        super().__init__(rules)
+        self.linked = linked
+
+    def list_variables(self) -> tuple[Variable, ...]:
+        """Return the variables."""
+        result = [Variable("exceeded"), Variable("opened", CLOCK_BITS)]
+        result.append(Variable("both", CLOCK_BITS))
+        for i in OWNERS:
+            result += [Variable(index_name(n, i)) for n in ("owns", "paused")]
+            result += [Variable(index_name(n, i), CLOCK_BITS) for n in ("wait", "granted")]
+        for h in HOLDERS:
+            flags = ("asked", "flying", "matching", "held")
+            result += [Variable(index_name(n, h)) for n in flags]
+            result += [Variable(index_name(n, h), CLOCK_BITS) for n in ("request", "lease")]
+        return tuple(result)
+
+    def build_start(self, state: State) -> z3.BoolRef:
+        """Return the condition on initial states: instance 0 owns and nothing is granted."""
+        conditions = [z3.Not(state.get("exceeded")), state.get("opened") == WAIT_TICKS]
+        conditions.append(state.get("both") == 0)
+        for i in OWNERS:
+            conditions += [state.get("owns", i) == (i == 0), z3.Not(state.get("paused", i))]
+            conditions += [state.get(n, i) == WAIT_TICKS for n in ("wait", "granted")]
+        for h in HOLDERS:
+            flags = ("asked", "flying", "matching", "held")
+            conditions += [z3.Not(state.get(n, h)) for n in flags]
+            conditions += [state.get(n, h) == 0 for n in ("request", "lease")]
+        return z3.And(conditions)
+
+    def list_actions(self, state: State) -> tuple[Action, ...]:
+        """Return the actions that may follow a state."""
+        result = [self._build_tick(state)]
+        for i in OWNERS:
+            result += self._list_owner_actions(state, i)
+        for h in HOLDERS:
+            result += self._list_holder_actions(state, h)
+        return tuple(result)
+
+    def list_properties(self, state: State) -> tuple[Property, ...]:
+        """Return the properties."""
+        return (Property(GrantPromise.BOUND, z3.Not(state.get("exceeded"))),)
+
+    def _build_tick(self, state: State) -> Action:
+        both_run = z3.And(*(_is_granting(state, i) for i in OWNERS))
+        both = state.get("both")
+        guard = z3.BoolVal(True)
+        if self.linked:
+            guard = z3.Or(z3.Not(both_run), z3.ULT(both, MARGIN_TICKS))
+        both_after = z3.If(both_run, _count_up(both), z3.BitVecVal(0, CLOCK_BITS))
+        assignments = [assign("both", to=both_after), _advance(state, "opened")]
+        for i in OWNERS:
+            assignments += [_advance(state, n, i) for n in ("wait", "granted")]
+        for h in HOLDERS:
+            assignments += [_advance(state, n, h) for n in ("request", "lease")]
+        return Action(GrantStep.TICK, (), guard, tuple(assignments))
+
+    def _list_owner_actions(self, state: State, i: int) -> list[Action]:
+        owns, paused = state.get("owns", i), state.get("paused", i)
+        first_wait = 0 if self.has(GrantRule.NEW_OWNER_WAITS) else WAIT_TICKS
+        became = (
+            assign("owns", i, to=True),
+            assign("wait", i, to=first_wait),
+            assign("granted", i, to=WAIT_TICKS),
+        )
+        woken = [assign("paused", i, to=False)]
+        if self.has(GrantRule.PAUSED_OWNER_WAITS):
+            woken += [assign("wait", i, to=0), assign("granted", i, to=WAIT_TICKS)]
+        running = z3.Not(paused)
+        return [
+            Action(GrantStep.BECOME, (i,), z3.And(running, z3.Not(owns)), became),
+            Action(GrantStep.CEASE, (i,), owns, (assign("owns", i, to=False),)),
+            Action(GrantStep.PAUSE, (i,), running, (assign("paused", i, to=True),)),
+            Action(GrantStep.WAKE, (i,), paused, tuple(woken)),
+        ]
+
+    def _list_holder_actions(self, state: State, h: int) -> list[Action]:
+        return [
+            Action(
+                GrantStep.ASK,
+                (h,),
+                z3.BoolVal(True),
+                (
+                    assign("asked", h, to=True),
+                    assign("request", h, to=0),
+                    assign("matching", h, to=False),
+                ),
+            ),
+            *(self._build_grant(state, h, i) for i in OWNERS),
+            self._build_receive(state, h),
+            Action(
+                GrantStep.LOSE, (h,), state.get("flying", h), (assign("flying", h, to=False),)
+            ),
+            self._build_open(state, h),
+        ]
+
+    def _build_grant(self, state: State, h: int, i: int) -> Action:
+        span = SPAN_TICKS if self.has(GrantRule.WINDOW) else LEASE_TICKS
+        wait = WAIT_TICKS if self.has(GrantRule.MARGIN) else SPAN_TICKS
+        guards = [_is_granting(state, i), state.get("asked", h)]
+        guards.append(z3.UGE(state.get("wait", i), wait))
+        if self.has(GrantRule.BUDGET):
+            guards.append(z3.UGE(state.get("granted", i), span))
+        assignments = (
+            assign("granted", i, to=0),
+            assign("flying", h, to=True),
+            assign("matching", h, to=True),
+        )
+        return Action(GrantStep.GRANT, (i, h), z3.And(guards), assignments)
+
+    def _build_receive(self, state: State, h: int) -> Action:
+        guard = state.get("flying", h)
+        if self.has(GrantRule.NUMBER):
+            guard = z3.And(guard, state.get("matching", h), state.get("asked", h))
+        counted = state.get("request", h) if self.has(GrantRule.FROM_REQUEST) else 0
+        assignments = (
+            assign("held", h, to=True),
+            assign("lease", h, to=counted),
+            assign("matching", h, to=False),
+            assign("asked", h, to=False),
+        )
+        return Action(GrantStep.RECEIVE, (h,), guard, assignments)
+
+    def _build_open(self, state: State, h: int) -> Action:
+        guard = state.get("held", h)
+        if self.has(GrantRule.EXPIRY):
+            guard = z3.And(guard, z3.ULT(state.get("lease", h), LEASE_TICKS))
+        within = z3.ULE(state.get("opened"), WINDOW_TICKS)
+        assignments = (
+            assign("held", h, to=False),
+            assign("opened", to=0),
+            assign("exceeded", to=z3.Or(state.get("exceeded"), within)),
+        )
+        return Action(GrantStep.OPEN, (h,), guard, assignments)
+
+
+def create_specification() -> Specification:
+    """Return the system of this module with its checks."""
+    return Specification(
+        name="grants",
+        create=GrantSystem,
+        rules=GrantRule,
+        promises=GrantPromise,
+        mutants=tuple(Mutant(rule, GrantPromise.BOUND) for rule in GrantRule),
+        limits=(
+            Limit(
+                "no link inside the upstream's failure domain is cut",
+                lambda: GrantSystem(linked=False),
+                GrantPromise.BOUND,
+            ),
+        ),
+        quick_depth=12,
+        full_depth=18,
+    )
+
+
+def _is_granting(state: State, i: int) -> z3.BoolRef:
+    return z3.And(state.get("owns", i), z3.Not(state.get("paused", i)))
+
+
+def _count_up(clock: z3.BitVecRef) -> z3.BitVecRef:
+    return z3.If(z3.UGE(clock, WAIT_TICKS), clock, clock + 1)
+
+
+def _advance(state: State, name: str, *indices: int) -> Assignment:
+    return assign(name, *indices, to=_count_up(state.get(name, *indices)))
--- /dev/null
+++ b/spec/routing.py
@@ -0,0 +1,482 @@
+"""Routing of one flow of one slot while versions, homes and records change.
+
+Covers R1 to R9 apart from the limits of upstreams. Three entries know generations 1 to 3, each of
+which places the slot on an upstream of the solver's choice. A flow is open from the start, or is
+opened at any moment; its packets, opening ones included, may reach any entry at any moment and
+any number of times, which covers the fabric's spray, passing to a home, loss, delay, reordering
+and doubling.
+
+What ``spec.versions`` proves is assumed here: a version is put in force only when every entry that
+runs and is not stale has it. A query to peers is answered in the step that asks, by all peers that
+run.
+
+Left out: upstreams that are removed or not ready, a second flow with the same key, and partitions
+while a version spreads (``spec.versions`` says where that breaks).
+"""
+
+from enum import unique
+
+import z3
+
+from spec.system import (
+    Action,
+    Assignment,
+    Label,
+    Limit,
+    Mutant,
+    Promise,
+    Property,
+    Rule,
+    Specification,
+    State,
+    System,
+    Variable,
+    assign,
+    index_name,
+)
+
+ENTRIES = range(3)
+VERSIONS = range(1, 4)
+LATER_VERSIONS = range(2, 4)
+BITS = 2
+NONE = 0
+"""Value of a record or of the flow's upstream when there is none; upstreams are 1 to 3."""
+
+
+@unique
+class RoutingRule(Rule):
+    """Rules that a mutant takes out."""
+
+    CONTESTED = "an entry decides alone only in a slot with one candidate (R3)"
+    ONLY_HOME = "in a contested slot the home alone decides on unknown flows (R4)"
+    RECORDS = "a home records what it decides (R4)"
+    PEER_RECORDS = "a home asks its peers before it takes the base (R4)"
+    BASE = "a flow that nobody knows goes to the oldest candidate (R4)"
+    STALE = "a stale entry decides on no unknown flow (R7)"
+    TAKE_OVER = "a new home asks its peers for records before it decides (R6)"
+    WAIT = "a version places new flows once every live peer has it (R8)"
+    HANDOVER = "a leaving home gives its records to its successor (R6)"
+    HOME_KEEPS = "a home keeps its records while the slot is contested (found by the model)"
+    IDLE_WAIT = "a home waits the idle timeout before it releases (R9)"
+    RELEASE_ASKS = "a home releases only when no peer has a record on an older candidate (R9)"
+    GENERATIONS = "the wait is for the generation, not for a higher version (found by the model)"
+    SETTLED = "a version waits until no earlier opening is repeated (found by the model)"
+    YIELD = "an entry that answers a take-over is no longer home (found by the model)"
+    TAKE_RELEASES = "a take-over also brings the peers' releases (found by the model)"
+    RELEASE_FORCES = "a release as of a version puts that version in force (found by the model)"
+    RELEASE_ACKED = "a home applies a release once its successor has it (found by the model)"
+    HANDOVER_RELEASES = "a leaving entry hands over its releases (found by the model)"
+    PAUSED_HOME = "an entry that paused is no longer home (R6, R7)"
+
+
+@unique
+class RoutingStep(Label):
+    """Actions."""
+
+    LEARN = "an entry learns a generation"
+    ENFORCE = "an entry places new flows by a generation"
+    OPENING = "an entry gets an opening packet of the flow"
+    DATA = "an entry gets another packet of the flow"
+    OPENED = "the opening is over: its packets are not repeated"
+    HINT = "an entry gets a hint from another"
+    EXPIRE = "an entry forgets its record of the flow"
+    TAKE_OVER = "an entry becomes home"
+    RELEASE = "a home releases the slot"
+    RELEASED = "an entry receives a release"
+    PAUSE = "an entry pauses"
+    WAKE = "an entry wakes"
+    CONFIRM = "a peer answers a stale entry"
+    DIE = "an entry dies"
+    LEAVE = "an entry leaves after handing over"
+    JOIN = "a replacement joins"
+
+
+@unique
+class RoutingPromise(Promise):
+    """Properties."""
+
+    ONE_UPSTREAM = "all packets of a flow go to one upstream"
+
+
+class RoutingSystem(System):
+    """The system of this module.
+
+    ``place`` gives the upstream of each generation. State per entry: ``alive``, ``paused``,
+    ``stale``, ``home`` when it may decide as home, ``know`` for each later generation, ``force``
+    the generation that places new flows, ``base`` the generation as of which the slot was
+    released, ``record``. ``flow`` is the upstream that got the flow's first packet, ``unrecorded``
+    tells that an entry opened it alone, ``opening`` that opening packets may still come,
+    ``released`` which releases were sent.
+
+    :param rules: the rules that are in force.
+    :param kept: whether a running entry still has the record when a holder dies or pauses, and
+        a release is not lost by two entries that stop at once.
+    """
+
+    def __init__(
+        self, rules: frozenset[Rule] = frozenset(RoutingRule), kept: bool = True
+    ) -> None:
+        super().__init__(rules)
+        self.kept = kept
+
+    def list_variables(self) -> tuple[Variable, ...]:
+        """Return the variables."""
+        result = [Variable(n) for n in ("broken", "unrecorded", "opening")]
+        result.append(Variable("flow", BITS))
+        result += [Variable(index_name("place", v), BITS) for v in VERSIONS]
+        result += [Variable(index_name("released", v)) for v in LATER_VERSIONS]
+        for i in ENTRIES:
+            result += [Variable(index_name(n, i)) for n in ("alive", "paused", "stale", "home")]
+            result += [Variable(index_name("know", i, v)) for v in LATER_VERSIONS]
+            result += [Variable(index_name(n, i), BITS) for n in ("force", "base", "record")]
+        return tuple(result)
+
+    def build_start(self, state: State) -> z3.BoolRef:
+        """Return the condition on initial states: all have generation 1, entry 0 is home."""
+        flow = state.get("flow")
+        conditions = [z3.Not(state.get("broken"))]
+        conditions += [state.get("place", v) != NONE for v in VERSIONS]
+        conditions.append(z3.Or(flow == NONE, flow == state.get("place", 1)))
+        conditions.append(state.get("unrecorded") == (flow != NONE))
+        conditions += [z3.Not(state.get("released", v)) for v in LATER_VERSIONS]
+        for i in ENTRIES:
+            conditions += [state.get("alive", i), state.get("home", i) == (i == 0)]
+            conditions += [z3.Not(state.get(n, i)) for n in ("paused", "stale")]
+            conditions += [z3.Not(state.get("know", i, v)) for v in LATER_VERSIONS]
+            conditions += [state.get(n, i) == 1 for n in ("force", "base")]
+            conditions.append(state.get("record", i) == NONE)
+        return z3.And(conditions)
+
+    def list_actions(self, state: State) -> tuple[Action, ...]:
+        """Return the actions that may follow a state."""
+        result = [self._build_opened(state)]
+        for i in ENTRIES:
+            result += self._list_version_actions(state, i)
+            result += [self._build_opening(state, i), self._build_data(state, i)]
+            result += self._list_record_actions(state, i)
+            result += self._list_release_actions(state, i)
+            result.append(self._build_take_over(state, i))
+            result += self._list_faults(state, i)
+            result += self._list_replacements(state, i)
+        return tuple(result)
+
+    def list_properties(self, state: State) -> tuple[Property, ...]:
+        """Return the properties."""
+        return (Property(RoutingPromise.ONE_UPSTREAM, z3.Not(state.get("broken"))),)
+
+    # Versions.
+
+    def _list_version_actions(self, state: State, i: int) -> list[Action]:
+        result = []
+        for v in LATER_VERSIONS:
+            learnt = (assign("know", i, v, to=True),)
+            result.append(Action(RoutingStep.LEARN, (i, v), _is_running(state, i), learnt))
+            result.append(self._build_enforce(state, i, v))
+        return result
+
+    def _build_enforce(self, state: State, i: int, v: int) -> Action:
+        guards = [_is_running(state, i), z3.Not(state.get("stale", i))]
+        guards += [state.get("know", i, v), z3.ULT(state.get("force", i), v)]
+        if self.has(RoutingRule.WAIT):
+            guards += [self._has_heard(state, j, v) for j in ENTRIES]
+        if self.has(RoutingRule.SETTLED):
+            repeated = z3.And(state.get("unrecorded"), state.get("opening"))
+            guards.append(z3.Not(repeated))
+        return Action(
+            RoutingStep.ENFORCE, (i, v), z3.And(guards), (assign("force", i, to=v),)
+        )
+
+    def _has_heard(self, state: State, j: int, v: int) -> z3.BoolRef:
+        known = [state.get("know", j, v)]
+        if not self.has(RoutingRule.GENERATIONS):
+            known += [state.get("know", j, w) for w in LATER_VERSIONS if w > v]
+        excused = z3.Or(z3.Not(_is_running(state, j)), state.get("stale", j))
+        return z3.Or(excused, *known)
+
+    # Packets.
+
+    def _build_opening(self, state: State, i: int) -> Action:
+        flow, record = state.get("flow"), state.get("record", i)
+        alone, as_home = self._decides_alone(state, i), self._decides_as_home(state, i)
+        placed = _select_place(state, state.get("force", i))
+        by_table = _select_place(state, _newest(state, i))
+        decided = z3.If(record != NONE, record, z3.If(alone, by_table, placed))
+        guards = [z3.Or(flow == NONE, state.get("opening")), _is_running(state, i)]
+        guards.append(z3.Or(record != NONE, alone, as_home))
+        is_unrecorded = z3.And(record == NONE, alone)
+        unrecorded = z3.If(flow == NONE, is_unrecorded, state.get("unrecorded"))
+        assignments = self._forward(state, i, decided)
+        assignments += (
+            assign("unrecorded", to=unrecorded),
+            assign("opening", to=True),
+        )
+        return Action(RoutingStep.OPENING, (i,), z3.And(guards), assignments)
+
+    def _build_data(self, state: State, i: int) -> Action:
+        record = state.get("record", i)
+        alone, as_home = self._decides_alone(state, i), self._decides_as_home(state, i)
+        fallback = _select_place(state, state.get("base", i))
+        if not self.has(RoutingRule.BASE):
+            fallback = _select_place(state, _newest(state, i))
+        if self.has(RoutingRule.PEER_RECORDS):
+            fallback = _first_record(state, [j for j in ENTRIES if j != i], fallback)
+        by_table = _select_place(state, _newest(state, i))
+        decided = z3.If(record != NONE, record, z3.If(alone, by_table, fallback))
+        guards = [state.get("flow") != NONE, _is_running(state, i)]
+        guards.append(z3.Or(record != NONE, alone, as_home))
+        assignments = self._forward(state, i, decided)
+        return Action(RoutingStep.DATA, (i,), z3.And(guards), assignments)
+
+    def _forward(self, state: State, i: int, decided: z3.BitVecRef) -> tuple[Assignment, ...]:
+        flow, record = state.get("flow"), state.get("record", i)
+        recorded = z3.If(self._decides_alone(state, i), record, decided)
+        if not self.has(RoutingRule.RECORDS):
+            recorded = record
+        moved = z3.And(flow != NONE, flow != decided)
+        return (
+            assign("flow", to=z3.If(flow == NONE, decided, flow)),
+            assign("broken", to=z3.Or(state.get("broken"), moved)),
+            assign("record", i, to=recorded),
+        )
+
+    def _decides_alone(self, state: State, i: int) -> z3.BoolRef:
+        conditions = []
+        if self.has(RoutingRule.CONTESTED):
+            conditions.append(_is_clean(state, i))
+        if self.has(RoutingRule.STALE):
+            conditions.append(z3.Not(state.get("stale", i)))
+        return z3.And(conditions)
+
+    def _decides_as_home(self, state: State, i: int) -> z3.BoolRef:
+        conditions = []
+        if self.has(RoutingRule.ONLY_HOME):
+            conditions.append(state.get("home", i))
+        if self.has(RoutingRule.STALE):
+            conditions.append(z3.Not(state.get("stale", i)))
+        return z3.And(conditions)
+
+    def _build_opened(self, state: State) -> Action:
+        guard = z3.And(state.get("flow") != NONE, state.get("opening"))
+        return Action(RoutingStep.OPENED, (), guard, (assign("opening", to=False),))
+
+    # Records.
+
+    def _list_record_actions(self, state: State, i: int) -> list[Action]:
+        result = []
+        for j in ENTRIES:
+            if j == i:
+                continue
+            hint = state.get("record", j)
+            guard = z3.And(state.get("alive", j), _is_running(state, i), hint != NONE)
+            result.append(Action(RoutingStep.HINT, (i, j), guard, (assign("record", i, to=hint),)))
+        guards = [state.get("alive", i), self._is_held_elsewhere(state, i)]
+        guards.append(z3.Not(state.get("opening")))
+        if self.has(RoutingRule.HOME_KEEPS):
+            guards.append(z3.Or(z3.Not(state.get("home", i)), _is_clean(state, i)))
+        forgotten = (assign("record", i, to=NONE),)
+        result.append(Action(RoutingStep.EXPIRE, (i,), z3.And(guards), forgotten))
+        return result
+
+    def _is_held_elsewhere(self, state: State, i: int) -> z3.BoolRef:
+        return z3.Or([_holds_record(state, j) for j in ENTRIES if j != i])
+
+    def _build_take_over(self, state: State, i: int) -> Action:
+        peers = [j for j in ENTRIES if j != i]
+        guards = [_is_running(state, i), z3.Not(state.get("stale", i))]
+        guards.append(z3.Not(state.get("home", i)))
+        assignments = [assign("home", i, to=True)]
+        if self.has(RoutingRule.TAKE_OVER):
+            asked = _first_record(state, peers, state.get("record", i))
+            assignments.append(assign("record", i, to=asked))
+        if self.has(RoutingRule.TAKE_RELEASES):
+            base = state.get("base", i)
+            for j in peers:
+                base = z3.If(_is_running(state, j), _max(base, state.get("base", j)), base)
+            assignments += self._take_release(state, i, base)
+        if self.has(RoutingRule.YIELD):
+            for j in peers:
+                kept = z3.And(state.get("home", j), z3.Not(_is_running(state, j)))
+                assignments.append(assign("home", j, to=kept))
+        return Action(RoutingStep.TAKE_OVER, (i,), z3.And(guards), tuple(assignments))
+
+    # Releases.
+
+    def _list_release_actions(self, state: State, i: int) -> list[Action]:
+        result = []
+        for v in LATER_VERSIONS:
+            result += [self._build_release(state, i, j, v) for j in ENTRIES if j != i]
+            guards = [_is_running(state, i), state.get("released", v), state.get("know", i, v)]
+            guards.append(z3.ULT(state.get("base", i), v))
+            version = z3.BitVecVal(v, BITS)
+            taken = self._take_release(state, i, version)
+            result.append(Action(RoutingStep.RELEASED, (i, v), z3.And(guards), taken))
+        return result
+
+    def _build_release(self, state: State, i: int, j: int, v: int) -> Action:
+        guards = [self._decides_as_home(state, i), _is_running(state, i)]
+        guards += [state.get("know", i, v), state.get("force", i) == v, _newest(state, i) == v]
+        guards.append(z3.ULT(state.get("base", i), v))
+        if self.has(RoutingRule.IDLE_WAIT):
+            holders = [_holds_record(state, j) for j in ENTRIES]
+            is_new = state.get("flow") == state.get("place", v)
+            guards.append(z3.Or(state.get("flow") == NONE, is_new, *holders))
+        if self.has(RoutingRule.RELEASE_ASKS):
+            guards += [self._agrees(state, k, v) for k in ENTRIES]
+        version = z3.BitVecVal(v, BITS)
+        assignments = (assign("released", v, to=True), *self._take_release(state, i, version))
+        if self.has(RoutingRule.RELEASE_ACKED):
+            guards += [_is_running(state, j), state.get("know", j, v)]
+            assignments += self._take_release(state, j, _max(state.get("base", j), version))
+        return Action(RoutingStep.RELEASE, (i, j, v), z3.And(guards), assignments)
+
+    def _agrees(self, state: State, j: int, v: int) -> z3.BoolRef:
+        record = state.get("record", j)
+        answers = z3.And(_is_running(state, j), z3.Not(state.get("stale", j)))
+        free = z3.Or(record == NONE, record == state.get("place", v))
+        return z3.Or(z3.Not(state.get("alive", j)), z3.And(answers, free, state.get("know", j, v)))
+
+    def _take_release(
+        self, state: State, i: int, base: z3.BitVecRef
+    ) -> tuple[Assignment, ...]:
+        taken = (assign("base", i, to=base),)
+        if self.has(RoutingRule.RELEASE_FORCES):
+            force = _max(state.get("force", i), base)
+            taken += (assign("force", i, to=force),)
+        return taken
+
+    # Faults.
+
+    def _list_faults(self, state: State, i: int) -> list[Action]:
+        running = _is_running(state, i)
+        may_pause = z3.And(running, self._may_stop(state, i))
+        home = z3.And(state.get("home", i), not self.has(RoutingRule.PAUSED_HOME))
+        woken = (
+            assign("paused", i, to=False),
+            assign("stale", i, to=True),
+            assign("home", i, to=home),
+        )
+        paused = z3.And(state.get("alive", i), state.get("paused", i))
+        result = [
+            Action(RoutingStep.PAUSE, (i,), may_pause, (assign("paused", i, to=True),)),
+            Action(RoutingStep.WAKE, (i,), paused, woken),
+        ]
+        for j in ENTRIES:
+            if j != i:
+                result.append(self._build_confirm(state, i, j))
+        return result
+
+    def _may_stop(self, state: State, i: int) -> z3.BoolRef:
+        if not self.kept:
+            return z3.BoolVal(True)
+        others = [j for j in ENTRIES if j != i]
+        base = state.get("base", i)
+        known = [z3.And(_is_running(state, j), z3.UGE(state.get("base", j), base)) for j in others]
+        is_single = z3.And([_is_running(state, j) for j in others])
+        recorded = z3.Or(state.get("record", i) == NONE, self._is_held_elsewhere(state, i))
+        return z3.And(recorded, z3.Or(is_single, base == 1, *known))
+
+    def _build_confirm(self, state: State, i: int, j: int) -> Action:
+        guards = [_is_running(state, i), _is_running(state, j), state.get("stale", i)]
+        guards.append(z3.Not(state.get("stale", j)))
+        assignments = [assign("stale", i, to=False)]
+        for v in LATER_VERSIONS:
+            known = z3.Or(state.get("know", i, v), state.get("know", j, v))
+            assignments.append(assign("know", i, v, to=known))
+        return Action(RoutingStep.CONFIRM, (i, j), z3.And(guards), tuple(assignments))
+
+    def _list_replacements(self, state: State, i: int) -> list[Action]:
+        alive = state.get("alive", i)
+        gone = (
+            assign("alive", i, to=False),
+            assign("home", i, to=False),
+            assign("record", i, to=NONE),
+        )
+        may_die = z3.And(alive, self._may_stop(state, i))
+        result = [Action(RoutingStep.DIE, (i,), may_die, gone)]
+        for j in ENTRIES:
+            if j != i:
+                result.append(self._build_leave(state, i, j, gone))
+        joined = [assign("alive", i, to=True), assign("paused", i, to=False)]
+        joined += [assign("stale", i, to=True)]
+        joined += [assign(n, i, to=1) for n in ("force", "base")]
+        joined += [assign("know", i, v, to=False) for v in LATER_VERSIONS]
+        result.append(Action(RoutingStep.JOIN, (i,), z3.Not(alive), tuple(joined)))
+        return result
+
+    def _build_leave(
+        self, state: State, i: int, j: int, gone: tuple[Assignment, ...]
+    ) -> Action:
+        guard = z3.And(_is_running(state, i), _is_running(state, j))
+        given, own = state.get("record", i), state.get("record", j)
+        assignments = gone
+        if self.has(RoutingRule.HANDOVER):
+            handed = z3.If(own == NONE, given, own)
+            assignments += (assign("record", j, to=handed),)
+        if self.has(RoutingRule.HANDOVER_RELEASES):
+            base = _max(state.get("base", i), state.get("base", j))
+            assignments += self._take_release(state, j, base)
+        return Action(RoutingStep.LEAVE, (i, j), guard, assignments)
+
+
+def create_specification() -> Specification:
+    """Return the system of this module with its checks."""
+    return Specification(
+        name="routing",
+        create=RoutingSystem,
+        rules=RoutingRule,
+        promises=RoutingPromise,
+        mutants=tuple(Mutant(rule, RoutingPromise.ONE_UPSTREAM) for rule in RoutingRule),
+        limits=(
+            Limit(
+                "a record outlives the death of a holder (hint lost, or home and successor dead)",
+                lambda: RoutingSystem(kept=False),
+                RoutingPromise.ONE_UPSTREAM,
+            ),
+        ),
+        quick_depth=7,
+        full_depth=10,
+    )
+
+
+def _is_running(state: State, i: int) -> z3.BoolRef:
+    return z3.And(state.get("alive", i), z3.Not(state.get("paused", i)))
+
+
+def _holds_record(state: State, i: int) -> z3.BoolRef:
+    return z3.And(_is_running(state, i), state.get("record", i) != NONE)
+
+
+def _is_clean(state: State, i: int) -> z3.BoolRef:
+    base = state.get("base", i)
+    place = _select_place(state, base)
+    conditions = []
+    for v in LATER_VERSIONS:
+        retained = z3.And(state.get("know", i, v), z3.UGE(z3.BitVecVal(v, BITS), base))
+        conditions.append(z3.Implies(retained, state.get("place", v) == place))
+    return z3.And(conditions)
+
+
+def _newest(state: State, i: int) -> z3.BitVecRef:
+    result = z3.BitVecVal(1, BITS)
+    for v in LATER_VERSIONS:
+        result = z3.If(state.get("know", i, v), z3.BitVecVal(v, BITS), result)
+    return result
+
+
+def _select_place(state: State, version: z3.BitVecRef) -> z3.BitVecRef:
+    result = state.get("place", 1)
+    for v in LATER_VERSIONS:
+        result = z3.If(version == v, state.get("place", v), result)
+    return result
+
+
+def _first_record(state: State, entries: list[int], default: z3.BitVecRef) -> z3.BitVecRef:
+    result = default
+    for j in entries:
+        found = z3.And(_is_running(state, j), state.get("record", j) != NONE)
+        result = z3.If(found, state.get("record", j), result)
+    return result
+
+
+def _max(left: z3.BitVecRef, right: z3.BitVecRef) -> z3.BitVecRef:
+    return z3.If(z3.UGE(left, right), left, right)
