--- /dev/null
+++ b/spec/refusals.py
@@ -0,0 +1,198 @@
+"""Refusals: a flow that was reset as "not run" never had a packet forwarded.
+
+Covers R12 with R4 to R6. Three entries get copies of the flow's packets in any order. A home with
+no capacity refuses an opening that it does not know, or forwards it and records it. Homes change,
+and hints may be lost. An upstream that is gone, or whose domain is out, excuses a reset.
+
+Left out: a copy of the opening that is forwarded after the flow was refused (its caller no longer
+has the connection, so that the upstream gets no request), and datagrams, which get no reset.
+"""
+
+from enum import unique
+
+import z3
+
+from spec.system import (
+    Action,
+    Label,
+    Limit,
+    Mutant,
+    Promise,
+    Property,
+    Rule,
+    Specification,
+    State,
+    System,
+    Variable,
+    assign,
+    index_name,
+)
+
+ENTRIES = range(3)
+
+
+@unique
+class RefusalRule(Rule):
+    """Rules that a mutant takes out."""
+
+    HOME_REFUSES = "only the home refuses (R4)"
+    UNKNOWN_ONLY = "a home refuses no flow that it has a record of (R12)"
+    RECORDS = "a home records what it forwards (R4)"
+    TAKE_OVER = "a new home asks its peers for records before it decides (R6)"
+    YIELD = "an entry that answers a take-over is no longer home (found by the model)"
+    HANDOVER = "a leaving home gives its records to its successor (R6)"
+
+
+@unique
+class RefusalStep(Label):
+    """Actions."""
+
+    FORWARD = "an entry forwards a packet of the flow"
+    REFUSE = "an entry resets the flow"
+    HINT = "an entry gets a hint from another"
+    TAKE_OVER = "an entry becomes home"
+    LEAVE = "an entry leaves after handing over"
+    DIE = "an entry dies"
+    JOIN = "a replacement joins"
+
+
+@unique
+class RefusalPromise(Promise):
+    """Properties."""
+
+    NEVER_RAN = "a flow that was refused had no packet forwarded before"
+
+
+class RefusalSystem(System):
+    """The system of this module.
+
+    State per entry: ``alive``, ``home``, ``record``. ``forwarded`` tells that a packet of the
+    flow went to an upstream, ``wrong`` is the violation.
+
+    :param rules: the rules that are in force.
+    :param kept: whether another entry has the record when a holder dies.
+    """
+
+    def __init__(self, rules: frozenset[Rule] = frozenset(RefusalRule), kept: bool = True) -> None:
+        super().__init__(rules)
+        self.kept = kept
+
+    def list_variables(self) -> tuple[Variable, ...]:
+        """Return the variables."""
+        result = [Variable("forwarded"), Variable("wrong")]
+        for i in ENTRIES:
+            result += [Variable(index_name(n, i)) for n in ("alive", "home", "record")]
+        return tuple(result)
+
+    def build_start(self, state: State) -> z3.BoolRef:
+        """Return the condition on initial states: entry 0 is home, the flow is new."""
+        conditions = [z3.Not(state.get("forwarded")), z3.Not(state.get("wrong"))]
+        for i in ENTRIES:
+            conditions += [state.get("alive", i), state.get("home", i) == (i == 0)]
+            conditions.append(z3.Not(state.get("record", i)))
+        return z3.And(conditions)
+
+    def list_actions(self, state: State) -> tuple[Action, ...]:
+        """Return the actions that may follow a state."""
+        result = []
+        for i in ENTRIES:
+            result += [self._build_forward(state, i), self._build_refuse(state, i)]
+            result.append(self._build_take_over(state, i))
+            result += self._list_replacements(state, i)
+            for j in ENTRIES:
+                if j != i:
+                    result += self._list_exchanges(state, i, j)
+        return tuple(result)
+
+    def list_properties(self, state: State) -> tuple[Property, ...]:
+        """Return the properties."""
+        return (Property(RefusalPromise.NEVER_RAN, z3.Not(state.get("wrong"))),)
+
+    def list_lemmas(self, state: State) -> tuple[z3.BoolRef, ...]:
+        """Return further invariants that help k-induction."""
+        if not self.kept:
+            return ()
+        homes = [state.get("home", i) for i in ENTRIES]
+        known = [z3.And(state.get("alive", i), state.get("record", i)) for i in ENTRIES]
+        result = [z3.AtMost(*homes, 1), z3.Implies(state.get("forwarded"), z3.Or(known))]
+        for i in ENTRIES:
+            result += [
+                z3.Implies(state.get(n, i), state.get("alive", i)) for n in ("home", "record")
+            ]
+            result.append(z3.Implies(state.get("record", i), state.get("forwarded")))
+            home_knows = z3.Implies(state.get("forwarded"), state.get("record", i))
+            result.append(z3.Implies(state.get("home", i), home_knows))
+        return tuple(result)
+
+    def _build_forward(self, state: State, i: int) -> Action:
+        record, home = state.get("record", i), state.get("home", i)
+        guard = z3.And(state.get("alive", i), z3.Or(record, home))
+        recorded = z3.BoolVal(True) if self.has(RefusalRule.RECORDS) else record
+        assignments = (assign("forwarded", to=True), assign("record", i, to=recorded))
+        return Action(RefusalStep.FORWARD, (i,), guard, assignments)
+
+    def _build_refuse(self, state: State, i: int) -> Action:
+        guards = [state.get("alive", i)]
+        if self.has(RefusalRule.HOME_REFUSES):
+            guards.append(state.get("home", i))
+        if self.has(RefusalRule.UNKNOWN_ONLY):
+            guards.append(z3.Not(state.get("record", i)))
+        wrong = z3.Or(state.get("wrong"), state.get("forwarded"))
+        return Action(RefusalStep.REFUSE, (i,), z3.And(guards), (assign("wrong", to=wrong),))
+
+    def _build_take_over(self, state: State, i: int) -> Action:
+        peers = [j for j in ENTRIES if j != i]
+        guard = z3.And(state.get("alive", i), z3.Not(state.get("home", i)))
+        assignments = [assign("home", i, to=True)]
+        if self.has(RefusalRule.TAKE_OVER):
+            known = [z3.And(state.get("alive", j), state.get("record", j)) for j in peers]
+            asked = z3.Or(state.get("record", i), *known)
+            assignments.append(assign("record", i, to=asked))
+        if self.has(RefusalRule.YIELD):
+            assignments += [assign("home", j, to=False) for j in peers]
+        return Action(RefusalStep.TAKE_OVER, (i,), guard, tuple(assignments))
+
+    def _list_replacements(self, state: State, i: int) -> list[Action]:
+        alive, record = state.get("alive", i), state.get("record", i)
+        others = [z3.And(state.get("alive", j), state.get("record", j)) for j in ENTRIES if j != i]
+        may_die = alive
+        if self.kept:
+            may_die = z3.And(alive, z3.Or(z3.Not(record), *others))
+        gone = tuple(assign(n, i, to=False) for n in ("alive", "home", "record"))
+        return [
+            Action(RefusalStep.DIE, (i,), may_die, gone),
+            Action(RefusalStep.JOIN, (i,), z3.Not(alive), (assign("alive", i, to=True),)),
+        ]
+
+    def _list_exchanges(self, state: State, i: int, j: int) -> list[Action]:
+        both = z3.And(state.get("alive", i), state.get("alive", j))
+        record, given = state.get("record", j), state.get("record", i)
+        hint = (assign("record", j, to=True),)
+        left = tuple(assign(n, i, to=False) for n in ("alive", "home", "record"))
+        if self.has(RefusalRule.HANDOVER):
+            left += (assign("record", j, to=z3.Or(record, given)),)
+        return [
+            Action(RefusalStep.HINT, (i, j), z3.And(both, given), hint),
+            Action(RefusalStep.LEAVE, (i, j), both, left),
+        ]
+
+
+def create_specification() -> Specification:
+    """Return the system of this module with its checks."""
+    return Specification(
+        name="refusals",
+        create=RefusalSystem,
+        rules=RefusalRule,
+        promises=RefusalPromise,
+        mutants=tuple(Mutant(rule, RefusalPromise.NEVER_RAN) for rule in RefusalRule),
+        limits=(
+            Limit(
+                "a record outlives the death of a holder (hint lost, or home and successor dead)",
+                lambda: RefusalSystem(kept=False),
+                RefusalPromise.NEVER_RAN,
+            ),
+        ),
+        quick_depth=8,
+        full_depth=16,
+        induction_depth=3,
+    )
