--- a/spec/catalog.py
+++ b/spec/catalog.py
@@ -1,9 +1,12 @@
 """The specifications that are checked."""
 
+from functools import cache
+
 from spec import domains, grants, packets, refusals, routing, versions
 from spec.system import Specification
 
 
+@cache
 def list_specifications() -> tuple[Specification, ...]:
     """Return all specifications."""
     return (
--- a/spec/check.py
+++ b/spec/check.py
@@ -8,13 +8,14 @@
 import time
 from dataclasses import dataclass
 from enum import Enum, unique
+from functools import cache
 from typing import Annotated
 
 import cappa
 from msgspec import Struct
 
 from spec.catalog import list_specifications
-from spec.system import Finding, Specification, Verdict, check_bounded, check_inductive
+from spec.system import Finding, Mutant, Specification, Verdict, check_bounded, check_inductive
 from spec.trace import format_finding
 
 
@@ -71,13 +72,19 @@
     return _end_check(specification, f"k-induction, k = {finding.depth}", passed, finding, start_s)
 
 
+@cache
+def find_counterexample(specification: Specification, mutant: Mutant) -> Finding:
+    """Return the shortest counterexample of a mutant."""
+    system = specification.create(frozenset(specification.rules) - {mutant.rule})
+    return check_bounded(system, specification.full_depth, promise=mutant.promise)
+
+
 def check_mutants(specification: Specification) -> list[Check]:
     """Check that each mutant breaks its property."""
     result = []
     for mutant in specification.mutants:
         start_s = time.process_time()
-        system = specification.create(frozenset(specification.rules) - {mutant.rule})
-        finding = check_bounded(system, specification.full_depth, promise=mutant.promise)
+        finding = find_counterexample(specification, mutant)
         passed = finding.verdict == Verdict.BROKEN
         name = f"without {mutant.rule.name}: {mutant.promise.name}"
         result.append(_end_check(specification, name, passed, finding, start_s))
--- a/spec/routing.py
+++ b/spec/routing.py
@@ -138,7 +138,7 @@
     def build_start(self, state: State) -> z3.BoolRef:
         """Return the condition on initial states.
 
-        All have generation 1, or generation 2 in force; entry 0 is home.
+        All have generation 1, or generation 2 that some place by; entry 0 is home.
         """
         flow = state.get("flow")
         conditions = [z3.Not(state.get("broken"))]
@@ -153,7 +153,8 @@
             conditions += [z3.Not(state.get(n, i)) for n in ("paused", "stale")]
             conditions.append(state.get("know", i, 2) == self.spread)
             conditions.append(z3.Not(state.get("know", i, 3)))
-            conditions.append(state.get("force", i) == (2 if self.spread else 1))
+            conditions.append(z3.ULE(state.get("force", i), 2 if self.spread else 1))
+            conditions.append(z3.UGE(state.get("force", i), 1))
             conditions += [state.get("base", i) == 1, state.get("record", i) == NONE]
         return z3.And(conditions)
 
--- a/spec/system.py
+++ b/spec/system.py
@@ -226,6 +226,7 @@
     :param with_lemmas: whether a broken lemma counts as well.
     :returns: the shortest counterexample, or ``HOLDS`` for that depth.
     """
+    _reset_context()
     unrolling = _Unrolling(system, promise, with_lemmas)
     unrolling.solver.add(system.build_start(unrolling.states[0]))
     for length in range(depth + 1):
@@ -247,14 +248,14 @@
     :returns: ``HOLDS`` with the k that closed, ``BROKEN`` with a counterexample of the base case,
         or ``NOT_CLOSED``.
     """
+    _reset_context()
     unrolling = _Unrolling(system, None, with_lemmas=True)
     for k in range(1, depth + 1):
         unrolling.assume_properties()
         unrolling.extend()
         unrolling.require_distinct()
         if not unrolling.can_break():
-            base = check_bounded(system, k, with_lemmas=True)
-            return base if base.verdict != Verdict.HOLDS else Finding(Verdict.HOLDS, k)
+            return check_bounded(system, k, with_lemmas=True)
     return Finding(Verdict.NOT_CLOSED, depth)
 
 
@@ -339,6 +340,11 @@
         )
 
 
+def _reset_context() -> None:
+    """Start from an empty context, so that a counterexample doesn't depend on earlier checks."""
+    z3.z3._main_ctx = None
+
+
 def _create_solver() -> z3.Solver:
     solver = z3.SolverFor("QF_BV")
     solver.set("random_seed", SEED)
--- a/src/chicoryproxy/router.py
+++ b/src/chicoryproxy/router.py
@@ -57,7 +57,7 @@
         self._releases = create_release_duty(self._parts)
         self._leases = create_lease_duty(self._parts)
         self._exchange = create_peer_exchange(self._parts, self._leaving, self._releases)
-        self._last_tick_s: float | None = None
+        self._pause_at_s = float("inf")
 
     def receive_packet(
         self, data: bytes, source: Sequence[object], now: float
@@ -67,6 +67,9 @@
         :param data: the inner packet.
         :param source: host and port of the outer source.
         """
+        if now >= self._pause_at_s:
+            # After a pause the loop may hand in packets before it runs the tick's timer.
+            self._note_pause(now)
         head = read_packet(data)
         if isinstance(head, DropReason):
             return _DROPS[head]
@@ -87,6 +90,8 @@
         self, sender: InstanceId, message: EntryMessage, now: float
     ) -> Sequence[PacketAction]:
         """Take a message of another entry."""
+        if now >= self._pause_at_s:
+            self._note_pause(now)
         if self._parts.directory.is_hidden(sender):
             self._note_heal()
         self._parts.contact.note_heard(sender)
@@ -266,8 +271,8 @@
         self._parts.take_over.distrust_all()
 
     def _note_pause(self, now: float) -> None:
-        last, self._last_tick_s = self._last_tick_s, now
-        if last is None or now - last < self._parts.world.fleet.pause_s:
+        limit_s, self._pause_at_s = self._pause_at_s, now + self._parts.world.fleet.pause_s
+        if now < limit_s:
             return
         self._parts.world.is_stale = True
         self._parts.contact.forget_all()
--- a/src/chicoryproxy/slots.py
+++ b/src/chicoryproxy/slots.py
@@ -50,7 +50,7 @@
         self._indexes = array("H", (NO_ANSWER,))
         self._answers: list[Answer | None] = []
         self._tables: tuple[SlotTable, ...] = ()
-        self._placed: PlacementTable | None = None
+        self._placed: SlotTable | None = None
         self._released: dict[int, Version] = {}
         self._changed: dict[int, float] = {}
         self._wanted: dict[int, float] = {}
@@ -197,9 +197,14 @@
 
     def placed(self, slot: int) -> UpstreamId | None:
         """Return the upstream that new flows of a slot are placed on."""
-        if self._placed is None:
+        chosen = self._placed
+        if chosen is None:
             return self.newest(slot)
-        return _placement(self._placed, slot)
+        oldest = self._relevant(slot)[0]
+        if oldest.generation.version > chosen.generation.version:
+            # Flows of the oldest candidate have no record, so none older may be added.
+            chosen = oldest
+        return _placement(chosen.table, slot)
 
     def alternatives(self) -> list[UpstreamId]:
         """Return the members of the newest generation."""
@@ -278,8 +283,8 @@
         found = {member.id: None for item in self._tables for member in item.generation.members}
         return list(found)
 
-    def _choose_placed(self, placed: Version) -> PlacementTable | None:
-        tables = [item.table for item in self._tables if item.generation.version <= placed]
+    def _choose_placed(self, placed: Version) -> SlotTable | None:
+        tables = [item for item in self._tables if item.generation.version <= placed]
         return tables[-1] if tables else None
 
     def _relevant(self, slot: int) -> Sequence[SlotTable]:
--- a/src/chicoryproxy/versions.py
+++ b/src/chicoryproxy/versions.py
@@ -191,7 +191,8 @@
         :param live: the live peers, each of which has to confirm the version.
         :param spread_s: time after which confirmations are not waited for any more.
         """
-        if self._placed == self.version:
+        if self._placed == self.version or self.is_behind:
+            # A peer with a higher version may have skipped this one and not know its placement.
             return
         spread = now - self._learned_at >= spread_s
         if spread or all(self.get_confirmed(peer) >= self.version for peer in live):
