--- a/src/chicoryproxy/peers.py
+++ b/src/chicoryproxy/peers.py
@@ -88,6 +88,8 @@
                 floors.append(route.slots.floor(question.slot))
         known = tuple(floor for floor in floors if floor.version != NO_VERSION)
         answer = FlowAnswer(message.query, tuple(records), known)
+        # Two homes at once could place one opening on two upstreams.
+        self._parts.take_over.yield_slots(question.slot for question in message.questions)
         return [SendToPeer(sender, answer, Priority.SAFETY)]
 
     def _records_for(self, question: SlotQuestion, limit: int) -> list[FlowRecord]:
@@ -98,7 +100,9 @@
         slots = route.slots
         base = slots.base_name(question.slot.slot & slots.mask)
         besides = base if base == question.base else None
-        return list(self._parts.records.records_of(question.slot, besides, limit))
+        return list(
+            self._parts.records.records_of(question.slot, besides, limit, with_half_open=True)
+        )
 
     def _take_answer(self, sender: InstanceId, message: FlowAnswer, now: float) -> Actions:
         for record in message.records:
--- a/src/chicoryproxy/records.py
+++ b/src/chicoryproxy/records.py
@@ -72,12 +72,20 @@
             self.record(record.flow, record.service, record.upstream, FlowFlag(0), now)
 
     def records_of(
-        self, slot: SlotName, besides: UpstreamId | None, limit: int
+        self,
+        slot: SlotName,
+        besides: UpstreamId | None,
+        limit: int,
+        with_half_open: bool = False,
     ) -> Sequence[FlowRecord]:
-        """Return records of a slot that name another upstream than the given one."""
+        """Return records of a slot that name another upstream than the given one.
+
+        :param with_half_open: also those of the given one whose opening may be repeated.
+        """
         found = []
         for flow, target in self._targets_of(slot):
-            if target.upstream != besides:
+            is_half_open = with_half_open and self.has_flag(flow, FlowFlag.HALF_OPEN)
+            if is_half_open or target.upstream != besides:
                 found.append(FlowRecord(flow, slot.service, target.upstream))
             if len(found) >= limit:
                 break
--- a/src/chicoryproxy/takeover.py
+++ b/src/chicoryproxy/takeover.py
@@ -69,6 +69,10 @@
         self._trusted.clear()
         self._asked = frozenset()
 
+    def yield_slots(self, slots: Iterable[SlotName]) -> None:
+        """Note that a peer takes slots over; this instance asks before it decides on them again."""
+        self._trusted.difference_update(slots)
+
     def hold(self, packet: PacketAtHand) -> bool:
         """Keep a packet until the question about its slot is answered.
 
