--- a/tests/replay_net.py
+++ b/tests/replay_net.py
@@ -85,7 +85,7 @@
             RoutingStep.HINT: lambda i, j: self._release_held(FlowHints, i),
             RoutingStep.RELEASED: lambda i, v: self._release_held(SlotReleases, i),
             RoutingStep.TAKE_OVER: self._take_over,
-            RoutingStep.RELEASE: lambda i, j, v: self._wait_for_release(j),
+            RoutingStep.RELEASE: lambda i, j, v: self._wait_for_release(j, step),
             RoutingStep.PAUSE: self._paused.add,
             RoutingStep.WAKE: self._wake,
             RoutingStep.CONFIRM: lambda i, j: self._confirm(i, j),
@@ -215,9 +215,10 @@
             self._better[j].discard(i)
             self._update(j)
 
-    def _wait_for_release(self, j: int) -> None:
+    def _wait_for_release(self, j: int, step: Step) -> None:
         self._run(1.0 if self.reached else IDLE_TIMEOUT_S + SETTLE_S)
-        self._release_held(SlotReleases, j)
+        if f"base_{j}" in {change.name for change in step.changes}:
+            self._release_held(SlotReleases, j)
 
     def _wake(self, i: int) -> None:
         self._run(PAUSE_S)
