--- /dev/null
+++ b/src/chicoryproxy/demo.py
@@ -0,0 +1,236 @@
+"""``chicory-demo``: the main job in one process, with every part on one loop.
+
+Callers open thousands of flows, sprayed packet by packet over the entries of three failure domains,
+while a failure domain is taken out and brought back and an entry is replaced.
+"""
+
+import asyncio
+import os
+import sys
+import time
+from collections import Counter
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+from typing import Annotated
+
+import cappa
+import uvloop
+from msgspec import Struct
+from rich.console import Console
+from rich.table import Table
+
+from chicoryproxy.caller_standin import CallerFlow, FlowEnd
+from chicoryproxy.demo_fleet import DOMAINS, TARGET, DemoFleet
+from chicoryproxy.ids import UpstreamId, Version
+from chicoryproxy.logs import LogFormat, configure_logs
+from chicoryproxy.segment import Peer
+
+UPSTREAMS = 7
+INSTANCES = 6
+OUT_DOMAIN = DOMAINS[2]
+PAYLOAD = b"is heat number 7 certified?"
+STEP_LIMIT_S = 30.0
+POLL_S = 0.05
+PHASE_S = 4.0
+REQUEST_INTERVAL_S = 1.0
+CALLERS_AT_ONCE = 200
+EXIT_BROKEN = 1
+
+
+@cappa.command(
+    name="chicory-demo",
+    help="Show the main job in one process.",
+    description="Example: `chicory-demo --flows 3000`. Exit code 1 if a flow broke.",
+)
+@dataclass
+class DemoOptions:
+    """Options of ``chicory-demo``."""
+
+    flows: Annotated[int, cappa.Arg(long=True, help="Number of flows to open.")] = 3000
+    seed: Annotated[int, cappa.Arg(long=True, help="Seed of the spray and the cores.")] = 1
+
+
+class DemoResult(Struct, frozen=True):
+    """Counts of a run.
+
+    :param broken: established flows that ended although they had to survive.
+    :param given_up: established flows that ended with their failure domain.
+    :param imbalance: most openings of an upstream over the mean of all.
+    :param control_bytes_per_s: sent to peers by one instance on average, passed packets included.
+    """
+
+    opened: int
+    answered: int
+    broken: int
+    refused: int
+    unanswered: int
+    given_up: int
+    imbalance: float
+    control_bytes_per_s: float
+
+
+class Demo:
+    """One run."""
+
+    def __init__(self, options: DemoOptions, console: Console) -> None:
+        self._console = console
+        self._flows = options.flows
+        self._fleet = DemoFleet(options.seed)
+        self._upstream_of: dict[Peer, UpstreamId] = {}
+        self._is_ending = False
+        self._started_at = time.monotonic()
+
+    async def run(self) -> DemoResult:
+        """Run all steps and return the counts."""
+        fleet = self._fleet
+        await fleet.start(UPSTREAMS, INSTANCES)
+        await self._wait("every entry has version 1", lambda: fleet.has_version(Version(1)))
+        self._started_at = time.monotonic()
+        traffic = asyncio.create_task(self._run_callers())
+        progress = asyncio.create_task(self._show_progress())
+        await asyncio.sleep(PHASE_S)
+        await self._take_domain_out()
+        await asyncio.sleep(PHASE_S)
+        await self._replace_entry()
+        await asyncio.sleep(PHASE_S)
+        self._is_ending = True
+        self._console.print("callers finish their flows")
+        await traffic
+        progress.cancel()
+        result = self._count()
+        await fleet.stop()
+        return result
+
+    async def _take_domain_out(self) -> None:
+        fleet = self._fleet
+        self._console.print(f"failure domain {OUT_DOMAIN} is taken out")
+        version = await fleet.publish(out=frozenset((OUT_DOMAIN,)))
+        await self._wait("every entry has the version", lambda: fleet.has_version(version))
+        await asyncio.sleep(PHASE_S)
+        self._console.print(f"failure domain {OUT_DOMAIN} is brought back")
+        version = await fleet.publish()
+        await self._wait("every entry has the version", lambda: fleet.has_version(version))
+
+    async def _replace_entry(self) -> None:
+        fleet = self._fleet
+        leaving = next(iter(fleet.instances.values()))
+        self._console.print(f"{leaving.instance.id} is replaced")
+        added = fleet.add_instance()
+        version = await fleet.publish(leaving=frozenset((leaving.instance.id,)))
+        await self._wait("the new entry has the version", lambda: added.version >= version)
+        await leaving.leave()
+        del fleet.instances[leaving.instance.id]
+        self._console.print(f"{leaving.instance.id} has stopped")
+
+    async def _run_callers(self) -> None:
+        """Open the flows over the first phases, a bounded number of openings at once."""
+        slots = asyncio.Semaphore(CALLERS_AT_ONCE)
+        pause_s = 3 * PHASE_S / self._flows
+        async with asyncio.TaskGroup() as group:
+            for number in range(self._flows):
+                source = Peer(f"10.9.{number >> 8 & 255}.{number & 255}", 40_000)
+                group.create_task(self._run_caller(source, slots))
+                await asyncio.sleep(pause_s)
+
+    async def _run_caller(self, source: Peer, slots: asyncio.Semaphore) -> None:
+        """Open a flow, ask again and again until the end, and close it."""
+        flow = self._fleet.callers.create_flow(source, TARGET)
+        async with slots:
+            end = await flow.open(time.monotonic())
+        upstream = self._fleet.find_upstream(source)
+        if upstream is not None:
+            self._upstream_of[source] = upstream
+        while end is FlowEnd.OPEN:
+            end = await flow.request(PAYLOAD, time.monotonic())
+            if self._is_ending:
+                break
+            await asyncio.sleep(REQUEST_INTERVAL_S)
+        await flow.close(time.monotonic())
+
+    async def _show_progress(self) -> None:
+        while True:
+            await asyncio.sleep(1.0)
+            ends = self._fleet.callers.count_ends()
+            answered = sum(flow.answered for flow in self._fleet.callers.flows.values())
+            text = ", ".join(f"{count} {end.value}" for end, count in sorted_ends(ends))
+            self._console.print(
+                f"[dim]{time.monotonic() - self._started_at:5.1f} s[/dim] {text}, "
+                f"{answered} answers"
+            )
+
+    async def _wait(self, what: str, is_done: Callable[[], bool]) -> None:
+        """Wait until something holds.
+
+        :raises TimeoutError: when it does not within ``STEP_LIMIT_S``.
+        """
+        started = time.monotonic()
+        async with asyncio.timeout(STEP_LIMIT_S):
+            while not is_done():
+                await asyncio.sleep(POLL_S)
+        self._console.print(f"{what} after {time.monotonic() - started:.2f} s")
+
+    def _count(self) -> DemoResult:
+        fleet = self._fleet
+        flows = list(fleet.callers.flows.values())
+        kinds = Counter(self._classify(flow) for flow in flows)
+        openings = [upstream.openings for upstream in fleet.upstreams.values()]
+        seconds = time.monotonic() - self._started_at
+        control = [instance.control_bytes for instance in fleet.instances.values()]
+        return DemoResult(
+            opened=len(flows) - kinds["refused"] - kinds["unanswered"],
+            answered=sum(flow.answered for flow in flows),
+            broken=kinds["broken"],
+            refused=kinds["refused"],
+            unanswered=kinds["unanswered"],
+            given_up=kinds["given up"],
+            imbalance=max(openings) * len(openings) / max(sum(openings), 1),
+            control_bytes_per_s=sum(control) / len(control) / seconds,
+        )
+
+    def _classify(self, flow: CallerFlow) -> str:
+        if flow.end is FlowEnd.CLOSED:
+            return "survived"
+        if flow.end is FlowEnd.REFUSED:
+            return "refused"
+        upstream = flow.upstream or self._upstream_of.get(flow.source)
+        if upstream is None:
+            return "unanswered"
+        domain = self._fleet.domains.get(upstream)
+        is_excused = domain == OUT_DOMAIN and flow.end in (FlowEnd.RESET, FlowEnd.SILENT)
+        return "given up" if is_excused else "broken"
+
+
+def sorted_ends(ends: Counter[FlowEnd]) -> list[tuple[FlowEnd, int]]:
+    """Return the counts in the order of the ends."""
+    return [(end, ends[end]) for end in FlowEnd if ends[end]]
+
+
+def render(result: DemoResult) -> Table:
+    """Return the table that a run ends with."""
+    table = Table(title="chicoryproxy demo")
+    table.add_column("measure")
+    table.add_column("value", justify="right")
+    table.add_row("flows opened", str(result.opened))
+    table.add_row("requests answered", str(result.answered))
+    table.add_row("flows broken that had to survive", str(result.broken))
+    table.add_row("openings refused", str(result.refused))
+    table.add_row("openings unanswered", str(result.unanswered))
+    table.add_row(f"flows given up with {OUT_DOMAIN}", str(result.given_up))
+    table.add_row("imbalance of openings (max/mean)", f"{result.imbalance:.2f}")
+    table.add_row("bytes/s to peers per instance", f"{result.control_bytes_per_s:.0f}")
+    return table
+
+
+def main(argv: Sequence[str] | None = None) -> None:
+    """Run ``chicory-demo`` and exit."""
+    options = cappa.parse(DemoOptions, argv=None if argv is None else list(argv))
+    console = Console()
+    with open(os.devnull, "w") as nowhere:
+        configure_logs(LogFormat.JSON, nowhere)
+        result = uvloop.run(Demo(options, console).run())
+    console.print(render(result))
+    sys.exit(EXIT_BROKEN if result.broken else 0)
+
+
+if __name__ == "__main__":
+    main()
--- a/src/chicoryproxy/transport.py
+++ b/src/chicoryproxy/transport.py
@@ -24,6 +24,7 @@
 MAX_DATAGRAM_BYTES = 1200
 MAX_FRAME_BYTES = MAX_MESSAGE_BYTES + 1024
 MAX_STREAMS = 64
+MAX_ANSWERABLE = 256
 MAX_QUEUED_FRAMES = 16
 MAX_BYTES_IN_FLIGHT = 64 * 1024 * 1024
 STREAM_IDLE_S = 30.0
@@ -53,6 +54,7 @@
         self._metrics = metrics
         self._seed = seed
         self._peers: Mapping[InstanceId, Endpoint] = {}
+        self._answerable: OrderedDict[InstanceId, Endpoint] = OrderedDict()
         self._datagrams: asyncio.DatagramTransport | None = None
         self._streams: OrderedDict[Endpoint, _OutgoingStream] = OrderedDict()
         self._incoming: set[asyncio.StreamWriter] = set()
@@ -69,7 +71,7 @@
 
         :param as_datagram: send it as a datagram whatever its size.
         """
-        peer = self._peers.get(receiver)
+        peer = self._peers.get(receiver) or self._answerable.get(receiver)
         if peer is None or self._datagrams is None:
             self._metrics.count(Metric.PEER_UNSENT)
             return
@@ -103,11 +105,16 @@
             self._datagrams.close()
             self._datagrams = None
 
-    def accept(self, data: bytes, host: str) -> None:
-        """Open a received message and hand it on."""
+    def accept(self, data: bytes, host: str, port: int | None = None) -> None:
+        """Open a received message and hand it on.
+
+        :param port: source of a datagram, which is where its sender takes messages.
+        """
         self._metrics.count(Metric.PEER_BYTES_RECEIVED, len(data))
         opened = self._seal.open(data, host)
         if isinstance(opened, Opened):
+            if port is not None and opened.sender not in self._peers:
+                self._note_answerable(opened.sender, Endpoint(host, port))
             self._receive(opened.sender, opened.body)
         else:
             self._metrics.count(Metric.PEER_REFUSED, label=opened.value)
@@ -117,6 +124,16 @@
         if self._failed is not None and not self._failed.done():
             self._failed.set_exception(error or ConnectionError("the peer socket was closed"))
 
+    def _note_answerable(self, sender: InstanceId, source: Endpoint) -> None:
+        """Note where a sender can be answered that the list does not have yet.
+
+        An instance that has just joined asks its peers before all of them know of it.
+        """
+        self._answerable[sender] = source
+        self._answerable.move_to_end(sender)
+        if len(self._answerable) > MAX_ANSWERABLE:
+            self._answerable.popitem(last=False)
+
     def _get_stream(self, peer: Endpoint) -> "_OutgoingStream":
         stream = self._streams.get(peer)
         if stream is None or stream.is_closed:
@@ -168,7 +185,7 @@
         self._owner = owner
 
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
-        self._owner.accept(data, addr[0])
+        self._owner.accept(data, addr[0], addr[1])
 
     def connection_lost(self, exc: Exception | None) -> None:
         self._owner.fail(exc)
--- a/src/chicoryproxy/upstream_standin.py
+++ b/src/chicoryproxy/upstream_standin.py
@@ -26,6 +26,7 @@
     expected: int
     sequence: int
     last: Segment
+    is_closed: bool = False
 
 
 class UpstreamStandIn:
@@ -56,8 +57,9 @@
         self._connections: dict[tuple[Peer, Peer], _Connection] = {}
         self._recent: deque[float] = deque()
 
-    def __len__(self) -> int:
-        return len(self._connections)
+    def has_connection(self, source: Peer, target: Peer) -> bool:
+        """Return whether a caller's connection is open here."""
+        return (source, target) in self._connections
 
     def restart(self) -> None:
         """Forget all connections, as a server that starts anew."""
@@ -76,10 +78,7 @@
             self.unknown += 1
             self._send(_answer(segment, FLAG_RST, segment.acknowledged, segment.sequence))
         elif segment.flags & FLAG_FIN:
-            del self._connections[key]
-            self._send(
-                _answer(segment, FLAG_FIN | FLAG_ACK, connection.sequence, segment.sequence + 1)
-            )
+            self._close(connection, segment)
         elif segment.payload:
             self._run(connection, segment)
 
@@ -94,6 +93,15 @@
             self._count_opening()
         self._send(connection.last)
 
+    def _close(self, connection: _Connection, segment: Segment) -> None:
+        """Close a connection; it stays known, so that a repeated FIN gets its answer again."""
+        if not connection.is_closed:
+            connection.is_closed = True
+            connection.last = _answer(
+                segment, FLAG_FIN | FLAG_ACK, connection.sequence, segment.sequence + 1
+            )
+        self._send(connection.last)
+
     def _run(self, connection: _Connection, segment: Segment) -> None:
         if segment.sequence == connection.expected:
             self.requests[segment.source] += 1
--- a/tests/test_transport.py
+++ b/tests/test_transport.py
@@ -85,6 +85,19 @@
     run(check())
 
 
+@pytest.mark.parametrize("size", [10, 5000])
+def test_sender_that_is_not_listed_yet_is_answered(run, pair, size):
+    async def check():
+        (alpha, beta), received, _, _ = await pair()
+        beta.set_peers({})
+        alpha.send(BETA, b"question")
+        assert await received.messages.get() == (ALPHA, b"question")
+        beta.send(ALPHA, bytes(size))
+        assert await received.messages.get() == (BETA, bytes(size))
+
+    run(check())
+
+
 def test_foreign_datagram_is_counted(run, pair):
     async def check():
         (alpha, beta), received, metrics, peers = await pair()
