Close four holes that random pauses, kills and domain changes opened

Cause, each found by a random history over the real cores: 1. After a pause a packet came before the first tick and went by the old view (1 of 900 flows). 2. A home released a slot that another entry held for an unreachable domain, before the home knew of it; the entry took it for clean when the domain was back (1 of 900). 3. A home's own record was not renewed by its peers' records and expired while the flow lived at other entries (1 of 900). 4. Change: every event notes the time; a release does not count while the upstream is limited in the receiver's eyes; peers' records renew the own one, marked as imports so that two entries can't keep a dead flow's record alive; early messages wait for the first view; an entry with a stale view passes to the other home.

--- a/src/chicoryproxy/decision.py
+++ b/src/chicoryproxy/decision.py
@@ -71,7 +71,7 @@
         if known is not None:
             return known
         answer = packet.slots.find_answer(packet.flow)
-        if answer is not None:
+        if answer is not None and not self._parts.world.is_stale:
             return self._send_clean(packet, answer[0])
         packet.slots.want(packet.slot.slot, now)
         if not self._parts.take_over.has_all_records(packet.slot):
--- a/src/chicoryproxy/flowtable.py
+++ b/src/chicoryproxy/flowtable.py
@@ -32,19 +32,23 @@
 class FlowFlag(IntFlag):
     """What an entry knows of a recorded flow.
 
-    ``OPENED_HERE`` marks a record that this entry decided on as the home.
+    ``OPENED_HERE`` marks a record that this entry decided on as the home. ``IMPORTED`` marks one
+    whose lifetime was renewed by a peer's record and not by a packet; such a record renews no
+    other, or two entries could keep the record of a dead flow alive for each other.
     """
 
     HALF_OPEN = 1
     CLOSING = 2
     OPENED_HERE = 4
     DATA_FORWARDED = 8
+    IMPORTED = 16
 
 
 _HALF_OPEN = int(FlowFlag.HALF_OPEN)
 _CLOSING = int(FlowFlag.CLOSING)
-_TOUCH_MASK = ~(TICK_MASK << FLAG_BITS)
-_MARK_MASK = ~(TICK_MASK << FLAG_BITS | _HALF_OPEN)
+_IMPORTED = int(FlowFlag.IMPORTED)
+_TOUCH_MASK = ~(TICK_MASK << FLAG_BITS | _IMPORTED)
+_MARK_MASK = ~(TICK_MASK << FLAG_BITS | _HALF_OPEN | _IMPORTED)
 
 
 class FlowState(Struct, frozen=True):
@@ -138,9 +142,17 @@
         if state is None:
             return
         tick = _tick(now)
-        if state >> FLAG_BITS & TICK_MASK != tick:
+        if state >> FLAG_BITS & TICK_MASK != tick or state & _IMPORTED:
             shard[flow] = self._share(state & _TOUCH_MASK | tick << FLAG_BITS)
 
+    def renew(self, flow: FlowKey, now: float) -> None:
+        """Note that a peer has a live record of a recorded flow."""
+        shard = self._shards[flow & _SHARD_MASK]
+        state = shard.get(flow)
+        if state is not None and state >> FLAG_BITS & TICK_MASK != _tick(now):
+            kept = state & _TOUCH_MASK | _IMPORTED
+            shard[flow] = self._share(kept | _tick(now) << FLAG_BITS)
+
     def mark(self, flow: FlowKey, flags: FlowFlag, now: float) -> None:
         """Add flags to a record; any packet but an opening ends the half-open state.
 
--- a/src/chicoryproxy/peers.py
+++ b/src/chicoryproxy/peers.py
@@ -77,6 +77,13 @@
         if route is not None and record.upstream in route.upstreams:
             self._parts.records.take(record, now)
 
+    def _take_copy(self, record: FlowRecord, now: float) -> bool:
+        """Take the copy of a peer's record; return whether the flow was unknown here."""
+        route = self._parts.world.find_service(record.service)
+        if route is None or record.upstream not in route.upstreams:
+            return False
+        return self._parts.records.take_copy(record, now)
+
     def _answer_query(self, sender: InstanceId, message: FlowQuery, now: float) -> Actions:
         records: list[FlowRecord] = []
         floors = []
@@ -100,14 +107,12 @@
         slots = route.slots
         base = slots.base_name(question.slot.slot & slots.mask)
         besides = base if base == question.base else None
-        return list(
-            self._parts.records.records_of(question.slot, besides, limit, with_half_open=True)
-        )
+        return list(self._parts.records.records_of(question.slot, besides, limit, for_peer=True))
 
     def _take_answer(self, sender: InstanceId, message: FlowAnswer, now: float) -> Actions:
         for record in message.records:
-            self._take_record(record, now)
-            self._parts.tell_successor(record)
+            if self._take_copy(record, now):
+                self._parts.tell_successor(record)
         for floor in message.floors:
             route = self._parts.world.find_service(floor.slot.service)
             if route is not None and route.slots is not None:
@@ -117,7 +122,7 @@
 
     def _take_handover(self, sender: InstanceId, message: Handover, now: float) -> Actions:
         for record in message.records:
-            self._take_record(record, now)
+            self._take_copy(record, now)
         return [SendToPeer(sender, HandoverAck(message.number), Priority.SAFETY)]
 
     def _note_handover(self, sender: InstanceId, message: HandoverAck, now: float) -> Actions:
--- a/src/chicoryproxy/records.py
+++ b/src/chicoryproxy/records.py
@@ -10,9 +10,8 @@
 from chicoryproxy.model import Service
 from chicoryproxy.states import DropReason
 
-_OPENED_HERE = int(FlowFlag.OPENED_HERE)
-_CLOSING = int(FlowFlag.CLOSING)
 _HALF_OPEN = int(FlowFlag.HALF_OPEN)
+_IMPORTED = int(FlowFlag.IMPORTED)
 
 
 class RecordTarget(Struct, frozen=True):
@@ -71,21 +70,36 @@
         if not self.has_flag(record.flow, FlowFlag.OPENED_HERE):
             self.record(record.flow, record.service, record.upstream, FlowFlag(0), now)
 
+    def take_copy(self, record: FlowRecord, now: float) -> bool:
+        """Write the copy of a peer's record, or renew the own record of the flow.
+
+        :returns: true when the flow had no record here.
+        """
+        own = self.find(record.flow)
+        if own == RecordTarget(record.service, record.upstream):
+            self.table.renew(record.flow, now)
+        elif not self.has_flag(record.flow, FlowFlag.OPENED_HERE):
+            self.record(record.flow, record.service, record.upstream, FlowFlag.IMPORTED, now)
+        return own is None
+
     def records_of(
         self,
         slot: SlotName,
         besides: UpstreamId | None,
         limit: int,
-        with_half_open: bool = False,
+        for_peer: bool = False,
     ) -> Sequence[FlowRecord]:
         """Return records of a slot that name another upstream than the given one.
 
-        :param with_half_open: also those of the given one whose opening may be repeated.
+        :param for_peer: for a new home: also those whose opening may be repeated, and none whose
+            lifetime was renewed by a peer's record.
         """
-        found = []
-        for flow, target in self._targets_of(slot):
-            is_half_open = with_half_open and self.has_flag(flow, FlowFlag.HALF_OPEN)
-            if is_half_open or target.upstream != besides:
+        found: list[FlowRecord] = []
+        for flow, state in self._states_of(slot):
+            target = self._targets[upstream_number(state)]
+            is_repeated = for_peer and state & _HALF_OPEN
+            is_copy = for_peer and state & _IMPORTED
+            if not is_copy and (is_repeated or target.upstream != besides):
                 found.append(FlowRecord(flow, slot.service, target.upstream))
             if len(found) >= limit:
                 break
@@ -95,11 +109,10 @@
         """Return whether a slot has a record that names another upstream than the given one."""
         return bool(self.records_of(slot, besides, 1))
 
-    def _targets_of(self, slot: SlotName) -> Iterator[tuple[FlowKey, RecordTarget]]:
+    def _states_of(self, slot: SlotName) -> Iterator[tuple[FlowKey, int]]:
         for flow, state in self.table.flows_of(slot.slot, slot.size):
-            target = self._targets[upstream_number(state)]
-            if target.service == slot.service:
-                yield flow, target
+            if self._targets[upstream_number(state)].service == slot.service:
+                yield flow, state
 
     def _number(self, target: RecordTarget) -> int:
         number = self._numbers.get(target)
--- a/src/chicoryproxy/router.py
+++ b/src/chicoryproxy/router.py
@@ -4,6 +4,9 @@
 """
 
 from collections.abc import Sequence
+from math import inf
+
+from msgspec import Struct
 
 from chicoryproxy.actions import Drop, PacketAction, SendToPeer
 from chicoryproxy.decision import create_decider
@@ -32,10 +35,18 @@
 from chicoryproxy.states import DropReason, RouteReason
 
 EXPIRED_PER_TICK = 2000
+MAX_EARLY_MESSAGES = 4096
 
 _DROPS: dict[DropReason, tuple[Drop, ...]] = {reason: (Drop(reason),) for reason in DropReason}
 
 
+class _EarlyMessage(Struct, frozen=True):
+    """A message that came before the first view."""
+
+    sender: InstanceId
+    message: EntryMessage
+
+
 class PacketCore:
     """Decides on every packet of one entry instance.
 
@@ -57,7 +68,8 @@
         self._releases = create_release_duty(self._parts)
         self._leases = create_lease_duty(self._parts)
         self._exchange = create_peer_exchange(self._parts, self._leaving, self._releases)
-        self._pause_at_s = float("inf")
+        self._fresh_until_s = inf
+        self._early: list[_EarlyMessage] = []
 
     def receive_packet(
         self, data: bytes, source: Sequence[object], now: float
@@ -67,9 +79,8 @@
         :param data: the inner packet.
         :param source: host and port of the outer source.
         """
-        if now >= self._pause_at_s:
-            # After a pause the loop may hand in packets before it runs the tick's timer.
-            self._note_pause(now)
+        if now > self._fresh_until_s:
+            self._note_time(now)
         head = read_packet(data)
         if isinstance(head, DropReason):
             return _DROPS[head]
@@ -90,11 +101,14 @@
         self, sender: InstanceId, message: EntryMessage, now: float
     ) -> Sequence[PacketAction]:
         """Take a message of another entry."""
-        if now >= self._pause_at_s:
-            self._note_pause(now)
+        if now > self._fresh_until_s:
+            self._note_time(now)
         if self._parts.directory.is_hidden(sender):
             self._note_heal()
         self._parts.contact.note_heard(sender)
+        if self._parts.world.gate is None:
+            self._keep_early(sender, message)
+            return ()
         if isinstance(message, PassedPacket):
             self._parts.hints.note_pass(sender)
             return self._receive_passed(sender, message, now)
@@ -119,11 +133,11 @@
         for service in update.configuration.services:
             parts.records.learn_service(service)
         self._leaving.drop_peers(parts.directory.answering_peers())
-        return self._decider.retry_waiting(now)
+        return self._decider.retry_waiting(now) + self._take_early(now)
 
     def tick(self, now: float) -> Sequence[PacketAction]:
         """Do what is due; to be called every few tens of milliseconds."""
-        self._note_pause(now)
+        self._note_time(now)
         self._parts.records.table.expire(now, EXPIRED_PER_TICK)
         self._decider.expire_openings(now)
         actions: Actions = self._finish_rounds(now)
@@ -214,11 +228,16 @@
         return self._pass(packet, home, now)
 
     def _choose_home(self, homes: Sequence[InstanceId], now: float) -> InstanceId:
-        """Return the first home that reacts to packets, or else the first of all."""
-        for home in homes:
+        """Return the first home that reacts to packets, or else the first of all.
+
+        With a stale view this instance can't know whether it is still a home itself.
+        """
+        is_stale = self._parts.world.is_stale
+        others = [home for home in homes if home != self._parts.own or not is_stale]
+        for home in others:
             if not self._parts.contact.is_silent(home, now):
                 return home
-        return homes[0]
+        return (others or homes)[0]
 
     def _pass(self, packet: PacketAtHand, home: InstanceId, now: float) -> Sequence[PacketAction]:
         self._parts.contact.note_passed(home, now)
@@ -249,6 +268,8 @@
     def _receive_answer(
         self, data: bytes, head: PacketHead, source: Sequence[object], now: float
     ) -> Sequence[PacketAction]:
+        if self._parts.world.gate is None:
+            return _DROPS[DropReason.NO_VIEW]
         route = self._parts.world.routes.get(head.source)
         if route is None:
             return _DROPS[DropReason.UNKNOWN_SERVICE]
@@ -265,14 +286,31 @@
             return _DROPS[DropReason.UNKNOWN_SERVICE]
         return self._returns.receive_passed(data, head, route, now)
 
+    def _keep_early(self, sender: InstanceId, message: EntryMessage) -> None:
+        """Keep what peers send before the first view: they may take this instance for a home."""
+        if len(self._early) < MAX_EARLY_MESSAGES:
+            self._early.append(_EarlyMessage(sender, message))
+
+    def _take_early(self, now: float) -> Actions:
+        early, self._early = self._early, []
+        actions: Actions = []
+        for item in early:
+            actions += self.receive_message(item.sender, item.message, now)
+        return actions
+
     def _note_heal(self) -> None:
         """A hidden peer speaks: hold all slots before the view says that it is back."""
         self._parts.world.hold_all()
         self._parts.take_over.distrust_all()
 
-    def _note_pause(self, now: float) -> None:
-        limit_s, self._pause_at_s = self._pause_at_s, now + self._parts.world.fleet.pause_s
-        if now < limit_s:
+    def _note_time(self, now: float) -> None:
+        """Note that this instance runs; a gap makes its view stale, leases and trust void.
+
+        A packet may come before the first tick after a pause, so events of all kinds call this.
+        """
+        is_late = now > self._fresh_until_s
+        self._fresh_until_s = now + self._parts.world.fleet.pause_s
+        if not is_late:
             return
         self._parts.world.is_stale = True
         self._parts.contact.forget_all()
--- a/src/chicoryproxy/slots.py
+++ b/src/chicoryproxy/slots.py
@@ -240,6 +240,10 @@
     def apply_release(self, release: SlotRelease) -> bool:
         """Take a home's release of a slot.
 
+        A release doesn't count while the slot's upstream is limited in the eyes of this instance:
+        the home that gave it may not know of the limit yet, and places openings elsewhere when
+        it does.
+
         :returns: false when the release is older than what this instance knows.
         """
         slot = release.slot.slot
@@ -247,6 +251,8 @@
             return False
         if release.version < self.version or release.epoch < self.epoch(slot):
             return False
+        if self._answers[self._indexes[slot]] is None:
+            return False
         self._changed.pop(slot, None)
         self._wanted.pop(slot, None)
         self._held[slot] = 0
--- a/tests/test_flowtable.py
+++ b/tests/test_flowtable.py
@@ -140,3 +140,11 @@
 def test_one_call_looks_at_a_bounded_number_of_shards(table):
     table.record(SHARDS - 1, 0, FlowFlag(0), 0.0)
     assert table.expire(10_000.0, limit=10**9) == 0
+
+
+def test_a_renewed_record_is_an_import_until_its_next_packet(table):
+    table.record(1, 0, FlowFlag(0), 0.0)
+    table.renew(1, 10 * TICK_S)
+    assert unpack(table.find(1)).flags == FlowFlag.IMPORTED
+    table.touch(1, 10 * TICK_S)
+    assert unpack(table.find(1)).flags == FlowFlag(0)
--- a/tests/test_slots.py
+++ b/tests/test_slots.py
@@ -107,3 +107,11 @@
     assert slots.size > before
     children = [name.slot + offset for name in names for offset in range(0, slots.size, before)]
     assert all(slots.is_held(child) for child in children)
+
+
+def test_release_does_not_count_while_the_upstream_is_limited_here(slots):
+    upstream = SERVICE.upstreams[0].id
+    name = slots.hold_upstreams([upstream])[0]
+    slots.set_answers(lambda _: None)
+    assert not slots.apply_release(SlotRelease(name, Version(1), Epoch(0)))
+    assert slots.is_held(name.slot)
