Keep flows that were opened beyond a partition, and settle with peers that look hidden

Cause: with a failure domain cut off while callers reach both sides, packets of flows that the other side had placed went to this side's upstream, which reset them. After the healing a home asked only the peers that it already believed to be back. A release was not sent to peers that were believed hidden, so an instance that had paused kept its slots contested. Change: while an upstream's failure domain is hidden, a reset that only says 'no such flow' is dropped, and a flow without a record is not recorded on the base. Take-over and releases go to every listed peer.

--- a/src/chicoryproxy/decision.py
+++ b/src/chicoryproxy/decision.py
@@ -149,7 +149,7 @@
     def _hold(self, packet: PacketAtHand, now: float) -> Actions:
         if not self._parts.take_over.hold(packet):
             return self._drop(packet, DropReason.QUEUE_FULL)
-        peers = self._parts.directory.answering_peers()
+        peers = self._parts.directory.listed_peers()
         return list(self._parts.take_over.start(peers, now))
 
     def _decide_unknown(self, packet: PacketAtHand, now: float) -> Actions:
@@ -177,12 +177,15 @@
         return []
 
     def _continue(self, packet: PacketAtHand, now: float) -> Actions:
-        """Send a packet of a flow from before the slot was contested to the slot's base."""
+        """Send a packet of a flow from before the slot was contested to the slot's base.
+
+        During a partition this isn't recorded: instances beyond it may know better.
+        """
         base = packet.slots.base(packet.slot.slot)
         if base is None:
             return self.refuse(packet, RefusalReason.NO_UPSTREAM)
         permitted = self._permit(packet, base)
-        if isinstance(permitted, Forward):
+        if isinstance(permitted, Forward) and not self._parts.world.hidden_upstreams():
             self._record(packet, base, FlowFlag(0), now)
             self._note_packet(packet, base, now)
             self._hint(packet, base, to_successor=False)
--- a/src/chicoryproxy/releases.py
+++ b/src/chicoryproxy/releases.py
@@ -49,7 +49,7 @@
             for release in self._parts.settlement.finish(now)
             if self._apply_release(release)
         ]
-        return list(announce(released, self._parts.directory.answering_peers()))
+        return list(announce(released, self._parts.directory.listed_peers()))
 
     def answer(self, sender: InstanceId, query: ReleaseQuery) -> Actions:
         """Repeat the releases of those slots of a query that are clean."""
@@ -135,7 +135,7 @@
         if is_first:
             return []
         self._parts.take_over.refresh(self._own_questions(changed))
-        return list(self._parts.take_over.start(self._parts.directory.answering_peers(), now))
+        return list(self._parts.take_over.start(self._parts.directory.listed_peers(), now))
 
     def _changed_slots(self) -> list[ServiceSlots]:
         return [slots for slots in self._parts.world.built_slots() if slots.changed_count]
--- a/src/chicoryproxy/returns.py
+++ b/src/chicoryproxy/returns.py
@@ -87,6 +87,10 @@
         upstream: UpstreamId,
         now: float,
     ) -> Actions:
+        if _denies_flow(head) and self._parts.world.hidden_upstreams():
+            # The flow may live beyond the partition, where another part of the fleet placed it.
+            log = self._parts.log_flow(DropReason.STALE_ANSWER, route.id, flow, None, upstream)
+            return [Drop(DropReason.STALE_ANSWER), log]
         if not _refuses_opening(data, head):
             self._parts.records.table.close(flow)
             return [Return()]
@@ -122,6 +126,11 @@
     return not any(data[start : start + SEQUENCE_BYTES])
 
 
+def _denies_flow(head: PacketHead) -> bool:
+    """Return whether a reset says that the upstream has no such flow: RFC 9293, 3.10.7.1."""
+    return not head.flags & FLAG_ACK
+
+
 def create_return_path(parts: EntryParts, decider: Decider) -> ReturnPath:
     """Create the return path of one entry."""
     return ReturnPath(parts, decider)
--- a/src/chicoryproxy/router.py
+++ b/src/chicoryproxy/router.py
@@ -322,7 +322,7 @@
         actions: Actions = []
         for packet in self._parts.take_over.finish(now):
             actions += self._decider.resume(packet, now)
-        actions += self._parts.take_over.start(self._parts.directory.answering_peers(), now)
+        actions += self._parts.take_over.start(self._parts.directory.listed_peers(), now)
         return actions + self._releases.finish(now)
 
     def _records_by_home(self) -> dict[InstanceId, list[FlowRecord]]:
