--- a/src/chicoryproxy/_fakefleet.py
+++ b/src/chicoryproxy/_fakefleet.py
@@ -29,7 +29,7 @@
 from chicoryproxy.messages import PassedPacket
 from chicoryproxy.model import Configuration, Endpoint, Instance, Service
 from chicoryproxy.router import PacketCore, create_packet_core
-from chicoryproxy.states import ReturnPath, UpstreamState
+from chicoryproxy.states import ReturnPath
 
 TICK_S = 0.02
 CONTROL_TICK_S = 0.1
@@ -91,6 +91,11 @@
     :param seed: seed of every choice.
     :param latency_s: one-way latency between instances, in seconds.
     :param loss: share of messages between instances that is lost.
+    :ivar duplication: share of messages between instances that arrives twice.
+    :ivar extra_delay_s: longest further delay of a message between instances, in seconds.
+    :ivar answer_delay_s: longest further delay of an upstream's answer, in seconds; longer than
+        a caller's retransmission timeout, it puts answers out of order.
+    :ivar caller_cuts: failure domains whose instances no caller reaches.
     """
 
     def __init__(
@@ -113,6 +118,7 @@
         self.routes: Counter[object] = Counter()
         self.cuts: set[frozenset[DomainId]] = set()
         self.platform_cuts: set[DomainId] = set()
+        self.caller_cuts: set[DomainId] = set()
         self.wrong_service = 0
         self.sent_to_out = 0
         self.on_message: Callable[[InstanceId, SendToPeer | SendToView], None] | None = None
@@ -120,7 +126,10 @@
         self.logs: list[tuple[float, InstanceId, LogRoute]] = []
         self._latency_s = latency_s
         self._caller_latency_s = caller_latency_s
-        self._loss = loss
+        self.loss = loss
+        self.duplication = 0.0
+        self.extra_delay_s = 0.0
+        self.answer_delay_s = 0.0
         self._next_caller = 0
         self._by_source: dict[tuple[bytes, int], FakeFlow] = {}
         self._by_address: dict[Endpoint, UpstreamId] = {}
@@ -195,6 +204,7 @@
         """End all cuts."""
         self.cuts.clear()
         self.platform_cuts.clear()
+        self.caller_cuts.clear()
 
     def open_flows(
         self,
@@ -241,6 +251,8 @@
         if not self.fabric:
             return
         node = self.nodes[self.random.choice(self.fabric)]
+        if node.instance.domain in self.caller_cuts:
+            return
         packet = segment.pack()
         self.schedule.after(
             self._caller_latency_s, lambda: self._enter(node, packet, ("caller", 0))
@@ -326,7 +338,8 @@
             return
         node = self.nodes[self.random.choice(reachable)]
         packet = segment.pack()
-        self.schedule.after(self._latency_s, lambda: self._enter_answer(node, packet, upstream))
+        delay_s = self._latency_s + self._draw(self.answer_delay_s)
+        self.schedule.after(delay_s, lambda: self._enter_answer(node, packet, upstream))
 
     def _enter_answer(self, node: FakeNode, packet: bytes, upstream: FakeUpstream) -> None:
         if not self._is_awake(node, lambda: self._enter_answer(node, packet, upstream)):
@@ -354,7 +367,8 @@
         if target is None or self._is_lost(node, target):
             return
         sender = node.instance.id
-        self.schedule.after(self._delay(), lambda: self._receive(target, sender, action))
+        for _ in range(1 + self._happens(self.duplication)):
+            self.schedule.after(self._delay(), lambda: self._receive(target, sender, action))
 
     def _receive(self, node: FakeNode, sender: InstanceId, action: SendToPeer) -> None:
         if not self._is_awake(node, lambda: self._receive(node, sender, action)):
@@ -369,7 +383,8 @@
         if target is None or self._is_lost(node, target):
             return
         sender = node.instance.id
-        self.schedule.after(self._delay(), lambda: self._receive_view(target, sender, action))
+        for _ in range(1 + self._happens(self.duplication)):
+            self.schedule.after(self._delay(), lambda: self._receive_view(target, sender, action))
 
     def _receive_view(self, node: FakeNode, sender: InstanceId, action: SendToView) -> None:
         if not self._is_awake(node, lambda: self._receive_view(node, sender, action)):
@@ -378,12 +393,18 @@
         self._carry_control(node, actions)
 
     def _delay(self) -> float:
-        return self._latency_s * (0.5 + self.random.random())
+        return self._latency_s * (0.5 + self.random.random()) + self._draw(self.extra_delay_s)
+
+    def _draw(self, longest_s: float) -> float:
+        return self.random.random() * longest_s if longest_s else 0.0
 
     def _is_lost(self, node: FakeNode, target: FakeNode) -> bool:
         if self._is_cut(node.instance.domain, target.instance.domain):
             return True
-        return self._loss > 0.0 and self.random.random() < self._loss
+        return self._happens(self.loss)
+
+    def _happens(self, share: float) -> bool:
+        return share > 0.0 and self.random.random() < share
 
     def _is_cut(self, one: DomainId, other: DomainId) -> bool:
         return one != other and frozenset((one, other)) in self.cuts
@@ -422,13 +443,11 @@
         upstream = self.upstreams.get(name)
         if upstream is None:
             return
-        is_reachable = not upstream.is_down and not self._is_cut(
-            node.instance.domain, upstream.upstream.domain
-        )
-        reading = HealthReading(
-            name, is_reachable, UpstreamState.READY, 1.0, 0, upstream.connections, 0.001
-        )
-        self.schedule.after(HEALTH_LATENCY_S, lambda: self._take_health(node, reading))
+        is_cut = self._is_cut(node.instance.domain, upstream.upstream.domain)
+        is_silent = upstream.is_down or is_cut
+        reading = HealthReading(name, False) if is_silent else upstream.read_health()
+        delay_s = HEALTH_LATENCY_S + upstream.health_lag_s
+        self.schedule.after(delay_s, lambda: self._take_health(node, reading))
 
     def _take_health(self, node: FakeNode, reading: HealthReading) -> None:
         if self._is_awake(node, lambda: self._take_health(node, reading)):
--- a/src/chicoryproxy/_fakehosts.py
+++ b/src/chicoryproxy/_fakehosts.py
@@ -6,9 +6,11 @@
 from ipaddress import ip_address
 
 from chicoryproxy._fakewire import Schedule, Segment
+from chicoryproxy.events import HealthReading
 from chicoryproxy.ids import UpstreamId
 from chicoryproxy.model import ServiceAddress, Upstream
 from chicoryproxy.packet import FLAG_ACK, FLAG_FIN, FLAG_RST, FLAG_SYN
+from chicoryproxy.states import UpstreamState
 
 WINDOW_S = 1.0
 OPENING_RETRY_S = 1.0
@@ -30,6 +32,10 @@
     :param upstream: what the configuration says of it.
     :param send: takes a segment for a caller.
     :ivar bears: openings that it accepts in a second; more count as ``overloads``.
+    :ivar says: what its health endpoint says of it, which may mislead.
+    :ivar health_lag_s: age of what its health endpoint says, in seconds.
+    :ivar opened: every connection that it ever accepted.
+    :ivar runs: every piece of data that it ever served, with its connection.
     """
 
     def __init__(
@@ -43,6 +49,11 @@
         self.bears = float("inf")
         self.refuses = False
         self.is_down = False
+        self.says = UpstreamState.READY
+        self.started_at_s = 1.0
+        self.health_lag_s = 0.0
+        self.opened: set[Connection] = set()
+        self.runs: set[tuple[Connection, bytes]] = set()
         self.overloads = 0
         self.accepted = 0
         self.services: Counter[bytes] = Counter()
@@ -51,16 +62,38 @@
         self._send = send
         self._connections: set[Connection] = set()
         self._recent: deque[float] = deque()
+        self._cold_since: float | None = None
 
     @property
     def connections(self) -> int:
         """Number of open connections."""
         return len(self._connections)
 
+    @property
+    def limit(self) -> float:
+        """Openings in a second that it bears now: from cold to full in the stated warm-up."""
+        if self._cold_since is None:
+            return self.bears
+        warm_up = self.upstream.warm_up
+        share = min(1.0, (self._schedule.now - self._cold_since) / warm_up.duration_s)
+        growth = (warm_up.full_openings / warm_up.cold_openings) ** share
+        return float(min(self.bears, warm_up.cold_openings * growth))
+
     def restart(self) -> None:
         """Lose all connections."""
         self._connections.clear()
 
+    def go_cold(self) -> None:
+        """Lose the built-up capacity, as of a new start; connections stay."""
+        self._cold_since = self._schedule.now
+        self.started_at_s = 1.0 + self._schedule.now
+        self._recent.clear()
+
+    def read_health(self) -> HealthReading:
+        """Return what its health endpoint says."""
+        connections = self.connections
+        return HealthReading(self.id, True, self.says, self.started_at_s, 0, connections, 0.001)
+
     def receive(self, segment: Segment) -> None:
         """Take a segment of a caller."""
         if self.is_down:
@@ -82,6 +115,7 @@
             return
         if connection not in self._connections:
             self._connections.add(connection)
+            self.opened.add(connection)
             self.accepted += 1
             self._count_opening()
         self._send(self, segment.answer(SYN_ACK, 1, segment.seq + 1))
@@ -92,7 +126,7 @@
         while self._recent[0] <= now - WINDOW_S:
             self._recent.popleft()
         self.most_in_window = max(self.most_in_window, len(self._recent))
-        if len(self._recent) > self.bears:
+        if len(self._recent) > self.limit:
             self.overloads += 1
 
     def _serve(self, segment: Segment, connection: Connection) -> None:
@@ -100,6 +134,7 @@
             self._connections.discard(connection)
             self._send(self, segment.answer(FLAG_FIN | FLAG_ACK, segment.ack, segment.seq + 1))
         elif segment.data:
+            self.runs.add((connection, segment.data))
             ack = segment.seq + len(segment.data)
             self._send(self, segment.answer(FLAG_ACK, segment.ack, ack, segment.data))
 
@@ -142,7 +177,7 @@
         self.opened_at = schedule.now
         self.answered_at: float | None = None
         self.ended_at: float | None = None
-        self._source = source
+        self.source = source
         self._target = (ip_address(address.host).packed, address.port)
         self._schedule = schedule
         self._send = send
@@ -225,10 +260,10 @@
         self._end(FlowOutcome.REFUSED if is_opening else FlowOutcome.BROKEN)
 
     def _body(self) -> bytes:
-        return b"%d/%d" % (self._source[1], self._round)
+        return b"%d/%d" % (self.source[1], self._round)
 
     def _emit(self, flags: int, ack: int, data: bytes = b"") -> None:
-        segment = Segment(*self._source, *self._target, flags, 1, ack, data)
+        segment = Segment(*self.source, *self._target, flags, 1, ack, data)
         self._send(self, segment)
 
     def _end(self, outcome: FlowOutcome) -> None:
--- /dev/null
+++ b/tests/scenario_trial.py
@@ -0,0 +1,268 @@
+"""One run of a fleet, with the promises as counts: what scenarios and random histories share."""
+
+from collections.abc import Iterable, Sequence
+
+import msgspec
+
+from chicoryproxy.ids import DomainId, InstanceId, UpstreamId, Version
+from chicoryproxy.model import Configuration, Instance, Service, Upstream, WarmUp
+from chicoryproxy.states import DomainState
+from chicoryproxy.testing import (
+    Deployment,
+    FakeFlow,
+    FakeUpstream,
+    FlowOutcome,
+    change_upstreams,
+    create_instances,
+    create_upstream,
+    set_domain,
+)
+
+START_S = 4.0
+IN_FORCE_S = 8.0
+UNLIST_S = 1.0
+ROUNDS = 6
+INTERVAL_S = 0.8
+
+
+class Trial:
+    """A started fleet, the changes made to it, and counts of what callers and upstreams saw.
+
+    :param deployment: deployment of one of the users.
+    :param seed: seed of every choice.
+    :param warm_up: warm-up of every upstream; that of the deployment if there is none.
+    """
+
+    def __init__(
+        self, deployment: Deployment, seed: int = 1, warm_up: WarmUp | None = None
+    ) -> None:
+        if warm_up is not None:
+            deployment = _replace_warm_up(deployment, warm_up)
+        self.deployment = deployment
+        self.fleet = deployment.create_fleet(seed)
+        self.published = deployment.configuration
+        self.versions: dict[InstanceId, Version] = {}
+        self.reverted: list[InstanceId] = []
+        self.cut_at = 0.0
+        self.service_id = deployment.configuration.services[0].id
+        self._gave_up: set[UpstreamId] = set()
+        self._marks: dict[UpstreamId, tuple[int, int]] = {}
+        self.run(START_S)
+
+    @property
+    def service(self) -> Service:
+        """The service that flows go to, as published last."""
+        return next(item for item in self.published.services if item.id == self.service_id)
+
+    @property
+    def domains(self) -> list[DomainId]:
+        """The failure domains."""
+        return [domain.id for domain in self.published.domains]
+
+    def run(self, seconds: float) -> None:
+        """Let time pass, and look at the versions on the way."""
+        end = self.fleet.now + seconds
+        while self.fleet.now < end:
+            self.fleet.run(min(0.5, end - self.fleet.now))
+            self._look()
+
+    def open_flows(self, count: int, over_s: float, rounds: int = ROUNDS) -> list[FakeFlow]:
+        """Open flows to the service."""
+        return self.fleet.open_flows(self.service, count, over_s, rounds, INTERVAL_S)
+
+    def upstream(self, name: str) -> FakeUpstream:
+        """Return an upstream by its id."""
+        return self.fleet.upstreams[UpstreamId(name)]
+
+    def upstreams_in(self, domain: str) -> list[FakeUpstream]:
+        """Return the upstreams of all services in a failure domain."""
+        return [item for item in self.fleet.upstreams.values() if item.upstream.domain == domain]
+
+    def instances_in(self, domain: str) -> list[Instance]:
+        """Return the instances in a failure domain."""
+        return [
+            node.instance for node in self.fleet.nodes.values() if node.instance.domain == domain
+        ]
+
+    def live_nodes(self) -> list[InstanceId]:
+        """Return the instances that run and are not leaving."""
+        return [
+            name
+            for name, node in self.fleet.nodes.items()
+            if not node.is_dead and not node.is_leaving
+        ]
+
+    def find_home(self, name: str) -> InstanceId:
+        """Return the instance that is home of most of the slots of an upstream."""
+        node = next(node for node in self.fleet.nodes.values() if not node.is_dead)
+        slots = next(s for s in node.core.built_slots() if s.service == self.service_id)
+        homes = [
+            node.core._parts.directory.homes_of(slots.name(slot))[0]
+            for slot in range(slots.size)
+            if name in slots.candidates(slot)
+        ]
+        return max(sorted(set(homes)), key=homes.count)
+
+    def find_owner(self, name: str) -> InstanceId:
+        """Return the instance that grants the openings of an upstream."""
+        node = next(node for node in self.fleet.nodes.values() if not node.is_dead)
+        domain = self.upstream(name).upstream.domain
+        owner = node.core._parts.directory.owner_of(UpstreamId(name), domain)
+        assert owner is not None
+        return owner
+
+    def publish(self, configuration: Configuration) -> None:
+        """Publish a configuration."""
+        self.published = configuration
+        self.fleet.publish(configuration)
+
+    def drain(self, name: str, draining: bool = True) -> None:
+        """Publish that an upstream drains, or no longer does."""
+        self._publish_upstreams(
+            msgspec.structs.replace(item, draining=draining) if item.id == name else item
+            for item in self.service.upstreams
+        )
+
+    def add_upstream(self, domain: str) -> UpstreamId:
+        """Publish one more upstream; it starts cold."""
+        number = len(self.service.upstreams)
+        template = self.service.upstreams[0]
+        new = create_upstream(self.service_id, 1, number, DomainId(domain))
+        new = msgspec.structs.replace(new, warm_up=template.warm_up, capacity=template.capacity)
+        self._publish_upstreams((*self.service.upstreams, new))
+        self.upstream(new.id).go_cold()
+        return new.id
+
+    def remove_upstream(self, name: str) -> None:
+        """Publish the service without an upstream; its flows are given up."""
+        self._gave_up.add(UpstreamId(name))
+        self._publish_upstreams(item for item in self.service.upstreams if item.id != name)
+
+    def take_out(self, domain: str) -> None:
+        """Publish that a failure domain is out; its flows are given up."""
+        self._gave_up.update(item.id for item in self.upstreams_in(domain))
+        self.publish(set_domain(self.published, DomainId(domain), DomainState.OUT))
+
+    def bring_back(self, domain: str) -> None:
+        """Publish that a failure domain is in; its upstreams start cold."""
+        self.publish(set_domain(self.published, DomainId(domain), DomainState.IN))
+        for item in self.upstreams_in(domain):
+            item.go_cold()
+
+    def join(self, domain: str) -> InstanceId:
+        """Start one more instance."""
+        number = len(self.fleet.nodes)
+        region = self.published.domains[0].region
+        instance = create_instances([DomainId(domain)], region, 1, first=100 + number)[0]
+        self.fleet.platform.list_instances((*self.fleet.platform.instances, instance))
+        self.fleet.start_node(instance)
+        return instance.id
+
+    def stop(self, name: str) -> None:
+        """Stop an instance gracefully; the platform unlists it a second later."""
+        instance = InstanceId(name)
+        fleet = self.fleet
+        fleet.stop(instance)
+        fleet.schedule.after(UNLIST_S, lambda: fleet.unlist(instance))
+        fleet.schedule.after(2 * UNLIST_S, lambda: self._end(instance))
+
+    def cut_off(self, domain: str) -> None:
+        """Cut a failure domain off from all others."""
+        self.cut_at = self.fleet.now
+        for other in self.domains:
+            if other != domain:
+                self.fleet.cut(DomainId(domain), other)
+
+    def restart(self, name: str) -> None:
+        """Restart an upstream: its connections are lost and it is cold."""
+        self._gave_up.add(UpstreamId(name))
+        self.upstream(name).restart()
+        self.upstream(name).go_cold()
+
+    def mark(self) -> None:
+        """Remember what each upstream has received until now."""
+        self._marks = {
+            item.id: (item.accepted, sum(item.services.values()))
+            for item in self.fleet.upstreams.values()
+        }
+
+    def accepted_since(self, name: str) -> int:
+        """Return the openings that an upstream accepted since the mark."""
+        return self.upstream(name).accepted - self._marks[UpstreamId(name)][0]
+
+    def received_since(self, name: str) -> int:
+        """Return the packets that an upstream received since the mark."""
+        received = sum(self.upstream(name).services.values())
+        return received - self._marks[UpstreamId(name)][1]
+
+    def broken(self) -> list[FakeFlow]:
+        """Return the flows that broke although their upstream was never given up."""
+        return [
+            flow
+            for flow in self.fleet.flows
+            if flow.outcome is FlowOutcome.BROKEN and flow.accepted_by not in self._gave_up
+        ]
+
+    def refused(self) -> list[FakeFlow]:
+        """Return the flows that were refused."""
+        return [flow for flow in self.fleet.flows if flow.outcome is FlowOutcome.REFUSED]
+
+    def unanswered(self) -> list[FakeFlow]:
+        """Return the flows whose opening was never answered."""
+        return [flow for flow in self.fleet.flows if flow.outcome is FlowOutcome.UNANSWERED]
+
+    def refused_but_accepted(self) -> list[FakeFlow]:
+        """Return the refused flows that some upstream had accepted all the same."""
+        opened = {key for item in self.fleet.upstreams.values() for key in item.opened}
+        return [flow for flow in self.refused() if flow.source in opened]
+
+    def run_twice(self) -> int:
+        """Return the number of requests that two upstreams ran."""
+        seen: set[object] = set()
+        twice = 0
+        for item in self.fleet.upstreams.values():
+            twice += len(seen & item.runs)
+            seen |= item.runs
+        return twice
+
+    def overloads(self) -> dict[UpstreamId, int]:
+        """Return the openings above what each upstream could bear."""
+        found = {item.id: item.overloads for item in self.fleet.upstreams.values()}
+        return {name: count for name, count in found.items() if count}
+
+    def contested(self) -> int:
+        """Return the slots with several candidates, over all live instances."""
+        return sum(
+            slots.changed_count
+            for node in self.fleet.nodes.values()
+            if not node.is_dead
+            for slots in node.core.built_slots()
+        )
+
+    def _publish_upstreams(self, upstreams: Iterable[Upstream]) -> None:
+        chosen: Sequence[Upstream] = tuple(upstreams)
+        self.publish(change_upstreams(self.published, self.service_id, chosen))
+
+    def _end(self, name: InstanceId) -> None:
+        self.fleet.nodes[name].is_dead = True
+
+    def _look(self) -> None:
+        for name, node in self.fleet.nodes.items():
+            version = node.core._parts.world.version
+            if version < self.versions.get(name, version):
+                self.reverted.append(name)
+            self.versions[name] = version
+
+
+def _replace_warm_up(deployment: Deployment, warm_up: WarmUp) -> Deployment:
+    services = tuple(
+        msgspec.structs.replace(
+            service,
+            upstreams=tuple(
+                msgspec.structs.replace(item, warm_up=warm_up) for item in service.upstreams
+            ),
+        )
+        for service in deployment.configuration.services
+    )
+    configuration = msgspec.structs.replace(deployment.configuration, services=services)
+    return msgspec.structs.replace(deployment, configuration=configuration)
