Let an opening wait for a grant before it goes to another upstream

Cause: an opening without a grant asked the owner and overflowed at once; the lease that came milliseconds later expired unused. An upstream that was added under 20 openings a second in all got none of them in 10 s, so its ramp had no evidence and stayed cold.

--- a/src/chicoryproxy/decision.py
+++ b/src/chicoryproxy/decision.py
@@ -9,7 +9,7 @@
 from chicoryproxy.flowtable import FlowFlag
 from chicoryproxy.ids import FlowKey, ServiceId, UpstreamId
 from chicoryproxy.messages import Priority, SlotReleases
-from chicoryproxy.openings import Placed, Wait
+from chicoryproxy.openings import Placed, Verdict, Wait
 from chicoryproxy.packet import FLAG_FIN, FLAG_RST, TCP
 from chicoryproxy.parts import Actions, EntryParts
 from chicoryproxy.reset import create_reset
@@ -97,7 +97,8 @@
         actions: Actions = []
         for item in waiting:
             is_late = now >= item.deadline_s
-            actions += self._open(item.packet, now, deadline_s=item.deadline_s, is_late=is_late)
+            verdict = self._parts.openings.place(item.packet, now, has_waited=True)
+            actions += self._settle(item.packet, verdict, now, item.deadline_s, is_late)
         return actions
 
     def place_refused(self, flow: FlowKey, upstream: UpstreamId, now: float) -> Actions | None:
@@ -156,11 +157,19 @@
         if packet.head.is_opening or packet.head.protocol != TCP:
             self._retry_budget(packet).note_opening(now)
             deadline_s = now + packet.route.service.limits.opening_timeout_s
-            return self._open(packet, now, deadline_s=deadline_s, is_late=False)
+            verdict = self._parts.openings.place(packet, now)
+            return self._settle(packet, verdict, now, deadline_s, is_late=False)
         return self._continue(packet, now)
 
-    def _open(self, packet: PacketAtHand, now: float, deadline_s: float, is_late: bool) -> Actions:
-        verdict = self._parts.openings.place(packet, now)
+    def _settle(
+        self,
+        packet: PacketAtHand,
+        verdict: Verdict,
+        now: float,
+        deadline_s: float,
+        is_late: bool,
+    ) -> Actions:
+        """Carry out the verdict on an opening."""
         if isinstance(verdict, Placed):
             return self._place(packet, verdict.upstream, verdict.reason, now)
         if isinstance(verdict, Wait):
--- a/src/chicoryproxy/openings.py
+++ b/src/chicoryproxy/openings.py
@@ -81,9 +81,13 @@
         """Return whether an upstream takes openings without limits."""
         return self.state_of(upstream) is UpstreamState.READY
 
-    def place(self, packet: PacketAtHand, now: float) -> Verdict:
+    def place(self, packet: PacketAtHand, now: float, has_waited: bool = False) -> Verdict:
         """Decide where an opening goes.
 
+        An opening waits for the answer to a request before it goes elsewhere: under low load an
+        upstream would otherwise never get the openings that its ramp needs.
+
+        :param has_waited: the opening has waited for a grant already.
         :returns: ``Wait.GRANT`` when a grant is on its way.
         """
         first = self._first_choice(packet)
@@ -92,10 +96,16 @@
         state = self.state_of(first)
         if state is UpstreamState.READY:
             return Placed(first, RouteReason.HOME_OPENING)
-        if state in LIMITED_BY_GRANTS and self._holder.take(first, now):
+        if state not in LIMITED_BY_GRANTS:
+            return self._place_elsewhere(packet, first, now)
+        if self._holder.take(first, now):
             self._ask(first, now)
             return Placed(first, RouteReason.HOME_OPENING)
-        waits = state in LIMITED_BY_GRANTS and self._ask(first, now)
+        if self._holder.is_waiting(first, now):
+            return Wait.GRANT
+        waits = self._ask(first, now)
+        if waits and not has_waited:
+            return Wait.GRANT
         other = self._place_elsewhere(packet, first, now)
         if isinstance(other, Placed):
             return other
