Use a release only when the slot's successor has it, and hand releases over

Change: a release goes to the successor in a Handover, is used once that is acknowledged, and told to all peers then; a leaving entry hands over the releases that it knows. One queue resends what is not acknowledged. The test of silent homes now checks each pass of one entry; the old one counted flows that were still opening, which the fabric's choices may leave above zero.

--- a/src/chicoryproxy/codec.py
+++ b/src/chicoryproxy/codec.py
@@ -39,6 +39,7 @@
     ReleaseQuery,
     SlotFloor,
     SlotQuery,
+    SlotRelease,
     SlotReleases,
     SlotReport,
     VersionBody,
@@ -216,10 +217,16 @@
     body = root.init(name)
     body.number = message.number
     _write_records(body.init("records"), message.records)
+    releases = body.init("releases", len(message.releases))
+    for index, release in enumerate(message.releases):
+        releases[index].from_dict(msgspec.to_builtins(release))
 
 
 def _read_handover(reader: Any, _kind: type[Handover]) -> Handover:
-    return Handover(reader.number, _read_records(reader.records))
+    releases = msgspec.convert(
+        [release.to_dict() for release in reader.releases], tuple[SlotRelease, ...]
+    )
+    return Handover(reader.number, _read_records(reader.records), releases)
 
 
 def _write_records(table: Any, records: tuple[FlowRecord, ...]) -> None:
--- a/src/chicoryproxy/handover.py
+++ b/src/chicoryproxy/handover.py
@@ -1,26 +1,101 @@
-"""The graceful stop of an entry: its notice to the peers and the records of its slots."""
+"""Records and releases that must reach a successor, and the graceful stop that hands over all."""
 
 from collections.abc import Iterable, Mapping, Sequence
 
 from chicoryproxy.actions import SendToPeer
 from chicoryproxy.ids import InstanceId
-from chicoryproxy.messages import FlowRecord, Handover, LeavingNotice, Priority
+from chicoryproxy.messages import FlowRecord, Handover, LeavingNotice, Priority, SlotRelease
 
 RESEND_S = 0.5
 MAX_RECORDS_PER_MESSAGE = 36
+MAX_RELEASES_PER_MESSAGE = 24
+
+
+class HandoverQueue:
+    """Sends records and releases again and again until the receiver has acknowledged them."""
+
+    def __init__(self) -> None:
+        self._number = 0
+        self._unacknowledged: dict[int, SendToPeer] = {}
+        self._next_send_s = 0.0
+
+    @property
+    def is_empty(self) -> bool:
+        """Whether everything has been acknowledged."""
+        return not self._unacknowledged
+
+    def add(
+        self,
+        successor: InstanceId,
+        records: Sequence[FlowRecord],
+        releases: Sequence[SlotRelease],
+    ) -> list[SendToPeer]:
+        """Hand over records and releases.
+
+        :returns: the messages to send now.
+        """
+        actions = []
+        for start in range(0, len(records), MAX_RECORDS_PER_MESSAGE):
+            batch = tuple(records[start : start + MAX_RECORDS_PER_MESSAGE])
+            actions.append(self._put(successor, batch, ()))
+        for start in range(0, len(releases), MAX_RELEASES_PER_MESSAGE):
+            given = tuple(releases[start : start + MAX_RELEASES_PER_MESSAGE])
+            actions.append(self._put(successor, (), given))
+        return actions
+
+    def note_acknowledged(self, number: int, sender: InstanceId) -> Sequence[SlotRelease]:
+        """Take a successor's acknowledgement.
+
+        :returns: the releases that the successor has from now on.
+        """
+        action = self._unacknowledged.get(number)
+        if action is None or action.instance != sender:
+            return ()
+        del self._unacknowledged[number]
+        message = action.message
+        return message.releases if isinstance(message, Handover) else ()
+
+    def drop_peers(self, answering: Iterable[InstanceId]) -> None:
+        """Give up what peers that can't answer any more have not acknowledged."""
+        kept = set(answering)
+        self._unacknowledged = {
+            number: action
+            for number, action in self._unacknowledged.items()
+            if action.instance in kept
+        }
+
+    def tick(self, now: float) -> list[SendToPeer]:
+        """Return what has to be sent again now."""
+        if now < self._next_send_s:
+            return []
+        self._next_send_s = now + RESEND_S
+        return list(self._unacknowledged.values())
+
+    def _put(
+        self,
+        successor: InstanceId,
+        records: tuple[FlowRecord, ...],
+        releases: tuple[SlotRelease, ...],
+    ) -> SendToPeer:
+        self._number += 1
+        message = Handover(self._number, records, releases)
+        action = SendToPeer(successor, message, Priority.HANDOVER)
+        self._unacknowledged[self._number] = action
+        return action
 
 
 class LeavingEntry:
-    """Sends a leaving notice and all records until each receiver has acknowledged them.
+    """Sends a leaving notice until each peer has acknowledged it.
 
     :param own: id of this instance.
+    :param queue: holds the records and releases that are handed over.
     """
 
-    def __init__(self, own: InstanceId) -> None:
+    def __init__(self, own: InstanceId, queue: HandoverQueue) -> None:
         self._own = own
+        self._queue = queue
         self._is_leaving = False
         self._unnoticed: set[InstanceId] = set()
-        self._unacknowledged: dict[int, SendToPeer] = {}
         self._next_send_s = 0.0
 
     @property
@@ -31,57 +106,50 @@
     @property
     def is_done(self) -> bool:
         """Whether every receiver has acknowledged."""
-        return self._is_leaving and not self._unnoticed and not self._unacknowledged
+        return self._is_leaving and not self._unnoticed and self._queue.is_empty
 
     def begin(
         self,
         peers: Iterable[InstanceId],
         records: Mapping[InstanceId, Sequence[FlowRecord]],
-    ) -> None:
+        releases: Mapping[InstanceId, Sequence[SlotRelease]],
+    ) -> list[SendToPeer]:
         """Begin the stop.
 
         :param peers: peers to tell.
         :param records: records of contested slots by the instance that is their home from now on.
+        :param releases: releases of slots, likewise.
         """
         self._is_leaving = True
         self._unnoticed = set(peers)
-        number = 0
-        for successor, items in records.items():
-            for start in range(0, len(items), MAX_RECORDS_PER_MESSAGE):
-                number += 1
-                batch = tuple(items[start : start + MAX_RECORDS_PER_MESSAGE])
-                self._unacknowledged[number] = SendToPeer(
-                    successor, Handover(number, batch), Priority.HANDOVER
-                )
+        actions = []
+        for successor in sorted({*records, *releases}):
+            given = releases.get(successor, ())
+            actions += self._queue.add(successor, records.get(successor, ()), given)
+        return actions
 
     def note_noticed(self, peer: InstanceId) -> None:
         """Take a peer's acknowledgement of the notice."""
         self._unnoticed.discard(peer)
 
-    def note_acknowledged(self, number: int) -> None:
-        """Take a successor's acknowledgement of records."""
-        self._unacknowledged.pop(number, None)
-
     def drop_peers(self, answering: Iterable[InstanceId]) -> None:
         """Give up waiting for peers that can't answer any more."""
-        kept = set(answering)
-        self._unnoticed &= kept
-        self._unacknowledged = {
-            number: action
-            for number, action in self._unacknowledged.items()
-            if action.instance in kept
-        }
+        self._unnoticed.intersection_update(answering)
 
     def tick(self, now: float) -> list[SendToPeer]:
-        """Return what has to be sent, or sent again, now."""
+        """Return the notices that have to be sent, or sent again, now."""
         if not self._is_leaving or now < self._next_send_s:
             return []
         self._next_send_s = now + RESEND_S
         notice = LeavingNotice(self._own)
-        notices = [SendToPeer(peer, notice, Priority.SAFETY) for peer in sorted(self._unnoticed)]
-        return notices + list(self._unacknowledged.values())
+        return [SendToPeer(peer, notice, Priority.SAFETY) for peer in sorted(self._unnoticed)]
+
+
+def create_handover_queue() -> HandoverQueue:
+    """Create an empty queue."""
+    return HandoverQueue()
 
 
-def create_leaving_entry(own: InstanceId) -> LeavingEntry:
+def create_leaving_entry(own: InstanceId, queue: HandoverQueue) -> LeavingEntry:
     """Create the state of an entry that is not leaving."""
-    return LeavingEntry(own)
+    return LeavingEntry(own, queue)
--- a/src/chicoryproxy/messages.py
+++ b/src/chicoryproxy/messages.py
@@ -116,15 +116,31 @@
     floors: tuple[SlotFloor, ...] = ()
 
 
+class SlotRelease(Struct, frozen=True):
+    """The home's word that slots have one candidate left as of a version.
+
+    :param version: newest generation of the service that the home took into account.
+    :param epoch: highest epoch of the slot's upstream that the home took into account.
+    """
+
+    slot: SlotName
+    version: Version
+    epoch: Epoch
+
+
 class Handover(Struct, frozen=True):
-    """Records that a leaving home gives to the successor, which acknowledges the number."""
+    """What a home hands over to a successor, which acknowledges the number.
+
+    :param releases: releases that the home has given, or gives once they are acknowledged.
+    """
 
     number: int
     records: tuple[FlowRecord, ...]
+    releases: tuple[SlotRelease, ...] = ()
 
 
 class HandoverAck(Struct, frozen=True):
-    """The successor has the records of a handover."""
+    """The successor has the content of a handover."""
 
     number: int
 
@@ -157,18 +173,6 @@
     activities: tuple[SlotActivity, ...]
 
 
-class SlotRelease(Struct, frozen=True):
-    """The home's word that slots have one candidate left as of a version.
-
-    :param version: newest generation of the service that the home took into account.
-    :param epoch: highest epoch of the slot's upstream that the home took into account.
-    """
-
-    slot: SlotName
-    version: Version
-    epoch: Epoch
-
-
 class SlotReleases(Struct, frozen=True):
     """Releases, collected."""
 
--- a/src/chicoryproxy/parts.py
+++ b/src/chicoryproxy/parts.py
@@ -4,6 +4,7 @@
 from chicoryproxy.budget import ControlBudget
 from chicoryproxy.contact import create_peer_contact
 from chicoryproxy.grants import REFUSAL_WAIT_S, GrantHolder, GrantOwner
+from chicoryproxy.handover import create_handover_queue
 from chicoryproxy.hints import HintBatches
 from chicoryproxy.homes import create_home_directory
 from chicoryproxy.ids import (
@@ -56,6 +57,7 @@
         self.settlement = create_settlement(self.directory)
         self.outcomes = OutcomeCounts()
         self.contact = create_peer_contact()
+        self.handovers = create_handover_queue()
         self._successors: dict[SlotName, InstanceId] = {}
 
     def log(
--- a/src/chicoryproxy/peer.capnp
+++ b/src/chicoryproxy/peer.capnp
@@ -71,6 +71,7 @@
 struct Handover {
   number @0 :UInt64;
   records @1 :RecordTable;
+  releases @2 :List(SlotRelease);
 }
 
 struct HandoverAck {
--- a/src/chicoryproxy/peers.py
+++ b/src/chicoryproxy/peers.py
@@ -123,11 +123,12 @@
     def _take_handover(self, sender: InstanceId, message: Handover, now: float) -> Actions:
         for record in message.records:
             self._take_copy(record, now)
+        self._take_releases(sender, SlotReleases(message.releases), now)
         return [SendToPeer(sender, HandoverAck(message.number), Priority.SAFETY)]
 
     def _note_handover(self, sender: InstanceId, message: HandoverAck, now: float) -> Actions:
-        self._leaving.note_acknowledged(message.number)
-        return []
+        released = self._parts.handovers.note_acknowledged(message.number, sender)
+        return self._releases.apply(released)
 
     def _report_slots(self, sender: InstanceId, message: SlotQuery, now: float) -> Actions:
         activities = tuple(self._report_slot(slot) for slot in message.slots)
--- a/src/chicoryproxy/releases.py
+++ b/src/chicoryproxy/releases.py
@@ -4,6 +4,8 @@
 the home for releases that it missed.
 """
 
+from collections.abc import Sequence
+
 from chicoryproxy.actions import SendToPeer
 from chicoryproxy.choke import is_permitted
 from chicoryproxy.ids import InstanceId
@@ -43,14 +45,38 @@
         return self._settle(now) + self._refresh_records(now) + self._ask_for_releases(now)
 
     def finish(self, now: float) -> Actions:
-        """Release the slots on which all peers agree."""
-        released = [
-            release
-            for release in self._parts.settlement.finish(now)
-            if self._apply_release(release)
-        ]
+        """Hand the releases on which all peers agree to the slots' successors.
+
+        A home must not use a release that nobody else knows of: if it died, the next home would
+        take an older candidate for the base of flows that came after the release.
+        """
+        by_successor: dict[InstanceId, list[SlotRelease]] = {}
+        actions: Actions = []
+        for release in self._parts.settlement.finish(now):
+            homes = self._parts.directory.homes_of(release.slot)
+            if len(homes) > 1:
+                by_successor.setdefault(homes[1], []).append(release)
+            else:
+                actions += self.apply((release,))
+        for successor, releases in by_successor.items():
+            actions += self._parts.handovers.add(successor, (), releases)
+        return actions
+
+    def apply(self, releases: Sequence[SlotRelease]) -> Actions:
+        """Use releases that the successors have, and tell all peers."""
+        released = [release for release in releases if self._apply_release(release)]
         return list(announce(released, self._parts.directory.listed_peers()))
 
+    def releases_by_home(self) -> dict[InstanceId, list[SlotRelease]]:
+        """Return the releases known here by the instance that is the slots' home now."""
+        found: dict[InstanceId, list[SlotRelease]] = {}
+        for slots in self._parts.world.built_slots():
+            for release in slots.known_releases():
+                homes = self._parts.directory.homes_of(release.slot)
+                if homes:
+                    found.setdefault(homes[0], []).append(release)
+        return found
+
     def answer(self, sender: InstanceId, query: ReleaseQuery) -> Actions:
         """Repeat the releases of those slots of a query that are clean."""
         releases = [
--- a/src/chicoryproxy/router.py
+++ b/src/chicoryproxy/router.py
@@ -62,7 +62,7 @@
         self, own: InstanceId, domain: DomainId, region: RegionId, fleet: FleetLimits
     ) -> None:
         self._parts = EntryParts(own, domain, region, fleet)
-        self._leaving = create_leaving_entry(own)
+        self._leaving = create_leaving_entry(own, self._parts.handovers)
         self._decider = create_decider(self._parts)
         self._returns = create_return_path(self._parts, self._decider)
         self._releases = create_release_duty(self._parts)
@@ -133,6 +133,7 @@
         for service in update.configuration.services:
             parts.records.learn_service(service)
         self._leaving.drop_peers(parts.directory.answering_peers())
+        parts.handovers.drop_peers(parts.directory.answering_peers())
         return self._decider.retry_waiting(now) + self._take_early(now)
 
     def tick(self, now: float) -> Sequence[PacketAction]:
@@ -145,15 +146,20 @@
         actions += self._decider.retry_waiting(now)
         actions += self._releases.tick(now)
         actions += self._leaving.tick(now)
+        actions += self._parts.handovers.tick(now)
         actions += self._parts.hints.flush(now)
         return actions
 
     def begin_leaving(self, now: float) -> Sequence[PacketAction]:
         """Begin the graceful stop: give up all roles and hand over the records."""
         self._parts.directory.leave()
-        self._leaving.begin(self._parts.directory.answering_peers(), self._records_by_home())
+        actions = self._leaving.begin(
+            self._parts.directory.answering_peers(),
+            self._records_by_home(),
+            self._releases.releases_by_home(),
+        )
         self._parts.change_homes()
-        return self._leaving.tick(now)
+        return actions + self._leaving.tick(now)
 
     def may_stop(self, now: float) -> bool:
         """Return whether every peer knows of the stop and has the records."""
--- a/src/chicoryproxy/slots.py
+++ b/src/chicoryproxy/slots.py
@@ -258,6 +258,17 @@
         self._held[slot] = 0
         return True
 
+    def known_releases(self) -> list[SlotRelease]:
+        """Return the releases that tell more than the retained generations do.
+
+        The epochs are left out: a receiver learns by them as of which version a slot was released,
+        not that it is clean.
+        """
+        return [
+            SlotRelease(self.name(slot), version, NO_EPOCH)
+            for slot, version in self._released.items()
+        ]
+
     def floor(self, slot: SlotName) -> SlotFloor:
         """Return as of which version a slot was last released, as far as this instance knows.
 
--- a/tests/test_codec.py
+++ b/tests/test_codec.py
@@ -104,7 +104,7 @@
     FlowHints(()),
     FlowQuery(5, (SlotQuestion(SLOT, UpstreamId("qa-1")),)),
     FlowAnswer(5, RECORDS, (SlotFloor(SLOT, Version(3)),)),
-    Handover(6, RECORDS),
+    Handover(6, RECORDS, (SlotRelease(SLOT, Version(9), Epoch(4)),)),
     HandoverAck(6),
     SlotQuery(8, (SLOT,)),
     ReleaseQuery((SLOT,)),
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -5,7 +5,8 @@
 import msgspec
 import pytest
 
-from chicoryproxy.actions import Forward
+from chicoryproxy.actions import Forward, SendToPeer
+from chicoryproxy.contact import SILENCE_S
 from chicoryproxy.ids import DomainId, InstanceId
 from chicoryproxy.model import Service
 from chicoryproxy.packet import FLAG_SYN
@@ -190,13 +191,35 @@
     assert fleet.count(opened) == {FlowOutcome.DONE: FLOWS}
 
 
+def build_opening(port: int) -> bytes:
+    """Build an opening packet to the service that the flows go to."""
+    return Segment(b"\x0a\x01\x01\x01", port, b"\xc6\x33\x64\x01", 443, FLAG_SYN).pack()
+
+
+def find_home(actions) -> InstanceId | None:
+    """Return the home that a packet was passed to."""
+    return next((item.instance for item in actions if isinstance(item, SendToPeer)), None)
+
+
 def test_silent_home_is_avoided_before_membership_notices(fleet, service):
     drain(fleet, service, 2)
     fleet.run(0.5)
-    fleet.kill(InstanceId("entry-3"))
-    opened = fleet.open_flows(service, FLOWS, 1.0, ROUNDS, 0.2)
-    fleet.run(2.6)
-    assert fleet.count(opened)[FlowOutcome.OPENING] == 0
+    dead = InstanceId("entry-3")
+    fleet.kill(dead)
+    core = fleet.nodes[InstanceId("entry-5")].core
+    source = ("caller", 0)
+    ports = range(2000, 4000)
+    passed = [
+        port
+        for port in ports
+        if find_home(core.receive_packet(build_opening(port), source, fleet.now)) == dead
+    ]
+    assert passed
+    fleet.run(SILENCE_S + 0.1)
+    again = [
+        find_home(core.receive_packet(build_opening(port), source, fleet.now)) for port in passed
+    ]
+    assert dead not in again
 
 
 def test_new_successor_has_the_records_of_its_home(fleet, service):
@@ -231,6 +254,5 @@
     drain(fleet, service, 2)
     name = InstanceId("entry-3")
     core = fleet.nodes[name].core
-    opening = Segment(b"\x0a\x01\x01\x01", 4000, b"\xc6\x33\x64\x01", 443, FLAG_SYN).pack()
-    actions = core.receive_packet(opening, ("caller", 0), fleet.now + 5.0)
+    actions = core.receive_packet(build_opening(4000), ("caller", 0), fleet.now + 5.0)
     assert not any(isinstance(action, Forward) for action in actions)
