End the tests' processes with the test run

Cause: a test run that was killed left four processes running. Change: the processes of tests/test_processes.py get a signal when their parent ends.

--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -1,6 +1,7 @@
 """The real processes on loopback: the whole path, stops, restarts, and a platform that is down."""
 
 import asyncio
+import ctypes
 import json
 import signal
 import sys
@@ -39,6 +40,7 @@
 WARM = WarmUp(cold_openings=5000.0, full_openings=5000.0, duration_s=0.1)
 PAYLOAD = b"is heat number 7 certified?"
 FLOWS = 60
+PR_SET_PDEATHSIG = 1
 UPSTREAMS = 4
 
 
@@ -63,6 +65,7 @@
             str(self.settings),
             env={"PYTHONPATH": str(SOURCE)},
             stdout=asyncio.subprocess.PIPE,
+            preexec_fn=end_with_parent,
         )
         self._reading = asyncio.create_task(self._read())
         await self.wait_for("Process started.")
@@ -238,6 +241,11 @@
         self.entries[name] = Process("entry", file)
 
 
+def end_with_parent():
+    """Have the system end this process when the test run is killed."""
+    ctypes.CDLL(None).prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
+
+
 def write_endpoint(endpoint):
     return f"{endpoint.host}:{endpoint.port}"
 
