--- a/src/chicoryproxy/membership.py
+++ b/src/chicoryproxy/membership.py
@@ -8,6 +8,7 @@
 
 from collections.abc import Iterable, Sequence
 
+import msgspec
 from msgspec import Struct
 
 from chicoryproxy.draws import Draws
@@ -417,11 +418,7 @@
             return False
         peer = self._peers.get(instance.id)
         if peer is not None:
-            changed = peer.instance != instance
-            peer.instance = instance
-            if changed:
-                self._mark_changed()
-            return changed
+            return self._renew_instance(peer, instance, from_list)
         if instance.id in self._gone:
             return False
         self._peers[instance.id] = PeerRecord(instance, now)
@@ -433,6 +430,20 @@
         self._mark_changed()
         return True
 
+    def _renew_instance(self, peer: PeerRecord, instance: Instance, from_list: bool) -> bool:
+        """Take in a newer or older entry of a known peer.
+
+        Ids are never used again, so an instance that leaves doesn't come back, and addresses from
+        peers, which may be older than those known, are left out.
+        """
+        known = peer.instance
+        is_leaving = instance.leaving and not known.leaving
+        newest = instance if from_list else known
+        peer.instance = msgspec.structs.replace(newest, leaving=instance.leaving or known.leaving)
+        if peer.instance != known:
+            self._mark_changed()
+        return is_leaving
+
     def _is_news(self, sender: InstanceId, update: MemberUpdate) -> bool:
         incarnation = self._gone.get(update.instance)
         if incarnation is None:
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -3,9 +3,11 @@
 import msgspec
 import pytest
 
-from chicoryproxy.messages import Gossip, MemberUpdate, Ping
+from chicoryproxy.actions import SendToView
+from chicoryproxy.messages import Gossip, MemberUpdate, Ping, VersionBody
 from chicoryproxy.sizes import estimate_message
 from chicoryproxy.states import MemberState
+from chicoryproxy.versions import EMPTY_CONFIGURATION
 from tests.control_net import ControlNet, make_instance
 
 SILENT = (MemberState.SUSPECT, MemberState.HIDDEN)
@@ -159,3 +161,17 @@
         messages = [action.message for action in actions if hasattr(action, "message")]
         assert messages
         assert all(estimate_message(message) <= 1200 for message in messages)
+
+
+def test_entries_of_different_age_are_not_passed_on_for_ever(net: ControlNet) -> None:
+    first, second, third = (entry.id for entry in net.instances[:3])
+    subject = net.instances[4]
+    leaving = msgspec.structs.replace(subject, leaving=True)
+    for entry, is_news in [(leaving, True), (subject, False), (leaving, False)]:
+        body = VersionBody(EMPTY_CONFIGURATION, (), (entry,), ())
+        actions = net.cores[first].receive_message(second, body, net.now)
+        pushed = [action for action in actions if isinstance(action, SendToView)]
+        assert bool(pushed) is is_news
+    net.call(first, "tick")
+    assert net.get_state(first, subject.id) is MemberState.LEAVING
+    assert net.get_state(third, subject.id) is MemberState.ALIVE
