Explain a flow step by step, and describe an entry, without any effect

Operators could read counters, but not why a flow goes where it goes. PacketCore.explain names the service, slot, placements, hold, home, record and conditions, and foresees the next packet; PacketCore.describe gives slots, records, budget and take-overs. The control endpoint now takes a flow by its ends, since a hash alone names no service.

--- a/src/chicoryproxy/entrydriver.py
+++ b/src/chicoryproxy/entrydriver.py
@@ -21,7 +21,8 @@
 )
 from chicoryproxy.codec import DecodeProblem
 from chicoryproxy.datasocket import Address, DataSocket
-from chicoryproxy.ids import FlowKey, InstanceId, Version
+from chicoryproxy.flowname import FlowName
+from chicoryproxy.ids import InstanceId, Version
 from chicoryproxy.link import LinkClient
 from chicoryproxy.logs import OutputHandler, PartLogger, RouteLog
 from chicoryproxy.messages import EntryMessage, EntryReport, PassedPacket, ViewUpdate
@@ -58,6 +59,10 @@
 
     def take_report(self) -> EntryReport: ...
 
+    def describe(self) -> Any: ...
+
+    def explain(self, flow: FlowName, now: float) -> Any: ...
+
 
 class EntryState(Struct, frozen=True):
     """State of the entry process for operators.
@@ -209,7 +214,6 @@
 
     def describe(self) -> EntryState:
         """Return the state for operators."""
-        describe = getattr(self._core, "describe", None)
         view = self._view
         return EntryState(
             self._settings.instance,
@@ -219,13 +223,12 @@
             view.configuration.version if view else Version(0),
             view.highest if view else Version(0),
             self.metrics.get_totals(),
-            describe() if describe is not None else None,
+            self._core.describe(),
         )
 
-    def explain(self, flow: FlowKey) -> Any:
+    def explain(self, flow: FlowName) -> Any:
         """Return why a flow goes where it goes."""
-        explain = getattr(self._core, "explain", None)
-        return explain(flow) if explain is not None else None
+        return self._core.explain(flow, self._clock())
 
     def _carry_out_all(self, actions: Iterable[PacketAction], packet: bytes = b"") -> None:
         for action in actions:
--- /dev/null
+++ b/src/chicoryproxy/explanation.py
@@ -0,0 +1,395 @@
+"""Why a flow goes where it goes, step by step, without any effect on the flow."""
+
+from enum import Enum, unique
+
+from msgspec import Struct
+
+from chicoryproxy.choke import is_permitted
+from chicoryproxy.flowname import FlowName
+from chicoryproxy.flowtable import FlowFlag
+from chicoryproxy.ids import FlowKey, InstanceId, ServiceId, SlotIndex, UpstreamId, Version
+from chicoryproxy.model import ServiceAddress
+from chicoryproxy.openings import LIMITED_BY_GRANTS
+from chicoryproxy.parts import EntryParts
+from chicoryproxy.records import RecordTarget
+from chicoryproxy.route import ServiceRoute
+from chicoryproxy.slots import NO_UPSTREAM, ServiceSlots
+from chicoryproxy.states import (
+    DropReason,
+    Protocol,
+    RefusalReason,
+    ReturnPath,
+    RouteReason,
+    UpstreamState,
+)
+
+
+class _Step(Struct, frozen=True, tag_field="step"):
+    """Base of the steps; the tag tells them apart in JSON."""
+
+
+class ViewStep(_Step, frozen=True, tag="view"):
+    """What this entry knows.
+
+    :param version: version in force here.
+    :param placed: version that new flows are placed by.
+    :param highest: highest version that a peer has.
+    :param is_behind: packets of unknown flows are passed to the home of their slot.
+    """
+
+    instance: InstanceId
+    version: Version
+    placed: Version
+    highest: Version
+    is_behind: bool
+
+
+class ServiceStep(_Step, frozen=True, tag="service"):
+    """The service of the destination; ``None`` when no service has the address."""
+
+    address: ServiceAddress
+    service: ServiceId | None
+    return_path: ReturnPath | None
+
+
+class SlotStep(_Step, frozen=True, tag="slot"):
+    """The slot that the flow key gives.
+
+    :param size: number of slots of the service.
+    """
+
+    flow: FlowKey
+    slot: SlotIndex
+    size: int
+
+
+class GenerationStep(_Step, frozen=True, tag="generation"):
+    """What the placement of one retained version gives the slot.
+
+    :param is_relevant: false when the slot was released as of a later version.
+    """
+
+    version: Version
+    upstream: UpstreamId | None
+    is_relevant: bool
+
+
+@unique
+class HoldReason(Enum):
+    """Why a slot is clean or contested."""
+
+    CLEAN = "clean"
+    SEVERAL_CANDIDATES = "several_candidates"
+    AWAITS_RELEASE = "awaits_release"
+    UPSTREAM_LIMITED = "upstream_limited"
+
+
+class HoldStep(_Step, frozen=True, tag="hold"):
+    """Whether any entry may decide alone.
+
+    :param candidates: upstreams that relevant versions give the slot, oldest first.
+    :param contested_s: seconds since the slot has several candidates; zero when it has one.
+    """
+
+    reason: HoldReason
+    candidates: tuple[UpstreamId, ...]
+    contested_s: float
+
+
+class HomeStep(_Step, frozen=True, tag="home"):
+    """Who decides on unknown flows of the slot.
+
+    :param home: ``None`` when no instance is live.
+    :param is_own: this entry is the home.
+    :param reacts: false when passed packets get no reaction, and the successor is used.
+    """
+
+    home: InstanceId | None
+    successor: InstanceId | None
+    is_own: bool
+    reacts: bool
+
+
+class RecordStep(_Step, frozen=True, tag="record"):
+    """What this entry recorded of the flow.
+
+    :param upstream: ``None`` without a record.
+    """
+
+    upstream: UpstreamId | None
+    is_half_open: bool
+    is_closing: bool
+    is_decided_here: bool
+
+
+class ConditionStep(_Step, frozen=True, tag="condition"):
+    """An upstream that counts for the flow.
+
+    :param state: as this entry sees it.
+    :param owner: instance that grants openings while the upstream is limited.
+    :param epoch: rises with each change of the condition.
+    :param refusal: why its flows are refused; ``None`` if packets may be sent to it.
+    :param drop: why packets for it are dropped; ``None`` if they aren't.
+    """
+
+    upstream: UpstreamId
+    state: UpstreamState
+    owner: InstanceId | None
+    epoch: int
+    refusal: RefusalReason | None = None
+    drop: DropReason | None = None
+
+
+@unique
+class PacketKind(Enum):
+    """What kind of packet an outcome is about."""
+
+    OPENING = "opening"
+    LATER = "later"
+
+
+@unique
+class OutcomeKind(Enum):
+    """What would happen to a packet now."""
+
+    FORWARD = "forward"
+    PASS = "pass"
+    ASK_PEERS = "ask_peers"
+    ASK_OWNER = "ask_owner"
+    ELSEWHERE = "elsewhere"
+    REFUSE = "refuse"
+    DROP = "drop"
+
+
+class OutcomeStep(_Step, frozen=True, tag="outcome"):
+    """What would happen to a packet of the flow at this entry now.
+
+    :param target: upstream or instance, by the kind of the outcome; empty if there is none.
+    :param route: reason of a packet that is sent or passed.
+    :param state: state of the upstream that limits an opening.
+    """
+
+    packet: PacketKind
+    kind: OutcomeKind
+    target: UpstreamId | InstanceId = NO_UPSTREAM
+    route: RouteReason | None = None
+    refusal: RefusalReason | None = None
+    drop: DropReason | None = None
+    state: UpstreamState | None = None
+
+
+Step = (
+    ViewStep
+    | ServiceStep
+    | SlotStep
+    | GenerationStep
+    | HoldStep
+    | HomeStep
+    | RecordStep
+    | ConditionStep
+    | OutcomeStep
+)
+"""One step of an explanation."""
+
+
+class Explanation(Struct, frozen=True):
+    """The steps that lead from a flow to its upstream, as one entry sees them."""
+
+    flow: FlowName
+    steps: tuple[Step, ...]
+
+
+class Explainer:
+    """Explains one flow at one entry.
+
+    :param parts: state of the entry; nothing in it is changed.
+    :param route: service of the flow.
+    :param flow: the flow's name.
+    """
+
+    def __init__(self, parts: EntryParts, route: ServiceRoute, flow: FlowName, now: float) -> None:
+        self._parts = parts
+        self._route = route
+        self._flow = flow
+        self._now = now
+        self._key = flow.hash()
+        self._slots: ServiceSlots = route.slots or parts.world.build_slots(route, now)
+        self._slot = self._slots.slot_of(self._key)
+        self._name = self._slots.name(self._slot)
+        self._homes = parts.directory.homes_of(self._name)
+        record = parts.records.find(self._key)
+        self._record: RecordTarget | None = (
+            record if record is not None and record.service == route.id else None
+        )
+
+    def list_steps(self) -> tuple[Step, ...]:
+        """Return the steps that follow the service."""
+        return (
+            SlotStep(self._key, self._slot, self._slots.size),
+            *self._list_generations(),
+            self._explain_hold(),
+            self._explain_home(),
+            self._explain_record(),
+            *self._list_conditions(),
+            *self._list_outcomes(),
+        )
+
+    def _list_generations(self) -> list[Step]:
+        relevant = self._slots.relevant_versions(self._slot)
+        return [
+            GenerationStep(version, self._slots.placement(version, self._slot), version in relevant)
+            for version in self._slots.versions()
+        ]
+
+    def _explain_hold(self) -> HoldStep:
+        candidates = tuple(self._slots.candidates(self._slot))
+        since = self._slots.changed_since(self._slot)
+        contested_s = 0.0 if since is None else self._now - since
+        return HoldStep(self._find_hold_reason(len(candidates)), candidates, contested_s)
+
+    def _find_hold_reason(self, candidates: int) -> HoldReason:
+        if candidates > 1:
+            return HoldReason.SEVERAL_CANDIDATES
+        if self._slots.is_held(self._slot):
+            return HoldReason.AWAITS_RELEASE
+        if not self._slots.is_clean(self._slot):
+            return HoldReason.UPSTREAM_LIMITED
+        return HoldReason.CLEAN
+
+    def _explain_home(self) -> HomeStep:
+        home = self._homes[0] if self._homes else None
+        successor = self._homes[1] if len(self._homes) > 1 else None
+        reacts = home is not None and not self._parts.contact.is_silent(home, self._now)
+        return HomeStep(home, successor, home == self._parts.own, reacts)
+
+    def _explain_record(self) -> RecordStep:
+        if self._record is None:
+            return RecordStep(None, False, False, False)
+        records = self._parts.records
+        return RecordStep(
+            self._record.upstream,
+            records.has_flag(self._key, FlowFlag.HALF_OPEN),
+            records.has_flag(self._key, FlowFlag.CLOSING),
+            records.has_flag(self._key, FlowFlag.OPENED_HERE),
+        )
+
+    def _list_conditions(self) -> list[Step]:
+        names = [self._record.upstream] if self._record else []
+        names += self._slots.candidates(self._slot)
+        placed = self._slots.placed(self._slot)
+        if placed is not None:
+            names.append(placed)
+        return [self._explain_condition(name) for name in dict.fromkeys(names)]
+
+    def _explain_condition(self, name: UpstreamId) -> ConditionStep:
+        upstream = self._route.upstreams.get(name)
+        directory = self._parts.directory
+        owner = directory.owner_of(name, upstream.domain) if upstream is not None else None
+        condition = self._parts.world.conditions.get(name)
+        epoch = condition.epoch if condition is not None else 0
+        state = self._parts.world.state_of(name)
+        refusal, drop = self._find_refusal(name), self._find_drop(name)
+        return ConditionStep(name, state, owner, epoch, refusal, drop)
+
+    def _find_refusal(self, name: UpstreamId) -> RefusalReason | None:
+        gate = self._parts.world.gate
+        permitted = gate.permit(self._route.id, name) if gate is not None else None
+        if permitted is DropReason.NOT_LISTED:
+            return RefusalReason.UPSTREAM_GONE
+        return permitted if isinstance(permitted, RefusalReason) else None
+
+    def _find_drop(self, name: UpstreamId) -> DropReason | None:
+        gate = self._parts.world.gate
+        if gate is None:
+            return DropReason.NO_VIEW
+        permitted = gate.permit(self._route.id, name)
+        if not isinstance(permitted, DropReason) or permitted is DropReason.NOT_LISTED:
+            return None
+        return permitted
+
+    def _list_outcomes(self) -> list[Step]:
+        later = self._foresee(PacketKind.LATER)
+        if self._flow.protocol is not Protocol.TCP:
+            return [later]
+        return [self._foresee(PacketKind.OPENING), later]
+
+    def _foresee(self, packet: PacketKind) -> OutcomeStep:
+        known = self._foresee_known(packet)
+        if known is not None:
+            return known
+        home = self._choose_home()
+        if home is None:
+            return OutcomeStep(packet, OutcomeKind.DROP, drop=DropReason.NO_HOME)
+        if home != self._parts.own:
+            return OutcomeStep(packet, OutcomeKind.PASS, home, self._find_pass_reason())
+        return self._foresee_at_home(packet)
+
+    def _foresee_known(self, packet: PacketKind) -> OutcomeStep | None:
+        """Return what any entry does alone with a packet, ``None`` if it needs the home."""
+        newest = self._slots.newest(self._slot)
+        is_clean = self._slots.is_clean(self._slot) and not self._parts.world.is_behind
+        if is_clean and newest is not None:
+            return self._send(packet, newest, RouteReason.CLEAN_SLOT)
+        if self._record is None:
+            return None
+        is_closing = self._parts.records.has_flag(self._key, FlowFlag.CLOSING)
+        if packet is PacketKind.OPENING and is_closing:
+            return None
+        return self._send(packet, self._record.upstream, RouteReason.KNOWN_FLOW)
+
+    def _foresee_at_home(self, packet: PacketKind) -> OutcomeStep:
+        newest = self._slots.newest(self._slot)
+        if self._slots.is_clean(self._slot) and newest is not None:
+            return self._send(packet, newest, RouteReason.CLEAN_SLOT)
+        if not self._parts.take_over.has_all_records(self._name):
+            return OutcomeStep(packet, OutcomeKind.ASK_PEERS)
+        if packet is PacketKind.OPENING or self._flow.protocol is not Protocol.TCP:
+            return self._foresee_placement(packet)
+        base = self._slots.base(self._slot)
+        if base is None:
+            return OutcomeStep(packet, OutcomeKind.REFUSE, refusal=RefusalReason.NO_UPSTREAM)
+        return self._send(packet, base, RouteReason.HOME_BASE)
+
+    def _foresee_placement(self, packet: PacketKind) -> OutcomeStep:
+        first = self._parts.openings.choose_first(self._name, self._slots)
+        if first is None:
+            return OutcomeStep(packet, OutcomeKind.REFUSE, refusal=RefusalReason.NO_UPSTREAM)
+        state = self._parts.world.state_of(first)
+        if state is UpstreamState.READY:
+            return self._send(packet, first, RouteReason.HOME_OPENING)
+        kind = OutcomeKind.ASK_OWNER if state in LIMITED_BY_GRANTS else OutcomeKind.ELSEWHERE
+        return OutcomeStep(packet, kind, first, state=state)
+
+    def _choose_home(self) -> InstanceId | None:
+        contact = self._parts.contact
+        reacting = (home for home in self._homes if not contact.is_silent(home, self._now))
+        return next(reacting, self._homes[0] if self._homes else None)
+
+    def _find_pass_reason(self) -> RouteReason:
+        is_behind = self._parts.world.is_behind
+        return RouteReason.PASSED_BEHIND if is_behind else RouteReason.PASSED_CONTESTED
+
+    def _send(self, packet: PacketKind, upstream: UpstreamId, reason: RouteReason) -> OutcomeStep:
+        if is_permitted(self._parts.world.gate, self._route.id, upstream):
+            return OutcomeStep(packet, OutcomeKind.FORWARD, upstream, reason)
+        refusal = self._find_refusal(upstream)
+        if refusal is not None:
+            return OutcomeStep(packet, OutcomeKind.REFUSE, upstream, refusal=refusal)
+        return OutcomeStep(packet, OutcomeKind.DROP, upstream, drop=self._find_drop(upstream))
+
+
+def explain_flow(parts: EntryParts, flow: FlowName, now: float) -> Explanation:
+    """Explain where an entry sends the packets of a flow now.
+
+    :param parts: state of the entry; nothing in it is changed.
+    """
+    world = parts.world
+    view = ViewStep(parts.own, world.version, world.placed, world.highest, world.is_behind)
+    address = ServiceAddress(flow.target.host, flow.target.port, flow.protocol)
+    route = world.routes.get(flow.pack_target())
+    if route is None:
+        missing = ServiceStep(address, None, None)
+        outcome = OutcomeStep(PacketKind.OPENING, OutcomeKind.DROP, drop=DropReason.UNKNOWN_SERVICE)
+        return Explanation(flow, (view, missing, outcome))
+    found = ServiceStep(address, route.id, route.service.return_path)
+    return Explanation(flow, (view, found, *Explainer(parts, route, flow, now).list_steps()))
--- a/src/chicoryproxy/openings.py
+++ b/src/chicoryproxy/openings.py
@@ -9,10 +9,11 @@
 from chicoryproxy.grants import GrantHolder
 from chicoryproxy.homes import HomeDirectory
 from chicoryproxy.ids import ServiceId, UpstreamId
-from chicoryproxy.messages import GrantRequest
+from chicoryproxy.messages import GrantRequest, SlotName
 from chicoryproxy.model import UpstreamCondition
 from chicoryproxy.rendezvous import score
 from chicoryproxy.route import PacketAtHand
+from chicoryproxy.slots import ServiceSlots
 from chicoryproxy.states import DropReason, RefusalReason, RouteReason, UpstreamState
 
 LIMITED_BY_GRANTS = frozenset({UpstreamState.COLD, UpstreamState.WARMING})
@@ -81,6 +82,13 @@
         """Return whether an upstream takes openings without limits."""
         return self.state_of(upstream) is UpstreamState.READY
 
+    def choose_first(self, slot: SlotName, slots: ServiceSlots) -> UpstreamId | None:
+        """Return the upstream that the placement in force gives the openings of a slot."""
+        for upstream in (slots.placed(slot.slot), slots.newest(slot.slot)):
+            if upstream is not None and self._is_permitted(slot.service, upstream):
+                return upstream
+        return None
+
     def place(self, packet: PacketAtHand, now: float, has_waited: bool = False) -> Verdict:
         """Decide where an opening goes.
 
@@ -90,7 +98,7 @@
         :param has_waited: the opening has waited for a grant already.
         :returns: ``Wait.GRANT`` when a grant is on its way.
         """
-        first = self._first_choice(packet)
+        first = self.choose_first(packet.slot, packet.slots)
         if first is None:
             return RefusalReason.NO_UPSTREAM
         state = self.state_of(first)
@@ -115,13 +123,6 @@
         """Decide where an opening goes that an upstream refused."""
         return self._place_elsewhere(packet, refused, now)
 
-    def _first_choice(self, packet: PacketAtHand) -> UpstreamId | None:
-        slot = packet.slot.slot
-        for upstream in (packet.slots.placed(slot), packet.slots.newest(slot)):
-            if upstream is not None and self._is_permitted(packet.route.id, upstream):
-                return upstream
-        return None
-
     def _place_elsewhere(self, packet: PacketAtHand, first: UpstreamId, now: float) -> Verdict:
         if self._directory.is_isolated():
             return DropReason.NO_CAPACITY
--- a/src/chicoryproxy/operations.py
+++ b/src/chicoryproxy/operations.py
@@ -1,6 +1,7 @@
 """The control endpoint of a process: HTTP answers in JSON about its state.
 
-``GET /state`` describes the process; ``GET /explain?flow=HEX`` says why a flow goes where it goes.
+``GET /state`` describes the process; ``GET /explain?flow=FLOW`` says why a flow goes where
+it goes, with the flow written as ``flowname`` reads it.
 Nothing can be changed over it.
 """
 
@@ -12,13 +13,11 @@
 from aiohttp import web
 from msgspec import Struct
 
-from chicoryproxy.ids import FlowKey
+from chicoryproxy.flowname import FlowName, FlowNameFault, parse_flow
 from chicoryproxy.model import Endpoint
 
 Describe = Callable[[], Any]
-Explain = Callable[[FlowKey], Any]
-
-_HEX = 16
+Explain = Callable[[FlowName], Any]
 
 
 class OperationsFinding(Struct, frozen=True):
@@ -65,10 +64,9 @@
     async def _answer_explain(self, request: web.Request) -> web.Response:
         if self._explain is None:
             return _answer(OperationsFinding("this process decides on no flows"), 404)
-        try:
-            flow = FlowKey(int(request.query.get("flow", ""), _HEX))
-        except ValueError:
-            return _answer(OperationsFinding("flow must be a hexadecimal number"), 400)
+        flow = parse_flow(request.query.get("flow", ""))
+        if isinstance(flow, FlowNameFault):
+            return _answer(OperationsFinding(flow.value), 400)
         return _answer(self._explain(flow))
 
 
--- a/src/chicoryproxy/router.py
+++ b/src/chicoryproxy/router.py
@@ -10,6 +10,9 @@
 
 from chicoryproxy.actions import Drop, PacketAction, SendToPeer
 from chicoryproxy.decision import create_decider
+from chicoryproxy.description import EntryDescription, describe_entry
+from chicoryproxy.explanation import Explanation, explain_flow
+from chicoryproxy.flowname import FlowName
 from chicoryproxy.flowtable import FlowFlag
 from chicoryproxy.handover import create_leaving_entry
 from chicoryproxy.ids import DomainId, FlowKey, InstanceId, RegionId, UpstreamId
@@ -193,6 +196,14 @@
         )
         return EntryReport(clean, self._leases.take_reported(), self._parts.owner.warmed())
 
+    def describe(self) -> EntryDescription:
+        """Return the state for operators."""
+        return describe_entry(self._parts)
+
+    def explain(self, flow: FlowName, now: float) -> Explanation:
+        """Return why a flow goes where it goes; changes nothing."""
+        return explain_flow(self._parts, flow, now)
+
     def _forward_clean(
         self,
         answer: Answer,
--- a/src/chicoryproxy/slots.py
+++ b/src/chicoryproxy/slots.py
@@ -269,6 +269,21 @@
             for slot, version in self._released.items()
         ]
 
+    def versions(self) -> tuple[Version, ...]:
+        """Return the versions of the retained generations, oldest first."""
+        return tuple(item.generation.version for item in self._tables)
+
+    def relevant_versions(self, slot: int) -> tuple[Version, ...]:
+        """Return the versions of the generations that the last release of a slot left."""
+        return tuple(item.generation.version for item in self._relevant(slot))
+
+    def placement(self, version: Version, slot: int) -> UpstreamId | None:
+        """Return the upstream that a retained generation gives a slot."""
+        for item in self._tables:
+            if item.generation.version == version:
+                return _placement(item.table, slot)
+        return None
+
     def floor(self, slot: SlotName) -> SlotFloor:
         """Return as of which version a slot was last released, as far as this instance knows.
 
--- a/src/chicoryproxy/world.py
+++ b/src/chicoryproxy/world.py
@@ -66,8 +66,8 @@
         contested += self._note_hidden()
         if members.healed:
             self.hold_all()
-        for route in self._built():
-            self._answer(route)
+        for slots in self.built_slots():
+            self._answer(slots)
         return WorldChange(members, tuple(contested))
 
     def note_version(self, version: Version) -> None:
@@ -93,14 +93,19 @@
         that this instance doesn't know of.
         """
         if route.slots is None:
-            route.slots = create_service_slots(route.id, route.has_datagrams)
-            route.slots.set_generations(self._generations_of(route.id), self.placed, now)
-            route.slots.note_conditions(self.conditions)
-            if self.directory.listed_peers():
-                route.slots.hold_all()
-            self._answer(route)
+            route.slots = self.build_slots(route, now)
         return route.slots
 
+    def build_slots(self, route: ServiceRoute, now: float) -> ServiceSlots:
+        """Return the slots that a service starts with, without giving them to the service."""
+        slots = create_service_slots(route.id, route.has_datagrams)
+        slots.set_generations(self._generations_of(route.id), self.placed, now)
+        slots.note_conditions(self.conditions)
+        if self.directory.listed_peers():
+            slots.hold_all()
+        self._answer(slots)
+        return slots
+
     def built_slots(self) -> list[ServiceSlots]:
         """Return the slots of all services that had a packet."""
         return [route.slots for route in self._services.values() if route.slots is not None]
@@ -189,9 +194,8 @@
     def _built(self) -> list[ServiceRoute]:
         return [route for route in self._services.values() if route.slots is not None]
 
-    def _answer(self, route: ServiceRoute) -> None:
-        if route.slots is not None:
-            route.slots.set_answers(lambda upstream: self._prepare(route.id, upstream))
+    def _answer(self, slots: ServiceSlots) -> None:
+        slots.set_answers(lambda upstream: self._prepare(slots.service, upstream))
 
     def _prepare(self, service: ServiceId, upstream: UpstreamId) -> Answer | None:
         if self.gate is None or self.state_of(upstream) is not UpstreamState.READY:
