Add chicory-ctl and chicory-load

chicory-ctl asks the control endpoints of instances for their state, explains a flow and shows a live view; both processes' states are typed now, so that the program reads what they write. chicory-load opens flows at a rate, checks every byte, writes an HDR histogram and draws latency, broken flows, imbalance and openings by second.

--- a/src/chicoryproxy/control.py
+++ b/src/chicoryproxy/control.py
@@ -63,6 +63,7 @@
 class ControlDescription(Struct, frozen=True):
     """State of the control core for the operator's tool.
 
+    :param now_s: time of the description, on the clock that conditions give their changes in.
     :param version_age_s: seconds since the version in force was learned.
     :param stale_reads: configurations older than the one in force that were served.
     :param unread: reads of the platform that failed.
@@ -72,6 +73,7 @@
     """
 
     instance: Instance
+    now_s: float
     version: Version
     highest: Version
     placed: Version
@@ -214,6 +216,7 @@
         now = self._now
         return ControlDescription(
             instance=self._membership.own,
+            now_s=now,
             version=self._versions.version,
             highest=self._versions.highest,
             placed=self._versions.placed,
--- a/src/chicoryproxy/entrydriver.py
+++ b/src/chicoryproxy/entrydriver.py
@@ -4,9 +4,7 @@
 import time
 from collections import Counter
 from collections.abc import Iterable, Sequence
-from typing import Any, Protocol
-
-from msgspec import Struct
+from typing import Protocol
 
 from chicoryproxy import codec
 from chicoryproxy.actions import (
@@ -21,6 +19,8 @@
 )
 from chicoryproxy.codec import DecodeProblem
 from chicoryproxy.datasocket import Address, DataSocket
+from chicoryproxy.description import EntryDescription
+from chicoryproxy.explanation import Explanation
 from chicoryproxy.flowname import FlowName
 from chicoryproxy.ids import InstanceId, Version
 from chicoryproxy.link import LinkClient
@@ -28,6 +28,7 @@
 from chicoryproxy.messages import EntryMessage, EntryReport, PassedPacket, ViewUpdate
 from chicoryproxy.metrics import Metric, Metrics
 from chicoryproxy.model import Endpoint
+from chicoryproxy.processstate import EntryState
 from chicoryproxy.settings import Settings
 from chicoryproxy.states import DropReason, RefusalReason
 from chicoryproxy.transport import TransportFactory
@@ -59,26 +60,9 @@
 
     def take_report(self) -> EntryReport: ...
 
-    def describe(self) -> Any: ...
-
-    def explain(self, flow: FlowName, now: float) -> Any: ...
-
-
-class EntryState(Struct, frozen=True):
-    """State of the entry process for operators.
-
-    :param view_number: number of the last view update; zero before the first.
-    :param core: what the core says of itself.
-    """
+    def describe(self) -> EntryDescription: ...
 
-    instance: InstanceId
-    is_leaving: bool
-    is_view_connected: bool
-    view_number: int
-    version: Version
-    highest: Version
-    counters: dict[str, int]
-    core: Any
+    def explain(self, flow: FlowName, now: float) -> Explanation: ...
 
 
 class EntryDriver:
@@ -226,7 +210,7 @@
             self._core.describe(),
         )
 
-    def explain(self, flow: FlowName) -> Any:
+    def explain(self, flow: FlowName) -> Explanation:
         """Return why a flow goes where it goes."""
         return self._core.explain(flow, self._clock())
 
--- /dev/null
+++ b/src/chicoryproxy/inquiry.py
@@ -0,0 +1,106 @@
+"""Questions of operators' programs to the control endpoints of instances."""
+
+import asyncio
+from collections.abc import Sequence
+from typing import TypeVar
+from urllib.parse import quote
+
+import aiohttp
+import msgspec
+from msgspec import Struct
+
+from chicoryproxy.address import format_endpoint
+from chicoryproxy.entry import CONTROL_PORT_OFFSET
+from chicoryproxy.explanation import Explanation
+from chicoryproxy.flowname import FlowName
+from chicoryproxy.model import Endpoint
+from chicoryproxy.processstate import EntryState, ViewState
+
+TIMEOUT_S = 3.0
+
+Answer = TypeVar("Answer")
+
+
+class Unanswered(Struct, frozen=True):
+    """Sentinel: an endpoint gave no usable answer."""
+
+    reason: str
+
+
+class InstanceReport(Struct, frozen=True):
+    """What one instance says of itself.
+
+    :param control: control endpoint of its view; its entry answers at the port after it.
+    """
+
+    control: Endpoint
+    view: ViewState | Unanswered
+    entry: EntryState | Unanswered
+
+    @property
+    def name(self) -> str:
+        """Name of the instance, or its endpoint when none of its processes answered."""
+        for state in (self.view, self.entry):
+            if not isinstance(state, Unanswered):
+                return state.instance
+        return format_endpoint(self.control)
+
+
+class ExplanationReport(Struct, frozen=True):
+    """What one instance says of a flow."""
+
+    control: Endpoint
+    explanation: Explanation | Unanswered
+
+
+async def ask_states(endpoints: Sequence[Endpoint]) -> list[InstanceReport]:
+    """Ask both processes of instances for their state, all at the same time."""
+    async with _create_session() as session:
+        return list(await asyncio.gather(*(_ask_state(session, item) for item in endpoints)))
+
+
+async def ask_explanations(
+    endpoints: Sequence[Endpoint], flow: FlowName
+) -> list[ExplanationReport]:
+    """Ask the entries of instances to explain a flow, all at the same time."""
+    async with _create_session() as session:
+        questions = (_ask_explanation(session, endpoint, flow) for endpoint in endpoints)
+        return list(await asyncio.gather(*questions))
+
+
+async def _ask_state(session: aiohttp.ClientSession, control: Endpoint) -> InstanceReport:
+    view, entry = await asyncio.gather(
+        _ask(session, control, "/state", ViewState),
+        _ask(session, _get_entry(control), "/state", EntryState),
+    )
+    return InstanceReport(control, view, entry)
+
+
+async def _ask_explanation(
+    session: aiohttp.ClientSession, control: Endpoint, flow: FlowName
+) -> ExplanationReport:
+    path = f"/explain?flow={quote(str(flow))}"
+    answer = await _ask(session, _get_entry(control), path, Explanation)
+    return ExplanationReport(control, answer)
+
+
+async def _ask(
+    session: aiohttp.ClientSession, endpoint: Endpoint, path: str, kind: type[Answer]
+) -> Answer | Unanswered:
+    url = f"http://{format_endpoint(endpoint)}{path}"
+    try:
+        async with session.get(url) as response:
+            response.raise_for_status()
+            return msgspec.json.decode(await response.read(), type=kind)
+    except TimeoutError:
+        return Unanswered(f"{format_endpoint(endpoint)}: no answer within {TIMEOUT_S:g} s")
+    except (aiohttp.ClientError, msgspec.MsgspecError) as error:
+        return Unanswered(f"{format_endpoint(endpoint)}: {error}")
+
+
+def _get_entry(control: Endpoint) -> Endpoint:
+    return Endpoint(control.host, control.port + CONTROL_PORT_OFFSET)
+
+
+def _create_session() -> aiohttp.ClientSession:
+    return aiohttp.ClientSession(timeout=aiohttp.ClientTimeout(total=TIMEOUT_S))
--- /dev/null
+++ b/src/chicoryproxy/load.py
@@ -0,0 +1,185 @@
+"""``chicory-load``: opens flows against a running set and checks every byte of the answers."""
+
+import asyncio
+import ipaddress
+import sys
+from collections.abc import Sequence
+from dataclasses import dataclass
+from enum import IntEnum, unique
+from pathlib import Path
+from typing import Annotated
+
+import cappa
+import msgspec
+
+from chicoryproxy.address import AddressFault, parse_endpoint
+from chicoryproxy.errors import ChicoryError
+from chicoryproxy.loadplot import draw_load
+from chicoryproxy.loadrecord import LoadRecord, LoadSummary
+from chicoryproxy.loadrun import LoadPlan, list_plan_faults, run_load
+from chicoryproxy.model import Endpoint
+from chicoryproxy.options import VERSION
+
+HISTOGRAM_NAME = "latency.hgrm"
+SUMMARY_NAME = "summary.json"
+INTERVALS_NAME = "intervals.json"
+PLOT_NAME = "load"
+
+
+@unique
+class ExitCode(IntEnum):
+    """How a run ended."""
+
+    FINE = 0
+    BROKEN = 1
+    WRONG_USE = 2
+    INTERRUPTED = 130
+
+
+class UsageError(ChicoryError):
+    """The command was given something that it can't work with."""
+
+
+@cappa.command(
+    name="chicory-load",
+    help="Open flows against a running set and check every byte of the answers.",
+    description=(
+        "Sends IP-in-UDP packets to the fabric, or sprays them over entries when --to is "
+        "repeated, and takes the answers at --listen, the `fabric` of the instances' settings. "
+        "The answering upstream must echo each request after its name, as the stand-in of the "
+        "demo does. Writes the HDR histogram of the latencies, a summary, the figures by second "
+        "and a picture."
+    ),
+    epilog=(
+        "Example: chicory-load 198.51.100.1:443 --to 127.0.0.1:6080 --listen 127.0.0.9:6080 "
+        "--rate 50 --count 1000 --seconds 30 --out run/\n\n"
+        "Exit codes: 0 every flow was answered in full, 1 some flow broke or got no answer, "
+        "2 wrong use, 130 ended by Ctrl-C."
+    ),
+)
+@dataclass
+class LoadOptions:
+    """The command line."""
+
+    service: Annotated[str, cappa.Arg(help="IP:PORT that the callers speak to.")]
+    to: Annotated[
+        list[str],
+        cappa.Arg(
+            long=True,
+            num_args=1,
+            action=cappa.ArgAction.append,
+            required=True,
+            value_name="IP:PORT",
+            help="The fabric, or an entry's `data` address; may be repeated.",
+        ),
+    ]
+    listen: Annotated[str, cappa.Arg(long=True, help="IP:PORT that takes the answers.")] = (
+        "127.0.0.1:6081"
+    )
+    rate: Annotated[float, cappa.Arg(long=True, help="Flows opened per second.")] = 50.0
+    count: Annotated[int, cappa.Arg(long=True, help="Number of flows.")] = 500
+    seconds: Annotated[float, cappa.Arg(long=True, help="Longest time of the run.")] = 30.0
+    requests: Annotated[int, cappa.Arg(long=True, help="Requests on each flow.")] = 3
+    interval: Annotated[
+        float, cappa.Arg(long=True, help="Seconds between two requests of a flow.")
+    ] = 0.5
+    payload: Annotated[int, cappa.Arg(long=True, help="Bytes of a request.")] = 64
+    seed: Annotated[int, cappa.Arg(long=True, help="Seed of spray and payloads.")] = 1
+    out: Annotated[Path, cappa.Arg(long=True, help="Folder that gets the files.")] = Path(
+        "chicory-load"
+    )
+    svg: Annotated[bool, cappa.Arg(long=True, help="Draw SVG in place of PNG.")] = False
+    beyond_loopback: Annotated[
+        bool, cappa.Arg(long=True, help="Allow --to and --listen outside 127.0.0.0/8 and ::1.")
+    ] = False
+
+
+def main(argv: Sequence[str] | None = None) -> int:
+    """Run the program.
+
+    :param argv: arguments without the program's name; those of the process if not given.
+    :returns: an ``ExitCode``.
+    """
+    options = cappa.parse(LoadOptions, argv=None if argv is None else list(argv), version=VERSION)
+    try:
+        plan = create_plan(options)
+        record = asyncio.run(run_load(plan))
+        write_results(record, options)
+    except ChicoryError as error:
+        error.show()
+        return ExitCode.WRONG_USE
+    except OSError as error:
+        UsageError(str(error)).show()
+        return ExitCode.WRONG_USE
+    except KeyboardInterrupt:
+        return ExitCode.INTERRUPTED
+    summary = record.sum_up()
+    print(_describe(summary))
+    return ExitCode.BROKEN if summary.broken or not summary.answered else ExitCode.FINE
+
+
+def create_plan(options: LoadOptions) -> LoadPlan:
+    """Return the plan that the options ask for.
+
+    :raises UsageError: with all faults.
+    """
+    faults: list[str] = []
+    plan = LoadPlan(
+        tuple(_read(text, faults, options.beyond_loopback) for text in options.to),
+        _read(options.listen, faults, options.beyond_loopback),
+        _read(options.service, faults, True),
+        options.rate,
+        options.count,
+        options.seconds,
+        options.requests,
+        options.interval,
+        options.payload,
+        options.seed,
+    )
+    faults += list_plan_faults(plan)
+    if faults:
+        raise UsageError("\n".join(faults))
+    return plan
+
+
+def write_results(record: LoadRecord, options: LoadOptions) -> None:
+    """Write the files of a run."""
+    options.out.mkdir(parents=True, exist_ok=True)
+    record.write_histogram(options.out / HISTOGRAM_NAME)
+    intervals = record.list_intervals()
+    summary = record.sum_up()
+    (options.out / SUMMARY_NAME).write_bytes(msgspec.json.encode(summary))
+    (options.out / INTERVALS_NAME).write_bytes(msgspec.json.encode(intervals))
+    title = f"{options.service}: {options.count} flows at {options.rate:g}/s"
+    ending = "svg" if options.svg else "png"
+    draw_load(intervals, title, options.out / f"{PLOT_NAME}.{ending}")
+
+
+def _read(text: str, faults: list[str], may_be_remote: bool) -> Endpoint:
+    endpoint = parse_endpoint(text)
+    if isinstance(endpoint, AddressFault):
+        faults.append(f"{text}: {endpoint.value}")
+        return Endpoint("", 0)
+    if not may_be_remote and not ipaddress.ip_address(endpoint.host).is_loopback:
+        faults.append(f"{text} isn't on loopback; allow it by --beyond-loopback")
+    return endpoint
+
+
+def _describe(summary: LoadSummary) -> str:
+    ends = ", ".join(f"{count} {end.value}" for end, count in sorted(summary.ends.items(), key=str))
+    latency = summary.latency
+    times = (
+        f"median {latency.median_ms:.2f} ms, 99th percentile {latency.p99_ms:.2f} ms, "
+        f"highest {latency.highest_ms:.2f} ms"
+        if latency is not None
+        else "none"
+    )
+    openings = ", ".join(f"{name} {count}" for name, count in summary.openings.items())
+    return (
+        f"flows: {ends or 'none'}\nrequests answered in full: {summary.answered}\n"
+        f"latency: {times}\nopenings: {openings or 'none'}\nimbalance: {summary.imbalance:.2f}"
+    )
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/src/chicoryproxy/loadplot.py
@@ -0,0 +1,75 @@
+"""Draws what a load run has measured."""
+
+from collections.abc import Sequence
+from pathlib import Path
+
+from matplotlib.axes import Axes
+from matplotlib.backends.backend_agg import FigureCanvasAgg
+from matplotlib.figure import Figure
+
+from chicoryproxy.ids import UpstreamId
+from chicoryproxy.loadrecord import Interval, measure_imbalance
+
+WIDTH_IN = 10.0
+HEIGHT_IN = 11.0
+DPI = 110
+
+
+def draw_load(intervals: Sequence[Interval], title: str, path: Path) -> None:
+    """Draw latency, broken flows, imbalance and openings by second.
+
+    :param path: file to write; its ending gives the format, such as ``.png`` or ``.svg``.
+    """
+    figure = Figure(figsize=(WIDTH_IN, HEIGHT_IN), dpi=DPI, layout="constrained")
+    FigureCanvasAgg(figure)
+    latency, broken, imbalance, openings = figure.subplots(4, 1, sharex=True)
+    figure.suptitle(title)
+    _draw_latency(latency, intervals)
+    _draw_broken(broken, intervals)
+    _draw_imbalance(imbalance, intervals)
+    _draw_openings(openings, intervals)
+    openings.set_xlabel("time from the start, s")
+    figure.savefig(path)
+
+
+def _draw_latency(axes: Axes, intervals: Sequence[Interval]) -> None:
+    told = [(item.second, item.latency) for item in intervals if item.latency is not None]
+    seconds = [second for second, _ in told]
+    axes.plot(seconds, [item.median_ms for _, item in told], marker=".", label="median")
+    axes.plot(seconds, [item.p99_ms for _, item in told], marker=".", label="99th percentile")
+    axes.plot(seconds, [item.highest_ms for _, item in told], marker=".", label="highest")
+    axes.set_yscale("log")
+    axes.set_ylabel("latency, ms")
+    axes.grid(visible=True, alpha=0.3)
+    axes.legend(loc="upper right")
+
+
+def _draw_broken(axes: Axes, intervals: Sequence[Interval]) -> None:
+    axes.bar([item.second for item in intervals], [item.broken for item in intervals], color="C3")
+    axes.set_ylabel("broken flows per s")
+    axes.set_ylim(0, max(1, *(item.broken for item in intervals)) if intervals else 1)
+
+
+def _draw_imbalance(axes: Axes, intervals: Sequence[Interval]) -> None:
+    names = _list_upstreams(intervals)
+    used = [item for item in intervals if any(item.openings.values())]
+    values = [measure_imbalance([item.openings.get(name, 0) for name in names]) for item in used]
+    axes.plot([item.second for item in used], values, marker=".", color="C4")
+    axes.set_ylabel("imbalance of openings\n(highest by mean)")
+    axes.grid(visible=True, alpha=0.3)
+    axes.set_ylim(bottom=0)
+
+
+def _draw_openings(axes: Axes, intervals: Sequence[Interval]) -> None:
+    seconds = [item.second for item in intervals]
+    names = _list_upstreams(intervals)
+    for name in names:
+        axes.plot(seconds, [item.openings.get(name, 0) for item in intervals], label=name)
+    axes.set_ylabel("openings per s")
+    axes.grid(visible=True, alpha=0.3)
+    if names:
+        axes.legend(loc="upper right", fontsize="small")
+
+
+def _list_upstreams(intervals: Sequence[Interval]) -> list[UpstreamId]:
+    return sorted({name for item in intervals for name in item.openings})
--- /dev/null
+++ b/src/chicoryproxy/loadrecord.py
@@ -0,0 +1,149 @@
+"""What a load run has measured, over time."""
+
+from collections import Counter
+from collections.abc import Sequence
+from pathlib import Path
+
+from hdrh.histogram import HdrHistogram
+from msgspec import Struct
+
+from chicoryproxy.caller_standin import FlowEnd
+from chicoryproxy.ids import UpstreamId
+
+LOWEST_US = 1
+HIGHEST_US = 60_000_000
+DIGITS = 3
+US_PER_S = 1_000_000
+US_PER_MS = 1000.0
+QUANTILES = (50.0, 99.0, 100.0)
+GOOD_ENDS = frozenset({FlowEnd.OPEN, FlowEnd.CLOSED})
+
+
+class Latency(Struct, frozen=True):
+    """Quantiles of the latencies of some requests, in milliseconds."""
+
+    median_ms: float
+    p99_ms: float
+    highest_ms: float
+
+
+class Interval(Struct, frozen=True):
+    """What happened within one second of a run.
+
+    :param second: from the start of the run.
+    :param openings: openings by the upstream that accepted them.
+    :param broken: flows that ended otherwise than by their caller's wish.
+    :param latency: of all answers; ``None`` when there was none.
+    """
+
+    second: int
+    openings: dict[UpstreamId, int]
+    broken: int
+    latency: Latency | None
+
+
+class LoadSummary(Struct, frozen=True):
+    """Result of a run.
+
+    :param answered: requests whose answer held every byte that was sent.
+    :param ends: flows by how they ended.
+    :param imbalance: openings of the busiest upstream by the mean of all; zero without openings.
+    """
+
+    answered: int
+    ends: dict[FlowEnd, int]
+    openings: dict[UpstreamId, int]
+    imbalance: float
+    latency: Latency | None
+
+    @property
+    def broken(self) -> int:
+        """Number of flows that ended otherwise than by their caller's wish."""
+        return sum(count for end, count in self.ends.items() if end not in GOOD_ENDS)
+
+
+class _Second:
+    def __init__(self) -> None:
+        self.openings: Counter[UpstreamId] = Counter()
+        self.broken = 0
+        self.latencies = _create_histogram()
+
+
+class LoadRecord:
+    """Collects latencies, ends and openings.
+
+    :param started_at: start of the run, in seconds.
+    """
+
+    def __init__(self, started_at: float) -> None:
+        self._started_at = started_at
+        self._seconds: dict[int, _Second] = {}
+        self._all = _create_histogram()
+        self._answered = 0
+        self._ends: Counter[FlowEnd] = Counter()
+        self._openings: Counter[UpstreamId] = Counter()
+
+    def add_latency(self, latency_s: float, now: float) -> None:
+        """Take the time between a packet and its answer."""
+        value = max(LOWEST_US, min(HIGHEST_US, round(latency_s * US_PER_S)))
+        self._all.record_value(value)
+        self._second(now).latencies.record_value(value)
+
+    def add_answer(self) -> None:
+        """Count a request that was echoed in full."""
+        self._answered += 1
+
+    def add_opening(self, upstream: UpstreamId, now: float) -> None:
+        """Count an opening for the upstream that served it."""
+        self._openings[upstream] += 1
+        self._second(now).openings[upstream] += 1
+
+    def add_end(self, end: FlowEnd, now: float) -> None:
+        """Count a flow that is over."""
+        self._ends[end] += 1
+        if end not in GOOD_ENDS:
+            self._second(now).broken += 1
+
+    def list_intervals(self) -> list[Interval]:
+        """Return the seconds of the run in their order, empty ones included."""
+        last = max(self._seconds, default=-1)
+        return [self._build_interval(second) for second in range(last + 1)]
+
+    def sum_up(self) -> LoadSummary:
+        """Return the result."""
+        return LoadSummary(
+            self._answered,
+            dict(self._ends),
+            dict(sorted(self._openings.items())),
+            measure_imbalance(list(self._openings.values())),
+            _measure_latency(self._all),
+        )
+
+    def write_histogram(self, path: Path) -> None:
+        """Write the latencies in milliseconds as an HDR percentile distribution."""
+        with path.open("wb") as file:
+            self._all.output_percentile_distribution(file, US_PER_MS)
+
+    def _second(self, now: float) -> _Second:
+        return self._seconds.setdefault(int(now - self._started_at), _Second())
+
+    def _build_interval(self, second: int) -> Interval:
+        found = self._seconds.get(second) or _Second()
+        latency = _measure_latency(found.latencies)
+        return Interval(second, dict(found.openings), found.broken, latency)
+
+
+def measure_imbalance(openings: Sequence[int]) -> float:
+    """Return the largest number by the mean of all; zero without openings."""
+    total = sum(openings)
+    return max(openings) * len(openings) / total if total else 0.0
+
+
+def _create_histogram() -> HdrHistogram:
+    return HdrHistogram(LOWEST_US, HIGHEST_US, DIGITS)
+
+
+def _measure_latency(histogram: HdrHistogram) -> Latency | None:
+    if not histogram.get_total_count():
+        return None
+    return Latency(*(histogram.get_value_at_percentile(item) / US_PER_MS for item in QUANTILES))
--- /dev/null
+++ b/src/chicoryproxy/loadrun.py
@@ -0,0 +1,172 @@
+"""Opens flows at a rate and checks every byte that comes back."""
+
+import asyncio
+import time
+from collections.abc import Awaitable, Sequence
+from itertools import count
+
+import aiomisc
+from msgspec import Struct
+
+from chicoryproxy.caller_standin import CallerFlow, CallerStandIn, FlowEnd
+from chicoryproxy.draws import Draws
+from chicoryproxy.fabric_standin import FabricStandIn
+from chicoryproxy.loadrecord import LoadRecord
+from chicoryproxy.model import Endpoint
+from chicoryproxy.segment import Peer
+from chicoryproxy.ticker import Ticker
+
+RESEND_CHECK_S = 0.05
+FIRST_PORT = 1024
+PORTS_PER_CALLER = 60_000
+CALLER_NET = "10.77.0."
+MAX_CALLERS = 250
+MAX_FLOWS = PORTS_PER_CALLER * MAX_CALLERS
+BYTE_VALUES = 256
+MAX_PAYLOAD_BYTES = 1000
+
+
+class LoadPlan(Struct, frozen=True):
+    """A run.
+
+    :param targets: where packets are sent: the fabric, or entries that a spray is made over.
+    :param listen: where answers come back, the ``fabric`` of the instances' settings.
+    :param service: address that the callers speak to.
+    :param rate: flows opened per second.
+    :param flows: number of flows.
+    :param seconds: longest time of the run.
+    :param requests: requests on each flow.
+    :param interval_s: time between two requests of a flow, in seconds.
+    :param payload_bytes: size of a request.
+    :param seed: of the spray and the payloads.
+    """
+
+    targets: tuple[Endpoint, ...]
+    listen: Endpoint
+    service: Endpoint
+    rate: float
+    flows: int
+    seconds: float
+    requests: int
+    interval_s: float
+    payload_bytes: int
+    seed: int
+
+
+class LoadRun:
+    """Carries a plan out on the running loop."""
+
+    def __init__(self, plan: LoadPlan) -> None:
+        self._plan = plan
+        self._clock = time.monotonic
+        self._draws = Draws(plan.seed, "load")
+        self._fabric = FabricStandIn(
+            plan.listen, lambda data: self._callers.receive(data), plan.seed
+        )
+        self._callers = CallerStandIn(self._fabric.spray, self._clock)
+        self._fabric.set_entries(plan.targets)
+        self._flows = count()
+        self._service = Peer(plan.service.host, plan.service.port)
+        self._open: set[CallerFlow] = set()
+        self.record = LoadRecord(self._clock())
+
+    async def run(self) -> None:
+        """Run until all flows are over or the time is up."""
+        services = [self._fabric.socket, Ticker(RESEND_CHECK_S, self._callers.tick)]
+        tasks = [await _start(service) for service in services]
+        try:
+            await self._run_flows()
+        finally:
+            for task in tasks:
+                task.cancel()
+            await self._fabric.socket.stop()
+        for flow in self._open:
+            end = FlowEnd.SILENT if flow.is_waiting else FlowEnd.OPEN
+            self.record.add_end(end, self._clock())
+
+    async def _run_flows(self) -> None:
+        try:
+            async with asyncio.timeout(self._plan.seconds), asyncio.TaskGroup() as group:
+                started_at = self._clock()
+                for number in range(self._plan.flows):
+                    due_s = started_at + number / self._plan.rate - self._clock()
+                    await asyncio.sleep(max(due_s, 0.0))
+                    group.create_task(self._run_flow())
+        except TimeoutError:
+            pass
+
+    async def _run_flow(self) -> None:
+        flow = self._create_flow()
+        self._open.add(flow)
+        end = await self._time(flow.open(self._clock()))
+        for number in range(self._plan.requests):
+            if end is not FlowEnd.OPEN:
+                break
+            end = await self._ask(flow, is_first=number == 0)
+        if end is FlowEnd.OPEN:
+            end = await flow.close(self._clock())
+        self._open.discard(flow)
+        del self._callers.flows[(flow.source, flow.target)]
+        self.record.add_end(end, self._clock())
+
+    async def _ask(self, flow: CallerFlow, is_first: bool) -> FlowEnd:
+        if not is_first:
+            await asyncio.sleep(self._plan.interval_s)
+        end = await self._time(flow.request(self._draw_payload(), self._clock()))
+        if end is FlowEnd.OPEN:
+            self.record.add_answer()
+            if is_first:
+                self.record.add_opening(flow.upstream, self._clock())
+        return end
+
+    async def _time(self, asked: Awaitable[FlowEnd]) -> FlowEnd:
+        started_at = self._clock()
+        end = await asked
+        now = self._clock()
+        if end is FlowEnd.OPEN:
+            self.record.add_latency(now - started_at, now)
+        return end
+
+    def _create_flow(self) -> CallerFlow:
+        caller, port = divmod(next(self._flows), PORTS_PER_CALLER)
+        source = Peer(f"{CALLER_NET}{caller + 1}", FIRST_PORT + port)
+        return self._callers.create_flow(source, self._service)
+
+    def _draw_payload(self) -> bytes:
+        values = (self._draws.draw_fraction() for _ in range(self._plan.payload_bytes))
+        return bytes(int(value * BYTE_VALUES) for value in values)
+
+
+async def _start(service: aiomisc.Service) -> "asyncio.Task[None]":
+    loop = asyncio.get_running_loop()
+    service.set_loop(loop)
+    task = loop.create_task(service.start())
+    started = loop.create_task(service.start_event.wait())
+    await asyncio.wait((task, started), return_when=asyncio.FIRST_COMPLETED)
+    if task.done():
+        started.cancel()
+        task.result()
+    return task
+
+
+async def run_load(plan: LoadPlan) -> LoadRecord:
+    """Carry a plan out.
+
+    :raises OSError: when the address for answers can't be used.
+    """
+    run = LoadRun(plan)
+    await run.run()
+    return run.record
+
+
+def list_plan_faults(plan: LoadPlan) -> Sequence[str]:
+    """Return what is wrong with a plan."""
+    checks = (
+        (plan.rate > 0, "--rate must be above zero"),
+        (0 < plan.flows <= MAX_FLOWS, f"--count must be between 1 and {MAX_FLOWS}"),
+        (plan.seconds > 0, "--seconds must be above zero"),
+        (plan.requests > 0, "--requests must be above zero"),
+        (plan.interval_s >= 0, "--interval can't be negative"),
+        (0 < plan.payload_bytes <= MAX_PAYLOAD_BYTES, f"--payload is {MAX_PAYLOAD_BYTES} at most"),
+    )
+    return [text for is_right, text in checks if not is_right]
--- /dev/null
+++ b/src/chicoryproxy/processstate.py
@@ -0,0 +1,38 @@
+"""What the processes of an instance tell operators at their control endpoints."""
+
+from msgspec import Struct
+
+from chicoryproxy.control import ControlDescription
+from chicoryproxy.description import EntryDescription
+from chicoryproxy.ids import InstanceId, Version
+
+
+class EntryState(Struct, frozen=True):
+    """State of the entry process.
+
+    :param view_number: number of the last view update; zero before the first.
+    :param counters: totals since the start, by the names of the metrics.
+    """
+
+    instance: InstanceId
+    is_leaving: bool
+    is_view_connected: bool
+    view_number: int
+    version: Version
+    highest: Version
+    counters: dict[str, int]
+    core: EntryDescription
+
+
+class ViewState(Struct, frozen=True):
+    """State of the view process.
+
+    :param counters: totals since the start, by the names of the metrics.
+    """
+
+    instance: InstanceId
+    is_leaving: bool
+    is_entry_connected: bool
+    version: Version
+    counters: dict[str, int]
+    core: ControlDescription
--- a/src/chicoryproxy/viewdriver.py
+++ b/src/chicoryproxy/viewdriver.py
@@ -3,9 +3,7 @@
 import asyncio
 import time
 from collections.abc import Callable, Iterable, Sequence
-from typing import Any, Protocol
-
-from msgspec import Struct
+from typing import Protocol
 
 from chicoryproxy import codec
 from chicoryproxy.actions import (
@@ -18,6 +16,7 @@
     WatchPlatform,
 )
 from chicoryproxy.codec import DecodeProblem
+from chicoryproxy.control import ControlDescription
 from chicoryproxy.events import InstancesRead
 from chicoryproxy.ids import InstanceId, Version
 from chicoryproxy.link import LinkServer
@@ -26,6 +25,7 @@
 from chicoryproxy.metrics import Metric, Metrics
 from chicoryproxy.model import Endpoint, Instance
 from chicoryproxy.platform import Reading
+from chicoryproxy.processstate import ViewState
 from chicoryproxy.readings import Readings
 from chicoryproxy.settings import Settings
 from chicoryproxy.transport import TransportFactory
@@ -52,21 +52,7 @@
 
     def may_stop(self, now: float) -> bool: ...
 
-    def describe(self) -> Any: ...
-
-
-class ViewState(Struct, frozen=True):
-    """State of the view process for operators.
-
-    :param core: what the core says of itself.
-    """
-
-    instance: InstanceId
-    is_leaving: bool
-    is_entry_connected: bool
-    version: Version
-    counters: dict[str, int]
-    core: Any
+    def describe(self) -> ControlDescription: ...
 
 
 class ViewDriver:
