--- a/src/chicoryproxy/control.py
+++ b/src/chicoryproxy/control.py
@@ -68,6 +68,8 @@
     :param stale_reads: configurations older than the one in force that were served.
     :param unread: reads of the platform that failed.
     :param conditions: conditions of all listed upstreams.
+    :param domains_out: failure domains that operators have out of service.
+    :param cut_off: failure domains that this instance doesn't reach.
     :param evidence: evidence on the upstreams that this instance owns.
     :param bulk_bytes: estimated bytes of the configurations sent to peers.
     """
@@ -85,6 +87,7 @@
     unread: int
     peers: tuple[PeerDescription, ...]
     conditions: tuple[UpstreamCondition, ...]
+    domains_out: tuple[DomainId, ...]
     cut_off: tuple[DomainId, ...]
     evidence: tuple[UpstreamEvidence, ...]
     budget: tuple[BudgetCount, ...]
@@ -228,6 +231,7 @@
             unread=self._readers.unread,
             peers=self._describe_peers(now),
             conditions=self._conditions.list_conditions(),
+            domains_out=self._versions.list_domains_out(),
             cut_off=tuple(sorted(self._reach.cut_off)),
             evidence=self._health.list_evidence(),
             budget=self._budget.count(),
--- a/src/chicoryproxy/ctlreport.py
+++ b/src/chicoryproxy/ctlreport.py
@@ -35,9 +35,9 @@
 
 
 def _tabulate_instances(reports: Iterable[InstanceReport]) -> Table:
-    table = _create_table(
-        "instance", "version", "for", "places by", "highest", "view", "platform", "entry", "records"
-    )
+    table = _create_table("instance", "version", "for", "places by", "highest", "view", "platform")
+    for column in ("domains out", "cut off from", "entry", "records"):
+        table.add_column(column)
     for report in reports:
         table.add_row(report.name, *_list_view(report.view), *_list_entry(report.entry))
     return table
@@ -45,14 +45,16 @@
 
 def _list_view(view: ViewState | Unanswered) -> tuple[str, ...]:
     if isinstance(view, Unanswered):
-        return "?", "?", "?", "?", view.reason, "?"
+        return "?", "?", "?", "?", view.reason, "?", "?", "?"
     core = view.core
     states = [core.catch_up.value]
     states += ["stale"] * core.is_stale + ["leaving"] * view.is_leaving
     states += [] if view.is_entry_connected else ["no entry"]
     age = _format_age(core.version_age_s)
     versions = (f"{core.version}", age, f"{core.placed}", f"{core.highest}")
-    return *versions, ", ".join(states), f"{core.watch.value}, {core.unread} failed reads"
+    platform = f"{core.watch.value}, {core.unread} failed reads"
+    domains = (_join(core.domains_out) or "none", _join(core.cut_off) or "none")
+    return *versions, _join(states), platform, *domains
 
 
 def _list_entry(entry: EntryState | Unanswered) -> tuple[str, str]:
--- a/src/chicoryproxy/versions.py
+++ b/src/chicoryproxy/versions.py
@@ -128,6 +128,11 @@
             if len(generations) > 1 or generation.version > oldest
         )
 
+    def list_domains_out(self) -> tuple[DomainId, ...]:
+        """Return the failure domains that operators have out of service."""
+        listed = {domain.id for domain in self._configuration.domains}
+        return tuple(sorted(listed - list_domains_in(self._configuration)))
+
     def get_confirmed(self, instance: InstanceId) -> Version:
         """Return the highest version that a peer said it has."""
         return self._confirmed.get(instance, NO_VERSION)
--- a/tests/test_ctl.py
+++ b/tests/test_ctl.py
@@ -9,11 +9,14 @@
 from chicoryproxy import ctl
 from chicoryproxy.entry import CONTROL_PORT_OFFSET
 from chicoryproxy.inquiry import Unanswered, ask_states
+from chicoryproxy.ids import DomainId
 from chicoryproxy.model import Endpoint
 from chicoryproxy.operations import OperationsServer
 from chicoryproxy.processstate import EntryState, ViewState
-from chicoryproxy.testing import change_upstreams, create_upstream
+from chicoryproxy.states import DomainState
+from chicoryproxy.testing import change_upstreams, create_upstream, set_domain
 
+FLOW = ("tcp", "10.0.0.1:1024", "198.51.100.1:443")
 DROPS = {"entry.packets.dropped.no_grant": 3, "entry.packets.in": 9}
 
 
@@ -98,6 +101,17 @@
     assert "load reading" in output.out
 
 
+def test_domain_that_is_out_is_named(run_ctl, instances):
+    fleet = instances[0].fleet
+    fleet.publish(set_domain(fleet.platform.served, DomainId("port-klang"), DomainState.OUT))
+    fleet.run(2.0)
+    _, output = run_ctl("state", "--json", write(instances[0]))
+    (report,) = msgspec.json.decode(output.out)
+    assert report["view"]["core"]["domains_out"] == ["port-klang"]
+    _, output = run_ctl("explain", *FLOW, "--at", write(instances[0]))
+    assert "version 3" in output.out
+
+
 def test_state_as_json(run_ctl, instances):
     code, output = run_ctl("state", "--json", *map(write, instances))
     assert code == ctl.ExitCode.ANSWERED
@@ -106,8 +120,7 @@
 
 
 def test_explain_tells_every_step(run_ctl, instances):
-    flow = ("tcp", "10.0.0.1:1024", "198.51.100.1:443")
-    code, output = run_ctl("explain", *flow, "--at", write(instances[0]))
+    code, output = run_ctl("explain", *FLOW, "--at", write(instances[0]))
     assert code == ctl.ExitCode.ANSWERED
     for prefix in ("view", "service", "slot", "placement", "state", "home", "record", "upstream"):
         assert f". {prefix}: " in output.out
