--- a/tests/test_ctl.py
+++ b/tests/test_ctl.py
@@ -8,8 +8,8 @@
 
 from chicoryproxy import ctl
 from chicoryproxy.entry import CONTROL_PORT_OFFSET
-from chicoryproxy.inquiry import Unanswered, ask_states
 from chicoryproxy.ids import DomainId
+from chicoryproxy.inquiry import Unanswered, ask_states
 from chicoryproxy.model import Endpoint
 from chicoryproxy.operations import OperationsServer
 from chicoryproxy.processstate import EntryState, ViewState
