--- a/src/chicoryproxy/ctlreport.py
+++ b/src/chicoryproxy/ctlreport.py
@@ -15,6 +15,7 @@
 from chicoryproxy.signals import Verdict
 
 ALL = "all"
+NO_ANSWER = "no answer"
 MAX_NAMED_SLOTS = 6
 _SPACE_BELOW = (0, 0, 1, 0)
 _REASONED = (Metric.REFUSALS, Metric.PACKETS_DROPPED)
@@ -31,7 +32,15 @@
         _tabulate_slots(entries),
         _tabulate_reasons(entries),
     )
-    return Group(*(Padding(table, _SPACE_BELOW) for table in tables))
+    shown = [Padding(table, _SPACE_BELOW) for table in tables if table.row_count]
+    return Group(*shown, *_list_unanswered(reports))
+
+
+def _list_unanswered(reports: Iterable[InstanceReport]) -> Iterator[str]:
+    for report in reports:
+        for state in (report.view, report.entry):
+            if isinstance(state, Unanswered):
+                yield f"no answer: {state.reason}"
 
 
 def _tabulate_instances(reports: Iterable[InstanceReport]) -> Table:
@@ -45,7 +54,7 @@
 
 def _list_view(view: ViewState | Unanswered) -> tuple[str, ...]:
     if isinstance(view, Unanswered):
-        return "?", "?", "?", "?", view.reason, "?", "?", "?"
+        return "?", "?", "?", "?", NO_ANSWER, "?", "?", "?"
     core = view.core
     states = [core.catch_up.value]
     states += ["stale"] * core.is_stale + ["leaving"] * view.is_leaving
@@ -59,7 +68,7 @@
 
 def _list_entry(entry: EntryState | Unanswered) -> tuple[str, str]:
     if isinstance(entry, Unanswered):
-        return entry.reason, "?"
+        return NO_ANSWER, "?"
     states = [f"version {entry.version}"]
     states += ["behind"] * entry.core.is_behind + ["leaving"] * entry.is_leaving
     states += [] if entry.is_view_connected else ["no view"]
--- a/src/chicoryproxy/inquiry.py
+++ b/src/chicoryproxy/inquiry.py
@@ -94,6 +94,8 @@
             return msgspec.json.decode(await response.read(), type=kind)
     except TimeoutError:
         return Unanswered(f"{format_endpoint(endpoint)}: no answer within {TIMEOUT_S:g} s")
+    except aiohttp.ClientConnectorError as error:
+        return Unanswered(f"{format_endpoint(endpoint)}: {error.strerror}")
     except (aiohttp.ClientError, msgspec.MsgspecError) as error:
         return Unanswered(f"{format_endpoint(endpoint)}: {error}")
 
--- a/tests/test_ctl.py
+++ b/tests/test_ctl.py
@@ -131,7 +131,7 @@
     silent = pick_endpoint()
     code, output = run_ctl("state", write(instances[0]), f"{silent.host}:{silent.port}")
     assert code == ctl.ExitCode.UNANSWERED
-    assert f"{silent.host}:{silent.port}" in output.out
+    assert f"no answer: {silent.host}:{silent.port}" in output.out
     assert "entry-1" in output.out
 
 
