Leave a virtual environment that VENV names as it is

In a fresh clone requirements.lock is newer than the stamp, so VENV=... make demo ran python3 -m venv and pip install on the environment that it was told to use. Measured: with a newer lock, make -n setup lists the check of bin/python only; VENV=/nowhere fails.

--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,13 @@
 
 .PHONY: setup format check-format lint types imports test demo bench check-model soak capacity
 
+# A virtual environment that the caller names is used as it is.
+ifeq ($(origin VENV),file)
 setup: $(VENV)/.installed
+else
+setup:
+	@test -x $(BIN)/python || { echo "VENV=$(VENV) has no bin/python" >&2; exit 1; }
+endif
 
 $(VENV)/.installed: requirements.lock
 	python3 -m venv $(VENV)
