--- a/src/chicoryproxy/explanation.py
+++ b/src/chicoryproxy/explanation.py
@@ -388,8 +388,8 @@
     address = ServiceAddress(flow.target.host, flow.target.port, flow.protocol)
     route = world.routes.get(flow.pack_target())
     if route is None:
-        missing = ServiceStep(address, None, None)
-        outcome = OutcomeStep(PacketKind.OPENING, OutcomeKind.DROP, drop=DropReason.UNKNOWN_SERVICE)
-        return Explanation(flow, (view, missing, outcome))
+        reason = DropReason.NO_VIEW if world.gate is None else DropReason.UNKNOWN_SERVICE
+        outcome = OutcomeStep(PacketKind.OPENING, OutcomeKind.DROP, drop=reason)
+        return Explanation(flow, (view, ServiceStep(address, None, None), outcome))
     found = ServiceStep(address, route.id, route.service.return_path)
     return Explanation(flow, (view, found, *Explainer(parts, route, flow, now).list_steps()))
--- a/tests/test_explanation.py
+++ b/tests/test_explanation.py
@@ -168,6 +168,16 @@
     assert list_steps(explanation, OutcomeStep)[0].drop is DropReason.UNKNOWN_SERVICE
 
 
+def test_explains_an_entry_without_a_view(tenggara):
+    fleet = tenggara.create_fleet(1)
+    node = next(iter(fleet.nodes.values()))
+    flow = parse_flow("tcp 10.0.0.1:1024 198.51.100.1:443")
+    (outcome,) = list_steps(node.core.explain(flow, fleet.now), OutcomeStep)
+    actions = node.core.receive_packet(pack_packet(flow, outcome.packet), ("caller", 0), fleet.now)
+    assert describe_actions(actions) == (OutcomeKind.DROP, outcome.drop)
+    assert outcome.drop is DropReason.NO_VIEW
+
+
 def test_explains_before_the_first_packet_without_an_effect(tenggara, service):
     fleet = tenggara.create_fleet(1)
     fleet.run(START_S)
