--- /dev/null
+++ b/benchmarks/soak.py
@@ -0,0 +1,64 @@
+"""Long random histories: ``python -m benchmarks.soak --seed 1 --steps 200``.
+
+Prints the seed, and the shrunk steps of a failure as calls that repeat it. The exit code is 1 when
+a history broke a promise.
+"""
+
+import argparse
+import sys
+import time
+
+from hypothesis import HealthCheck, Verbosity, seed, settings
+from hypothesis.stateful import run_state_machine_as_test
+
+from tests.histories import FaultyHistory, PlannedHistory
+
+STEPS_PER_HISTORY = 25
+HISTORIES = {"planned": PlannedHistory, "faulty": FaultyHistory}
+
+
+def run_history(kind: str, number: int, steps: int) -> bool:
+    """Run histories of one kind and print what came of it.
+
+    :param number: seed of the histories.
+    :param steps: steps of all histories together.
+    :returns: whether every promise held.
+    """
+    machine = seed(number)(HISTORIES[kind])
+    limits = settings(
+        database=None,
+        deadline=None,
+        max_examples=max(1, steps // STEPS_PER_HISTORY),
+        stateful_step_count=STEPS_PER_HISTORY,
+        suppress_health_check=list(HealthCheck),
+        verbosity=Verbosity.normal,
+    )
+    begin = time.perf_counter()
+    try:
+        run_state_machine_as_test(machine, settings=limits)
+        failure = None
+    except Exception as error:  # Any exception of the cores is a finding.
+        failure = error
+    took_s = time.perf_counter() - begin
+    print(
+        f"{kind}: seed {number}, {steps} steps, {took_s:.0f} s: {'failed' if failure else 'held'}"
+    )
+    if failure is not None:
+        print("\n".join([repr(failure), *getattr(failure, "__notes__", ())]))
+    return failure is None
+
+
+def main() -> int:
+    """Run the histories that the command line asks for."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--steps", type=int, default=200)
+    parser.add_argument("--kind", choices=sorted(HISTORIES), action="append")
+    options = parser.parse_args()
+    kinds = options.kind or list(HISTORIES)
+    held = [run_history(kind, options.seed, options.steps) for kind in kinds]
+    return 0 if all(held) else 1
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/tests/test_histories.py
@@ -0,0 +1,23 @@
+"""Random histories with few steps and the same verdict on every run; ``make soak`` runs more."""
+
+from hypothesis import HealthCheck, settings
+from hypothesis.stateful import run_state_machine_as_test
+
+from tests.histories import FaultyHistory, PlannedHistory
+
+IN_CI = settings(
+    derandomize=True,
+    database=None,
+    deadline=None,
+    max_examples=3,
+    stateful_step_count=12,
+    suppress_health_check=list(HealthCheck),
+)
+
+
+def test_planned_changes_break_no_flow():
+    run_state_machine_as_test(PlannedHistory, settings=IN_CI)
+
+
+def test_failures_leave_the_other_promises_whole():
+    run_state_machine_as_test(FaultyHistory, settings=IN_CI)
