--- a/src/chicoryproxy/catchup.py
+++ b/src/chicoryproxy/catchup.py
@@ -18,11 +18,6 @@
 """Longest time that a start or a skipped version waits for the answers of peers, in seconds."""
 
 RETRY_S = 0.4
-LATE_RETRY_S = 2.0
-"""Time between requests after the wait to peers that haven't answered, in seconds."""
-
-ALL_ASKED_UP_TO = 16
-"""Peers up to which every one is asked in the end; those of one side may have skipped alike."""
 
 
 @unique
@@ -100,9 +95,6 @@
 
     def note_answer(self, sender: InstanceId, body: VersionBody) -> None:
         """Note the answer of a peer, and keep it while this instance joins."""
-        if all(instance.id != sender for instance in body.instances):
-            # Answers name their sender; this one passes on other instances, unasked.
-            return
         self._answered.add(sender)
         if self._state is CatchUpState.JOINING and body.configuration.version > NO_VERSION:
             self._bodies[sender] = body
@@ -141,9 +133,8 @@
         """Repeat requests that weren't answered."""
         if self._versions.is_behind:
             self.follow(now)
-        is_waiting = self._state is not CatchUpState.CURRENT
-        retry_s = RETRY_S if is_waiting else LATE_RETRY_S
-        if self._began_at is not None and now - self._asked_at >= retry_s:
+        waits = self._state is not CatchUpState.CURRENT and self._began_at is not None
+        if waits and now - self._asked_at >= RETRY_S:
             self._ask(now)
 
     def follow(self, now: float) -> None:
@@ -172,19 +163,11 @@
         drawn = self._membership.draw_from(holders or reachable, 1)
         return drawn[0] if drawn else None
 
-    def _count_missing(self) -> int:
-        """Return how many answers are missing, of all peers in a small region."""
-        peers = len(self._membership) - 1
-        wanted = peers if peers <= ALL_ASKED_UP_TO else PEERS_ASKED
-        return min(PEERS_ASKED, wanted - len(self._answered))
-
     def _ask(self, now: float) -> None:
         self._asked_at = now
-        missing = self._count_missing()
-        if missing <= 0:
-            return
         silent = [peer for peer in self._membership.list_reachable() if peer not in self._answered]
         fresh = [peer for peer in silent if peer not in self._asked]
+        missing = PEERS_ASKED - len(self._answered)
         for peer in self._membership.draw_from(fresh or silent, missing):
             self._asked.add(peer)
             self._outbox.send_fetch(peer, self._have)
