--- a/src/chicoryproxy/router.py
+++ b/src/chicoryproxy/router.py
@@ -315,6 +315,12 @@
             actions += self.receive_message(item.sender, item.message, now)
         return actions
 
+    def _remind_peers(self, now: float) -> Actions:
+        contact = self._parts.contact
+        peers = self._parts.directory.answering_peers()
+        reacting = [peer for peer in peers if not contact.is_silent(peer, now)]
+        return list(self._parts.take_over.remind(reacting, now))
+
     def _note_heal(self) -> None:
         """A hidden peer speaks: hold all slots before the view says that it is back."""
         self._parts.world.hold_all()
@@ -337,6 +343,7 @@
 
     def _finish_rounds(self, now: float) -> Actions:
         actions: Actions = []
+        actions += self._remind_peers(now)
         for packet in self._parts.take_over.finish(now):
             actions += self._decider.resume(packet, now)
         actions += self._parts.take_over.start(self._parts.directory.listed_peers(), now)
--- a/src/chicoryproxy/takeover.py
+++ b/src/chicoryproxy/takeover.py
@@ -14,6 +14,7 @@
 from chicoryproxy.route import PacketAtHand
 
 WAIT_S = 0.05
+PATIENCE_S = 0.6
 MAX_WAITING_PACKETS = 4096
 MAX_SLOTS_PER_QUERY = 256
 
@@ -42,6 +43,8 @@
         self._asked: frozenset[SlotName] = frozenset()
         self._missing: set[InstanceId] = set()
         self._deadline_s: float | None = None
+        self._patience_until_s = 0.0
+        self._message = FlowQuery(0, ())
         self._waiting: list[PacketAtHand] = []
         self._refresh: list[SlotQuestion] = []
         self._rounds = 0
@@ -89,16 +92,31 @@
 
     def start(self, peers: Sequence[InstanceId], now: float) -> list[SendToPeer]:
         """Ask the peers about the slots of the waiting packets, unless a question is open."""
+        if self._deadline_s is not None:
+            return []
         questions = self._collect_questions()
-        if self._deadline_s is not None or not questions:
+        if not questions:
             return []
         self._query += 1
         self._rounds += 1
         self._asked = frozenset(question.slot for question in questions)
         self._missing = set(peers)
         self._deadline_s = now + WAIT_S
-        query = FlowQuery(self._query, tuple(questions))
-        return [SendToPeer(peer, query, Priority.SAFETY) for peer in peers]
+        self._patience_until_s = now + PATIENCE_S
+        self._message = FlowQuery(self._query, tuple(questions))
+        return [SendToPeer(peer, self._message, Priority.SAFETY) for peer in peers]
+
+    def remind(self, reacting: Iterable[InstanceId], now: float) -> list[SendToPeer]:
+        """Ask the missing peers again that are alive; a guess could contradict their records.
+
+        :param reacting: peers that membership and their signs of life show as alive.
+        """
+        if self._deadline_s is None or now < self._deadline_s or now >= self._patience_until_s:
+            return []
+        late = sorted(self._missing.intersection(reacting))
+        if late:
+            self._deadline_s = now + WAIT_S
+        return [SendToPeer(peer, self._message, Priority.SAFETY) for peer in late]
 
     def receive(self, sender: InstanceId, answer: FlowAnswer) -> None:
         """Note a peer's answer; its content is taken by the caller."""
