--- a/src/chicoryproxy/control.py
+++ b/src/chicoryproxy/control.py
@@ -245,6 +245,7 @@
     def _begin(self, now: float) -> None:
         self._now = now
         self._outbox.begin(now, len(self._membership))
+        self._staleness.note_time(self._limits, now)
         self._outbox.version = NO_VERSION if self._is_stale() else self._versions.version
 
     def _finish(self, now: float) -> list[ControlAction]:
--- a/src/chicoryproxy/router.py
+++ b/src/chicoryproxy/router.py
@@ -72,6 +72,7 @@
         self._leases = create_lease_duty(self._parts)
         self._exchange = create_peer_exchange(self._parts, self._leaving, self._releases)
         self._fresh_until_s = inf
+        self._trusted_from_s = 0.0
         self._early: list[_EarlyMessage] = []
 
     def receive_packet(
@@ -120,6 +121,8 @@
 
     def update_view(self, update: ViewUpdate, now: float) -> Sequence[PacketAction]:
         """Take a new view of the world."""
+        if now > self._fresh_until_s:
+            self._note_time(now)
         parts = self._parts
         change = parts.world.update(update, now)
         parts.budget.set_rate(parts.world.fleet.control_bytes_per_s * ENTRY_SHARE)
@@ -128,7 +131,9 @@
         if parts.world.gate is not None:
             parts.openings.update(parts.world.gate, parts.world.conditions)
         parts.openings.note_hidden(sorted(parts.world.hidden_upstreams()), now)
-        parts.take_over.trust(change.contested)
+        if now >= self._trusted_from_s:
+            # Slots that changed during a pause may have flows that others opened.
+            parts.take_over.trust(change.contested)
         if change.members.live_changed:
             parts.change_homes()
         if change.members.healed:
@@ -329,6 +334,7 @@
         self._fresh_until_s = now + self._parts.world.fleet.pause_s
         if not is_late:
             return
+        self._trusted_from_s = now + self._parts.world.fleet.spread_s
         self._parts.world.is_stale = True
         self._parts.contact.forget_all()
         self._parts.holder.void()
--- a/src/chicoryproxy/staleness.py
+++ b/src/chicoryproxy/staleness.py
@@ -34,13 +34,17 @@
         """True from a pause until a peer confirmed the view."""
         return self._woke_at is not None
 
-    def tick(self, limits: FleetLimits, now: float) -> None:
-        """Note the time, detect a pause and repeat requests for a confirmation."""
+    def note_time(self, limits: FleetLimits, now: float) -> None:
+        """Detect a pause; every event looks for it, as those of the pause precede the tick."""
         gap = now - self._ticked_at if self._ticked_at is not None else 0.0
-        self._ticked_at = now
         if gap > limits.pause_s:
+            self._ticked_at = now
             self._wake(gap, now)
-        elif self._woke_at is not None:
+
+    def tick(self, limits: FleetLimits, now: float) -> None:
+        """Note the time and repeat requests for a confirmation."""
+        self._ticked_at = now
+        if self._woke_at is not None:
             self._wait(self._woke_at, limits, now)
 
     def receive_ack(self, number: int, subject: InstanceId, version: Version) -> None:
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -18,6 +18,7 @@
     Segment,
     change_upstreams,
     create_instances,
+    create_tenggara,
     create_upstream,
     set_domain,
 )
@@ -256,3 +257,17 @@
     core = fleet.nodes[name].core
     actions = core.receive_packet(build_opening(4000), ("caller", 0), fleet.now + 5.0)
     assert not any(isinstance(action, Forward) for action in actions)
+
+
+@pytest.mark.parametrize(("idle_timeout_s", "flows"), [(5.0, 3 * FLOWS), (300.0, 6 * FLOWS)])
+def test_entry_that_slept_through_a_change_breaks_no_flow(service, idle_timeout_s, flows):
+    fleet = create_tenggara(idle_timeout_s=idle_timeout_s).create_fleet(SEED)
+    fleet.run(START_S)
+    fleet.open_flows(service, flows, 2 * OPENINGS_S, 2, 2.5)
+    fleet.run(2.0)
+    drained = msgspec.structs.replace(service.upstreams[2], draining=True)
+    upstreams = [drained if item.id == drained.id else item for item in service.upstreams]
+    fleet.pause(InstanceId("entry-3"), 5.0)
+    fleet.publish(change_upstreams(fleet.platform.served, service.id, upstreams))
+    fleet.run(LATE_S)
+    assert fleet.count() == {FlowOutcome.DONE: flows}
