--- /dev/null
+++ b/benchmarks/bench.py
@@ -0,0 +1,53 @@
+"""All measures of docs/MEASURES.md: ``make bench``, or ``python -m benchmarks.bench``.
+
+Prints the data path against a bare forwarder, the cost of a log line, the memory for a flow,
+openings at a cold upstream, and changes under load against two baselines. ``--quick`` does fewer
+rounds, one seed and a tenth of the flows.
+"""
+
+import argparse
+import os
+import platform
+import time
+
+import psutil
+
+from benchmarks import changes, flowtable, forwarding, loglines, openings
+
+GIB = 1024**3
+SEEDS = (1, 2, 3)
+QUICK_SHARE = 10
+
+
+def print_title(text: str) -> None:
+    """Print the title of a part."""
+    print(f"\n## {text}\n", flush=True)
+
+
+def main() -> None:
+    """Measure and print everything."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--quick", action="store_true")
+    options = parser.parse_args()
+    seeds = SEEDS[:1] if options.quick else SEEDS
+    flows = changes.FLOWS // (QUICK_SHARE if options.quick else 1)
+    memory = psutil.virtual_memory().total / GIB
+    print(f"{time.strftime('%Y-%m-%d %H:%M')} on {os.cpu_count()} cores, {memory:.0f} GiB,")
+    print(f"Python {platform.python_version()}")
+    print_title("Data path")
+    forwarding.print_throughput(1 if options.quick else forwarding.DEFAULT_ROUNDS)
+    print()
+    forwarding.print_latency()
+    print_title("Log lines")
+    loglines.main()
+    print_title("Flow table")
+    flowtable.main()
+    print_title("Openings at a cold upstream")
+    openings.print_rows(openings.run_all(seeds, flows))
+    print_title("Changes under load")
+    rows = changes.run_all(list(changes.CASES), list(changes.CoreKind), seeds, flows)
+    changes.print_rows(rows)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/benchmarks/loglines.py
@@ -0,0 +1,66 @@
+"""Processor time of a routing decision's log line: ``python -m benchmarks.loglines``.
+
+Compares the encoder that the entry uses with the way through ``logging`` that other lines take.
+"""
+
+import os
+import time
+from collections.abc import Callable
+
+from chicoryproxy.actions import LogRoute
+from chicoryproxy.ids import FlowKey, ServiceId, SlotIndex, UpstreamId, Version
+from chicoryproxy.logs import FLUSH_LINES, LogFormat, RouteLog, configure_logs
+from chicoryproxy.states import RouteReason
+
+LINES = 20_000
+
+
+def create_decision(flow: int) -> LogRoute:
+    """Create a decision on an opening."""
+    return LogRoute(
+        RouteReason.CLEAN_SLOT,
+        ServiceId("qa-desk"),
+        FlowKey(flow),
+        SlotIndex(flow % 512),
+        Version(7),
+        UpstreamId("qa-desk-3"),
+    )
+
+
+def measure_us(call: Callable[[], object], count: int) -> float:
+    """Return the processor time of a call divided by a count, in microseconds."""
+    began = time.process_time()
+    call()
+    return (time.process_time() - began) / count * 1e6
+
+
+def write(log: RouteLog) -> None:
+    """Queue and write all lines, as many at a time as the entry does."""
+    for first in range(0, LINES, FLUSH_LINES):
+        for flow in range(first, min(LINES, first + FLUSH_LINES)):
+            log.add(create_decision(flow))
+        log.flush()
+
+
+def write_singly(log: RouteLog) -> None:
+    """Write all lines through ``logging``."""
+    for flow in range(LINES):
+        log._write(create_decision(flow))
+
+
+def main() -> None:
+    """Measure and print."""
+    with open(os.devnull, "w") as output:
+        configure_logs(LogFormat.JSON, output)
+        create_us = measure_us(lambda: [create_decision(flow) for flow in range(LINES)], LINES)
+        batched_us = measure_us(lambda: write(RouteLog()), LINES)
+        single_us = measure_us(lambda: write_singly(RouteLog()), LINES)
+    print("| step | us a line |")
+    print("|---|---:|")
+    print(f"| the decision itself | {create_us:.2f} |")
+    print(f"| queued and written in batches, decision included | {batched_us:.2f} |")
+    print(f"| written through logging, decision included | {single_us:.2f} |")
+
+
+if __name__ == "__main__":
+    main()
