Look up peers and built slots without walking all members and services at each tick

Each tick built the tuple of peers and walked all services for those with slots. Change: the directory keeps the peers by state until the members change; the world keeps the list of routes that have slots.

--- a/src/chicoryproxy/homes.py
+++ b/src/chicoryproxy/homes.py
@@ -47,9 +47,11 @@
         self._members: dict[InstanceId, Member] = {}
         self._candidates: tuple[InstanceId, ...] = (own,)
         self._homes: dict[SlotName, Sequence[InstanceId]] = {}
+        self._peers: dict[frozenset[MemberState], tuple[InstanceId, ...]] = {}
 
     def update(self, members: Sequence[Member]) -> MemberChange:
         """Take the members of a view and return what changed."""
+        self._peers.clear()
         before = self._members
         hidden_domains = self.hidden_domains()
         self._members = {
@@ -77,6 +79,7 @@
         member = self._members.get(instance)
         if member is None or member.state is MemberState.LEAVING:
             return False
+        self._peers.clear()
         self._members[instance] = Member(instance=member.instance, state=MemberState.LEAVING)
         return self._recount()
 
@@ -139,11 +142,15 @@
         return True
 
     def _peers_in(self, states: frozenset[MemberState]) -> tuple[InstanceId, ...]:
-        return tuple(
-            name
-            for name, member in self._members.items()
-            if member.state in states and name != self.own
-        )
+        peers = self._peers.get(states)
+        if peers is None:
+            peers = tuple(
+                name
+                for name, member in self._members.items()
+                if member.state in states and name != self.own
+            )
+            self._peers[states] = peers
+        return peers
 
     def _live_in(self, domain: DomainId) -> list[Instance]:
         return [
--- a/src/chicoryproxy/world.py
+++ b/src/chicoryproxy/world.py
@@ -51,6 +51,7 @@
         self.is_stale = True
         self.conditions: Mapping[UpstreamId, UpstreamCondition] = {}
         self._services: dict[ServiceId, ServiceRoute] = {}
+        self._routes_with_slots: list[ServiceRoute] = []
         self._generations: dict[ServiceId, tuple[Generation, ...]] = {}
         self._hidden: frozenset[UpstreamId] = frozenset()
 
@@ -94,6 +95,7 @@
         """
         if route.slots is None:
             route.slots = self.build_slots(route, now)
+            self._routes_with_slots.append(route)
         return route.slots
 
     def build_slots(self, route: ServiceRoute, now: float) -> ServiceSlots:
@@ -108,7 +110,7 @@
 
     def built_slots(self) -> list[ServiceSlots]:
         """Return the slots of all services that had a packet."""
-        return [route.slots for route in self._services.values() if route.slots is not None]
+        return [route.slots for route in self._routes_with_slots if route.slots is not None]
 
     def hold_all(self) -> None:
         """Hold all slots until their homes release them."""
@@ -160,6 +162,7 @@
             services[service.id] = route
             routes.update(dict.fromkeys(_address_keys(service), route))
         self._services = services
+        self._routes_with_slots = [route for route in services.values() if route.slots is not None]
         self.routes = routes
 
     def _note_hidden(self) -> list[SlotName]:
@@ -192,7 +195,7 @@
         return self._generations.get(service, ())
 
     def _built(self) -> list[ServiceRoute]:
-        return [route for route in self._services.values() if route.slots is not None]
+        return list(self._routes_with_slots)
 
     def _answer(self, slots: ServiceSlots) -> None:
         slots.set_answers(lambda upstream: self._prepare(slots.service, upstream))
