--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -41,6 +41,7 @@
 DAY_S = 86_400
 HEADERS_BYTES = 72
 MAX_CONTROL_BYTES_PER_S = 4096
+SAMPLE_SERVICES = 500
 TICKS = 100
 TICK_S = 0.02
 
@@ -127,6 +128,36 @@
     return ViewUpdate(1, fleet, generations, members, (), fleet.version, fleet.version, stale=False)
 
 
+def report_slots() -> None:
+    """Print what the slots of services with about two upstreams cost, from a sample."""
+    fleet = create_fleet(FleetSize(SAMPLE_SERVICES * 24 // 13, SAMPLE_SERVICES, 9))
+    view = _create_view(fleet)
+    own = view.members[0].instance
+    used, spent = [], []
+    for is_traced in (True, False):
+        core = create_packet_core(own.id, own.domain, own.region)
+        core.update_view(view, 1.0)
+        world = core._parts.world
+        routes = list(world.routes.values())
+        gc.collect()
+        if is_traced:
+            tracemalloc.start()
+            for route in routes:
+                world.slots_of(route, 1.0)
+            used.append(tracemalloc.get_traced_memory()[0] / len(routes))
+            tracemalloc.stop()
+        else:
+            began = time.process_time()
+            for route in routes:
+                world.slots_of(route, 1.0)
+            spent.append((time.process_time() - began) / len(routes))
+    total = used[0] * SERVICE_COUNTS[-1] / 1e6
+    print(
+        f"slots of a service: {used[0]:.0f} bytes, {spent[0] * 1e3:.2f} ms to build; "
+        f"of {SERVICE_COUNTS[-1]:,}: {total:.1f} MB, {spent[0] * SERVICE_COUNTS[-1]:.1f} s"
+    )
+
+
 def measure_homes(members: int) -> float:
     """Return the processor time of one choice of homes, in microseconds."""
     names = [control_slopes.make_instance(index).id for index in range(members)]
@@ -236,6 +267,8 @@
     print()
     report_homes()
     print()
+    report_slots()
+    print()
     report_views(options.services)
     print(flush=True)
     report_slopes(options.sizes)
