Send copies of a waiting opening to one upstream

Copies of one SYN that callers sent again waited at the home for a grant; each was placed for itself, on two or three upstreams, and the last one overwrote or closed the record. Ruled out: the replaced entry, as the broken flows were opened seconds before it left. Change: one copy of an opening waits; when its turn comes a record that was written meanwhile decides. Result: the new test has no flow on two upstreams; without the change it fails.

--- a/src/chicoryproxy/_fakefleet.py
+++ b/src/chicoryproxy/_fakefleet.py
@@ -258,6 +258,10 @@
             self._caller_latency_s, lambda: self._enter(node, packet, ("caller", 0))
         )
 
+    def inject(self, name: InstanceId, segment: Segment) -> None:
+        """Hand a caller's segment to one instance."""
+        self._enter(self.nodes[name], segment.pack(), ("caller", 0))
+
     def _enter(self, node: FakeNode, packet: bytes, source: tuple[str, int]) -> None:
         if not self._is_awake(node, lambda: self._enter(node, packet, source)):
             return
--- a/src/chicoryproxy/_fakehosts.py
+++ b/src/chicoryproxy/_fakehosts.py
@@ -79,6 +79,10 @@
         growth = (warm_up.full_openings / warm_up.cold_openings) ** share
         return float(min(self.bears, warm_up.cold_openings * growth))
 
+    def has_connection(self, source: bytes, port: int) -> bool:
+        """Return whether a caller's flow is open here."""
+        return (source, port) in self._connections
+
     def restart(self) -> None:
         """Lose all connections."""
         self._connections.clear()
--- a/src/chicoryproxy/decision.py
+++ b/src/chicoryproxy/decision.py
@@ -44,7 +44,7 @@
 
     def __init__(self, parts: EntryParts) -> None:
         self._parts = parts
-        self._waiting: list[_WaitingOpening] = []
+        self._waiting: dict[FlowKey, _WaitingOpening] = {}
         self._kept: OrderedDict[FlowKey, _KeptOpening] = OrderedDict()
         self._retries: dict[ServiceId, RetryBudget] = {}
 
@@ -88,14 +88,21 @@
 
     def cancel(self, flow: FlowKey) -> None:
         """Give up an opening that its caller cancelled before it was forwarded."""
-        self._waiting = [item for item in self._waiting if item.packet.flow != flow]
+        self._waiting.pop(flow, None)
         self._kept.pop(flow, None)
 
     def retry_waiting(self, now: float) -> Actions:
-        """Decide again on the openings that wait for a grant."""
-        waiting, self._waiting = self._waiting, []
+        """Decide again on the openings that wait for a grant.
+
+        A copy that the caller sent again may have been placed meanwhile; its record decides then.
+        """
+        waiting, self._waiting = self._waiting, {}
         actions: Actions = []
-        for item in waiting:
+        for item in waiting.values():
+            known = self._follow_as_home(item.packet, now)
+            if known is not None:
+                actions += known
+                continue
             is_late = now >= item.deadline_s
             verdict = self._parts.openings.place(item.packet, now, has_waited=True)
             actions += self._settle(item.packet, verdict, now, item.deadline_s, is_late)
@@ -181,8 +188,10 @@
     def _wait(self, packet: PacketAtHand, deadline_s: float, is_late: bool) -> Actions:
         if is_late or len(self._waiting) >= MAX_WAITING_OPENINGS:
             return self.refuse(packet, RefusalReason.NO_CAPACITY)
+        if packet.flow in self._waiting:
+            return self._drop(packet, DropReason.WAITING)
         held = _as_held(packet, self._parts)
-        self._waiting.append(_WaitingOpening(held, deadline_s))
+        self._waiting[packet.flow] = _WaitingOpening(held, deadline_s)
         return []
 
     def _continue(self, packet: PacketAtHand, now: float) -> Actions:
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -31,6 +31,8 @@
 LATE_S = 25.0
 IN_FORCE_S = 8.0
 SEED = 1
+CALLER = b"\x0a\x01\x01\x01"
+SERVICE_HOST = b"\xc6\x33\x64\x01"
 PACKETS_BEFORE_A_HINT = 3
 PASSED_REASONS = (RouteReason.PASSED_CONTESTED, RouteReason.PASSED_BEHIND)
 
@@ -192,9 +194,14 @@
     assert fleet.count(opened) == {FlowOutcome.DONE: FLOWS}
 
 
+def create_opening(port: int) -> Segment:
+    """Create an opening to the service that the flows go to."""
+    return Segment(CALLER, port, SERVICE_HOST, 443, FLAG_SYN)
+
+
 def build_opening(port: int) -> bytes:
-    """Build an opening packet to the service that the flows go to."""
-    return Segment(b"\x0a\x01\x01\x01", port, b"\xc6\x33\x64\x01", 443, FLAG_SYN).pack()
+    """Build an opening packet."""
+    return create_opening(port).pack()
 
 
 def find_home(actions) -> InstanceId | None:
@@ -271,3 +278,25 @@
     fleet.publish(change_upstreams(fleet.platform.served, service.id, upstreams))
     fleet.run(LATE_S)
     assert fleet.count() == {FlowOutcome.DONE: flows}
+
+
+def test_copies_of_one_opening_go_to_one_upstream(fleet, service):
+    names = list(fleet.nodes)
+    domain = DomainId("port-klang")
+    fleet.publish(set_domain(fleet.platform.served, domain, DomainState.OUT))
+    fleet.run(1.0)
+    fleet.publish(set_domain(fleet.platform.served, domain, DomainState.IN))
+    fleet.run(IN_FORCE_S)
+    for round_number in range(40):
+        ports = range(2000 + 20 * round_number, 2020 + 20 * round_number)
+        for port in ports:
+            for name in names:
+                fleet.inject(name, create_opening(port))
+        fleet.run(0.2)
+    sources = [(CALLER, port) for port in range(2000, 2800)]
+    holders = [
+        [upstream.id for upstream in fleet.upstreams.values() if upstream.has_connection(*source)]
+        for source in sources
+    ]
+    assert [found for found in holders if len(found) > 1] == []
+    assert any(holders)
