--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -300,3 +300,18 @@
     ]
     assert [found for found in holders if len(found) > 1] == []
     assert any(holders)
+
+
+def test_contested_slots_return_to_zero_after_a_hundred_changes(fleet, service):
+    current = service
+    for change in range(100):
+        upstreams = [
+            msgspec.structs.replace(item, weight=1 + (change + number) % 3)
+            for number, item in enumerate(current.upstreams)
+        ]
+        fleet.publish(change_upstreams(fleet.platform.served, service.id, upstreams))
+        fleet.run(0.1)
+    assert count_changed(fleet) > 0
+    fleet.run(60.0)
+    assert count_changed(fleet) == 0
+    assert_all_done(fleet)
