Remove unread fields, read the idle timeout, forget old evidence

Cause: the core carried fields that nobody read (priority and request timeout of a route, heartbeat interval, longest flow, a flow's request id), kept flows for its own 20 s while a version publishes an idle timeout, and kept the failures of replaced upstreams for ever, since only an answer removed them.

Now the published idle timeout ends a flow's place in the table (the mark still routes it), failures without news are forgotten after 60 s, and one function gives the age of a view to heartbeats and replies alike. A repeated request asks for one probe instead of two questions for the same one. Ruled out: forgetting failures after their backoff. An upstream that failed last would look as good as a tested one at once.

Routes are smaller on the wire between entries by two fields.

--- a/benchmarks/platform_sizes.py
+++ b/benchmarks/platform_sizes.py
@@ -52,8 +52,6 @@
                 f"r-{number:07d}",
                 RouteKey(0xC612_0000 + number, 443),
                 (WeightedService(ServiceId(f"service-{number % services}"), 1.0),),
-                1,
-                1000.0,
             )
             for number in range(routes)
         ),
--- a/src/chicoryproxy/forwarding/directory.py
+++ b/src/chicoryproxy/forwarding/directory.py
@@ -40,6 +40,8 @@
 """After a failed read, vanished entries may be lapsed ones for this long."""
 
 GONE_RETENTION_S = 90.0
+IDLE_TIMEOUT_S = 15.0
+"""Used until a version says otherwise."""
 
 
 class Lifetime:
@@ -151,6 +153,11 @@
         """Version in force, ``NO_VERSION`` before the first."""
         return self.routing.version if self.routing else NO_VERSION
 
+    @property
+    def idle_timeout_s(self) -> float:
+        """Seconds without a packet after which a flow may be forgotten."""
+        return self.routing.idle_timeout_s if self.routing else IDLE_TIMEOUT_S
+
     def find_route(self, key: RouteKey) -> Route | None:
         """Return the route of a destination."""
         return self._routes.get(key)
--- a/src/chicoryproxy/forwarding/evidence.py
+++ b/src/chicoryproxy/forwarding/evidence.py
@@ -13,6 +13,8 @@
 FAILURE_MEMORY_S = 3.0
 """Failures further apart than this do not add up."""
 
+RETENTION_S = 60.0
+
 
 class Evidence:
     """Failures of one upstream since its last answer.
@@ -20,15 +22,18 @@
     :ivar suspected_until_s: no openings go there before this time.
     """
 
-    __slots__ = ("failures", "failed_s", "answered_s", "backoff_s", "suspected_until_s")
+    __slots__ = ("failures", "failed_s", "backoff_s", "suspected_until_s")
 
     def __init__(self) -> None:
         self.failures = 0
         self.failed_s = float("-inf")
-        self.answered_s = float("-inf")
         self.backoff_s = 0.0
         self.suspected_until_s = float("-inf")
 
+    def is_old(self, now: float) -> bool:
+        """Tell whether the last failure says nothing about the next one."""
+        return now - self.failed_s > max(FAILURE_MEMORY_S, self.backoff_s * 2)
+
 
 class FailureDetector:
     """Evidence about all upstreams that failed lately."""
@@ -36,17 +41,9 @@
     def __init__(self) -> None:
         self._evidence: dict[Lifetime, Evidence] = {}
 
-    def note_answer(self, upstream: Lifetime, now: float) -> bool:
-        """Note that an upstream has answered.
-
-        :returns: True if it was suspected before.
-        """
-        evidence = self._evidence.get(upstream)
-        if evidence is None:
-            return False
-        was_suspected = evidence.backoff_s > 0
-        del self._evidence[upstream]
-        return was_suspected
+    def note_answer(self, upstream: Lifetime) -> None:
+        """Note that an upstream has answered."""
+        self._evidence.pop(upstream, None)
 
     def note_failure(self, upstream: Lifetime, now: float) -> bool:
         """Note that an upstream did not answer in time.
@@ -56,9 +53,8 @@
         evidence = self._evidence.get(upstream)
         if evidence is None:
             evidence = self._evidence[upstream] = Evidence()
-        if now - evidence.failed_s > max(FAILURE_MEMORY_S, evidence.backoff_s * 2):
-            evidence.failures = 0
-            evidence.backoff_s = 0.0
+        if evidence.is_old(now):
+            evidence = self._evidence[upstream] = Evidence()
         evidence.failures += 1
         evidence.failed_s = now
         if evidence.failures < SUSPICION_FAILURES or now < evidence.suspected_until_s:
@@ -77,6 +73,8 @@
         evidence = self._evidence.get(upstream)
         return evidence.failures if evidence else 0
 
-    def forget(self, upstream: Lifetime) -> None:
-        """Forget an upstream that has ended."""
-        self._evidence.pop(upstream, None)
+    def expire(self, now: float) -> None:
+        """Forget upstreams without news for long, most of which have ended."""
+        for upstream, evidence in list(self._evidence.items()):
+            if now - evidence.failed_s > RETENTION_S:
+                del self._evidence[upstream]
--- a/src/chicoryproxy/forwarding/flows.py
+++ b/src/chicoryproxy/forwarding/flows.py
@@ -15,9 +15,6 @@
 IDLE_S = 5.0
 """A flow without packets for this long no longer counts as load."""
 
-FORGET_S = 20.0
-"""A flow without packets for this long is forgotten."""
-
 
 class Flow:
     """What this entry saw of one flow.
@@ -32,7 +29,6 @@
     :ivar repeats: repetitions of the packet that waits.
     :ivar is_open: the caller has acknowledged the handshake of ``upstream``.
     :ivar is_counted: the flow is part of the load of ``upstream``.
-    :ivar request_id: id of the last request seen, empty if none was.
     """
 
     __slots__ = (
@@ -46,7 +42,6 @@
         "repeats",
         "is_open",
         "is_counted",
-        "request_id",
     )
 
     def __init__(self, now: float) -> None:
@@ -60,7 +55,6 @@
         self.repeats = 0
         self.is_open = False
         self.is_counted = False
-        self.request_id = ""
 
 
 class Load:
@@ -165,8 +159,11 @@
         if flow is not None:
             self.release(flow)
 
-    def expire(self, now: float) -> None:
-        """Count flows without packets no longer as load, and forget them later."""
+    def expire(self, now: float, idle_timeout_s: float) -> None:
+        """Count flows without packets no longer as load, and forget them later.
+
+        :param idle_timeout_s: seconds without a packet after which a flow is forgotten.
+        """
         while self._flows:
             flow_id, flow = next(iter(self._flows.items()))
             if now - flow.seen_s < IDLE_S:
@@ -175,7 +172,7 @@
             self._idle[flow_id] = self._flows.pop(flow_id)
         while self._idle:
             flow_id, flow = next(iter(self._idle.items()))
-            if now - flow.seen_s < FORGET_S:
+            if now - flow.seen_s < idle_timeout_s:
                 break
             del self._idle[flow_id]
 
--- a/src/chicoryproxy/forwarding/forwarder.py
+++ b/src/chicoryproxy/forwarding/forwarder.py
@@ -173,7 +173,8 @@
         for upstream in self._pending.take_overdue(now):
             self.confirmation.suspect(upstream, now)
         self._pending.expire(now)
-        self.flows.expire(now)
+        self.flows.expire(now, self._directory.idle_timeout_s)
+        self.detector.expire(now)
         self.cold.expire(now)
 
     def _handle_opening(self, packet: CallerPacket, now: float) -> Decision:
@@ -278,9 +279,10 @@
                 self._pending.add_request(packet.flow, flow, upstream, now)
             return
         flow.repeats += 1
-        self.confirmation.suspect(upstream, now)
         if flow.repeats >= FAILED_REPEATS:
             self._note_failure(upstream, now)
+        else:
+            self.confirmation.suspect(upstream, now)
 
     def _note_failure(self, upstream: Lifetime, now: float) -> None:
         self.confirmation.suspect(upstream, now)
@@ -289,7 +291,7 @@
 
     def _note_answer(self, upstream: Lifetime, now: float) -> None:
         upstream.answered_s = now
-        self.detector.note_answer(upstream, now)
+        self.detector.note_answer(upstream)
 
 
 def _is_after(offset: int, other: int) -> bool:
--- a/src/chicoryproxy/forwarding/model.py
+++ b/src/chicoryproxy/forwarding/model.py
@@ -48,15 +48,11 @@
     """Where the openings of one destination go.
 
     :param targets: at least one service.
-    :param priority: zero is the most important.
-    :param timeout_ms: longest time of a request, in milliseconds.
     """
 
     name: str
     key: RouteKey
     targets: tuple[WeightedService, ...]
-    priority: int
-    timeout_ms: float
 
 
 class ServiceLimits(Struct, frozen=True, array_like=True):
@@ -186,7 +182,6 @@
     :param config_apply_s: time after which a new version may not be missed any more.
     :param cold_overage: factor on the openings that a cold upstream bears.
     :param cold_slack: openings beyond that in any second.
-    :param max_flow_s: age after which a flow may be forgotten.
     """
 
     grace_s: float = 6.0
@@ -194,7 +189,6 @@
     config_apply_s: float = 3.0
     cold_overage: float = 1.5
     cold_slack: float = 5.0
-    max_flow_s: float = 60.0
 
 
 class EntrySettings(Struct, frozen=True):
@@ -208,7 +202,6 @@
     :param seeds: addresses of a few peers, perhaps stale.
     :param store: address of the platform's store (HTTP).
     :param link_mbps: bandwidth of this instance's link, in megabits a second.
-    :param heartbeat_s: how often an upstream refreshes its entry, in seconds.
     :param has_false_health: health checks and connections may fail although an upstream serves.
     """
 
@@ -222,7 +215,6 @@
     seeds: tuple[Endpoint, ...]
     store: Endpoint
     link_mbps: int
-    heartbeat_s: float
     has_false_health: bool
     bounds: Bounds
 
--- a/src/chicoryproxy/forwarding/peering.py
+++ b/src/chicoryproxy/forwarding/peering.py
@@ -74,6 +74,11 @@
         """Return how old the view of this entry may be, in seconds."""
         return now - self._confirmed_s
 
+    def report_age(self, now: float) -> float:
+        """Return the age that peers are told, ``NEVER_S`` if it is of no use to them."""
+        age = self.get_age(now)
+        return round(age, 2) if age < FORGET_S else NEVER_S
+
     def take_heartbeat(self, heartbeat: Heartbeat, synced: Revision, now: float) -> None:
         """Take a heartbeat.
 
@@ -115,12 +120,11 @@
         now: float,
     ) -> Heartbeat:
         """Create the heartbeat of this entry."""
-        age = self.get_age(now)
         heaviest = sorted(loads, key=lambda load: load.flows + load.waiting, reverse=True)
         return Heartbeat(
             self._own,
             synced,
-            round(age, 2) if age < FORGET_S else NEVER_S,
+            self.report_age(now),
             is_leaving,
             tuple(heaviest[:LOADS_IN_HEARTBEAT]),
             unreachable[:LOADS_IN_HEARTBEAT],
--- a/src/chicoryproxy/node/view.py
+++ b/src/chicoryproxy/node/view.py
@@ -251,11 +251,10 @@
         ChangesRequestExchange(self._loop, peer, since, take)
 
     def _answer_changes(self, since: Revision) -> ChangesReply:
-        age = self.peers.get_age(self._loop.read_clock())
         return ChangesReply(
             tuple(self.replica.get_since(since)),
             self.replica.synced,
-            age if age < 3600.0 else -1.0,
+            self.peers.report_age(self._loop.read_clock()),
         )
 
 
--- a/src/chicoryproxy/platform/records.py
+++ b/src/chicoryproxy/platform/records.py
@@ -64,8 +64,6 @@
     hostname: str = field(name="Hostname")
     # A port between slashes, although the name speaks of a path.
     prefix: str = field(name="Prefix")
-    timeout_ms: _NotNegative = field(name="TimeoutMs", default=0.0)
-    priority: int = field(name="Priority", default=0)
     service: str = field(name="Service", default="")
     split: tuple[_Split, ...] = field(name="TrafficSplit", default=())
 
@@ -199,4 +197,4 @@
     if not port.isdecimal():
         raise ValueError(f"no port in prefix {route.prefix!r} of route {route.name!r}")
     key = RouteKey(_read_address(route.hostname), int(port))
-    return Route(route.name, key, targets, route.priority, route.timeout_ms)
+    return Route(route.name, key, targets)
--- a/src/chicoryproxy/platform/settings.py
+++ b/src/chicoryproxy/platform/settings.py
@@ -31,7 +31,6 @@
     config_apply_ms: float = field(name="ConfigApplyMs", default=3000.0)
     cold_overage: float = field(name="ColdOverage", default=1.5)
     cold_slack: float = field(name="ColdSlack", default=5.0)
-    max_flow_s: float = field(name="MaxFlowS", default=60.0)
 
 
 class _Limits(Struct):
@@ -53,7 +52,6 @@
     store: _Store = field(name="platform")
     seeds: tuple[str, ...] = field(name="SeedNodes", default=())
     contracts: tuple[str, ...] = field(name="Contracts", default=())
-    heartbeat_ms: float = field(name="HeartbeatMs", default=1200.0)
     limits: _Limits = field(name="Limits", default_factory=_Limits)
     bounds: _Bounds = field(name="Bounds", default_factory=_Bounds)
 
@@ -106,7 +104,6 @@
         seeds,
         parse_endpoint(node.store.address),
         int(node.limits.link_mbps),
-        node.heartbeat_ms / 1000,
         HEALTH_CONTRACT in node.contracts,
         Bounds(
             bounds.grace_s,
@@ -114,6 +111,5 @@
             bounds.config_apply_ms / 1000,
             bounds.cold_overage,
             bounds.cold_slack,
-            bounds.max_flow_s,
         ),
     )
--- a/tests/forwarding/test_evidence.py
+++ b/tests/forwarding/test_evidence.py
@@ -1,6 +1,11 @@
 """Failures add up to a suspicion, answers clear it."""
 
-from chicoryproxy.forwarding.evidence import BACKOFF_MAX_S, BACKOFF_MIN_S, FailureDetector
+from chicoryproxy.forwarding.evidence import (
+    BACKOFF_MAX_S,
+    BACKOFF_MIN_S,
+    RETENTION_S,
+    FailureDetector,
+)
 
 
 def test_two_failures_suspect_an_upstream_for_a_while(world):
@@ -14,10 +19,20 @@
 def test_an_answer_between_two_failures_clears_the_first(world):
     upstream, detector = world.list("i-1"), FailureDetector()
     detector.note_failure(upstream, 1.0)
-    detector.note_answer(upstream, 1.05)
+    detector.note_answer(upstream)
     assert not detector.note_failure(upstream, 1.1)
 
 
+def test_upstreams_without_news_are_forgotten(world):
+    """Replaced upstreams never answer again; their failures must not pile up."""
+    upstream, detector = world.list("i-1"), FailureDetector()
+    detector.note_failure(upstream, 1.0)
+    detector.expire(1.0 + RETENTION_S / 2)
+    assert detector.get_failures(upstream) == 1
+    detector.expire(2.0 + RETENTION_S)
+    assert detector.get_failures(upstream) == 0
+
+
 def test_failures_long_apart_do_not_add_up(world):
     upstream, detector = world.list("i-1"), FailureDetector()
     detector.note_failure(upstream, 1.0)
--- a/tests/forwarding/world.py
+++ b/tests/forwarding/world.py
@@ -147,7 +147,7 @@
 
 def create_route(name, key, targets):
     """Create a route without limits."""
-    return Route(name, key, tuple(targets), 1, 1000.0)
+    return Route(name, key, tuple(targets))
 
 
 def create_packet(
--- a/tests/node/test_view.py
+++ b/tests/node/test_view.py
@@ -51,7 +51,6 @@
             (),
             store.address,
             1000,
-            1.2,
             False,
             Bounds(),
         )
