--- a/src/chicoryproxy/forwarding/flows.py
+++ b/src/chicoryproxy/forwarding/flows.py
@@ -5,10 +5,11 @@
 """
 
 from collections import OrderedDict
-from collections.abc import Iterator, Mapping
+from collections.abc import Iterator
 
 from chicoryproxy.forwarding.directory import Lifetime
-from chicoryproxy.forwarding.model import FlowId, Mark
+from chicoryproxy.forwarding.model import FlowId
+from chicoryproxy.forwarding.peerloads import PeerLoads
 from chicoryproxy.forwarding.peermessages import LoadReport
 
 MAX_FLOWS = 40_000
@@ -72,7 +73,7 @@
 
     :param capacity: largest number of flows; the one idle for longest goes first.
 
-    :ivar peer_loads: load by other entries.
+    :ivar peer_loads: load by other entries, as last reported.
     """
 
     def __init__(self, capacity: int = MAX_FLOWS) -> None:
@@ -80,7 +81,7 @@
         self._flows: OrderedDict[FlowId, Flow] = OrderedDict()
         self._idle: OrderedDict[FlowId, Flow] = OrderedDict()
         self._loads: dict[Lifetime, Load] = {}
-        self.peer_loads: Mapping[Mark, LoadReport] = {}
+        self.peer_loads = PeerLoads()
 
     def __len__(self) -> int:
         return len(self._flows) + len(self._idle)
--- a/src/chicoryproxy/forwarding/forwarder.py
+++ b/src/chicoryproxy/forwarding/forwarder.py
@@ -14,6 +14,7 @@
 
 from chicoryproxy.forwarding.coldstart import ColdBudget
 from chicoryproxy.forwarding.confirmation import Confirmation, ProbeResult
+from chicoryproxy.forwarding.control import ControlChoice
 from chicoryproxy.forwarding.directory import Directory, Lifetime
 from chicoryproxy.forwarding.evidence import FailureDetector
 from chicoryproxy.forwarding.flows import Flow, FlowTable
@@ -86,7 +87,7 @@
         domain: DomainId,
         now: float,
     ) -> None:
-        self._domain = domain
+        self._control = ControlChoice(directory, domain)
         self.flows = flows
         self.observer = observer
         self.detector = detector
@@ -114,7 +115,7 @@
         """
         has_changed = self.confirmation.take_result(upstream, result, now)
         if result is ProbeResult.TIMEOUT and not upstream.is_unreachable:
-            control = self._choose_control(upstream)
+            control = self._control.choose(upstream, now)
             if control is not None:
                 self.confirmation.check(control, now)
         if not has_changed or not upstream.is_unreachable:
@@ -125,18 +126,6 @@
             self.confirmation.suspect_domain(upstream.entry.domain, present, now)
         return self.break_flows(upstream)
 
-    def _choose_control(self, suspected: Lifetime) -> Lifetime | None:
-        """Choose an upstream whose probe shows whether connections get through at all."""
-        candidates = [
-            upstream
-            for upstream in self._directory.iterate_present()
-            if upstream.can_open and upstream is not suspected
-        ]
-        # Neighbours of the suspected one may be cut off with it; the own domain is nearest.
-        near = [item for item in candidates if item.entry.domain == self._domain]
-        best = near or [item for item in candidates if item.entry.domain != suspected.entry.domain]
-        return max(best or candidates, key=lambda item: item.answered_s, default=None)
-
     def suspect_marks(self, marks: Iterable[Mark], now: float) -> None:
         """Ask for probes of upstreams that a peer can't reach."""
         for mark in marks:
--- a/src/chicoryproxy/forwarding/peering.py
+++ b/src/chicoryproxy/forwarding/peering.py
@@ -11,7 +11,8 @@
 from msgspec import structs
 
 from chicoryproxy.draws import Draws
-from chicoryproxy.forwarding.model import Mark, Revision
+from chicoryproxy.forwarding.model import NO_REVISION, Mark, Revision
+from chicoryproxy.forwarding.peerloads import PeerLoads
 from chicoryproxy.forwarding.peermessages import Heartbeat, LoadReport, PeerAddress, PeerNews
 from chicoryproxy.rendezvous import score
 
@@ -22,7 +23,6 @@
 """A peer of which nobody heard for this long counts as away."""
 
 FORGET_S = 20.0
-LOAD_AGE_S = 2.5
 PEERS_IN_HEARTBEAT = 12
 PEERS_IN_WELCOME = 100
 """Peers that an entry hears of which has just started and knows none."""
@@ -36,13 +36,12 @@
 class _Peer:
     """What is known of one peer."""
 
-    __slots__ = ("address", "alive_s", "heartbeat", "heartbeat_s")
+    __slots__ = ("address", "alive_s", "synced")
 
     def __init__(self, address: PeerAddress, alive_s: float) -> None:
         self.address = address
         self.alive_s = alive_s
-        self.heartbeat: Heartbeat | None = None
-        self.heartbeat_s = float("-inf")
+        self.synced = NO_REVISION
 
 
 class PeerGroup:
@@ -51,9 +50,12 @@
     :param own: address of this entry.
     :param seeds: hosts that may run entries.
     :param seed: of the pseudo-random choices.
+
+    :ivar loads: load of the upstreams by the peers.
     """
 
     def __init__(self, own: PeerAddress, seeds: Iterable[int], seed: int) -> None:
+        self.loads = PeerLoads()
         self._own = own
         self._seeds: list[int] = []
         self.set_seeds(seeds)
@@ -88,8 +90,8 @@
             return
         peer = self._learn(heartbeat.sender, now)
         peer.address = heartbeat.sender
-        peer.heartbeat = heartbeat
-        peer.heartbeat_s = now
+        peer.synced = heartbeat.synced
+        self.loads.take_heartbeat(heartbeat, now)
         if heartbeat.is_leaving:
             peer.alive_s = now - ALIVE_S
         if heartbeat.age_s >= 0 and heartbeat.synced <= synced:
@@ -103,6 +105,7 @@
         """Choose the hosts that get the next heartbeats."""
         self._round += 1
         self._forget(now)
+        self.loads.expire(now)
         alive = [peer.address.host for peer in self._iterate_alive(now)]
         targets = self._draws.draw_sample(alive, FANOUT)
         missing = [host for host in self._seeds if host not in alive]
@@ -140,25 +143,10 @@
         """Return a living peer that knows more changes than this entry."""
         best: PeerAddress | None = None
         for peer in self._iterate_alive(now):
-            if peer.heartbeat is not None and peer.heartbeat.synced > synced:
-                best, synced = peer.address, peer.heartbeat.synced
+            if peer.synced > synced:
+                best, synced = peer.address, peer.synced
         return best
 
-    def sum_loads(self, now: float) -> dict[Mark, LoadReport]:
-        """Return the load of each upstream by all peers."""
-        totals: dict[Mark, LoadReport] = {}
-        for peer in self._peers.values():
-            if peer.heartbeat is None or now - peer.heartbeat_s > LOAD_AGE_S:
-                continue
-            for report in peer.heartbeat.loads:
-                known = totals.get(report.mark)
-                if known is not None:
-                    report = LoadReport(
-                        report.mark, known.flows + report.flows, known.waiting + report.waiting
-                    )
-                totals[report.mark] = report
-        return totals
-
     def list_domain(self, now: float) -> list[int]:
         """Return the hosts of the living entries of the own failure domain, this one included."""
         hosts = [
--- /dev/null
+++ b/src/chicoryproxy/forwarding/peerloads.py
@@ -0,0 +1,59 @@
+"""Sum of the loads that the other entries report, kept as their heartbeats come."""
+
+from chicoryproxy.forwarding.model import Mark
+from chicoryproxy.forwarding.peermessages import Heartbeat, LoadReport
+
+LOAD_AGE_S = 2.5
+"""A report older than this counts no more."""
+
+
+class _Report:
+    """Last report of one peer."""
+
+    __slots__ = ("loads", "reported_s")
+
+    def __init__(self, loads: tuple[LoadReport, ...], reported_s: float) -> None:
+        self.loads = loads
+        self.reported_s = reported_s
+
+
+class PeerLoads:
+    """Load of each upstream by all peers."""
+
+    def __init__(self) -> None:
+        # In the order of their arrival, so that the oldest one comes first.
+        self._reports: dict[int, _Report] = {}
+        self._totals: dict[Mark, LoadReport] = {}
+
+    def take_heartbeat(self, heartbeat: Heartbeat, now: float) -> None:
+        """Replace what the sender has reported before."""
+        host = heartbeat.sender.host
+        self._remove(host)
+        self._reports[host] = _Report(heartbeat.loads, now)
+        self._add(heartbeat.loads, 1)
+
+    def expire(self, now: float) -> None:
+        """Forget the reports of peers that have gone silent."""
+        for host, report in list(self._reports.items()):
+            if now - report.reported_s <= LOAD_AGE_S:
+                return
+            self._remove(host)
+
+    def get(self, mark: Mark) -> LoadReport | None:
+        """Return the load of an upstream by all peers, ``None`` if there is none."""
+        return self._totals.get(mark)
+
+    def _remove(self, host: int) -> None:
+        report = self._reports.pop(host, None)
+        if report is not None:
+            self._add(report.loads, -1)
+
+    def _add(self, loads: tuple[LoadReport, ...], sign: int) -> None:
+        for load in loads:
+            known = self._totals.get(load.mark)
+            flows = sign * load.flows + (known.flows if known else 0)
+            waiting = sign * load.waiting + (known.waiting if known else 0)
+            if flows or waiting:
+                self._totals[load.mark] = LoadReport(load.mark, flows, waiting)
+            else:
+                self._totals.pop(load.mark, None)
--- a/src/chicoryproxy/node/entry.py
+++ b/src/chicoryproxy/node/entry.py
@@ -41,6 +41,7 @@
         self._view = View(loop, settings, journal, self._follow_up, self, seed)
         self._metrics = EntryMetrics()
         self._plane = DataPlane(loop, settings, self._view.directory, journal, self._metrics)
+        self._plane.forwarder.flows.peer_loads = self._view.peers.loads
         self._metrics_server = HttpServer(loop, settings.metrics, self._answer_metrics)
         self._server = HttpServer(loop, settings.readiness, self._answer_readiness)
 
@@ -110,7 +111,7 @@
         now = self._loop.read_clock()
         self._handle_pause(now)
         self._update_phase()
-        self._update_shares(now)
+        self._update_share(now)
         self._view.expire(now)
         self._plane.tick(now)
         self._journal.flush()
@@ -124,10 +125,8 @@
             age_s = round(self._view.peers.get_age(now), 3)
             self._journal.write("pause", state=event.value, age_s=age_s)
 
-    def _update_shares(self, now: float) -> None:
-        """Tell the core what the peers' heartbeats say."""
-        peers, forwarder = self._view.peers, self._plane.forwarder
-        members = peers.list_domain(now)
+    def _update_share(self, now: float) -> None:
+        """Tell the core its place among the entries of its failure domain."""
+        members = self._view.peers.list_domain(now)
         rank = members.index(parse_host(self._settings.peers.host))
-        forwarder.cold.share = DomainShare(rank, len(members))
-        forwarder.flows.peer_loads = peers.sum_loads(now)
+        self._plane.forwarder.cold.share = DomainShare(rank, len(members))
--- a/tests/forwarding/world.py
+++ b/tests/forwarding/world.py
@@ -24,6 +24,7 @@
     WeightedService,
 )
 from chicoryproxy.forwarding.packet import CallerPacket
+from chicoryproxy.forwarding.peermessages import Heartbeat, PeerAddress
 from chicoryproxy.forwarding.replica import ROUTING_KEY, get_domain_key, get_upstream_key
 from chicoryproxy.ids import DomainId, ServiceId, UpstreamId, Version
 from chicoryproxy.model import Endpoint
@@ -129,6 +130,11 @@
                 return lifetime
         return None
 
+    def report_load(self, *loads):
+        """Let a peer report its load."""
+        heartbeat = Heartbeat(PeerAddress(1, 0), Revision(1), 0.0, False, loads, (), ())
+        self.forwarder.flows.peer_loads.take_heartbeat(heartbeat, self.now)
+
     def send(self, packet):
         """Let the core decide on a packet."""
         return self.forwarder.handle(packet, self.now)
