Pass on only the changed parts of a version between entries

Cause: a version went from entry to entry whole.

Now a request names the version in force, and the reply holds a patch from it if the peer still has the steps; else the whole version. A patch for another version refuses the whole reply, so that its revision never counts as known. Ruled out: routes as keys of their own in the replica; a version must come in force whole.

--- a/benchmarks/platform_sizes.py
+++ b/benchmarks/platform_sizes.py
@@ -3,6 +3,9 @@
 import resource
 import time
 
+from msgspec import structs
+
+from chicoryproxy.forwarding.catchup import CatchUp
 from chicoryproxy.forwarding.directory import Directory
 from chicoryproxy.forwarding.model import (
     Bounds,
@@ -17,9 +20,14 @@
     UpstreamListed,
     WeightedService,
 )
-from chicoryproxy.forwarding.peermessages import ChangesReply, decode_message, encode_message
+from chicoryproxy.forwarding.peermessages import (
+    ChangesReply,
+    ChangesRequest,
+    decode_message,
+    encode_message,
+)
 from chicoryproxy.forwarding.replica import ROUTING_KEY, Replica, get_upstream_key
-from chicoryproxy.ids import DomainId, ServiceId, UpstreamId, Version
+from chicoryproxy.ids import NO_VERSION, DomainId, ServiceId, UpstreamId, Version
 from chicoryproxy.model import Endpoint
 
 SIZES = ((750, 400), (6_000, 3_250), (24_000, 13_000))
@@ -27,6 +35,26 @@
 DOMAINS = 9
 
 
+def create_routing(routes: int, services: int = 1_200) -> RoutingVersion:
+    """Create a version with routes to services of equal limits."""
+    return RoutingVersion(
+        Version(1),
+        tuple(
+            Route(
+                f"r-{number:07d}",
+                RouteKey(0xC612_0000 + number, 443),
+                (WeightedService(ServiceId(f"service-{number % services}"), 1.0),),
+            )
+            for number in range(routes)
+        ),
+        tuple(
+            ServiceLimits(ServiceId(f"service-{n}"), "/health", 2000, 2.0, 4.0)
+            for n in range(services)
+        ),
+        15.0,
+    )
+
+
 def create_changes(upstreams: int, routes: int) -> list[Change]:
     """Create the changes of a fleet."""
     services = max(1, upstreams // UPSTREAMS_PER_SERVICE)
@@ -45,22 +73,7 @@
         )
         key = get_upstream_key(entry.id)
         changes.append(Change(key, Revision(number + 2), UpstreamListed(entry)))
-    routing = RoutingVersion(
-        Version(1),
-        tuple(
-            Route(
-                f"r-{number:07d}",
-                RouteKey(0xC612_0000 + number, 443),
-                (WeightedService(ServiceId(f"service-{number % services}"), 1.0),),
-            )
-            for number in range(routes)
-        ),
-        tuple(
-            ServiceLimits(ServiceId(f"service-{n}"), "/health", 2000, 2.0, 4.0)
-            for n in range(services)
-        ),
-        15.0,
-    )
+    routing = create_routing(routes, services)
     changes.append(Change(ROUTING_KEY, Revision(1), RoutingPublished(routing)))
     return changes
 
@@ -73,7 +86,7 @@
 def measure(upstreams: int, routes: int) -> str:
     """Return a row of the table for one size."""
     body = encode_message(
-        ChangesReply(tuple(create_changes(upstreams, routes)), Revision(upstreams + 2), 0.0)
+        ChangesReply(tuple(create_changes(upstreams, routes)), Revision(upstreams + 2), 0.0, None)
     )
     before = read_memory_mb()
     begin = time.process_time()
@@ -94,12 +107,36 @@
     )
 
 
+def measure_patch(routes: int) -> str:
+    """Return the size of a change of one route, whole and as a patch."""
+    base = create_routing(routes)
+    first = structs.replace(base.routes[0], targets=(WeightedService(ServiceId("other"), 1.0),))
+    changed = structs.replace(base, version=Version(2), routes=(first, *base.routes[1:]))
+    directory, replica = Directory(Bounds()), Replica()
+    for revision, routing in enumerate((base, changed), 1):
+        change = Change(ROUTING_KEY, Revision(revision), RoutingPublished(routing))
+        replica.merge(change)
+        directory.apply(change, 1.0)
+    replica.note_synced(Revision(2))
+    exchange = CatchUp(replica, directory)
+    sizes = [
+        len(encode_message(exchange.create_reply(ChangesRequest(Revision(1), version), 0.0)))
+        for version in (NO_VERSION, base.version)
+    ]
+    return f"| {routes} | {sizes[0]} | {sizes[1]} |"
+
+
 def main() -> None:
-    """Print the table."""
+    """Print the tables."""
     print("| upstreams | routes | whole view, MB on the wire | taken in, ms | tick, ms | + MB |")
     print("|---:|---:|---:|---:|---:|---:|")
     for upstreams, routes in SIZES:
         print(measure(upstreams, routes))
+    print()
+    print("| routes | whole version, B on the wire | one route changed, B |")
+    print("|---:|---:|---:|")
+    for _, routes in SIZES:
+        print(measure_patch(routes))
 
 
 if __name__ == "__main__":
--- a/src/chicoryproxy/forwarding/directory.py
+++ b/src/chicoryproxy/forwarding/directory.py
@@ -18,6 +18,7 @@
     DomainBack,
     DomainOut,
     Mark,
+    Revision,
     Route,
     RouteKey,
     RoutingPublished,
@@ -30,6 +31,7 @@
     UpstreamUnlisted,
     UpstreamUnreadable,
 )
+from chicoryproxy.forwarding.routingpatch import RoutingHistory
 from chicoryproxy.ids import NO_VERSION, DomainId, ServiceId, UpstreamId, Version
 from chicoryproxy.model import Endpoint
 
@@ -131,11 +133,13 @@
     :param bounds: what the deployment promises.
 
     :ivar routing: the version in force; ``None`` before the first.
+    :ivar history: how the last versions led to it.
     """
 
     def __init__(self, bounds: Bounds) -> None:
         self.bounds = bounds
         self.routing: RoutingVersion | None = None
+        self.history = RoutingHistory()
         self._routes: dict[RouteKey, Route] = {}
         self._removed_routes: set[RouteKey] = set()
         self._limits: dict[ServiceId, ServiceLimits] = {}
@@ -266,6 +270,7 @@
         if routing.version <= self.version:
             detail = f"version {self.version} stays in force"
             return Belief(BeliefKind.VERSION_OLDER, str(routing.version), detail, revision)
+        self.history.note_version(self.routing, routing, Revision(revision))
         self.routing = routing
         before = self._routes.keys()
         self._routes = {route.key: route for route in routing.routes}
--- a/src/chicoryproxy/forwarding/peermessages.py
+++ b/src/chicoryproxy/forwarding/peermessages.py
@@ -7,6 +7,8 @@
 from msgspec import Struct
 
 from chicoryproxy.forwarding.model import Change, Mark, Revision
+from chicoryproxy.forwarding.routingpatch import RoutingPatch
+from chicoryproxy.ids import Version
 
 COMPRESS_BYTES = 1024
 COMPRESSION_LEVEL = 1
@@ -71,9 +73,13 @@
 
 
 class ChangesRequest(Struct, frozen=True, array_like=True, tag="request"):
-    """Asks for the changes after a revision."""
+    """Asks for the changes after a revision.
+
+    :param version: configuration that the sender has in force; it takes patches of it.
+    """
 
     since: Revision
+    version: Version
 
 
 class ChangesReply(Struct, frozen=True, array_like=True, tag="changes"):
@@ -81,11 +87,13 @@
 
     :param synced: with them, everything up to this revision is known.
     :param age_s: as in the heartbeat.
+    :param patch: turns the version of the request into the newest one, if ``changes`` holds none.
     """
 
     changes: tuple[Change, ...]
     synced: Revision
     age_s: float
+    patch: RoutingPatch | None
 
 
 PeerMessage = Heartbeat | ChangesRequest | ChangesReply
--- a/src/chicoryproxy/node/peers.py
+++ b/src/chicoryproxy/node/peers.py
@@ -4,7 +4,6 @@
 import struct
 from collections.abc import Callable, Iterable
 
-from chicoryproxy.forwarding.model import Revision
 from chicoryproxy.forwarding.peermessages import (
     MAX_MESSAGE_BYTES,
     ChangesReply,
@@ -80,7 +79,7 @@
 class _ServedExchange(StreamHandler):
     """Answers one request for changes and closes."""
 
-    def __init__(self, answer: Callable[[Revision], ChangesReply]) -> None:
+    def __init__(self, answer: Callable[[ChangesRequest], ChangesReply]) -> None:
         self.stream: Stream | None = None
         self._answer = answer
         self._frames = _Frames()
@@ -103,7 +102,7 @@
             return
         request = decode_message(frame)
         if isinstance(request, ChangesRequest):
-            body = encode_message(self._answer(request.since))
+            body = encode_message(self._answer(request))
             self.stream.write(_LENGTH.pack(len(body)) + body)
         self.stream.close_when_sent()
 
@@ -111,11 +110,11 @@
 class ChangesServer:
     """Answers peers that ask for changes.
 
-    :param answer: returns the changes after a revision.
+    :param answer: returns what the sender of a request is missing.
     """
 
     def __init__(
-        self, loop: Loop, address: Endpoint, answer: Callable[[Revision], ChangesReply]
+        self, loop: Loop, address: Endpoint, answer: Callable[[ChangesRequest], ChangesReply]
     ) -> None:
         self._loop = loop
         self._answer = answer
@@ -132,7 +131,7 @@
 
 
 class ChangesRequestExchange(StreamHandler):
-    """Asks a peer for the changes after a revision.
+    """Asks a peer for the changes that this entry does not know.
 
     :param done: called once with the reply, or with ``None`` if none came in time.
     """
@@ -141,15 +140,15 @@
         self,
         loop: Loop,
         peer: Endpoint,
-        since: Revision,
+        request: ChangesRequest,
         done: Callable[[ChangesReply | None], None],
     ) -> None:
         self._done: Callable[[ChangesReply | None], None] | None = done
         self._frames = _Frames()
         self._timer = loop.call_later(EXCHANGE_TIMEOUT_S, lambda: self._finish(None))
         self._stream: Stream = open_stream(loop, peer, self)
-        request = encode_message(ChangesRequest(since))
-        self._stream.write(_LENGTH.pack(len(request)) + request)
+        body = encode_message(request)
+        self._stream.write(_LENGTH.pack(len(body)) + body)
 
     def handle_connected(self) -> None:
         """The bytes that wait are sent by the stream."""
--- a/src/chicoryproxy/node/view.py
+++ b/src/chicoryproxy/node/view.py
@@ -3,11 +3,13 @@
 from abc import ABC, abstractmethod
 from collections.abc import Callable, Iterable
 
+from chicoryproxy.forwarding.catchup import CatchUp
 from chicoryproxy.forwarding.directory import Belief, Directory
 from chicoryproxy.forwarding.model import Change, EntrySettings, Mark, Revision
 from chicoryproxy.forwarding.peering import PeerGroup
 from chicoryproxy.forwarding.peermessages import (
     ChangesReply,
+    ChangesRequest,
     Heartbeat,
     LoadReport,
     PeerAddress,
@@ -73,6 +75,7 @@
         self.directory = Directory(settings.bounds)
         self.peers = PeerGroup(own, _list_hosts(settings), seed)
         self.replica = Replica()
+        self._exchange = CatchUp(self.replica, self.directory)
         self.is_leaving = False
         self._settings = settings
         self._journal = journal
@@ -236,26 +239,33 @@
             self._ask(Endpoint(format_host(peer.host), self._settings.peers.port))
 
     def _ask(self, peer: Endpoint) -> None:
-        since = self.replica.synced
+        request = self._exchange.create_request()
 
         def take(reply: ChangesReply | None) -> None:
             if reply is None:
-                self._journal.write("peer_silent", host=peer.host, since=since)
-                return
-            self._merge(reply.changes, reply.synced)
-            if reply.age_s >= 0:
-                self._confirm(self._loop.read_clock() - reply.age_s)
-            if not since:
-                self._journal.write("view_from_peer", host=peer.host, revision=reply.synced)
-
-        ChangesRequestExchange(self._loop, peer, since, take)
-
-    def _answer_changes(self, since: Revision) -> ChangesReply:
-        return ChangesReply(
-            tuple(self.replica.get_since(since)),
-            self.replica.synced,
-            self.peers.report_age(self._loop.read_clock()),
-        )
+                self._journal.write("peer_silent", host=peer.host, since=request.since)
+            else:
+                self._take_reply(reply, peer)
+                if not request.since:
+                    self._journal.write("view_from_peer", host=peer.host, revision=reply.synced)
+
+        ChangesRequestExchange(self._loop, peer, request, take)
+
+    def _take_reply(self, reply: ChangesReply, peer: Endpoint) -> None:
+        try:
+            changes = self._exchange.list_changes(reply)
+        except ValueError as error:
+            # Another version came in force while the reply was on its way; the next request asks
+            # for what is still missing.
+            self._journal.write("reply_unfit", host=peer.host, reason=str(error))
+            return
+        self._merge(changes, reply.synced)
+        if reply.age_s >= 0:
+            self._confirm(self._loop.read_clock() - reply.age_s)
+
+    def _answer_changes(self, request: ChangesRequest) -> ChangesReply:
+        age_s = self.peers.report_age(self._loop.read_clock())
+        return self._exchange.create_reply(request, age_s)
 
 
 def _list_hosts(settings: EntrySettings) -> list[int]:
--- /dev/null
+++ b/tests/forwarding/test_routingpatch.py
@@ -0,0 +1,192 @@
+"""Many routes, one changed at a time: entries pass on what has changed."""
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from chicoryproxy.forwarding.catchup import CatchUp
+from chicoryproxy.forwarding.directory import Directory
+from chicoryproxy.forwarding.model import (
+    Bounds,
+    Change,
+    Revision,
+    Route,
+    RouteKey,
+    RoutingPublished,
+    RoutingVersion,
+    ServiceLimits,
+    WeightedService,
+)
+from chicoryproxy.forwarding.peermessages import decode_message, encode_message
+from chicoryproxy.forwarding.replica import ROUTING_KEY, Replica
+from chicoryproxy.forwarding.routingpatch import (
+    MAX_PATCHES,
+    RoutingHistory,
+    apply_patch,
+    compare_routings,
+)
+from chicoryproxy.ids import ServiceId, Version
+
+TARGET_ROUTES = 13_000
+CHANGES_PER_DAY = 3_100
+SECONDS_PER_DAY = 86_400
+CONTROL_BYTES_PER_S = 4_096
+
+
+def create_routing(version, weights, idle_timeout_s=15.0):
+    """Create a version with a route and a service for each weight, by number."""
+    routes = tuple(
+        Route(
+            f"r-{number:07d}",
+            RouteKey(0xC612_0000 + number, 443),
+            (WeightedService(ServiceId(f"service-{number}"), float(weight)),),
+        )
+        for number, weight in weights.items()
+    )
+    services = tuple(
+        ServiceLimits(ServiceId(f"service-{number}"), "/health", weight, 2.0, 5.0)
+        for number, weight in weights.items()
+    )
+    return RoutingVersion(Version(version), routes, services, idle_timeout_s)
+
+
+def normalize(routing):
+    """Return a version with its parts in a fixed order."""
+    return RoutingVersion(
+        routing.version,
+        tuple(sorted(routing.routes, key=lambda route: route.name)),
+        tuple(sorted(routing.services, key=lambda limits: limits.service)),
+        routing.idle_timeout_s,
+    )
+
+
+class Node:
+    """What an entry knows, without its network."""
+
+    def __init__(self):
+        self.replica = Replica()
+        self.directory = Directory(Bounds())
+        self.exchange = CatchUp(self.replica, self.directory)
+
+    def take(self, changes, revision):
+        """Take changes up to a revision."""
+        for change in changes:
+            if self.replica.merge(change):
+                self.directory.apply(change, 1.0)
+        self.replica.note_synced(Revision(revision))
+
+    def publish(self, routing, revision):
+        """Take a version from the store."""
+        change = Change(ROUTING_KEY, Revision(revision), RoutingPublished(routing))
+        self.take([change], revision)
+
+    def ask(self, other):
+        """Ask another entry over the wire; return the size of its reply in bytes."""
+        request = decode_message(encode_message(self.exchange.create_request()))
+        data = encode_message(other.exchange.create_reply(request, 0.0))
+        reply = decode_message(data)
+        self.take(self.exchange.list_changes(reply), reply.synced)
+        return len(data)
+
+
+weights = st.dictionaries(st.integers(0, 8), st.integers(1, 3), max_size=8)
+
+
+@given(st.lists(weights, min_size=2, max_size=6), st.data())
+def test_a_patch_from_any_version_leads_to_the_newest(states, data):
+    history, versions = RoutingHistory(), []
+    for number, state in enumerate(states, 1):
+        routing = create_routing(number, state, 10.0 + number)
+        history.note_version(versions[-1] if versions else None, routing, Revision(number))
+        versions.append(routing)
+    base = data.draw(st.sampled_from(versions[:-1]))
+    patch = history.create_patch(base.version)
+    if patch is not None:
+        assert normalize(apply_patch(base, patch)) == normalize(versions[-1])
+        assert patch.revision == len(states)
+
+
+@given(weights, weights)
+def test_a_patch_holds_only_what_differs(old, new):
+    patch = compare_routings(create_routing(1, old), create_routing(2, new), Revision(5))
+    changed = {number for number, weight in new.items() if old.get(number) != weight}
+    assert {route.name for route in patch.routes} == {f"r-{number:07d}" for number in changed}
+    assert len(patch.removed_routes) == len(old.keys() - new.keys())
+
+
+def test_a_patch_for_another_version_is_refused():
+    first, second = create_routing(1, {1: 1}), create_routing(2, {1: 2})
+    with pytest.raises(ValueError, match="version 1 does not fit version 2"):
+        apply_patch(second, compare_routings(first, second, Revision(2)))
+
+
+def test_a_version_that_is_too_old_gets_the_whole_one():
+    history, last = RoutingHistory(), None
+    for number in range(1, MAX_PATCHES + 5):
+        routing = create_routing(number, {index: 1 for index in range(40)} | {0: number})
+        history.note_version(last, routing, Revision(number))
+        last = routing
+    assert history.create_patch(Version(1)) is None
+    assert history.create_patch(Version(MAX_PATCHES + 3)) is not None
+
+
+def test_a_version_with_most_routes_changed_goes_out_whole():
+    history = RoutingHistory()
+    first = create_routing(1, dict.fromkeys(range(10), 1))
+    history.note_version(None, first, Revision(1))
+    history.note_version(first, create_routing(2, dict.fromkeys(range(10), 2)), Revision(2))
+    assert history.create_patch(Version(1)) is None
+
+
+def test_entries_agree_after_patches_and_whole_versions():
+    reader, behind, new = Node(), Node(), Node()
+    state = dict.fromkeys(range(20), 1)
+    for version in range(1, 8):
+        state = state | {version: version + 1}
+        reader.publish(create_routing(version, state), version)
+        if version % 2:
+            behind.ask(reader)
+    new.ask(reader)
+    for node in (behind, new):
+        assert normalize(node.directory.routing) == normalize(reader.directory.routing)
+        assert node.replica.synced == reader.replica.synced
+    # Whoever learned by patches passes patches on.
+    reader.publish(create_routing(8, state | {30: 1}), 8)
+    behind.ask(reader)
+    new.ask(behind)
+    assert normalize(new.directory.routing) == normalize(reader.directory.routing)
+
+
+def test_an_older_version_with_a_newer_revision_goes_out_as_it_is():
+    reader, behind = Node(), Node()
+    reader.publish(create_routing(5, {1: 1}), 1)
+    behind.ask(reader)
+    reader.publish(create_routing(4, {1: 2}), 2)
+    behind.ask(reader)
+    assert behind.directory.version == reader.directory.version == 5
+    assert behind.replica.synced == 2
+
+
+def test_a_reply_to_an_older_version_is_refused_whole():
+    """Two replies cross: the second one must not count as known."""
+    reader, behind = Node(), Node()
+    state = dict.fromkeys(range(10), 1)
+    reader.publish(create_routing(1, state), 1)
+    behind.ask(reader)
+    reader.publish(create_routing(2, state | {1: 2}), 2)
+    late = reader.exchange.create_reply(behind.exchange.create_request(), 0.0)
+    behind.publish(create_routing(3, state | {1: 3}), 3)
+    with pytest.raises(ValueError, match="does not fit"):
+        behind.exchange.list_changes(late)
+
+
+def test_the_target_changes_within_the_budget_of_control_bytes():
+    """The target: 13,000 routes, 3,100 changes a day, 4 KB a second for all of control."""
+    reader, behind = Node(), Node()
+    state = dict.fromkeys(range(TARGET_ROUTES), 1)
+    reader.publish(create_routing(1, state), 1)
+    whole = behind.ask(reader)
+    reader.publish(create_routing(2, state | {7: 2}), 2)
+    patched = behind.ask(reader)
+    assert patched * CHANGES_PER_DAY / SECONDS_PER_DAY < CONTROL_BYTES_PER_S * 0.01
+    assert patched * 100 < whole
