--- a/src/chicoryproxy/flowtable.py
+++ b/src/chicoryproxy/flowtable.py
@@ -40,7 +40,6 @@
     HALF_OPEN = 1
     CLOSING = 2
     OPENED_HERE = 4
-    DATA_FORWARDED = 8
     IMPORTED = 16
 
 
--- a/src/chicoryproxy/states.py
+++ b/src/chicoryproxy/states.py
@@ -69,7 +69,6 @@
     NO_VIEW = "no_view"
     NO_HOME = "no_home"
     NO_CAPACITY = "no_capacity"
-    NO_GRANT = "no_grant"
     PLACEMENT_SPREADING = "placement_spreading"
     QUEUE_FULL = "queue_full"
     NOT_LISTED = "not_listed"
--- a/tests/test_ctl.py
+++ b/tests/test_ctl.py
@@ -17,7 +17,7 @@
 from chicoryproxy.testing import change_upstreams, create_upstream, set_domain
 
 FLOW = ("tcp", "10.0.0.1:1024", "198.51.100.1:443")
-DROPS = {"entry.packets.dropped.no_grant": 3, "entry.packets.in": 9}
+DROPS = {"entry.packets.dropped.no_capacity": 3, "entry.packets.in": 9}
 
 
 @dataclass
@@ -95,7 +95,7 @@
 def test_state_names_versions_members_upstreams_slots_and_reasons(run_ctl, instances):
     code, output = run_ctl("state", *map(write, instances))
     assert code == ctl.ExitCode.ANSWERED
-    for expected in ("entry-1", "entry-7", "port-klang", "qa-desk-7", "no_grant", "alive", "1, 2"):
+    for expected in ("entry-1", "entry-7", "port-klang", "qa-desk-7", "no_capacity", "alive", "1, 2"):
         assert expected in output.out
     assert "owner not asked" in output.out
     assert "load reading" in output.out
--- a/tests/test_flowtable.py
+++ b/tests/test_flowtable.py
@@ -68,10 +68,10 @@
 
 def test_a_mark_ends_the_half_open_state(table):
     table.record(1, 3, FlowFlag.HALF_OPEN | FlowFlag.OPENED_HERE, 0.0)
-    table.mark(1, FlowFlag.DATA_FORWARDED, 1.0)
+    table.mark(1, FlowFlag.CLOSING, 1.0)
     state = unpack(table.find(1))
     assert state.number == 3
-    assert state.flags == FlowFlag.OPENED_HERE | FlowFlag.DATA_FORWARDED
+    assert state.flags == FlowFlag.OPENED_HERE | FlowFlag.CLOSING
 
 
 def test_a_full_table_gives_up_half_open_flows_first(table):
