Rank entries rightly in large failure domains and right after a start

Cause, found by a test at the target's size (450 entries in a failure domain): heartbeats tell of twelve peers drawn at random, so that an entry knows a part of its domain, and dozens rank themselves among the first ones. Second cause: an entry that had just started took itself for the only one and allowed itself the whole bound (10 openings) until the first heartbeats came; entries and upstreams of a zone that lost power start together.

Now two of four heartbeats stay in the own domain, in domains of 20 and more each tells of the first five entries and the two readers, and an entry opens nothing at cold upstreams for its first 1.2 s. Ruled out: leading entries in the news of small domains too (30 entries did not find each other within 4 s).

--- a/src/chicoryproxy/forwarding/coldstart.py
+++ b/src/chicoryproxy/forwarding/coldstart.py
@@ -36,12 +36,15 @@
 
 
 class ColdBudget:
-    """Limits the openings of this entry at cold upstreams."""
+    """Limits the openings of this entry at cold upstreams.
+
+    :ivar share: ``None`` while the other entries are not known; then nothing is opened.
+    """
 
     def __init__(self, directory: Directory) -> None:
         self._directory = directory
         self._opened: dict[Lifetime, deque[float]] = {}
-        self.share = DomainShare(0, 1)
+        self.share: DomainShare | None = None
 
     def can_open(self, upstream: Lifetime, now: float) -> bool:
         """Tell whether this entry may open a flow at a cold upstream now."""
@@ -64,12 +67,15 @@
                 del self._opened[upstream]
 
     def _get_allowed(self, upstream: Lifetime) -> int:
+        share = self.share
+        if share is None:
+            return 0
         limits = self._directory.get_limits(upstream.entry.service)
         rate = limits.cold_openings_per_s if limits else 0.0
         bounds = self._directory.bounds
         total = math.floor(rate * bounds.cold_overage + bounds.cold_slack) - RESERVE
-        if total >= self.share.size:
-            return total // self.share.size
-        if self.share.size > SURE_MEMBERS:
+        if total >= share.size:
+            return total // share.size
+        if share.size > SURE_MEMBERS:
             total //= 2
-        return 1 if self.share.rank < total else 0
+        return 1 if share.rank < total else 0
--- a/src/chicoryproxy/forwarding/peering.py
+++ b/src/chicoryproxy/forwarding/peering.py
@@ -6,11 +6,13 @@
 in a few rounds that way.
 """
 
+import heapq
 from collections.abc import Iterable, Iterator
 
 from msgspec import structs
 
 from chicoryproxy.draws import Draws
+from chicoryproxy.forwarding.coldstart import SURE_MEMBERS, DomainShare
 from chicoryproxy.forwarding.model import NO_REVISION, Mark, Revision
 from chicoryproxy.forwarding.peerloads import PeerLoads
 from chicoryproxy.forwarding.peermessages import Heartbeat, LoadReport, PeerAddress, PeerNews
@@ -19,11 +21,22 @@
 FANOUT = 4
 """Heartbeats that are sent in each round."""
 
+OWN_DOMAIN_FANOUT = 2
+"""Of them, those that go to the own failure domain at least."""
+
 ALIVE_S = 4.0
 """A peer of which nobody heard for this long counts as away."""
 
+LEARNING_S = 1.2
+"""Time after the start in which an entry learns who the other ones are."""
+
 FORGET_S = 20.0
 PEERS_IN_HEARTBEAT = 12
+FIRST_IN_HEARTBEAT = 5
+READERS_IN_HEARTBEAT = 2
+"""In a large failure domain an entry knows a part of the others. The first ones and the readers are
+told of in each heartbeat, so that it knows who comes before it."""
+
 PEERS_IN_WELCOME = 100
 """Peers that an entry hears of which has just started and knows none."""
 
@@ -47,16 +60,19 @@
 class PeerGroup:
     """The entries that this one knows.
 
-    :param own: address of this entry.
+    :param own: where this entry is.
     :param seeds: hosts that may run entries.
     :param seed: of the pseudo-random choices.
+    :param started_s: time of the start.
 
+    :ivar own: address of this entry.
     :ivar loads: load of the upstreams by the peers.
     """
 
-    def __init__(self, own: PeerAddress, seeds: Iterable[int], seed: int) -> None:
+    def __init__(self, own: PeerAddress, seeds: Iterable[int], seed: int, started_s: float) -> None:
+        self._started_s = started_s
         self.loads = PeerLoads()
-        self._own = own
+        self.own = own
         self._seeds: list[int] = []
         self.set_seeds(seeds)
         self._draws = Draws(seed, "peering")
@@ -66,7 +82,7 @@
 
     def set_seeds(self, seeds: Iterable[int]) -> None:
         """Take the hosts that may run entries."""
-        self._seeds = [host for host in seeds if host != self._own.host]
+        self._seeds = [host for host in seeds if host != self.own.host]
 
     def note_confirmed(self, confirmed_s: float) -> None:
         """Note when the store was last known to have nothing newer than this entry."""
@@ -86,7 +102,7 @@
 
         :param synced: what this entry knows.
         """
-        if heartbeat.sender.host == self._own.host:
+        if heartbeat.sender.host == self.own.host:
             return
         peer = self._learn(heartbeat.sender, now)
         peer.address = heartbeat.sender
@@ -98,7 +114,7 @@
             # The sender knew then that the store had nothing newer than what is known here.
             self.note_confirmed(now - heartbeat.age_s)
         for news in heartbeat.peers:
-            if news.address.host != self._own.host:
+            if news.address.host != self.own.host:
                 self._learn(news.address, now - news.age_ds / 10)
 
     def choose_targets(self, now: float) -> list[int]:
@@ -106,12 +122,15 @@
         self._round += 1
         self._forget(now)
         self.loads.expire(now)
-        alive = [peer.address.host for peer in self._iterate_alive(now)]
-        targets = self._draws.draw_sample(alive, FANOUT)
-        missing = [host for host in self._seeds if host not in alive]
-        missing.extend(host for host in self._peers if host not in alive and host not in missing)
+        alive = {peer.address.host: peer.address.domain for peer in self._iterate_alive(now)}
+        near = [host for host, domain in alive.items() if domain == self.own.domain]
+        targets = self._draws.draw_sample(near, OWN_DOMAIN_FANOUT)
+        others = [host for host in alive if host not in targets]
+        targets.extend(self._draws.draw_sample(others, FANOUT - len(targets)))
+        missing = dict.fromkeys(host for host in self._seeds if host not in alive)
+        missing.update(dict.fromkeys(host for host in self._peers if host not in alive))
         if missing:
-            targets.append(missing[self._round % len(missing)])
+            targets.append(list(missing)[self._round % len(missing)])
         return targets
 
     def create_heartbeat(
@@ -125,7 +144,7 @@
         """Create the heartbeat of this entry."""
         heaviest = sorted(loads, key=lambda load: load.flows + load.waiting, reverse=True)
         return Heartbeat(
-            self._own,
+            self.own,
             synced,
             self.report_age(now),
             is_leaving,
@@ -147,14 +166,20 @@
                 best, synced = peer.address, peer.synced
         return best
 
-    def list_domain(self, now: float) -> list[int]:
-        """Return the hosts of the living entries of the own failure domain, this one included."""
-        hosts = [
-            peer.address.host
-            for peer in self._iterate_alive(now)
-            if peer.address.domain == self._own.domain
-        ]
-        return sorted((*hosts, self._own.host))
+    def is_learning(self, now: float) -> bool:
+        """Tell whether this entry has started just now and may know few of the others."""
+        return now - self._started_s < LEARNING_S
+
+    def compute_share(self, now: float) -> DomainShare | None:
+        """Compute the place of this entry among the living ones of its failure domain.
+
+        :returns: ``None`` while it is learning who they are.
+        """
+        if self.is_learning(now):
+            return None
+        hosts = [peer.address.host for peer in self._iterate_domain(now)]
+        rank = sum(1 for host in hosts if host < self.own.host)
+        return DomainShare(rank, 1 + len(hosts))
 
     def count_alive(self, now: float) -> int:
         """Return the number of living entries, this one included."""
@@ -165,12 +190,8 @@
 
         Entries with more bandwidth come first, since a configuration may be large.
         """
-        own = _rate_reader(self._own)
-        return sum(
-            1
-            for peer in self._iterate_alive(now)
-            if peer.address.domain == self._own.domain and _rate_reader(peer.address) > own
-        )
+        own = _rate_reader(self.own)
+        return sum(1 for peer in self._iterate_domain(now) if _rate_reader(peer.address) > own)
 
     def _learn(self, address: PeerAddress, alive_s: float) -> _Peer:
         peer = self._peers.get(address.host)
@@ -183,11 +204,27 @@
         alive = sorted(self._iterate_alive(now), key=lambda peer: peer.alive_s, reverse=True)
         # What was heard long ago is about to be wrong, and of little use to others.
         fresh = alive[: max(count, len(alive) // 2)]
+        chosen = self._list_leading(now)
+        others = [peer for peer in fresh if peer not in chosen]
+        chosen.extend(self._draws.draw_sample(others, count - len(chosen)))
         return tuple(
-            PeerNews(peer.address, max(0, int((now - peer.alive_s) * 10) + 1))
-            for peer in self._draws.draw_sample(fresh, count)
+            PeerNews(peer.address, max(0, int((now - peer.alive_s) * 10) + 1)) for peer in chosen
         )
 
+    def _list_leading(self, now: float) -> list[_Peer]:
+        """Return the peers by which entries of a large failure domain rank themselves."""
+        near = list(self._iterate_domain(now))
+        if len(near) < SURE_MEMBERS:
+            return []
+        leading = heapq.nsmallest(FIRST_IN_HEARTBEAT, near, key=lambda peer: peer.address.host)
+        readers = heapq.nlargest(READERS_IN_HEARTBEAT, near, key=_rate_peer)
+        leading.extend(peer for peer in readers if peer not in leading)
+        return leading
+
+    def _iterate_domain(self, now: float) -> Iterator[_Peer]:
+        """Iterate over the living peers of the own failure domain."""
+        return (peer for peer in self._iterate_alive(now) if peer.address.domain == self.own.domain)
+
     def _iterate_alive(self, now: float) -> Iterator[_Peer]:
         return (peer for peer in self._peers.values() if now - peer.alive_s < ALIVE_S)
 
@@ -197,5 +234,9 @@
                 del self._peers[host]
 
 
+def _rate_peer(peer: _Peer) -> tuple[int, int]:
+    return _rate_reader(peer.address)
+
+
 def _rate_reader(address: PeerAddress) -> tuple[int, int]:
     return address.link_mbps, score("reader", str(address.host))
--- a/src/chicoryproxy/forwarding/reading.py
+++ b/src/chicoryproxy/forwarding/reading.py
@@ -21,9 +21,6 @@
 SILENCE_S = 1.5
 """An entry that heard no heartbeat for this long reads for itself."""
 
-LEARNING_S = 1.2
-"""Time after the start in which an entry learns who the other ones are."""
-
 
 class ReaderPolicy:
     """Decides whether this entry reads the store.
@@ -35,7 +32,6 @@
     def __init__(self, peers: PeerGroup, config_apply_s: float, started_s: float) -> None:
         self._peers = peers
         self.set_bound(config_apply_s)
-        self._started_s = started_s
         self._heard_s = started_s
 
     def set_bound(self, config_apply_s: float) -> None:
@@ -55,8 +51,7 @@
         """Tell whether this entry reads the store now."""
         if self._is_alone(now):
             return True
-        is_learning = now - self._started_s < LEARNING_S
-        if not is_learning and self._peers.get_reader_rank(now) < READERS:
+        if not self._peers.is_learning(now) and self._peers.get_reader_rank(now) < READERS:
             return True
         return self.is_overdue(now)
 
--- a/src/chicoryproxy/node/entry.py
+++ b/src/chicoryproxy/node/entry.py
@@ -2,11 +2,10 @@
 
 from enum import Enum, unique
 
-from chicoryproxy.forwarding.coldstart import DomainShare
 from chicoryproxy.forwarding.directory import Belief
 from chicoryproxy.forwarding.model import EntrySettings, Mark
 from chicoryproxy.forwarding.pause import PauseEvent
-from chicoryproxy.forwarding.peermessages import LoadReport, parse_host
+from chicoryproxy.forwarding.peermessages import LoadReport
 from chicoryproxy.node.dataplane import DataPlane
 from chicoryproxy.node.entrymetrics import EntryMetrics
 from chicoryproxy.node.http import HttpReply, HttpServer
@@ -111,7 +110,7 @@
         now = self._loop.read_clock()
         self._handle_pause(now)
         self._update_phase()
-        self._update_share(now)
+        self._plane.forwarder.cold.share = self._view.peers.compute_share(now)
         self._view.expire(now)
         self._plane.tick(now)
         self._journal.flush()
@@ -124,9 +123,3 @@
         if event is not PauseEvent.NONE:
             age_s = round(self._view.peers.get_age(now), 3)
             self._journal.write("pause", state=event.value, age_s=age_s)
-
-    def _update_share(self, now: float) -> None:
-        """Tell the core its place among the entries of its failure domain."""
-        members = self._view.peers.list_domain(now)
-        rank = members.index(parse_host(self._settings.peers.host))
-        self._plane.forwarder.cold.share = DomainShare(rank, len(members))
--- a/src/chicoryproxy/node/view.py
+++ b/src/chicoryproxy/node/view.py
@@ -73,7 +73,7 @@
         own = PeerAddress(parse_host(settings.peers.host), domain, settings.link_mbps)
         self._loop = loop
         self.directory = Directory(settings.bounds)
-        self.peers = PeerGroup(own, _list_hosts(settings), seed)
+        self.peers = PeerGroup(own, _list_hosts(settings), seed, loop.read_clock())
         self.replica = Replica()
         self._exchange = CatchUp(self.replica, self.directory)
         self.is_leaving = False
--- a/tests/forwarding/test_peering.py
+++ b/tests/forwarding/test_peering.py
@@ -2,10 +2,11 @@
 
 import pytest
 
+from chicoryproxy.forwarding.coldstart import ColdBudget
 from chicoryproxy.forwarding.model import Mark, Revision
-from chicoryproxy.forwarding.peering import ALIVE_S, FANOUT, PeerGroup
+from chicoryproxy.forwarding.peering import ALIVE_S, FANOUT, LEARNING_S, PeerGroup
 from chicoryproxy.forwarding.peermessages import LoadReport, PeerAddress, encode_message, parse_host
-from chicoryproxy.forwarding.reading import LEARNING_S, SILENCE_S, ReaderPolicy
+from chicoryproxy.forwarding.reading import SILENCE_S, ReaderPolicy
 
 DOMAINS = 3
 INTERVAL_S = 0.4
@@ -20,15 +21,22 @@
 class Fleet:
     """Peer groups that exchange heartbeats in rounds of four tenths of a second."""
 
-    def __init__(self, size, seeds=2):
+    def __init__(self, size, seeds=2, domains=DOMAINS):
         self.now = 10.0
+        self.domains = domains
+        self._seeds = list(map(host, range(seeds)))
         self.synced = {}
         self.groups = {}
         self.deaf = set()
         for number in range(size):
-            address = PeerAddress(host(number), number % DOMAINS)
-            self.groups[host(number)] = PeerGroup(address, map(host, range(seeds)), number)
-            self.synced[host(number)] = Revision(0)
+            self.start(number)
+
+    def start(self, number):
+        """Start an entry, also one that ran before: it knows the seeds only."""
+        address = PeerAddress(host(number), number % self.domains)
+        self.groups[host(number)] = PeerGroup(address, self._seeds, number, self.now)
+        self.synced[host(number)] = Revision(0)
+        self.deaf.discard(host(number))
 
     def run(self, seconds):
         """Exchange heartbeats; whoever is behind learns from a newer peer at once."""
@@ -49,8 +57,10 @@
             if not beat.peers:
                 welcome = other.create_welcome(self.synced[target], self.now)
                 group.take_heartbeat(welcome, self.synced[sender], self.now)
-            if other.find_newer(self.synced[target], self.now) is not None:
-                self.synced[target] = max(self.synced[target], beat.synced)
+            if beat.synced > self.synced[target]:
+                newer = other.find_newer(self.synced[target], self.now)
+                assert newer is not None
+                self.synced[target] = beat.synced
 
 
 def test_a_fleet_finds_itself_from_a_few_seeds():
@@ -107,7 +117,7 @@
     fleet.run(6.0)
     readers = []
     for group in fleet.groups.values():
-        policy = ReaderPolicy(group, 3.0, fleet.now - 2 * LEARNING_S)
+        policy = ReaderPolicy(group, 3.0, fleet.now)
         policy.note_heartbeat(fleet.now)
         group.note_confirmed(fleet.now)
         if policy.should_read(fleet.now):
@@ -116,7 +126,7 @@
 
 
 def test_an_entry_that_hears_nobody_reads_for_itself():
-    group = PeerGroup(PeerAddress(host(0), 0), [], 1)
+    group = PeerGroup(PeerAddress(host(0), 0), [], 1, 10.0)
     policy = ReaderPolicy(group, 3.0, 10.0)
     assert policy.should_read(10.0 + SILENCE_S + 0.1)
 
@@ -146,3 +156,94 @@
     assert first.get_age(fleet.now) > 100
     first.take_heartbeat(behind, Revision(8), fleet.now)
     assert first.get_age(fleet.now) < 0.1
+
+
+LARGE_DOMAIN = 450
+"""Entries of one failure domain at the target: 4,100 in 9 of them."""
+
+COLD_PER_S = 4.0
+
+
+@pytest.fixture(scope="module")
+def large_fleet():
+    """Two failure domains of the target's size, some seconds after their start."""
+    fleet = Fleet(LARGE_DOMAIN * 2, seeds=6, domains=2)
+    fleet.run(6.0)
+    return fleet
+
+
+@pytest.fixture
+def cold(world):
+    """A cold upstream."""
+    world.publish(1, cold_per_s=COLD_PER_S)
+    return world.list("i-1", cold_s=60.0)
+
+
+def count_openings(fleet, domain, world, upstream):
+    """Return how many openings a second the entries of a domain allow at a cold upstream."""
+    allowed = 0
+    for address, group in fleet.groups.items():
+        if group.own.domain != domain or address in fleet.deaf:
+            continue
+        budget = ColdBudget(world.directory)
+        budget.share = group.compute_share(fleet.now)
+        while budget.can_open(upstream, fleet.now):
+            budget.note_opening(upstream, fleet.now)
+            allowed += 1
+    return allowed
+
+
+def get_bound(world):
+    """Return the openings that a cold upstream bears in any second."""
+    bounds = world.directory.bounds
+    return COLD_PER_S * bounds.cold_overage + bounds.cold_slack
+
+
+def test_a_large_domain_keeps_the_bound_of_a_cold_upstream(large_fleet, world, cold):
+    """Entries that know a part of their domain only must not all believe to be the first ones."""
+    for _ in range(2):
+        large_fleet.run(1.2)
+        for domain in range(large_fleet.domains):
+            assert 0 < count_openings(large_fleet, domain, world, cold) <= get_bound(world)
+
+
+def test_few_entries_of_a_large_domain_read(large_fleet):
+    """The store answers 2,000 reads a second; each failure domain needs one reader."""
+    ranks = [group.get_reader_rank(large_fleet.now) for group in large_fleet.groups.values()]
+    assert ranks.count(0) <= 3 * large_fleet.domains
+
+
+def test_a_large_domain_keeps_the_bound_while_its_first_entries_restart(large_fleet, world, cold):
+    """Rolling restart: the first entries leave and come back."""
+    first = range(0, 4 * large_fleet.domains, large_fleet.domains)
+    large_fleet.deaf.update(map(host, first))
+    for _ in range(4):
+        large_fleet.run(1.2)
+        assert count_openings(large_fleet, 0, world, cold) <= get_bound(world)
+    for number in first:
+        large_fleet.start(number)
+    for _ in range(4):
+        large_fleet.run(0.8)
+        assert count_openings(large_fleet, 0, world, cold) <= get_bound(world)
+
+
+@pytest.mark.parametrize("size", [6, 30, 90])
+def test_entries_that_start_together_keep_the_bound(size, world, cold):
+    """Zone without power: entries and upstreams come back at once, and nobody knows anybody."""
+    fleet = Fleet(size)
+    for _ in range(15):
+        fleet.run(INTERVAL_S)
+        for domain in range(DOMAINS):
+            assert count_openings(fleet, domain, world, cold) <= get_bound(world)
+    assert all(count_openings(fleet, domain, world, cold) > 0 for domain in range(DOMAINS))
+
+
+def test_an_entry_that_starts_alone_opens_nothing_at_a_cold_upstream_at_first(world, cold):
+    """One restarted entry of thirty: its peers spend the bound already."""
+    fleet = Fleet(30)
+    fleet.run(6.0)
+    fleet.start(9)
+    group = fleet.groups[host(9)]
+    assert group.compute_share(fleet.now) is None
+    fleet.run(LEARNING_S)
+    assert group.compute_share(fleet.now).size == 10
--- a/tests/forwarding/world.py
+++ b/tests/forwarding/world.py
@@ -2,6 +2,7 @@
 
 import itertools
 
+from chicoryproxy.forwarding.coldstart import DomainShare
 from chicoryproxy.forwarding.directory import Directory, Lifetime
 from chicoryproxy.forwarding.forwarder import Forwarder, TrafficObserver, create_forwarder
 from chicoryproxy.forwarding.model import (
@@ -58,6 +59,7 @@
         self.directory = Directory(Bounds())
         self.forwarder: Forwarder = create_forwarder(OWN, self.directory, self.now, Silent())
         self.forwarder.is_synced = True
+        self.forwarder.cold.share = DomainShare(0, 1)
         self._revisions = itertools.count(NO_REVISION + 1)
         self._ports = itertools.count(1024)
         self._addresses = itertools.count(1)
--- a/tests/test_ctl.py
+++ b/tests/test_ctl.py
@@ -95,7 +95,15 @@
 def test_state_names_versions_members_upstreams_slots_and_reasons(run_ctl, instances):
     code, output = run_ctl("state", *map(write, instances))
     assert code == ctl.ExitCode.ANSWERED
-    for expected in ("entry-1", "entry-7", "port-klang", "qa-desk-7", "no_capacity", "alive", "1, 2"):
+    for expected in (
+        "entry-1",
+        "entry-7",
+        "port-klang",
+        "qa-desk-7",
+        "no_capacity",
+        "alive",
+        "1, 2",
+    ):
         assert expected in output.out
     assert "owner not asked" in output.out
     assert "load reading" in output.out
