Show the progress of long checks of the specification

make check-model was silent for minutes. Each check is now printed as soon as it is done, and an unrolling that takes long tells its step, the steps to go and an estimate of the time left, at most every 5 s on standard error.

--- a/spec/check.py
+++ b/spec/check.py
@@ -6,6 +6,7 @@
 
 import sys
 import time
+from collections.abc import Iterator
 from dataclasses import dataclass
 from enum import Enum, unique
 from functools import cache
@@ -15,6 +16,7 @@
 from msgspec import Struct
 
 from spec.catalog import list_specifications
+from spec.progress import Progress
 from spec.system import Finding, Mutant, Specification, Verdict, check_bounded, check_inductive
 from spec.trace import format_finding
 
@@ -58,9 +60,10 @@
     """Check that all properties hold for runs of a length."""
     start_s = time.process_time()
     system = specification.create(frozenset(specification.rules))
-    finding = check_bounded(system, depth)
+    name = f"holds to depth {depth}"
+    finding = check_bounded(system, depth, progress=_create_progress(specification, name))
     passed = finding.verdict == Verdict.HOLDS
-    return _end_check(specification, f"holds to depth {depth}", passed, finding, start_s)
+    return _end_check(specification, name, passed, finding, start_s)
 
 
 def check_induction(specification: Specification) -> Check:
@@ -76,41 +79,50 @@
 def find_counterexample(specification: Specification, mutant: Mutant) -> Finding:
     """Return the shortest counterexample of a mutant."""
     system = specification.create(frozenset(specification.rules) - {mutant.rule})
-    return check_bounded(system, specification.full_depth, promise=mutant.promise)
+    progress = _create_progress(specification, f"without {mutant.rule.name}")
+    return check_bounded(
+        system, specification.full_depth, promise=mutant.promise, progress=progress
+    )
 
 
-def check_mutants(specification: Specification) -> list[Check]:
+def check_mutants(specification: Specification) -> Iterator[Check]:
     """Check that each mutant breaks its property."""
-    result = []
     for mutant in specification.mutants:
         start_s = time.process_time()
         finding = find_counterexample(specification, mutant)
         passed = finding.verdict == Verdict.BROKEN
         name = f"without {mutant.rule.name}: {mutant.promise.name}"
-        result.append(_end_check(specification, name, passed, finding, start_s))
-    return result
+        yield _end_check(specification, name, passed, finding, start_s)
 
 
-def check_limits(specification: Specification) -> list[Check]:
+def check_limits(specification: Specification) -> Iterator[Check]:
     """Check that each assumption is needed: without it the property breaks."""
-    result = []
     for limit in specification.limits:
         start_s = time.process_time()
-        finding = check_bounded(limit.create(), specification.full_depth, promise=limit.promise)
-        passed = finding.verdict == Verdict.BROKEN
         name = f"not assuming that {limit.text}: {limit.promise.name}"
-        result.append(_end_check(specification, name, passed, finding, start_s))
-    return result
+        finding = check_bounded(
+            limit.create(),
+            specification.full_depth,
+            promise=limit.promise,
+            progress=_create_progress(specification, name),
+        )
+        passed = finding.verdict == Verdict.BROKEN
+        yield _end_check(specification, name, passed, finding, start_s)
 
 
-def run_checks(specification: Specification, depth: Depth) -> list[Check]:
-    """Run all checks of a specification."""
+def run_checks(specification: Specification, depth: Depth) -> Iterator[Check]:
+    """Run all checks of a specification; each result comes when it is there."""
     is_full = depth == Depth.FULL
     steps = specification.full_depth if is_full else specification.quick_depth
-    result = [check_properties(specification, steps)]
+    yield check_properties(specification, steps)
     if specification.induction_depth:
-        result.append(check_induction(specification))
-    return result + check_mutants(specification) + check_limits(specification)
+        yield check_induction(specification)
+    yield from check_mutants(specification)
+    yield from check_limits(specification)
+
+
+def _create_progress(specification: Specification, name: str) -> Progress:
+    return Progress(f"{specification.name}: {name}")
 
 
 def _end_check(
--- a/spec/system.py
+++ b/spec/system.py
@@ -13,6 +13,8 @@
 import z3
 from msgspec import Struct
 
+from spec.progress import Progress
+
 SEED = 1
 
 
@@ -216,7 +218,12 @@
 
 
 def check_bounded(
-    system: System, depth: int, *, promise: Promise | None = None, with_lemmas: bool = False
+    system: System,
+    depth: int,
+    *,
+    promise: Promise | None = None,
+    with_lemmas: bool = False,
+    progress: Progress | None = None,
 ) -> Finding:
     """Look for a run of at most ``depth`` steps that breaks a property.
 
@@ -224,6 +231,7 @@
     :param depth: number of steps.
     :param promise: the only property to check; ``None`` for all.
     :param with_lemmas: whether a broken lemma counts as well.
+    :param progress: hears of each step.
     :returns: the shortest counterexample, or ``HOLDS`` for that depth.
     """
     _reset_context()
@@ -233,6 +241,8 @@
         finding = unrolling.find_violation()
         if finding is not None:
             return finding
+        if progress is not None:
+            progress.note_step(length, depth)
         if length < depth:
             unrolling.extend()
     if unrolling.solver.check() != z3.sat:
