--- a/Makefile
+++ b/Makefile
@@ -15,9 +15,11 @@
 	@test -x $(BIN)/python || { echo "VENV=$(VENV) has no bin/python" >&2; exit 1; }
 endif
 
-$(VENV)/.installed: requirements.lock
+$(VENV)/.installed: requirements.lock pyproject.toml
 	python3 -m venv $(VENV)
 	$(BIN)/python -m pip install --quiet --disable-pip-version-check -r requirements.lock
+	$(BIN)/python -m pip install --quiet --disable-pip-version-check \
+		--no-deps --no-build-isolation --editable .
 	touch $@
 
 format: setup
@@ -40,7 +42,7 @@
 	$(BIN)/python -m pytest
 
 demo: setup
-	PYTHONPATH=src $(BIN)/python -m chicoryproxy.demo
+	PYTHONPATH=src $(BIN)/python -m chicoryproxy.commands.demo
 
 bench: setup
 	PYTHONPATH=src:. $(BIN)/python -m benchmarks.bench
--- a/benchmarks/baselines.py
+++ b/benchmarks/baselines.py
@@ -6,14 +6,14 @@
 
 from collections.abc import Sequence
 
-from chicoryproxy.actions import Drop, Forward, PacketAction, Return
-from chicoryproxy.choke import Gate, create_gate
 from chicoryproxy.ids import NO_VERSION, FlowKey, InstanceId, ServiceId, UpstreamId
-from chicoryproxy.messages import EntryMessage, EntryReport, ViewUpdate
 from chicoryproxy.model import Generation, Service
-from chicoryproxy.packet import PacketHead, hash_flow, pack_address, read_packet
-from chicoryproxy.placement import PlacementTable, create_table
-from chicoryproxy.slots import ServiceSlots
+from chicoryproxy.protocol.actions import Drop, Forward, PacketAction, Return
+from chicoryproxy.protocol.messages import EntryMessage, EntryReport, ViewUpdate
+from chicoryproxy.protocol.packet import PacketHead, hash_flow, pack_address, read_packet
+from chicoryproxy.routing.choke import Gate, create_gate
+from chicoryproxy.routing.placement import PlacementTable, create_table
+from chicoryproxy.routing.slots import ServiceSlots
 from chicoryproxy.states import DomainState, DropReason
 
 _RETURN = (Return(),)
--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -17,12 +17,19 @@
 
 from benchmarks import control_slopes
 from benchmarks.sizes import FleetSize, create_fleet
-from chicoryproxy import codec
 from chicoryproxy.ids import FlowKey, ServiceId, SlotIndex, UpstreamId, Version
-from chicoryproxy.messages import FlowHints, FlowRecord, Member, SlotName, VersionBody, ViewUpdate
 from chicoryproxy.model import Configuration, Generation
+from chicoryproxy.network import codec
+from chicoryproxy.protocol.messages import (
+    FlowHints,
+    FlowRecord,
+    Member,
+    SlotName,
+    VersionBody,
+    ViewUpdate,
+)
 from chicoryproxy.rendezvous import choose_homes
-from chicoryproxy.router import create_packet_core
+from chicoryproxy.routing.router import create_packet_core
 from chicoryproxy.states import MemberState
 
 matplotlib.use("svg")
--- a/benchmarks/changes.py
+++ b/benchmarks/changes.py
@@ -14,12 +14,11 @@
 from msgspec import Struct
 
 from benchmarks.baselines import HashingCore, TrackingCore
-from chicoryproxy import codec
-from chicoryproxy._fakefleet import FakeNode
-from chicoryproxy.actions import ControlAction, SendToPeer, SendToView, UpdateEntry
 from chicoryproxy.ids import DomainId, InstanceId, UpstreamId
-from chicoryproxy.messages import PassedPacket, VersionBody
 from chicoryproxy.model import Instance, Service, Upstream
+from chicoryproxy.network import codec
+from chicoryproxy.protocol.actions import ControlAction, SendToPeer, SendToView, UpdateEntry
+from chicoryproxy.protocol.messages import PassedPacket, VersionBody
 from chicoryproxy.states import DomainState
 from chicoryproxy.testing import (
     FakeFleet,
@@ -30,6 +29,7 @@
     create_upstream,
     set_domain,
 )
+from chicoryproxy.testing._fakefleet import FakeNode
 
 INSTANCES = 7
 FLOWS = 20_000
--- a/benchmarks/cold_start.py
+++ b/benchmarks/cold_start.py
@@ -13,11 +13,11 @@
 
 from msgspec import Struct
 
-from chicoryproxy.codec import encode
-from chicoryproxy.grants import GrantHolder, GrantOwner
 from chicoryproxy.ids import DomainId, InstanceId, UpstreamId
-from chicoryproxy.messages import Grant, GrantRequest, OpeningOutcomes
 from chicoryproxy.model import Endpoint, Upstream, UpstreamCondition, WarmUp
+from chicoryproxy.network.codec import encode
+from chicoryproxy.protocol.messages import Grant, GrantRequest, OpeningOutcomes
+from chicoryproxy.routing.grants import GrantHolder, GrantOwner
 from chicoryproxy.states import UpstreamState
 
 ENTRIES = 7
--- a/benchmarks/control_slopes.py
+++ b/benchmarks/control_slopes.py
@@ -16,12 +16,14 @@
 
 from msgspec import Struct
 
-from chicoryproxy import codec
-from chicoryproxy.actions import ControlAction, SendToView
-from chicoryproxy.control import create_control_core
-from chicoryproxy.events import ConfigurationRead, InstancesRead
+from chicoryproxy.control.core import create_control_core
+from chicoryproxy.control.versions import EMPTY_CONFIGURATION
 from chicoryproxy.ids import Incarnation, InstanceId, Version
-from chicoryproxy.messages import (
+from chicoryproxy.model import FleetLimits
+from chicoryproxy.network import codec
+from chicoryproxy.protocol.actions import ControlAction, SendToView
+from chicoryproxy.protocol.events import ConfigurationRead, InstancesRead
+from chicoryproxy.protocol.messages import (
     Ack,
     Gossip,
     MemberUpdate,
@@ -30,9 +32,7 @@
     VersionFetch,
     ViewMessage,
 )
-from chicoryproxy.model import FleetLimits
 from chicoryproxy.states import MemberState
-from chicoryproxy.versions import EMPTY_CONFIGURATION
 from tests.control_net import (
     DOMAINS,
     TICK_S,
--- a/benchmarks/flowtable.py
+++ b/benchmarks/flowtable.py
@@ -16,7 +16,7 @@
 import xxhash
 from msgspec import Struct
 
-from chicoryproxy.flowtable import FlowFlag, FlowTable
+from chicoryproxy.routing.flowtable import FlowFlag, FlowTable
 
 SIZES = (300_000, 600_000)
 LOOKUPS = 300_000
--- a/benchmarks/forwarding.py
+++ b/benchmarks/forwarding.py
@@ -25,18 +25,18 @@
 from msgspec import Struct, structs
 
 from benchmarks.control_slopes import make_instance
-from chicoryproxy._fakewire import Segment
-from chicoryproxy.entrydriver import TICK_S, EntryDriver
+from chicoryproxy.configuration.settings import Settings
 from chicoryproxy.ids import DomainId, InstanceId, RegionId
-from chicoryproxy.logs import LogFormat, configure_logs
-from chicoryproxy.messages import Member, ViewUpdate
-from chicoryproxy.metrics import create_metrics
 from chicoryproxy.model import Configuration, Endpoint, Generation, Instance, Service
-from chicoryproxy.packet import FLAG_ACK, FLAG_FIN, FLAG_SYN
-from chicoryproxy.router import create_packet_core
-from chicoryproxy.settings import Settings
+from chicoryproxy.processes.entrydriver import TICK_S, EntryDriver
+from chicoryproxy.protocol.messages import Member, ViewUpdate
+from chicoryproxy.protocol.packet import FLAG_ACK, FLAG_FIN, FLAG_SYN
+from chicoryproxy.routing.router import create_packet_core
 from chicoryproxy.states import MemberState
+from chicoryproxy.telemetry.logs import LogFormat, configure_logs
+from chicoryproxy.telemetry.metrics import create_metrics
 from chicoryproxy.testing import create_tenggara
+from chicoryproxy.testing._fakewire import Segment
 
 HOST = "127.45.1.1"
 FLOWS = 2000
--- a/benchmarks/loglines.py
+++ b/benchmarks/loglines.py
@@ -7,10 +7,10 @@
 import time
 from collections.abc import Callable
 
-from chicoryproxy.actions import LogRoute
 from chicoryproxy.ids import FlowKey, ServiceId, SlotIndex, UpstreamId, Version
-from chicoryproxy.logs import FLUSH_LINES, LogFormat, RouteLog, configure_logs
+from chicoryproxy.protocol.actions import LogRoute
 from chicoryproxy.states import RouteReason
+from chicoryproxy.telemetry.logs import FLUSH_LINES, LogFormat, RouteLog, configure_logs
 
 LINES = 20_000
 
--- a/benchmarks/placement.py
+++ b/benchmarks/placement.py
@@ -16,7 +16,7 @@
 
 from chicoryproxy.ids import DomainId, ServiceId, UpstreamId, Version
 from chicoryproxy.model import Endpoint, Generation, Upstream
-from chicoryproxy.placement import (
+from chicoryproxy.routing.placement import (
     PlacementPolicy,
     PlacementTable,
     choose_size,
--- a/benchmarks/sizes.py
+++ b/benchmarks/sizes.py
@@ -14,12 +14,19 @@
 import psutil
 from msgspec import Struct, structs
 
-from chicoryproxy.assembly import PublicationReader
-from chicoryproxy.configuration import create_configuration
-from chicoryproxy.document import DocumentFault
+from chicoryproxy.configuration.assembly import PublicationReader
+from chicoryproxy.configuration.configuration import create_configuration
+from chicoryproxy.configuration.document import DocumentFault
+from chicoryproxy.configuration.jsonreader import read_json
+from chicoryproxy.configuration.published import (
+    INDEX_NAME,
+    Publication,
+    PublishedFault,
+)
+from chicoryproxy.configuration.splitter import publish
+from chicoryproxy.configuration.yamlreader import read_yaml
 from chicoryproxy.finding import FindingList
 from chicoryproxy.ids import DomainId, RegionId, ServiceId, UpstreamId, Version
-from chicoryproxy.jsonreader import read_json
 from chicoryproxy.model import (
     Capacity,
     Configuration,
@@ -30,14 +37,7 @@
     Upstream,
     WarmUp,
 )
-from chicoryproxy.published import (
-    INDEX_NAME,
-    Publication,
-    PublishedFault,
-)
-from chicoryproxy.splitter import publish
 from chicoryproxy.states import DomainState, Protocol
-from chicoryproxy.yamlreader import read_yaml
 
 MAX_READS_PER_S = 2000
 READERS_PER_DOMAIN = 3
--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# Puts the libraries and the compiled package under target/deps.
+# Puts the libraries and the modules of the entry, compiled, under target/deps.
 set -eu
 deps=target/deps
 stamp=$deps/.installed
@@ -9,5 +9,8 @@
     touch "$stamp"
 fi
 rm -rf "$deps/chicoryproxy"
-cp -R src/chicoryproxy "$deps/"
+mkdir "$deps/chicoryproxy"
+while read -r part; do
+    cp -R "src/chicoryproxy/$part" "$deps/chicoryproxy/"
+done < deploy/parts.txt
 python3 -m compileall -q "$deps/chicoryproxy"
--- a/src/chicoryproxy/__init__.py
+++ b/src/chicoryproxy/__init__.py
@@ -8,8 +8,8 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from chicoryproxy.control import ControlCore as ControlCore
-    from chicoryproxy.control import create_control_core as create_control_core
+    from chicoryproxy.control.core import ControlCore as ControlCore
+    from chicoryproxy.control.core import create_control_core as create_control_core
     from chicoryproxy.errors import ChicoryError as ChicoryError
     from chicoryproxy.errors import ConfigurationError as ConfigurationError
     from chicoryproxy.errors import SettingsError as SettingsError
@@ -18,14 +18,14 @@
     from chicoryproxy.model import Instance as Instance
     from chicoryproxy.model import Service as Service
     from chicoryproxy.model import Upstream as Upstream
-    from chicoryproxy.router import PacketCore as PacketCore
-    from chicoryproxy.router import create_packet_core as create_packet_core
+    from chicoryproxy.routing.router import PacketCore as PacketCore
+    from chicoryproxy.routing.router import create_packet_core as create_packet_core
 
 __version__ = "0.1.0"
 
 _MODULES = {
-    "ControlCore": "control",
-    "create_control_core": "control",
+    "ControlCore": "control.core",
+    "create_control_core": "control.core",
     "ChicoryError": "errors",
     "ConfigurationError": "errors",
     "SettingsError": "errors",
@@ -34,8 +34,8 @@
     "Instance": "model",
     "Service": "model",
     "Upstream": "model",
-    "PacketCore": "router",
-    "create_packet_core": "router",
+    "PacketCore": "routing.router",
+    "create_packet_core": "routing.router",
 }
 
 
--- /dev/null
+++ b/src/chicoryproxy/commands/__init__.py
@@ -0,0 +1,1 @@
+"""Command line: ``chicory-check``, ``chicory-ctl``, ``chicory-load``, ``chicory-demo``."""
--- a/src/chicoryproxy/commands/check.py
+++ b/src/chicoryproxy/commands/check.py
@@ -12,27 +12,27 @@
 import msgspec
 from rich.console import Console
 
-from chicoryproxy.checkreport import print_comparison, print_effective
-from chicoryproxy.comparison import compare
-from chicoryproxy.configuration import (
+from chicoryproxy.commands.checkreport import print_comparison, print_effective
+from chicoryproxy.commands.comparison import compare
+from chicoryproxy.configuration.configuration import (
     EffectiveConfiguration,
     EffectiveValue,
     ServiceFault,
     create_configuration,
 )
-from chicoryproxy.conversion import suggest_name
-from chicoryproxy.document import Document, DocumentFault
+from chicoryproxy.configuration.conversion import suggest_name
+from chicoryproxy.configuration.document import Document, DocumentFault
+from chicoryproxy.configuration.files import load_document
+from chicoryproxy.configuration.folder import FolderFault, read_version, write_publication
+from chicoryproxy.configuration.keytable import render_rows
+from chicoryproxy.configuration.options import VERSION
+from chicoryproxy.configuration.published import PublishedFault
+from chicoryproxy.configuration.schema import WrittenConfiguration
+from chicoryproxy.configuration.settings import WrittenSettings, create_settings
+from chicoryproxy.configuration.splitter import publish
 from chicoryproxy.errors import ChicoryError, ConfigurationError, FindingsError
-from chicoryproxy.files import load_document
 from chicoryproxy.finding import FindingList
-from chicoryproxy.folder import FolderFault, read_version, write_publication
 from chicoryproxy.ids import ServiceId, Version
-from chicoryproxy.keytable import render_rows
-from chicoryproxy.options import VERSION
-from chicoryproxy.published import PublishedFault
-from chicoryproxy.schema import WrittenConfiguration
-from chicoryproxy.settings import WrittenSettings, create_settings
-from chicoryproxy.splitter import publish
 
 SCHEMA_DIALECT = "https://json-schema.org/draft/2020-12/schema"
 WIDTH = 240
--- a/src/chicoryproxy/commands/checkreport.py
+++ b/src/chicoryproxy/commands/checkreport.py
@@ -5,9 +5,9 @@
 from rich.console import Console
 from rich.table import Table
 
-from chicoryproxy.comparison import Comparison, ServiceChange
-from chicoryproxy.configuration import EffectiveValue
-from chicoryproxy.layers import format_value
+from chicoryproxy.commands.comparison import Comparison, ServiceChange
+from chicoryproxy.configuration.configuration import EffectiveValue
+from chicoryproxy.configuration.layers import format_value
 
 
 def print_effective(console: Console, values: Iterable[EffectiveValue]) -> None:
--- a/src/chicoryproxy/commands/comparison.py
+++ b/src/chicoryproxy/commands/comparison.py
@@ -9,6 +9,9 @@
 
 from msgspec import Struct
 
+from chicoryproxy.configuration.published import PublishedFault
+from chicoryproxy.configuration.splitter import publish
+from chicoryproxy.control.versions import build_generation, list_domains_in
 from chicoryproxy.ids import DomainId, ServiceId, UpstreamId
 from chicoryproxy.model import (
     Capacity,
@@ -18,10 +21,7 @@
     Upstream,
     WarmUp,
 )
-from chicoryproxy.placement import PlacementTable, create_table
-from chicoryproxy.published import PublishedFault
-from chicoryproxy.splitter import publish
-from chicoryproxy.versions import build_generation, list_domains_in
+from chicoryproxy.routing.placement import PlacementTable, create_table
 
 HINT_BYTES = 30
 """Bytes of one flow's record in a hint."""
--- a/src/chicoryproxy/commands/ctl.py
+++ b/src/chicoryproxy/commands/ctl.py
@@ -14,20 +14,20 @@
 from rich.live import Live
 
 from chicoryproxy.address import AddressFault, format_endpoint, parse_endpoint
-from chicoryproxy.ctlreport import build_state
+from chicoryproxy.commands.ctlreport import build_state
+from chicoryproxy.commands.explanationtext import describe_explanation
+from chicoryproxy.commands.trace import trace_caller, trace_request
+from chicoryproxy.configuration.options import VERSION
 from chicoryproxy.errors import ChicoryError
-from chicoryproxy.explanationtext import describe_explanation
-from chicoryproxy.flowname import FlowName, FlowNameFault, parse_flow
-from chicoryproxy.inquiry import (
+from chicoryproxy.model import Endpoint
+from chicoryproxy.processes.inquiry import (
     ExplanationReport,
     InstanceReport,
     Unanswered,
     ask_explanations,
     ask_states,
 )
-from chicoryproxy.model import Endpoint
-from chicoryproxy.options import VERSION
-from chicoryproxy.trace import trace_caller, trace_request
+from chicoryproxy.routing.flowname import FlowName, FlowNameFault, parse_flow
 
 WIDTH = 240
 _EXITS = (
--- a/src/chicoryproxy/commands/ctlreport.py
+++ b/src/chicoryproxy/commands/ctlreport.py
@@ -7,12 +7,12 @@
 from rich.padding import Padding
 from rich.table import Table
 
-from chicoryproxy.health import SignalEvidence
+from chicoryproxy.control.health import SignalEvidence
+from chicoryproxy.control.signals import Verdict
 from chicoryproxy.ids import UpstreamId, Version
-from chicoryproxy.inquiry import InstanceReport, Unanswered
-from chicoryproxy.metrics import Metric
-from chicoryproxy.processstate import EntryState, ViewState
-from chicoryproxy.signals import Verdict
+from chicoryproxy.processes.inquiry import InstanceReport, Unanswered
+from chicoryproxy.processes.processstate import EntryState, ViewState
+from chicoryproxy.telemetry.metrics import Metric
 
 ALL = "all"
 NO_ANSWER = "no answer"
--- a/src/chicoryproxy/commands/demo.py
+++ b/src/chicoryproxy/commands/demo.py
@@ -19,11 +19,12 @@
 from rich.console import Console
 from rich.table import Table
 
-from chicoryproxy.caller_standin import CallerFlow, FlowEnd
-from chicoryproxy.demo_fleet import DOMAINS, TARGET, DemoFleet
+from chicoryproxy.commands.demo_fleet import DOMAINS, TARGET, DemoFleet
+from chicoryproxy.configuration.logformat import LogFormat
 from chicoryproxy.ids import UpstreamId, Version
-from chicoryproxy.logs import LogFormat, configure_logs
-from chicoryproxy.segment import Peer
+from chicoryproxy.network.segment import Peer
+from chicoryproxy.telemetry.logs import configure_logs
+from chicoryproxy.testing.caller_standin import CallerFlow, FlowEnd
 
 UPSTREAMS = 7
 INSTANCES = 6
--- a/src/chicoryproxy/commands/demo_fleet.py
+++ b/src/chicoryproxy/commands/demo_fleet.py
@@ -1,18 +1,16 @@
 """The fleet of the demo: real cores and drivers around stand-ins, all on one loop."""
 
 import asyncio
+import socket
 import time
 from collections.abc import Sequence
 
 import msgspec
 
-from chicoryproxy.caller_standin import CallerStandIn
-from chicoryproxy.control import create_control_core
-from chicoryproxy.entrydriver import REPORT_INTERVAL_S, EntryDriver
-from chicoryproxy.entrydriver import TICK_S as ENTRY_TICK_S
-from chicoryproxy.fabric_standin import FabricStandIn
+from chicoryproxy.configuration.settings import Settings
+from chicoryproxy.control.core import create_control_core
+from chicoryproxy.errors import ChicoryError
 from chicoryproxy.ids import DomainId, InstanceId, RegionId, ServiceId, UpstreamId, Version
-from chicoryproxy.metrics import Metric, Metrics
 from chicoryproxy.model import (
     Configuration,
     Domain,
@@ -23,26 +21,33 @@
     Upstream,
     WarmUp,
 )
-from chicoryproxy.platform_standin import PlatformStandIn
-from chicoryproxy.probe import HealthAnswer
-from chicoryproxy.router import create_packet_core
-from chicoryproxy.seal import Channel, create_seal
-from chicoryproxy.segment import Peer
-from chicoryproxy.settings import Settings
+from chicoryproxy.network.seal import Channel, create_seal
+from chicoryproxy.network.segment import Peer
+from chicoryproxy.network.transport import PeerTransport, Receive
+from chicoryproxy.processes.entrydriver import REPORT_INTERVAL_S, EntryDriver
+from chicoryproxy.processes.entrydriver import TICK_S as ENTRY_TICK_S
+from chicoryproxy.processes.probe import HealthAnswer
+from chicoryproxy.processes.supervisor import Child, Supervisor
+from chicoryproxy.processes.ticker import Ticker
+from chicoryproxy.processes.viewdriver import TICK_S as VIEW_TICK_S
+from chicoryproxy.processes.viewdriver import ViewDriver
+from chicoryproxy.routing.router import create_packet_core
 from chicoryproxy.states import DomainState, Protocol, UpstreamState
-from chicoryproxy.supervisor import Child, Supervisor
-from chicoryproxy.ticker import Ticker
-from chicoryproxy.transport import PeerTransport, Receive
-from chicoryproxy.upstream_standin import UpstreamStandIn
-from chicoryproxy.viewdriver import TICK_S as VIEW_TICK_S
-from chicoryproxy.viewdriver import ViewDriver
+from chicoryproxy.telemetry.metrics import Metric, Metrics
+from chicoryproxy.testing.caller_standin import CallerStandIn
+from chicoryproxy.testing.fabric_standin import FabricStandIn
+from chicoryproxy.testing.platform_standin import PlatformStandIn
+from chicoryproxy.testing.upstream_standin import UpstreamStandIn
 
 REGION = RegionId("klang-valley")
 DOMAINS = tuple(DomainId(name) for name in ("shah-alam", "cyberjaya", "port-klang"))
 SERVICE = ServiceId("qa-desk")
 TARGET = Peer("10.1.0.1", 443)
 KEY = b"the key of the demo's instances."
-HOST = "127.77.0.1"
+HOSTS = tuple(f"127.77.0.{number}" for number in range(1, 65))
+"""Loopback addresses, one for each demo that runs at the same time."""
+
+LOCK_PORT = 8999
 FIRST_PORT = 9000
 PORTS_PER_INSTANCE = 5
 WARM_UP = WarmUp(cold_openings=20.0, full_openings=500.0, duration_s=3.0)
@@ -51,6 +56,22 @@
 DRAIN_TIMEOUT_S = 15.0
 
 
+def reserve_host() -> socket.socket:
+    """Bind a socket to the first loopback address that no other demo uses.
+
+    :raises ChicoryError: if all are in use.
+    """
+    for host in HOSTS:
+        lock = socket.socket()
+        try:
+            lock.bind((host, LOCK_PORT))
+        except OSError:
+            lock.close()
+            continue
+        return lock
+    raise ChicoryError(f"{len(HOSTS)} demos run at the same time; end one of them")
+
+
 class DemoInstance:
     """Both processes' drivers of one instance, supervised on the demo's loop."""
 
@@ -133,6 +154,8 @@
     """
 
     def __init__(self, seed: int) -> None:
+        self._lock = reserve_host()
+        self._host: str = self._lock.getsockname()[0]
         self.platform = PlatformStandIn()
         self._ports = iter(range(FIRST_PORT, FIRST_PORT + 1000))
         self.fabric = FabricStandIn(self._pick(), self._deliver, seed)
@@ -167,6 +190,7 @@
         for task in self._tasks:
             task.cancel()
         await self.platform.stop()
+        self._lock.close()
 
     def add_instance(self) -> DemoInstance:
         """Start another instance; the list has it with the next publication."""
@@ -245,4 +269,4 @@
         self.callers.receive(packet)
 
     def _pick(self) -> Endpoint:
-        return Endpoint(HOST, next(self._ports))
+        return Endpoint(self._host, next(self._ports))
--- a/src/chicoryproxy/commands/explanationtext.py
+++ b/src/chicoryproxy/commands/explanationtext.py
@@ -1,6 +1,6 @@
 """Explanations in words."""
 
-from chicoryproxy.explanation import (
+from chicoryproxy.routing.explanation import (
     ConditionStep,
     Explanation,
     GenerationStep,
--- a/src/chicoryproxy/commands/load.py
+++ b/src/chicoryproxy/commands/load.py
@@ -13,12 +13,12 @@
 import msgspec
 
 from chicoryproxy.address import AddressFault, parse_endpoint
+from chicoryproxy.commands.loadplot import draw_load
+from chicoryproxy.commands.loadrecord import LoadRecord, LoadSummary
+from chicoryproxy.commands.loadrun import LoadPlan, list_plan_faults, run_load
+from chicoryproxy.configuration.options import VERSION
 from chicoryproxy.errors import ChicoryError
-from chicoryproxy.loadplot import draw_load
-from chicoryproxy.loadrecord import LoadRecord, LoadSummary
-from chicoryproxy.loadrun import LoadPlan, list_plan_faults, run_load
 from chicoryproxy.model import Endpoint
-from chicoryproxy.options import VERSION
 
 HISTOGRAM_NAME = "latency.hgrm"
 SUMMARY_NAME = "summary.json"
--- a/src/chicoryproxy/commands/loadplot.py
+++ b/src/chicoryproxy/commands/loadplot.py
@@ -7,8 +7,8 @@
 from matplotlib.backends.backend_agg import FigureCanvasAgg
 from matplotlib.figure import Figure
 
+from chicoryproxy.commands.loadrecord import Interval, measure_imbalance
 from chicoryproxy.ids import UpstreamId
-from chicoryproxy.loadrecord import Interval, measure_imbalance
 
 WIDTH_IN = 10.0
 HEIGHT_IN = 11.0
--- a/src/chicoryproxy/commands/loadrecord.py
+++ b/src/chicoryproxy/commands/loadrecord.py
@@ -7,8 +7,8 @@
 from hdrh.histogram import HdrHistogram
 from msgspec import Struct
 
-from chicoryproxy.caller_standin import FlowEnd
 from chicoryproxy.ids import UpstreamId
+from chicoryproxy.testing.caller_standin import FlowEnd
 
 LOWEST_US = 1
 HIGHEST_US = 60_000_000
--- a/src/chicoryproxy/commands/loadrun.py
+++ b/src/chicoryproxy/commands/loadrun.py
@@ -8,13 +8,13 @@
 import aiomisc
 from msgspec import Struct
 
-from chicoryproxy.caller_standin import CallerFlow, CallerStandIn, FlowEnd
+from chicoryproxy.commands.loadrecord import LoadRecord
 from chicoryproxy.draws import Draws
-from chicoryproxy.fabric_standin import FabricStandIn
-from chicoryproxy.loadrecord import LoadRecord
 from chicoryproxy.model import Endpoint
-from chicoryproxy.segment import Peer
-from chicoryproxy.ticker import Ticker
+from chicoryproxy.network.segment import Peer
+from chicoryproxy.processes.ticker import Ticker
+from chicoryproxy.testing.caller_standin import CallerFlow, CallerStandIn, FlowEnd
+from chicoryproxy.testing.fabric_standin import FabricStandIn
 
 RESEND_CHECK_S = 0.05
 FIRST_PORT = 1024
--- /dev/null
+++ b/src/chicoryproxy/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""Configuration and settings: files, layers, exceptions, checks, published values."""
--- a/src/chicoryproxy/configuration/assembly.py
+++ b/src/chicoryproxy/configuration/assembly.py
@@ -8,9 +8,7 @@
 from msgspec import Struct
 
 from chicoryproxy.address import MAX_PORT
-from chicoryproxy.ids import NO_VERSION, DomainId, ServiceId, UpstreamId, Version
-from chicoryproxy.model import Configuration, Endpoint, Service, ServiceAddress, Upstream
-from chicoryproxy.published import (
+from chicoryproxy.configuration.published import (
     INDEX_NAME,
     FaultReason,
     Group,
@@ -24,6 +22,8 @@
     compute_digest,
     decode_index,
 )
+from chicoryproxy.ids import NO_VERSION, DomainId, ServiceId, UpstreamId, Version
+from chicoryproxy.model import Configuration, Endpoint, Service, ServiceAddress, Upstream
 
 
 def assemble(index: Index, parts: Mapping[str, bytes]) -> Configuration | PublishedFault:
--- a/src/chicoryproxy/configuration/configuration.py
+++ b/src/chicoryproxy/configuration/configuration.py
@@ -6,15 +6,12 @@
 
 from msgspec import UNSET, Struct
 
-from chicoryproxy.conversion import convert_document
-from chicoryproxy.document import Document, DocumentFault, Path
-from chicoryproxy.errors import ConfigurationError
-from chicoryproxy.exceptions import ExceptionIndex, Target
-from chicoryproxy.files import load_document
-from chicoryproxy.finding import FindingList
-from chicoryproxy.ids import DomainId, InstanceId, RegionId, ServiceId, UpstreamId, Version
-from chicoryproxy.inventory import Inventory, check_inventory
-from chicoryproxy.layers import (
+from chicoryproxy.configuration.conversion import convert_document
+from chicoryproxy.configuration.document import Document, DocumentFault, Path
+from chicoryproxy.configuration.exceptions import ExceptionIndex, Target
+from chicoryproxy.configuration.files import load_document
+from chicoryproxy.configuration.inventory import Inventory, check_inventory
+from chicoryproxy.configuration.layers import (
     Layer,
     LayeredValue,
     LayeredValues,
@@ -24,6 +21,14 @@
     list_keys,
     list_values,
 )
+from chicoryproxy.configuration.schema import (
+    WrittenConfiguration,
+    WrittenService,
+    WrittenUpstream,
+)
+from chicoryproxy.errors import ConfigurationError
+from chicoryproxy.finding import FindingList
+from chicoryproxy.ids import DomainId, InstanceId, RegionId, ServiceId, UpstreamId, Version
 from chicoryproxy.model import (
     Capacity,
     Configuration,
@@ -36,11 +41,6 @@
     Upstream,
     WarmUp,
 )
-from chicoryproxy.schema import (
-    WrittenConfiguration,
-    WrittenService,
-    WrittenUpstream,
-)
 
 _MISSING_ENDPOINT = Endpoint("0.0.0.0", 0)
 
--- a/src/chicoryproxy/configuration/conversion.py
+++ b/src/chicoryproxy/configuration/conversion.py
@@ -14,7 +14,7 @@
 import msgspec
 from msgspec import UNSET, Meta, Struct, UnsetType
 
-from chicoryproxy.document import Data, Document, Path
+from chicoryproxy.configuration.document import Data, Document, Path
 from chicoryproxy.finding import FindingList
 
 S = TypeVar("S", bound=Struct)
--- a/src/chicoryproxy/configuration/exceptions.py
+++ b/src/chicoryproxy/configuration/exceptions.py
@@ -6,10 +6,9 @@
 
 from msgspec import UNSET, Struct
 
-from chicoryproxy.conversion import suggest_name
-from chicoryproxy.document import Document, Path
-from chicoryproxy.finding import FindingList
-from chicoryproxy.layers import (
+from chicoryproxy.configuration.conversion import suggest_name
+from chicoryproxy.configuration.document import Document, Path
+from chicoryproxy.configuration.layers import (
     KEYS,
     Layer,
     LayeredValue,
@@ -18,7 +17,8 @@
     Level,
     list_values,
 )
-from chicoryproxy.schema import Cover, WrittenConfiguration, WrittenException
+from chicoryproxy.configuration.schema import Cover, WrittenConfiguration, WrittenException
+from chicoryproxy.finding import FindingList
 
 COVER_KEYS: Mapping[Level, str] = {
     Level.INSTANCE: "`instance` alone",
--- a/src/chicoryproxy/configuration/files.py
+++ b/src/chicoryproxy/configuration/files.py
@@ -2,10 +2,10 @@
 
 from pathlib import Path as FilePath
 
-from chicoryproxy.document import Data, Document, DocumentFault, Path
+from chicoryproxy.configuration.document import Data, Document, DocumentFault, Path
+from chicoryproxy.configuration.jsonreader import read_json
+from chicoryproxy.configuration.yamlreader import read_yaml
 from chicoryproxy.finding import FindingList, Place
-from chicoryproxy.jsonreader import read_json
-from chicoryproxy.yamlreader import read_yaml
 
 JSON_SUFFIX = ".json"
 SUFFIXES = (".yaml", ".yml", JSON_SUFFIX)
--- a/src/chicoryproxy/configuration/folder.py
+++ b/src/chicoryproxy/configuration/folder.py
@@ -10,8 +10,14 @@
 
 from msgspec import Struct
 
+from chicoryproxy.configuration.published import (
+    INDEX_NAME,
+    Index,
+    Publication,
+    PublishedFault,
+    decode_index,
+)
 from chicoryproxy.ids import NO_VERSION, Version
-from chicoryproxy.published import INDEX_NAME, Index, Publication, PublishedFault, decode_index
 
 
 @unique
--- a/src/chicoryproxy/configuration/inventory.py
+++ b/src/chicoryproxy/configuration/inventory.py
@@ -6,12 +6,12 @@
 from msgspec import UNSET, Struct
 
 from chicoryproxy.address import AddressFault, is_http_url, is_unicast, parse_endpoint
-from chicoryproxy.conversion import suggest_name
-from chicoryproxy.document import Document, Path
+from chicoryproxy.configuration.conversion import suggest_name
+from chicoryproxy.configuration.document import Document, Path
+from chicoryproxy.configuration.schema import WrittenConfiguration, WrittenProtocol, WrittenService
 from chicoryproxy.finding import FindingList
 from chicoryproxy.ids import ServiceId, UpstreamId
 from chicoryproxy.model import Endpoint, ServiceAddress
-from chicoryproxy.schema import WrittenConfiguration, WrittenProtocol, WrittenService
 from chicoryproxy.states import Protocol
 
 T = TypeVar("T")
--- a/src/chicoryproxy/configuration/jsonreader.py
+++ b/src/chicoryproxy/configuration/jsonreader.py
@@ -8,7 +8,7 @@
 from collections.abc import Iterator
 from math import isfinite
 
-from chicoryproxy.document import Data, Document, DocumentFault, Path
+from chicoryproxy.configuration.document import Data, Document, DocumentFault, Path
 from chicoryproxy.finding import FindingList, Place
 
 
--- a/src/chicoryproxy/configuration/keytable.py
+++ b/src/chicoryproxy/configuration/keytable.py
@@ -7,8 +7,13 @@
 import msgspec
 from msgspec import UNSET, Struct
 
-from chicoryproxy.conversion import describe_type, get_hints, get_notes, strip_optional
-from chicoryproxy.layers import KEYS, format_value
+from chicoryproxy.configuration.conversion import (
+    describe_type,
+    get_hints,
+    get_notes,
+    strip_optional,
+)
+from chicoryproxy.configuration.layers import KEYS, format_value
 
 
 class KeyRow(Struct, frozen=True):
--- a/src/chicoryproxy/configuration/layers.py
+++ b/src/chicoryproxy/configuration/layers.py
@@ -7,11 +7,11 @@
 import msgspec
 from msgspec import UNSET, Struct
 
-from chicoryproxy.conversion import get_hints, strip_optional
+from chicoryproxy.configuration.conversion import get_hints, strip_optional
+from chicoryproxy.configuration.notation import parse_value
+from chicoryproxy.configuration.quantity import format_duration, format_size
 from chicoryproxy.finding import Place
 from chicoryproxy.model import Capacity, FleetLimits, FlowLimits, WarmUp
-from chicoryproxy.notation import parse_value
-from chicoryproxy.quantity import format_duration, format_size
 from chicoryproxy.states import DomainState, ReturnPath
 
 
--- a/src/chicoryproxy/configuration/notation.py
+++ b/src/chicoryproxy/configuration/notation.py
@@ -4,8 +4,8 @@
 
 from msgspec import Meta
 
-from chicoryproxy.conversion import get_notes
-from chicoryproxy.quantity import (
+from chicoryproxy.configuration.conversion import get_notes
+from chicoryproxy.configuration.quantity import (
     DURATION_PATTERN,
     PERCENT_PATTERN,
     SIZE_PATTERN,
--- a/src/chicoryproxy/configuration/options.py
+++ b/src/chicoryproxy/configuration/options.py
@@ -7,8 +7,8 @@
 
 import cappa
 
+from chicoryproxy.configuration.settings import Settings, load_settings
 from chicoryproxy.errors import SettingsError
-from chicoryproxy.settings import Settings, load_settings
 
 VERSION = "0.1.0"
 
--- a/src/chicoryproxy/configuration/schema.py
+++ b/src/chicoryproxy/configuration/schema.py
@@ -12,7 +12,7 @@
 
 from msgspec import UNSET, Meta, Struct, UnsetType
 
-from chicoryproxy.notation import (
+from chicoryproxy.configuration.notation import (
     Count,
     DurationText,
     EndpointText,
--- a/src/chicoryproxy/configuration/settings.py
+++ b/src/chicoryproxy/configuration/settings.py
@@ -6,35 +6,32 @@
 """
 
 from collections.abc import Mapping
-from enum import Enum, unique
 from typing import Annotated
 
 from msgspec import Meta, Struct, structs
 
 from chicoryproxy.address import AddressFault, is_http_url, parse_endpoint
-from chicoryproxy.conversion import convert_document, get_hints, strip_optional, suggest_name
-from chicoryproxy.document import Data, Document, DocumentFault, Path
+from chicoryproxy.configuration.conversion import (
+    convert_document,
+    get_hints,
+    strip_optional,
+    suggest_name,
+)
+from chicoryproxy.configuration.document import Data, Document, DocumentFault, Path
+from chicoryproxy.configuration.files import load_document
+from chicoryproxy.configuration.logformat import LogFormat
+from chicoryproxy.configuration.notation import Count, DurationText, EndpointText, Name, UrlText
+from chicoryproxy.configuration.quantity import QuantityFault, parse_duration
 from chicoryproxy.errors import SettingsError
-from chicoryproxy.files import load_document
 from chicoryproxy.finding import FindingList, Place
 from chicoryproxy.ids import DomainId, InstanceId, RegionId
 from chicoryproxy.model import Endpoint
-from chicoryproxy.notation import Count, DurationText, EndpointText, Name, UrlText
-from chicoryproxy.quantity import QuantityFault, parse_duration
 
 ENVIRONMENT_PREFIX = "CHICORY_"
 
 _MISSING_ENDPOINT = Endpoint("0.0.0.0", 0)
 
 
-@unique
-class LogFormat(Enum):
-    """How log lines are written."""
-
-    JSON = "json"
-    HUMAN = "human"
-
-
 class WrittenSettings(Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
     """The settings as an operator writes them; each key's notes are its documentation."""
 
@@ -74,7 +71,10 @@
         EndpointText | None,
         Meta(description="where metrics are sent (UDP); without it there are none"),
     ] = None
-    log_format: Annotated[LogFormat, Meta(description="how log lines are written")] = LogFormat.JSON
+    log_format: Annotated[
+        LogFormat,
+        Meta(description="form of log lines; `auto` is `human` on a terminal and `json` elsewhere"),
+    ] = LogFormat.AUTO
     log_sample: Annotated[
         Count,
         Meta(description="log one in so many repeated equal decisions"),
@@ -97,7 +97,7 @@
     :param key_file: empty if there is no key.
     :param previous_key_file: empty if no key is being rotated.
     :param statsd: ``None`` if no metrics are sent.
-    :param log_format: ``json`` or ``human``.
+    :param log_format: form of the log lines.
     :param log_sample: one in so many repeated equal decisions is logged.
     :param drain_timeout_s: longest time that a graceful stop waits, in seconds.
     """
@@ -115,7 +115,7 @@
     key_file: str = ""
     previous_key_file: str = ""
     statsd: Endpoint | None = None
-    log_format: str = LogFormat.JSON.value
+    log_format: LogFormat = LogFormat.AUTO
     log_sample: int = 1
     drain_timeout_s: float = 30.0
 
@@ -239,7 +239,7 @@
             key_file=written.key_file,
             previous_key_file=written.previous_key_file,
             statsd=self._check_endpoint("statsd", written.statsd) if written.statsd else None,
-            log_format=written.log_format.value,
+            log_format=written.log_format,
             log_sample=written.log_sample,
             drain_timeout_s=drain_timeout_s,
         )
--- a/src/chicoryproxy/configuration/splitter.py
+++ b/src/chicoryproxy/configuration/splitter.py
@@ -7,9 +7,7 @@
 import msgspec
 import xxhash
 
-from chicoryproxy.ids import DomainId
-from chicoryproxy.model import Configuration, Service, Upstream
-from chicoryproxy.published import (
+from chicoryproxy.configuration.published import (
     FORMAT,
     INDEX_NAME,
     MAX_VALUE_BYTES,
@@ -27,6 +25,8 @@
     UpstreamPart,
     compute_digest,
 )
+from chicoryproxy.ids import DomainId
+from chicoryproxy.model import Configuration, Service, Upstream
 
 UPSTREAMS_PER_GROUP = 3000
 SERVICES_PER_GROUP = 1000
--- a/src/chicoryproxy/configuration/yamlreader.py
+++ b/src/chicoryproxy/configuration/yamlreader.py
@@ -7,7 +7,7 @@
 from ruamel.yaml.error import MarkedYAMLError, YAMLError
 from ruamel.yaml.nodes import MappingNode, Node, ScalarNode, SequenceNode
 
-from chicoryproxy.document import Data, Document, DocumentFault, Path
+from chicoryproxy.configuration.document import Data, Document, DocumentFault, Path
 from chicoryproxy.finding import FindingList, Place
 
 MAX_DEPTH = 32
--- a/src/chicoryproxy/control/catchup.py
+++ b/src/chicoryproxy/control/catchup.py
@@ -6,12 +6,12 @@
 
 from enum import Enum, unique
 
+from chicoryproxy.control.membership import Membership
+from chicoryproxy.control.outbox import Outbox
+from chicoryproxy.control.versions import VersionStore
 from chicoryproxy.ids import NO_VERSION, InstanceId, Version
-from chicoryproxy.membership import Membership
-from chicoryproxy.messages import VersionBody
 from chicoryproxy.model import Configuration
-from chicoryproxy.outbox import Outbox
-from chicoryproxy.versions import VersionStore
+from chicoryproxy.protocol.messages import VersionBody
 
 PEERS_ASKED = 3
 JOIN_S = 2.0
--- a/src/chicoryproxy/control/conditions.py
+++ b/src/chicoryproxy/control/conditions.py
@@ -9,11 +9,11 @@
 
 import msgspec
 
+from chicoryproxy.control.outbox import Outbox
+from chicoryproxy.control.versions import VersionChange, list_domains_in
 from chicoryproxy.ids import NO_VERSION, DomainId, UpstreamId
 from chicoryproxy.model import Configuration, Upstream, UpstreamCondition
-from chicoryproxy.outbox import Outbox
 from chicoryproxy.states import UpstreamState
-from chicoryproxy.versions import VersionChange, list_domains_in
 
 EPOCHS_PER_VERSION = 1 << 20
 """Changes that owners may make under one version."""
--- a/src/chicoryproxy/control/core.py
+++ b/src/chicoryproxy/control/core.py
@@ -6,22 +6,30 @@
 
 from msgspec import Struct
 
-from chicoryproxy.actions import ControlAction
-from chicoryproxy.budget import BudgetCount, ControlBudget
-from chicoryproxy.catchup import CatchUp, CatchUpState
-from chicoryproxy.conditions import ConditionStore
-from chicoryproxy.events import (
+from chicoryproxy.control.catchup import CatchUp, CatchUpState
+from chicoryproxy.control.conditions import ConditionStore
+from chicoryproxy.control.exchange import VersionExchange
+from chicoryproxy.control.health import UpstreamEvidence, create_health_book
+from chicoryproxy.control.leaving import Leaving
+from chicoryproxy.control.membership import Membership
+from chicoryproxy.control.outbox import Outbox
+from chicoryproxy.control.owners import OwnerMap
+from chicoryproxy.control.reach import DomainReach, find_silent_domains
+from chicoryproxy.control.readers import ReaderDuty, WatchState
+from chicoryproxy.control.staleness import Staleness
+from chicoryproxy.control.versions import VersionStore
+from chicoryproxy.control.viewing import ViewBuilder
+from chicoryproxy.ids import NO_VERSION, DomainId, InstanceId, Version
+from chicoryproxy.model import Configuration, FleetLimits, Instance, Upstream, UpstreamCondition
+from chicoryproxy.protocol.actions import ControlAction
+from chicoryproxy.protocol.budget import BudgetCount, ControlBudget
+from chicoryproxy.protocol.events import (
     ConfigurationRead,
     HealthReading,
     InstancesRead,
     PlatformUnread,
 )
-from chicoryproxy.exchange import VersionExchange
-from chicoryproxy.health import UpstreamEvidence, create_health_book
-from chicoryproxy.ids import NO_VERSION, DomainId, InstanceId, Version
-from chicoryproxy.leaving import Leaving
-from chicoryproxy.membership import Membership
-from chicoryproxy.messages import (
+from chicoryproxy.protocol.messages import (
     Ack,
     EntryReport,
     Gossip,
@@ -32,14 +40,6 @@
     VersionFetch,
     ViewMessage,
 )
-from chicoryproxy.model import Configuration, FleetLimits, Instance, Upstream, UpstreamCondition
-from chicoryproxy.outbox import Outbox
-from chicoryproxy.owners import OwnerMap
-from chicoryproxy.reach import DomainReach, find_silent_domains
-from chicoryproxy.readers import ReaderDuty, WatchState
-from chicoryproxy.staleness import Staleness
-from chicoryproxy.versions import VersionStore
-from chicoryproxy.viewing import ViewBuilder
 
 VIEW_SHARE = 0.5
 """Part of an instance's control budget that its view may use; the rest is the entry's."""
--- a/src/chicoryproxy/control/exchange.py
+++ b/src/chicoryproxy/control/exchange.py
@@ -5,16 +5,16 @@
 
 from collections.abc import Collection
 
-from chicoryproxy.catchup import CatchUp, CatchUpState
-from chicoryproxy.conditions import ConditionStore
+from chicoryproxy.control.catchup import CatchUp, CatchUpState
+from chicoryproxy.control.conditions import ConditionStore
+from chicoryproxy.control.membership import Heal, Membership
+from chicoryproxy.control.outbox import Outbox
+from chicoryproxy.control.readers import NOTIFY_ALL_UP_TO, NOTIFY_FAN_OUT
+from chicoryproxy.control.versions import EMPTY_CONFIGURATION, VersionStore
 from chicoryproxy.ids import NO_VERSION, InstanceId, Version
-from chicoryproxy.membership import Heal, Membership
-from chicoryproxy.messages import VersionBody
 from chicoryproxy.model import Configuration, Instance
-from chicoryproxy.outbox import Outbox
-from chicoryproxy.readers import NOTIFY_ALL_UP_TO, NOTIFY_FAN_OUT
-from chicoryproxy.sizes import estimate_message
-from chicoryproxy.versions import EMPTY_CONFIGURATION, VersionStore
+from chicoryproxy.protocol.messages import VersionBody
+from chicoryproxy.protocol.sizes import estimate_message
 
 RECENT_VERSIONS = 64
 HEAL_FETCH_S = 2.0
--- a/src/chicoryproxy/control/health.py
+++ b/src/chicoryproxy/control/health.py
@@ -9,15 +9,15 @@
 
 from msgspec import Struct
 
-from chicoryproxy.actions import ReadHealth
-from chicoryproxy.conditions import ConditionStore
+from chicoryproxy.control.conditions import ConditionStore
+from chicoryproxy.control.outbox import Outbox
+from chicoryproxy.control.signals import LOAD_SIGNAL, OutcomeWindow, Verdict, create_signals
 from chicoryproxy.draws import Draws
-from chicoryproxy.events import HealthReading
 from chicoryproxy.ids import UpstreamId
-from chicoryproxy.messages import EntryReport, OpeningOutcomes
 from chicoryproxy.model import Upstream, UpstreamCondition
-from chicoryproxy.outbox import Outbox
-from chicoryproxy.signals import LOAD_SIGNAL, OutcomeWindow, Verdict, create_signals
+from chicoryproxy.protocol.actions import ReadHealth
+from chicoryproxy.protocol.events import HealthReading
+from chicoryproxy.protocol.messages import EntryReport, OpeningOutcomes
 from chicoryproxy.states import UpstreamState
 
 READ_INTERVAL_S = 1.0
--- a/src/chicoryproxy/control/leaving.py
+++ b/src/chicoryproxy/control/leaving.py
@@ -2,10 +2,10 @@
 
 from collections.abc import Iterable
 
+from chicoryproxy.control.membership import Membership
+from chicoryproxy.control.outbox import Outbox
 from chicoryproxy.ids import InstanceId
-from chicoryproxy.membership import Membership
 from chicoryproxy.model import Instance
-from chicoryproxy.outbox import Outbox
 
 LEAVING_TIMEOUT_S = 10.0
 """Longest time that a leaving instance waits for its peers and for the published list."""
--- a/src/chicoryproxy/control/membership.py
+++ b/src/chicoryproxy/control/membership.py
@@ -11,31 +11,27 @@
 import msgspec
 from msgspec import Struct
 
+from chicoryproxy.control.outbox import Outbox
+from chicoryproxy.control.probing import ProbeOrder, Relay, RelayTable
+from chicoryproxy.control.roster import SILENT_STATES, PeerRecord, Roster
+from chicoryproxy.control.spread import count_doublings
 from chicoryproxy.draws import Draws
 from chicoryproxy.ids import DomainId, Incarnation, InstanceId
-from chicoryproxy.messages import Member, MemberUpdate
 from chicoryproxy.model import FleetLimits, Instance
-from chicoryproxy.outbox import Outbox
-from chicoryproxy.spread import count_doublings
+from chicoryproxy.protocol.messages import MemberUpdate
 from chicoryproxy.states import MemberState
 
 ACK_SHARE = 0.4
 """Part of the probe interval after which a probe without an answer is tried indirectly."""
 
 INDIRECT_PROBES = 3
-HIDDEN_EVERY = 4
-"""One of so many probes goes to a hidden instance; every second one while a partition heals."""
-
 HEALING_S = 10.0
 SMALL_GROUP = 16
 """Peers up to which every one of them may speak with the same instance at the same moment."""
 
 MAX_GONE = 8192
-MAX_RELAYS = 256
-MAX_RECENT = 32
 TOLD_PER_MESSAGE = 12
 TOLD_MESSAGES = 8
-MAX_URGENT = 64
 
 _RANKS = {
     MemberState.ALIVE: 0,
@@ -44,34 +40,6 @@
     MemberState.HIDDEN: 3,
     MemberState.GONE: 4,
 }
-_SILENT = frozenset((MemberState.SUSPECT, MemberState.HIDDEN))
-
-
-class PeerRecord:
-    """What this instance knows of a peer.
-
-    :ivar listed: false once a published list without it has been read.
-    :ivar leaving: it announced that it leaves.
-    :ivar proved: it was heard of as alive from another source than a list.
-    """
-
-    __slots__ = ("instance", "state", "incarnation", "listed", "leaving", "proved", "since")
-
-    def __init__(self, instance: Instance, now: float) -> None:
-        self.instance = instance
-        self.state = MemberState.ALIVE
-        self.incarnation = Incarnation(0)
-        self.listed = True
-        self.leaving = False
-        self.proved = False
-        self.since = now
-
-    @property
-    def shown_state(self) -> MemberState:
-        """The state with the announcements of the peer and of the list taken in."""
-        if self.state is MemberState.ALIVE and (self.leaving or self.instance.leaving):
-            return MemberState.LEAVING
-        return self.state
 
 
 class Heal(Struct, frozen=True):
@@ -86,118 +54,32 @@
     is_partition: bool
 
 
-class _Relay(Struct, frozen=True):
-    origin: InstanceId
-    number: int
-
-
-class Membership:
+class Membership(Roster):
     """The members of this instance's region and what is believed of each.
 
     :param instance: this instance.
     :param seed: seed of the probe order.
     :param outbox: takes messages and log lines.
-
-    ``revision`` rises with each change that ``build_members`` shows.
     """
 
     def __init__(self, instance: Instance, seed: int, outbox: Outbox) -> None:
-        self._own = instance
+        super().__init__(instance, Draws(seed, f"membership/{instance.id}"))
         self._outbox = outbox
-        self._draws = Draws(seed, f"membership/{instance.id}")
         self._limits = FleetLimits()
         self._incarnation = Incarnation(0)
-        self._leaving = False
-        self._peers: dict[InstanceId, PeerRecord] = {}
-        self._gone: dict[InstanceId, Incarnation] = {}
         self._suspected_at: dict[InstanceId, float] = {}
-        self._hidden: dict[InstanceId, None] = {}
-        self._urgent: dict[InstanceId, None] = {}
         self._domains_healed_at: dict[DomainId, float] = {}
-        self._order: list[InstanceId] = []
-        self._probes = 0
+        self._order = ProbeOrder(self._draws)
         self._number = 0
         self._next_probe_at = 0.0
         self._target: InstanceId | None = None
         self._target_number = 0
         self._indirect_at = 0.0
-        self._relays: dict[int, _Relay] = {}
+        self._relays = RelayTable()
         self._healed_at = -HEALING_S
-        self._reachable: list[InstanceId] | None = None
-        self._members: tuple[Member, ...] | None = None
         self._outbox.describe_target = self._describe_target
-        self.revision = 0
         self._heals: list[Heal] = []
 
-    # Reading the members.
-
-    def __len__(self) -> int:
-        """Return the number of members that are not gone, this instance included."""
-        return len(self._peers) + 1
-
-    @property
-    def own(self) -> Instance:
-        """This instance."""
-        return self._own
-
-    @property
-    def is_leaving(self) -> bool:
-        """True once this instance announced that it leaves."""
-        return self._leaving
-
-    def get_peer(self, instance: InstanceId) -> PeerRecord | None:
-        """Return the record of a peer, ``None`` for one that is gone or was never listed."""
-        return self._peers.get(instance)
-
-    def is_gone(self, instance: InstanceId) -> bool:
-        """Return whether an instance was a member and is gone."""
-        return instance in self._gone
-
-    def build_members(self) -> tuple[Member, ...]:
-        """Return this instance and every peer that is not gone, in the order of their ids."""
-        if self._members is None:
-            own = MemberState.LEAVING if self._leaving else MemberState.ALIVE
-            members = [Member(self._own, own)]
-            members.extend(Member(peer.instance, peer.shown_state) for peer in self._peers.values())
-            self._members = tuple(sorted(members, key=lambda member: member.instance.id))
-        return self._members
-
-    def list_alive(self, domain: DomainId | None = None) -> list[Instance]:
-        """Return the members that are alive, this instance included, in the order of their ids.
-
-        :param domain: only those of this failure domain.
-        """
-        return [
-            member.instance
-            for member in self.build_members()
-            if member.state is MemberState.ALIVE and domain in (None, member.instance.domain)
-        ]
-
-    def list_reachable(self) -> Sequence[InstanceId]:
-        """Return the peers that answer, leaving ones included."""
-        if self._reachable is None:
-            self._reachable = sorted(
-                id_ for id_, peer in self._peers.items() if peer.state not in _SILENT
-            )
-        return self._reachable
-
-    def draw_reachable(self, count: int) -> list[InstanceId]:
-        """Return up to ``count`` pseudo-random peers that answer."""
-        return self.draw_from(self.list_reachable(), count)
-
-    def draw_from(self, instances: Sequence[InstanceId], count: int) -> list[InstanceId]:
-        """Return up to ``count`` pseudo-random instances out of the given ones."""
-        return self._draws.draw_sample(instances, count)
-
-    def list_instances(self) -> tuple[Instance, ...]:
-        """Return this instance and every peer that is not gone."""
-        return (self._own, *(peer.instance for peer in self._peers.values()))
-
-    def list_recent(self) -> tuple[Instance, ...]:
-        """Return the instances that became known last, which peers may lack."""
-        recent = list(self._peers.values())[-MAX_RECENT:]
-        return (self._own, *(peer.instance for peer in recent))
-
     # Learning.
 
     def configure(self, limits: FleetLimits) -> None:
@@ -258,15 +140,13 @@
         """Probe a peer on another's behalf."""
         if subject not in self._peers:
             return
-        if len(self._relays) >= MAX_RELAYS:
-            del self._relays[next(iter(self._relays))]
         own_number = self.next_number()
-        self._relays[own_number] = _Relay(sender, number)
+        self._relays.put(own_number, Relay(sender, number))
         self._outbox.send_ping(subject, own_number)
 
     def receive_ack(self, sender: InstanceId, number: int, subject: InstanceId, now: float) -> None:
         """Note that a peer proved alive."""
-        relay = self._relays.pop(number, None)
+        relay = self._relays.take(number)
         if relay is not None:
             self._outbox.send_ack(relay.origin, relay.number, subject)
         if number == self._target_number and subject == self._target:
@@ -310,7 +190,7 @@
 
     def tell_silent(self, target: InstanceId) -> None:
         """Tell a joiner which members don't answer; it would take them for alive."""
-        self._tell(target, [peer for peer in self._peers.values() if peer.state in _SILENT])
+        self._tell(target, [peer for peer in self._peers.values() if peer.state in SILENT_STATES])
 
     def tell_domain(self, target: InstanceId, now: float) -> None:
         """Tell a peer which members of this instance's domain answer, while a partition heals."""
@@ -371,16 +251,10 @@
             self._target_number = self.send_probe(self._target)
 
     def _choose_target(self, now: float) -> InstanceId | None:
-        self._probes += 1
-        every = 2 if now - self._healed_at < HEALING_S else HIDDEN_EVERY
-        if self._hidden and (self._probes % every == 0 or not self.list_reachable()):
-            return self._choose_hidden()
-        return self._choose_next()
-
-    def _choose_hidden(self) -> InstanceId:
-        target = next(iter(self._hidden))
-        del self._hidden[target]
-        self._hidden[target] = None
+        is_healing = now - self._healed_at < HEALING_S
+        if not self._order.is_turn_of_hidden(is_healing, bool(self.list_reachable())):
+            return self._order.take_next(self._peers)
+        target = self._order.take_hidden()
         self._ask_about(self._peers[target])
         return target
 
@@ -390,22 +264,8 @@
         for target in self.draw_reachable(1):
             self._outbox.send_members(target, self.next_number(), (hidden,))
 
-    def _choose_next(self) -> InstanceId | None:
-        while self._urgent:
-            urgent = next(iter(self._urgent))
-            del self._urgent[urgent]
-            if urgent in self._peers:
-                return urgent
-        for _ in range(2):
-            while self._order:
-                target = self._order.pop()
-                if target in self._peers and target not in self._hidden:
-                    return target
-            self._order = self._draws.draw_sample(list(self._peers), len(self._peers))
-        return None
-
     def _probe_indirectly(self, target: InstanceId) -> None:
-        if target in self._hidden:
+        if target in self._order.hidden:
             return
         helpers = [id_ for id_ in self.draw_reachable(INDIRECT_PROBES + 1) if id_ != target]
         for helper in helpers[:INDIRECT_PROBES]:
@@ -422,10 +282,7 @@
         if instance.id in self._gone:
             return False
         self._peers[instance.id] = PeerRecord(instance, now)
-        self._order.insert(
-            self._draws.draw_index(len(self._order) + 1),
-            instance.id,
-        )
+        self._order.add(instance.id)
         self._outbox.log("member", "listed", instance.id)
         self._mark_changed()
         return True
@@ -448,7 +305,7 @@
         incarnation = self._gone.get(update.instance)
         if incarnation is None:
             return True
-        if update.state not in _SILENT and update.incarnation > incarnation:
+        if update.state not in SILENT_STATES and update.incarnation > incarnation:
             # It refuted its removal, so it was only cut off while the list lacked it.
             del self._gone[update.instance]
             return True
@@ -489,13 +346,13 @@
 
     def _receive_hidden(self, peer: PeerRecord, update: MemberUpdate, now: float) -> None:
         """Check a peer that is hidden from the teller, maybe by a partition from it alone."""
-        if peer.state in _SILENT or update.incarnation < peer.incarnation:
+        if peer.state in SILENT_STATES or update.incarnation < peer.incarnation:
             return
         if not peer.proved:
             peer.incarnation = update.incarnation
             self._suspect(peer, False, now)
-        elif len(self._urgent) < MAX_URGENT:
-            self._urgent[peer.instance.id] = None
+        else:
+            self._order.put_first(peer.instance.id)
 
     def _is_witnessed(
         self, sender: InstanceId, peer: PeerRecord, update: MemberUpdate, now: float
@@ -534,13 +391,13 @@
         if peer.state is MemberState.HIDDEN:
             self._healed_at = now
             self._domains_healed_at[peer.instance.domain] = now
-            self._heals.append(Heal(instance, peer.since, len(self._hidden) > 1))
+            self._heals.append(Heal(instance, peer.since, len(self._order.hidden) > 1))
         self._suspected_at.pop(instance, None)
-        self._hidden.pop(instance, None)
+        self._order.hidden.pop(instance, None)
         self._set_state(peer, MemberState.ALIVE, now, is_news)
 
     def _suspect(self, peer: PeerRecord, detected: bool, now: float) -> None:
-        if peer.state in _SILENT:
+        if peer.state in SILENT_STATES:
             return
         self._suspected_at[peer.instance.id] = now
         self._set_state(peer, MemberState.SUSPECT, now)
@@ -557,7 +414,7 @@
             if not peer.listed:
                 self._remove(peer, now)
                 continue
-            self._hidden[instance] = None
+            self._order.hidden[instance] = None
             # The few who miss the suspicion learn of it from `_ask_about`.
             self._outbox.members.limit(instance, count_doublings(len(self)))
             self._set_state(peer, MemberState.HIDDEN, now)
@@ -579,7 +436,7 @@
         self._set_state(peer, MemberState.GONE, now)
         del self._peers[instance]
         self._suspected_at.pop(instance, None)
-        self._hidden.pop(instance, None)
+        self._order.hidden.pop(instance, None)
         self._gone[instance] = peer.incarnation
         if len(self._gone) > MAX_GONE:
             del self._gone[next(iter(self._gone))]
@@ -588,14 +445,9 @@
         if target in self._gone:
             return MemberUpdate(target, MemberState.GONE, self._gone[target])
         peer = self._peers.get(target)
-        if peer is None or peer.state not in _SILENT:
+        if peer is None or peer.state not in SILENT_STATES:
             return None
-        if peer.state is MemberState.HIDDEN and len(self._hidden) > SMALL_GROUP:
+        if peer.state is MemberState.HIDDEN and len(self._order.hidden) > SMALL_GROUP:
             # Refutations by a whole domain would take minutes to spread; answers heal it sooner.
             return None
         return MemberUpdate(target, peer.state, peer.incarnation)
-
-    def _mark_changed(self) -> None:
-        self.revision += 1
-        self._members = None
-        self._reachable = None
--- a/src/chicoryproxy/control/outbox.py
+++ b/src/chicoryproxy/control/outbox.py
@@ -2,10 +2,12 @@
 
 from collections.abc import Callable
 
-from chicoryproxy.actions import ControlAction, LogControl, SendToView
-from chicoryproxy.budget import ControlBudget
+from chicoryproxy.control.spread import SpreadQueue, count_sends
 from chicoryproxy.ids import NO_VERSION, InstanceId, UpstreamId, Version
-from chicoryproxy.messages import (
+from chicoryproxy.model import UpstreamCondition
+from chicoryproxy.protocol.actions import ControlAction, LogControl, SendToView
+from chicoryproxy.protocol.budget import ControlBudget
+from chicoryproxy.protocol.messages import (
     Ack,
     Gossip,
     MemberUpdate,
@@ -16,14 +18,12 @@
     VersionFetch,
     ViewMessage,
 )
-from chicoryproxy.model import UpstreamCondition
-from chicoryproxy.sizes import (
+from chicoryproxy.protocol.sizes import (
     MESSAGE_BYTES,
     estimate_condition,
     estimate_member,
     estimate_message,
 )
-from chicoryproxy.spread import SpreadQueue, count_sends
 
 MAX_MESSAGE_BYTES = 1200
 FIXED_BYTES = MESSAGE_BYTES + 80
--- a/src/chicoryproxy/control/reach.py
+++ b/src/chicoryproxy/control/reach.py
@@ -7,12 +7,12 @@
 
 from collections.abc import Collection, Iterable, Mapping
 
-from chicoryproxy.actions import ReadHealth
-from chicoryproxy.events import HealthReading
+from chicoryproxy.control.outbox import Outbox
 from chicoryproxy.ids import DomainId, InstanceId, UpstreamId
-from chicoryproxy.messages import Member
 from chicoryproxy.model import Upstream
-from chicoryproxy.outbox import Outbox
+from chicoryproxy.protocol.actions import ReadHealth
+from chicoryproxy.protocol.events import HealthReading
+from chicoryproxy.protocol.messages import Member
 from chicoryproxy.rendezvous import score
 from chicoryproxy.states import MemberState
 
--- a/src/chicoryproxy/control/readers.py
+++ b/src/chicoryproxy/control/readers.py
@@ -7,10 +7,10 @@
 from collections.abc import Iterable
 from enum import Enum, unique
 
-from chicoryproxy.actions import StopWatching, WatchPlatform
+from chicoryproxy.control.outbox import Outbox
 from chicoryproxy.ids import DomainId, InstanceId, Version
 from chicoryproxy.model import Instance
-from chicoryproxy.outbox import Outbox
+from chicoryproxy.protocol.actions import StopWatching, WatchPlatform
 from chicoryproxy.rendezvous import rank_instances
 
 READERS_PER_DOMAIN = 3
--- /dev/null
+++ b/src/chicoryproxy/control/roster.py
@@ -0,0 +1,131 @@
+"""Members of this instance's region, as this instance knows them."""
+
+from collections.abc import Sequence
+
+from chicoryproxy.draws import Draws
+from chicoryproxy.ids import DomainId, Incarnation, InstanceId
+from chicoryproxy.model import Instance
+from chicoryproxy.protocol.messages import Member
+from chicoryproxy.states import MemberState
+
+MAX_RECENT = 32
+SILENT_STATES = frozenset((MemberState.SUSPECT, MemberState.HIDDEN))
+
+
+class PeerRecord:
+    """What this instance knows of a peer.
+
+    :ivar listed: false once a published list without it has been read.
+    :ivar leaving: it announced that it leaves.
+    :ivar proved: it was heard of as alive from another source than a list.
+    """
+
+    __slots__ = ("instance", "state", "incarnation", "listed", "leaving", "proved", "since")
+
+    def __init__(self, instance: Instance, now: float) -> None:
+        self.instance = instance
+        self.state = MemberState.ALIVE
+        self.incarnation = Incarnation(0)
+        self.listed = True
+        self.leaving = False
+        self.proved = False
+        self.since = now
+
+    @property
+    def shown_state(self) -> MemberState:
+        """The state with the announcements of the peer and of the list taken in."""
+        if self.state is MemberState.ALIVE and (self.leaving or self.instance.leaving):
+            return MemberState.LEAVING
+        return self.state
+
+
+class Roster:
+    """Who the members are; ``membership.Membership`` changes it.
+
+    :param instance: this instance.
+    :param draws: of the pseudo-random choices.
+
+    ``revision`` rises with each change that ``build_members`` shows.
+    """
+
+    def __init__(self, instance: Instance, draws: Draws) -> None:
+        self.revision = 0
+        self._own = instance
+        self._draws = draws
+        self._leaving = False
+        self._peers: dict[InstanceId, PeerRecord] = {}
+        self._gone: dict[InstanceId, Incarnation] = {}
+        self._reachable: list[InstanceId] | None = None
+        self._members: tuple[Member, ...] | None = None
+
+    def __len__(self) -> int:
+        """Return the number of members that are not gone, this instance included."""
+        return len(self._peers) + 1
+
+    @property
+    def own(self) -> Instance:
+        """This instance."""
+        return self._own
+
+    @property
+    def is_leaving(self) -> bool:
+        """True once this instance announced that it leaves."""
+        return self._leaving
+
+    def get_peer(self, instance: InstanceId) -> PeerRecord | None:
+        """Return the record of a peer, ``None`` for one that is gone or was never listed."""
+        return self._peers.get(instance)
+
+    def is_gone(self, instance: InstanceId) -> bool:
+        """Return whether an instance was a member and is gone."""
+        return instance in self._gone
+
+    def build_members(self) -> tuple[Member, ...]:
+        """Return this instance and every peer that is not gone, in the order of their ids."""
+        if self._members is None:
+            own = MemberState.LEAVING if self._leaving else MemberState.ALIVE
+            members = [Member(self._own, own)]
+            members.extend(Member(peer.instance, peer.shown_state) for peer in self._peers.values())
+            self._members = tuple(sorted(members, key=lambda member: member.instance.id))
+        return self._members
+
+    def list_alive(self, domain: DomainId | None = None) -> list[Instance]:
+        """Return the members that are alive, this instance included, in the order of their ids.
+
+        :param domain: only those of this failure domain.
+        """
+        return [
+            member.instance
+            for member in self.build_members()
+            if member.state is MemberState.ALIVE and domain in (None, member.instance.domain)
+        ]
+
+    def list_reachable(self) -> Sequence[InstanceId]:
+        """Return the peers that answer, leaving ones included."""
+        if self._reachable is None:
+            self._reachable = sorted(
+                id_ for id_, peer in self._peers.items() if peer.state not in SILENT_STATES
+            )
+        return self._reachable
+
+    def draw_reachable(self, count: int) -> list[InstanceId]:
+        """Return up to ``count`` pseudo-random peers that answer."""
+        return self.draw_from(self.list_reachable(), count)
+
+    def draw_from(self, instances: Sequence[InstanceId], count: int) -> list[InstanceId]:
+        """Return up to ``count`` pseudo-random instances out of the given ones."""
+        return self._draws.draw_sample(instances, count)
+
+    def list_instances(self) -> tuple[Instance, ...]:
+        """Return this instance and every peer that is not gone."""
+        return (self._own, *(peer.instance for peer in self._peers.values()))
+
+    def list_recent(self) -> tuple[Instance, ...]:
+        """Return the instances that became known last, which peers may lack."""
+        recent = list(self._peers.values())[-MAX_RECENT:]
+        return (self._own, *(peer.instance for peer in recent))
+
+    def _mark_changed(self) -> None:
+        self.revision += 1
+        self._members = None
+        self._reachable = None
--- a/src/chicoryproxy/control/signals.py
+++ b/src/chicoryproxy/control/signals.py
@@ -6,9 +6,9 @@
 
 from msgspec import Struct
 
-from chicoryproxy.events import HealthReading
-from chicoryproxy.messages import OpeningOutcomes
 from chicoryproxy.model import Capacity, Upstream
+from chicoryproxy.protocol.events import HealthReading
+from chicoryproxy.protocol.messages import OpeningOutcomes
 from chicoryproxy.states import UpstreamState
 
 LOAD_SIGNAL = "load reading"
--- a/src/chicoryproxy/control/staleness.py
+++ b/src/chicoryproxy/control/staleness.py
@@ -4,10 +4,10 @@
 woke up together don't confirm each other.
 """
 
+from chicoryproxy.control.membership import Membership
+from chicoryproxy.control.outbox import Outbox
 from chicoryproxy.ids import NO_VERSION, InstanceId, Version
-from chicoryproxy.membership import Membership
 from chicoryproxy.model import FleetLimits
-from chicoryproxy.outbox import Outbox
 
 CONFIRMERS = 3
 RETRY_S = 0.3
--- a/src/chicoryproxy/control/versions.py
+++ b/src/chicoryproxy/control/versions.py
@@ -8,8 +8,8 @@
 from msgspec import Struct
 
 from chicoryproxy.ids import NO_VERSION, DomainId, InstanceId, ServiceId, Version
-from chicoryproxy.messages import ServiceClean
 from chicoryproxy.model import Configuration, Generation, Service
+from chicoryproxy.protocol.messages import ServiceClean
 from chicoryproxy.states import DomainState
 
 MAX_GENERATIONS = 16
--- a/src/chicoryproxy/control/viewing.py
+++ b/src/chicoryproxy/control/viewing.py
@@ -2,16 +2,16 @@
 
 import msgspec
 
-from chicoryproxy.actions import UpdateEntry
-from chicoryproxy.conditions import ConditionStore, index_upstreams
+from chicoryproxy.control.conditions import ConditionStore, index_upstreams
+from chicoryproxy.control.membership import Membership
+from chicoryproxy.control.outbox import Outbox
+from chicoryproxy.control.reach import DomainReach
+from chicoryproxy.control.versions import VersionStore
 from chicoryproxy.ids import DomainId
-from chicoryproxy.membership import Membership
-from chicoryproxy.messages import ViewUpdate
 from chicoryproxy.model import UpstreamCondition
-from chicoryproxy.outbox import Outbox
-from chicoryproxy.reach import DomainReach
+from chicoryproxy.protocol.actions import UpdateEntry
+from chicoryproxy.protocol.messages import ViewUpdate
 from chicoryproxy.states import UpstreamState
-from chicoryproxy.versions import VersionStore
 
 
 class _ViewKey(msgspec.Struct, frozen=True):
--- /dev/null
+++ b/src/chicoryproxy/eventloop/__init__.py
@@ -0,0 +1,1 @@
+"""Event loop, streams and HTTP of the entry on the platform."""
--- a/src/chicoryproxy/eventloop/packetsocket.py
+++ b/src/chicoryproxy/eventloop/packetsocket.py
@@ -3,8 +3,8 @@
 import socket
 from collections.abc import Callable
 
+from chicoryproxy.eventloop.loop import Loop
 from chicoryproxy.model import Endpoint
-from chicoryproxy.node.loop import Loop
 
 MAX_DATAGRAM_BYTES = 2048
 BATCH_PACKETS = 64
--- a/src/chicoryproxy/eventloop/stream.py
+++ b/src/chicoryproxy/eventloop/stream.py
@@ -5,8 +5,8 @@
 from abc import ABC, abstractmethod
 from collections.abc import Callable
 
+from chicoryproxy.eventloop.loop import Loop
 from chicoryproxy.model import Endpoint
-from chicoryproxy.node.loop import Loop
 
 READ_BYTES = 256 * 1024
 BACKLOG = 64
--- a/src/chicoryproxy/network/codec.py
+++ b/src/chicoryproxy/network/codec.py
@@ -17,7 +17,7 @@
 import msgspec
 
 from chicoryproxy.ids import FlowKey, ServiceId, UpstreamId, Version
-from chicoryproxy.messages import (
+from chicoryproxy.protocol.messages import (
     Ack,
     EntryMessage,
     EntryReport,
--- a/src/chicoryproxy/network/link.py
+++ b/src/chicoryproxy/network/link.py
@@ -12,13 +12,13 @@
 
 import aiomisc
 
-from chicoryproxy import codec
-from chicoryproxy.backoff import Backoff
-from chicoryproxy.codec import MAX_MESSAGE_BYTES, DecodeProblem
-from chicoryproxy.logs import PartLogger
-from chicoryproxy.messages import EntryReport, LinkMessage, ViewUpdate
-from chicoryproxy.metrics import Metric, Metrics
 from chicoryproxy.model import Endpoint
+from chicoryproxy.network import codec
+from chicoryproxy.network.backoff import Backoff
+from chicoryproxy.network.codec import MAX_MESSAGE_BYTES, DecodeProblem
+from chicoryproxy.protocol.messages import EntryReport, LinkMessage, ViewUpdate
+from chicoryproxy.telemetry.logs import PartLogger
+from chicoryproxy.telemetry.metrics import Metric, Metrics
 
 PART = "link"
 
--- a/src/chicoryproxy/network/segment.py
+++ b/src/chicoryproxy/network/segment.py
@@ -5,7 +5,7 @@
 import dpkt
 from msgspec import Struct
 
-from chicoryproxy.packet import TCP
+from chicoryproxy.protocol.packet import TCP
 
 WINDOW_BYTES = 65_535
 SEQUENCE_MASK = (1 << 32) - 1
--- a/src/chicoryproxy/network/transport.py
+++ b/src/chicoryproxy/network/transport.py
@@ -13,13 +13,13 @@
 
 import aiomisc
 
-from chicoryproxy.backoff import Backoff
-from chicoryproxy.codec import MAX_MESSAGE_BYTES
 from chicoryproxy.ids import InstanceId
-from chicoryproxy.logs import PartLogger
-from chicoryproxy.metrics import Metric, Metrics
 from chicoryproxy.model import Endpoint
-from chicoryproxy.seal import Opened, Seal
+from chicoryproxy.network.backoff import Backoff
+from chicoryproxy.network.codec import MAX_MESSAGE_BYTES
+from chicoryproxy.network.seal import Opened, Seal
+from chicoryproxy.telemetry.logs import PartLogger
+from chicoryproxy.telemetry.metrics import Metric, Metrics
 
 MAX_DATAGRAM_BYTES = 1200
 MAX_FRAME_BYTES = MAX_MESSAGE_BYTES + 1024
--- a/src/chicoryproxy/node/dataplane.py
+++ b/src/chicoryproxy/node/dataplane.py
@@ -2,6 +2,8 @@
 
 from collections.abc import Iterable
 
+from chicoryproxy.eventloop.loop import Loop
+from chicoryproxy.eventloop.packetsocket import PacketSocket
 from chicoryproxy.forwarding.confirmation import ProbeResult
 from chicoryproxy.forwarding.directory import Belief, BeliefKind, Directory, Lifetime
 from chicoryproxy.forwarding.forwarder import BrokenFlow, TrafficObserver, create_forwarder
@@ -15,8 +17,6 @@
 from chicoryproxy.forwarding.packet import CallerPacket
 from chicoryproxy.node.entrymetrics import EntryMetrics
 from chicoryproxy.node.journal import Journal
-from chicoryproxy.node.loop import Loop
-from chicoryproxy.node.packetsocket import PacketSocket
 from chicoryproxy.node.probe import probe_connection, probe_identity
 from chicoryproxy.platform.header import (
     create_reset,
--- a/src/chicoryproxy/node/entry.py
+++ b/src/chicoryproxy/node/entry.py
@@ -2,15 +2,15 @@
 
 from enum import Enum, unique
 
+from chicoryproxy.eventloop.http import HttpReply, HttpServer
+from chicoryproxy.eventloop.loop import Loop
 from chicoryproxy.forwarding.directory import Belief
 from chicoryproxy.forwarding.model import EntrySettings, Mark
 from chicoryproxy.forwarding.pause import PauseEvent
 from chicoryproxy.forwarding.peermessages import LoadReport
 from chicoryproxy.node.dataplane import DataPlane
 from chicoryproxy.node.entrymetrics import EntryMetrics
-from chicoryproxy.node.http import HttpReply, HttpServer
 from chicoryproxy.node.journal import Journal
-from chicoryproxy.node.loop import Loop
 from chicoryproxy.node.view import TrafficReports, View
 from chicoryproxy.platform.readiness import answer_readiness
 
--- a/src/chicoryproxy/node/main.py
+++ b/src/chicoryproxy/node/main.py
@@ -9,9 +9,9 @@
 import time  # noqa: E402
 
 from chicoryproxy.errors import SettingsError  # noqa: E402
+from chicoryproxy.eventloop.loop import Loop  # noqa: E402
 from chicoryproxy.node.entry import Entry  # noqa: E402
 from chicoryproxy.node.journal import Journal  # noqa: E402
-from chicoryproxy.node.loop import Loop  # noqa: E402
 from chicoryproxy.node.reload import SettingsReloader  # noqa: E402
 from chicoryproxy.platform.settings import get_settings_path, read_settings  # noqa: E402
 
--- a/src/chicoryproxy/node/peers.py
+++ b/src/chicoryproxy/node/peers.py
@@ -4,6 +4,9 @@
 import struct
 from collections.abc import Callable, Iterable
 
+from chicoryproxy.eventloop.loop import Loop
+from chicoryproxy.eventloop.packetsocket import PacketSocket
+from chicoryproxy.eventloop.stream import Listener, Stream, StreamHandler, open_stream
 from chicoryproxy.forwarding.peermessages import (
     MAX_MESSAGE_BYTES,
     ChangesReply,
@@ -13,9 +16,6 @@
     encode_message,
 )
 from chicoryproxy.model import Endpoint
-from chicoryproxy.node.loop import Loop
-from chicoryproxy.node.packetsocket import PacketSocket
-from chicoryproxy.node.stream import Listener, Stream, StreamHandler, open_stream
 
 EXCHANGE_TIMEOUT_S = 1.0
 _LENGTH = struct.Struct("!I")
--- a/src/chicoryproxy/node/probe.py
+++ b/src/chicoryproxy/node/probe.py
@@ -2,12 +2,12 @@
 
 from collections.abc import Callable
 
+from chicoryproxy.eventloop.http import HttpAnswer, HttpClient, HttpResult, HttpTimeout
+from chicoryproxy.eventloop.loop import Loop
+from chicoryproxy.eventloop.stream import Stream, StreamHandler, open_stream
 from chicoryproxy.forwarding.confirmation import ProbeResult
 from chicoryproxy.ids import UpstreamId
 from chicoryproxy.model import Endpoint
-from chicoryproxy.node.http import HttpAnswer, HttpClient, HttpResult, HttpTimeout
-from chicoryproxy.node.loop import Loop
-from chicoryproxy.node.stream import Stream, StreamHandler, open_stream
 from chicoryproxy.platform.health import read_identity
 
 CONNECT_TIMEOUT_S = 0.12
--- a/src/chicoryproxy/node/reload.py
+++ b/src/chicoryproxy/node/reload.py
@@ -4,9 +4,9 @@
 from collections.abc import Callable
 
 from chicoryproxy.errors import SettingsError
+from chicoryproxy.eventloop.loop import Loop
 from chicoryproxy.forwarding.model import EntrySettings
 from chicoryproxy.node.journal import Journal
-from chicoryproxy.node.loop import Loop
 from chicoryproxy.platform.settings import read_settings
 
 CHECK_S = 2.0
--- a/src/chicoryproxy/node/storewatch.py
+++ b/src/chicoryproxy/node/storewatch.py
@@ -3,9 +3,9 @@
 from abc import ABC, abstractmethod
 from collections.abc import Iterable
 
+from chicoryproxy.eventloop.loop import Loop, Timer
 from chicoryproxy.forwarding.model import Change, Revision
 from chicoryproxy.forwarding.reading import ReaderPolicy
-from chicoryproxy.node.loop import Loop, Timer
 from chicoryproxy.platform.store import Listing, ReadFailure, StoreClient, WatchResult
 
 RETRY_MIN_S = 0.1
--- a/src/chicoryproxy/node/view.py
+++ b/src/chicoryproxy/node/view.py
@@ -3,6 +3,7 @@
 from abc import ABC, abstractmethod
 from collections.abc import Callable, Iterable
 
+from chicoryproxy.eventloop.loop import Loop
 from chicoryproxy.forwarding.catchup import CatchUp
 from chicoryproxy.forwarding.directory import Belief, Directory
 from chicoryproxy.forwarding.model import Change, EntrySettings, Mark, Revision
@@ -21,7 +22,6 @@
 from chicoryproxy.model import Endpoint
 from chicoryproxy.node.entrymetrics import EntryMetrics
 from chicoryproxy.node.journal import Journal
-from chicoryproxy.node.loop import Loop
 from chicoryproxy.node.peers import ChangesRequestExchange, ChangesServer, HeartbeatSocket
 from chicoryproxy.node.storewatch import StoreListener, StoreWatch
 from chicoryproxy.platform.store import Listing, ReadFailure, StoreClient
--- a/src/chicoryproxy/platform/readiness.py
+++ b/src/chicoryproxy/platform/readiness.py
@@ -1,6 +1,6 @@
 """The call by which the platform's routers ask whether an entry takes packets."""
 
-from chicoryproxy.node.http import HttpReply
+from chicoryproxy.eventloop.http import HttpReply
 
 READY_PATH = "/-/ready"
 
--- /dev/null
+++ b/src/chicoryproxy/processes/__init__.py
@@ -0,0 +1,1 @@
+"""Processes of the product's own interface: ``chicory-entry`` and ``chicory-view``."""
--- a/src/chicoryproxy/processes/entry.py
+++ b/src/chicoryproxy/processes/entry.py
@@ -6,19 +6,19 @@
 
 import cappa
 
-from chicoryproxy.entrydriver import REPORT_INTERVAL_S, TICK_S, EntryDriver
+from chicoryproxy.configuration.options import InstanceOptions, parse_settings
+from chicoryproxy.configuration.settings import Settings
 from chicoryproxy.errors import SettingsError
-from chicoryproxy.logs import EXIT_PATIENCE_S
-from chicoryproxy.metrics import FLUSH_INTERVAL_S
 from chicoryproxy.model import Endpoint
-from chicoryproxy.operations import OperationsServer
-from chicoryproxy.options import InstanceOptions, parse_settings
-from chicoryproxy.process import ProcessParts
-from chicoryproxy.router import create_packet_core
-from chicoryproxy.seal import Channel
-from chicoryproxy.settings import Settings
-from chicoryproxy.supervisor import Child, ExitCode, Supervisor, run_process
-from chicoryproxy.ticker import Ticker
+from chicoryproxy.network.seal import Channel
+from chicoryproxy.processes.entrydriver import REPORT_INTERVAL_S, TICK_S, EntryDriver
+from chicoryproxy.processes.operations import OperationsServer
+from chicoryproxy.processes.process import ProcessParts
+from chicoryproxy.processes.supervisor import Child, ExitCode, Supervisor, run_process
+from chicoryproxy.processes.ticker import Ticker
+from chicoryproxy.routing.router import create_packet_core
+from chicoryproxy.telemetry.logs import EXIT_PATIENCE_S
+from chicoryproxy.telemetry.metrics import FLUSH_INTERVAL_S
 
 LOG_INTERVAL_S = 0.02
 CONTROL_PORT_OFFSET = 1
--- a/src/chicoryproxy/processes/entrydriver.py
+++ b/src/chicoryproxy/processes/entrydriver.py
@@ -6,8 +6,16 @@
 from collections.abc import Iterable, Sequence
 from typing import Protocol
 
-from chicoryproxy import codec
-from chicoryproxy.actions import (
+from chicoryproxy.configuration.settings import Settings
+from chicoryproxy.ids import InstanceId, Version
+from chicoryproxy.model import Endpoint
+from chicoryproxy.network import codec
+from chicoryproxy.network.codec import DecodeProblem
+from chicoryproxy.network.datasocket import Address, DataSocket
+from chicoryproxy.network.link import LinkClient
+from chicoryproxy.network.transport import TransportFactory
+from chicoryproxy.processes.processstate import EntryState
+from chicoryproxy.protocol.actions import (
     Drop,
     Forward,
     ForwardHeld,
@@ -17,21 +25,13 @@
     ReturnPacket,
     SendToPeer,
 )
-from chicoryproxy.codec import DecodeProblem
-from chicoryproxy.datasocket import Address, DataSocket
-from chicoryproxy.description import EntryDescription
-from chicoryproxy.explanation import Explanation
-from chicoryproxy.flowname import FlowName
-from chicoryproxy.ids import InstanceId, Version
-from chicoryproxy.link import LinkClient
-from chicoryproxy.logs import OutputHandler, PartLogger, RouteLog
-from chicoryproxy.messages import EntryMessage, EntryReport, PassedPacket, ViewUpdate
-from chicoryproxy.metrics import Metric, Metrics
-from chicoryproxy.model import Endpoint
-from chicoryproxy.processstate import EntryState
-from chicoryproxy.settings import Settings
+from chicoryproxy.protocol.messages import EntryMessage, EntryReport, PassedPacket, ViewUpdate
+from chicoryproxy.routing.description import EntryDescription
+from chicoryproxy.routing.explanation import Explanation
+from chicoryproxy.routing.flowname import FlowName
 from chicoryproxy.states import DropReason, RefusalReason
-from chicoryproxy.transport import TransportFactory
+from chicoryproxy.telemetry.logs import OutputHandler, PartLogger, RouteLog
+from chicoryproxy.telemetry.metrics import Metric, Metrics
 
 TICK_S = 0.02
 DRAIN_POLL_S = 0.05
--- a/src/chicoryproxy/processes/inquiry.py
+++ b/src/chicoryproxy/processes/inquiry.py
@@ -10,11 +10,11 @@
 from msgspec import Struct
 
 from chicoryproxy.address import format_endpoint
-from chicoryproxy.entry import CONTROL_PORT_OFFSET
-from chicoryproxy.explanation import Explanation
-from chicoryproxy.flowname import FlowName
 from chicoryproxy.model import Endpoint
-from chicoryproxy.processstate import EntryState, ViewState
+from chicoryproxy.processes.entry import CONTROL_PORT_OFFSET
+from chicoryproxy.processes.processstate import EntryState, ViewState
+from chicoryproxy.routing.explanation import Explanation
+from chicoryproxy.routing.flowname import FlowName
 
 TIMEOUT_S = 3.0
 
--- a/src/chicoryproxy/processes/keys.py
+++ b/src/chicoryproxy/processes/keys.py
@@ -5,10 +5,10 @@
 
 from pathlib import Path
 
+from chicoryproxy.configuration.settings import Settings
 from chicoryproxy.errors import SettingsError
 from chicoryproxy.finding import FindingList, Place
-from chicoryproxy.seal import MAX_KEY_BYTES, MIN_KEY_BYTES
-from chicoryproxy.settings import Settings
+from chicoryproxy.network.seal import MAX_KEY_BYTES, MIN_KEY_BYTES
 
 
 def load_keys(settings: Settings) -> tuple[bytes, ...]:
--- a/src/chicoryproxy/processes/operations.py
+++ b/src/chicoryproxy/processes/operations.py
@@ -13,8 +13,8 @@
 from aiohttp import web
 from msgspec import Struct
 
-from chicoryproxy.flowname import FlowName, FlowNameFault, parse_flow
 from chicoryproxy.model import Endpoint
+from chicoryproxy.routing.flowname import FlowName, FlowNameFault, parse_flow
 
 Describe = Callable[[], Any]
 Explain = Callable[[FlowName], Any]
--- a/src/chicoryproxy/processes/probe.py
+++ b/src/chicoryproxy/processes/probe.py
@@ -11,10 +11,10 @@
 import msgspec
 from msgspec import Struct
 
-from chicoryproxy.events import HealthReading
 from chicoryproxy.ids import UpstreamId
-from chicoryproxy.metrics import Metric, Metrics
+from chicoryproxy.protocol.events import HealthReading
 from chicoryproxy.states import UpstreamState
+from chicoryproxy.telemetry.metrics import Metric, Metrics
 
 READ_TIMEOUT_S = 1.0
 MAX_ANSWER_BYTES = 16 * 1024
--- a/src/chicoryproxy/processes/process.py
+++ b/src/chicoryproxy/processes/process.py
@@ -3,13 +3,13 @@
 import secrets
 import time
 
-from chicoryproxy.keys import load_keys
-from chicoryproxy.logs import LogFormat, OutputHandler, PartLogger, configure_logs
-from chicoryproxy.metrics import Metrics, create_metrics
+from chicoryproxy.configuration.settings import Settings
 from chicoryproxy.model import Endpoint
-from chicoryproxy.seal import Channel, Seal, create_seal
-from chicoryproxy.settings import Settings
-from chicoryproxy.transport import PeerTransport, Receive
+from chicoryproxy.network.seal import Channel, Seal, create_seal
+from chicoryproxy.network.transport import PeerTransport, Receive
+from chicoryproxy.processes.keys import load_keys
+from chicoryproxy.telemetry.logs import OutputHandler, PartLogger, configure_logs
+from chicoryproxy.telemetry.metrics import Metrics, create_metrics
 
 SEED_BITS = 63
 NS_PER_MS = 1_000_000
@@ -28,7 +28,7 @@
     def __init__(self, settings: Settings, channel: Channel) -> None:
         keys = load_keys(settings)
         self.seed = secrets.randbits(SEED_BITS)
-        self.output: OutputHandler = configure_logs(_choose_format(settings))
+        self.output: OutputHandler = configure_logs(settings.log_format)
         self.metrics: Metrics = create_metrics(settings.statsd, settings.instance)
         self._settings = settings
         self._channel = channel
@@ -47,10 +47,3 @@
         if self._channel is Channel.PEER:
             return self._settings.peer
         return self._settings.view
-
-
-def _choose_format(settings: Settings) -> LogFormat:
-    """JSON lines are for machines: on a terminal the setting counts only if it is ``human``."""
-    if settings.log_format == LogFormat.HUMAN.value:
-        return LogFormat.HUMAN
-    return LogFormat.AUTO
--- a/src/chicoryproxy/processes/processstate.py
+++ b/src/chicoryproxy/processes/processstate.py
@@ -2,9 +2,9 @@
 
 from msgspec import Struct
 
-from chicoryproxy.control import ControlDescription
-from chicoryproxy.description import EntryDescription
+from chicoryproxy.control.core import ControlDescription
 from chicoryproxy.ids import InstanceId, Version
+from chicoryproxy.routing.description import EntryDescription
 
 
 class EntryState(Struct, frozen=True):
--- a/src/chicoryproxy/processes/publication.py
+++ b/src/chicoryproxy/processes/publication.py
@@ -17,19 +17,19 @@
 import msgspec
 from msgspec import Struct
 
-from chicoryproxy.assembly import PublicationReader
-from chicoryproxy.backoff import Backoff
-from chicoryproxy.events import (
+from chicoryproxy.configuration.assembly import PublicationReader
+from chicoryproxy.configuration.published import INDEX_NAME, MAX_VALUE_BYTES, PublishedFault
+from chicoryproxy.ids import Version
+from chicoryproxy.model import Instance
+from chicoryproxy.network.backoff import Backoff
+from chicoryproxy.protocol.events import (
     ConfigurationRead,
     HealthReading,
     InstancesRead,
     PlatformUnread,
 )
-from chicoryproxy.ids import Version
-from chicoryproxy.logs import PartLogger
-from chicoryproxy.metrics import Metric, Metrics
-from chicoryproxy.model import Instance
-from chicoryproxy.published import INDEX_NAME, MAX_VALUE_BYTES, PublishedFault
+from chicoryproxy.telemetry.logs import PartLogger
+from chicoryproxy.telemetry.metrics import Metric, Metrics
 
 WAIT_S = 30
 ANSWER_TIMEOUT_S = 5.0
--- a/src/chicoryproxy/processes/readings.py
+++ b/src/chicoryproxy/processes/readings.py
@@ -3,11 +3,11 @@
 import aiohttp
 import aiomisc
 
-from chicoryproxy.events import HealthReading
 from chicoryproxy.ids import UpstreamId, Version
-from chicoryproxy.metrics import Metrics
-from chicoryproxy.probe import HealthProbe
-from chicoryproxy.publication import PlatformReader, PlatformWatch, ReceiveReading
+from chicoryproxy.processes.probe import HealthProbe
+from chicoryproxy.processes.publication import PlatformReader, PlatformWatch, ReceiveReading
+from chicoryproxy.protocol.events import HealthReading
+from chicoryproxy.telemetry.metrics import Metrics
 
 
 class Readings(aiomisc.Service):
--- a/src/chicoryproxy/processes/supervisor.py
+++ b/src/chicoryproxy/processes/supervisor.py
@@ -17,9 +17,9 @@
 import uvloop
 from msgspec import Struct
 
-from chicoryproxy.backoff import Backoff, BackoffLimits
-from chicoryproxy.logs import PartLogger
-from chicoryproxy.metrics import Metric, Metrics
+from chicoryproxy.network.backoff import Backoff, BackoffLimits
+from chicoryproxy.telemetry.logs import PartLogger
+from chicoryproxy.telemetry.metrics import Metric, Metrics
 
 RESTART_LIMITS = BackoffLimits(first_s=0.05, longest_s=10.0)
 HEALTHY_S = 30.0
--- a/src/chicoryproxy/processes/viewdriver.py
+++ b/src/chicoryproxy/processes/viewdriver.py
@@ -5,8 +5,18 @@
 from collections.abc import Callable, Iterable, Sequence
 from typing import Protocol
 
-from chicoryproxy import codec
-from chicoryproxy.actions import (
+from chicoryproxy.configuration.settings import Settings
+from chicoryproxy.control.core import ControlDescription
+from chicoryproxy.ids import InstanceId, Version
+from chicoryproxy.model import Endpoint, Instance
+from chicoryproxy.network import codec
+from chicoryproxy.network.codec import DecodeProblem
+from chicoryproxy.network.link import LinkServer
+from chicoryproxy.network.transport import TransportFactory
+from chicoryproxy.processes.processstate import ViewState
+from chicoryproxy.processes.publication import Reading
+from chicoryproxy.processes.readings import Readings
+from chicoryproxy.protocol.actions import (
     ControlAction,
     LogControl,
     ReadHealth,
@@ -15,20 +25,10 @@
     UpdateEntry,
     WatchPlatform,
 )
-from chicoryproxy.codec import DecodeProblem
-from chicoryproxy.control import ControlDescription
-from chicoryproxy.events import InstancesRead
-from chicoryproxy.ids import InstanceId, Version
-from chicoryproxy.link import LinkServer
-from chicoryproxy.logs import OutputHandler, PartLogger, log_control
-from chicoryproxy.messages import EntryReport, VersionBody, ViewMessage, ViewUpdate
-from chicoryproxy.metrics import Metric, Metrics
-from chicoryproxy.model import Endpoint, Instance
-from chicoryproxy.processstate import ViewState
-from chicoryproxy.publication import Reading
-from chicoryproxy.readings import Readings
-from chicoryproxy.settings import Settings
-from chicoryproxy.transport import TransportFactory
+from chicoryproxy.protocol.events import InstancesRead
+from chicoryproxy.protocol.messages import EntryReport, VersionBody, ViewMessage, ViewUpdate
+from chicoryproxy.telemetry.logs import OutputHandler, PartLogger, log_control
+from chicoryproxy.telemetry.metrics import Metric, Metrics
 
 TICK_S = 0.05
 DRAIN_POLL_S = 0.05
--- /dev/null
+++ b/src/chicoryproxy/protocol/__init__.py
@@ -0,0 +1,1 @@
+"""Types that cores and processes exchange: messages, events, actions, packets, budgets."""
--- a/src/chicoryproxy/protocol/actions.py
+++ b/src/chicoryproxy/protocol/actions.py
@@ -8,8 +8,8 @@
 from msgspec import Struct
 
 from chicoryproxy.ids import FlowKey, InstanceId, ServiceId, SlotIndex, UpstreamId, Version
-from chicoryproxy.messages import EntryMessage, Priority, ViewMessage, ViewUpdate
 from chicoryproxy.model import Endpoint
+from chicoryproxy.protocol.messages import EntryMessage, Priority, ViewMessage, ViewUpdate
 from chicoryproxy.states import DropReason, RefusalReason, RouteReason
 
 
--- a/src/chicoryproxy/protocol/budget.py
+++ b/src/chicoryproxy/protocol/budget.py
@@ -2,7 +2,7 @@
 
 from msgspec import Struct
 
-from chicoryproxy.messages import Priority
+from chicoryproxy.protocol.messages import Priority
 
 BURST_S = 1.0
 """Time whose bytes the bucket holds when full, and the largest debt, in seconds."""
--- a/src/chicoryproxy/protocol/sizes.py
+++ b/src/chicoryproxy/protocol/sizes.py
@@ -3,7 +3,8 @@
 The control core budgets by these estimates, since the codec is outside of the core.
 """
 
-from chicoryproxy.messages import (
+from chicoryproxy.model import Configuration, Generation, Instance, UpstreamCondition
+from chicoryproxy.protocol.messages import (
     Ack,
     Gossip,
     MemberUpdate,
@@ -13,7 +14,6 @@
     VersionFetch,
     ViewMessage,
 )
-from chicoryproxy.model import Configuration, Generation, Instance, UpstreamCondition
 
 MESSAGE_BYTES = 120
 """IP and UDP headers, authentication, framing and the fixed fields of a message."""
--- a/src/chicoryproxy/rendezvous.py
+++ b/src/chicoryproxy/rendezvous.py
@@ -12,7 +12,7 @@
 from chicoryproxy.model import Instance
 
 if TYPE_CHECKING:
-    from chicoryproxy.messages import SlotName
+    from chicoryproxy.protocol.messages import SlotName
 
 
 def score(key: str, candidate: str) -> int:
--- a/src/chicoryproxy/routing/choke.py
+++ b/src/chicoryproxy/routing/choke.py
@@ -2,9 +2,9 @@
 
 from collections.abc import Mapping
 
-from chicoryproxy.actions import Forward
 from chicoryproxy.ids import DomainId, ServiceId, UpstreamId
 from chicoryproxy.model import Configuration, Service
+from chicoryproxy.protocol.actions import Forward
 from chicoryproxy.states import DomainState, DropReason, RefusalReason
 
 Permit = tuple[Forward] | DropReason | RefusalReason
--- a/src/chicoryproxy/routing/decision.py
+++ b/src/chicoryproxy/routing/decision.py
@@ -4,17 +4,17 @@
 
 from msgspec import Struct
 
-from chicoryproxy.actions import Drop, Forward, ForwardHeld, ReturnPacket
-from chicoryproxy.choke import Gate
-from chicoryproxy.flowtable import FlowFlag
 from chicoryproxy.ids import FlowKey, ServiceId, UpstreamId
-from chicoryproxy.messages import Priority, SlotReleases
-from chicoryproxy.openings import Placed, Verdict, Wait
-from chicoryproxy.packet import FLAG_FIN, FLAG_RST, TCP
-from chicoryproxy.parts import Actions, EntryParts
-from chicoryproxy.reset import create_reset
-from chicoryproxy.retry import RetryBudget, create_retry_budget
-from chicoryproxy.route import PacketAtHand
+from chicoryproxy.protocol.actions import Drop, Forward, ForwardHeld, ReturnPacket
+from chicoryproxy.protocol.messages import Priority, SlotReleases
+from chicoryproxy.protocol.packet import FLAG_FIN, FLAG_RST, TCP
+from chicoryproxy.routing.choke import Gate
+from chicoryproxy.routing.flowtable import FlowFlag
+from chicoryproxy.routing.openings import Placed, Verdict, Wait
+from chicoryproxy.routing.parts import Actions, EntryParts
+from chicoryproxy.routing.reset import create_reset
+from chicoryproxy.routing.retry import RetryBudget, create_retry_budget
+from chicoryproxy.routing.route import PacketAtHand
 from chicoryproxy.states import DropReason, RefusalReason, ReturnPath, RouteReason
 
 MAX_WAITING_OPENINGS = 4096
--- a/src/chicoryproxy/routing/description.py
+++ b/src/chicoryproxy/routing/description.py
@@ -2,11 +2,11 @@
 
 from msgspec import Struct
 
-from chicoryproxy.budget import BudgetCount
 from chicoryproxy.ids import ServiceId, SlotIndex, Version
-from chicoryproxy.parts import EntryParts
-from chicoryproxy.slots import ServiceSlots
-from chicoryproxy.takeover import TakeOverCount
+from chicoryproxy.protocol.budget import BudgetCount
+from chicoryproxy.routing.parts import EntryParts
+from chicoryproxy.routing.slots import ServiceSlots
+from chicoryproxy.routing.takeover import TakeOverCount
 
 MAX_NAMED_SLOTS = 16
 """Largest number of contested slots of a service that a description names."""
--- a/src/chicoryproxy/routing/explanation.py
+++ b/src/chicoryproxy/routing/explanation.py
@@ -4,16 +4,16 @@
 
 from msgspec import Struct
 
-from chicoryproxy.choke import is_permitted
-from chicoryproxy.flowname import FlowName
-from chicoryproxy.flowtable import FlowFlag
 from chicoryproxy.ids import FlowKey, InstanceId, ServiceId, SlotIndex, UpstreamId, Version
 from chicoryproxy.model import ServiceAddress
-from chicoryproxy.openings import LIMITED_BY_GRANTS
-from chicoryproxy.parts import EntryParts
-from chicoryproxy.records import RecordTarget
-from chicoryproxy.route import ServiceRoute
-from chicoryproxy.slots import NO_UPSTREAM, ServiceSlots
+from chicoryproxy.routing.choke import is_permitted
+from chicoryproxy.routing.flowname import FlowName
+from chicoryproxy.routing.flowtable import FlowFlag
+from chicoryproxy.routing.openings import LIMITED_BY_GRANTS
+from chicoryproxy.routing.parts import EntryParts
+from chicoryproxy.routing.records import RecordTarget
+from chicoryproxy.routing.route import ServiceRoute
+from chicoryproxy.routing.slots import NO_UPSTREAM, ServiceSlots
 from chicoryproxy.states import (
     DropReason,
     Protocol,
--- a/src/chicoryproxy/routing/flowname.py
+++ b/src/chicoryproxy/routing/flowname.py
@@ -8,7 +8,7 @@
 from chicoryproxy.address import AddressFault, format_endpoint, parse_endpoint
 from chicoryproxy.ids import FlowKey
 from chicoryproxy.model import Endpoint
-from chicoryproxy.packet import pack_address
+from chicoryproxy.protocol.packet import pack_address
 from chicoryproxy.states import Protocol
 
 _PARTS = 3
--- a/src/chicoryproxy/routing/grants.py
+++ b/src/chicoryproxy/routing/grants.py
@@ -12,9 +12,9 @@
 from msgspec import Struct
 
 from chicoryproxy.ids import InstanceId, UpstreamId
-from chicoryproxy.messages import Grant, GrantRequest, OpeningOutcomes
 from chicoryproxy.model import Upstream, UpstreamCondition
-from chicoryproxy.ramp import Ramp, create_evidence_ramp
+from chicoryproxy.protocol.messages import Grant, GrantRequest, OpeningOutcomes
+from chicoryproxy.routing.ramp import Ramp, create_evidence_ramp
 from chicoryproxy.states import UpstreamState
 
 WINDOW_S = 1.0
--- a/src/chicoryproxy/routing/handover.py
+++ b/src/chicoryproxy/routing/handover.py
@@ -2,9 +2,15 @@
 
 from collections.abc import Iterable, Mapping, Sequence
 
-from chicoryproxy.actions import SendToPeer
 from chicoryproxy.ids import InstanceId
-from chicoryproxy.messages import FlowRecord, Handover, LeavingNotice, Priority, SlotRelease
+from chicoryproxy.protocol.actions import SendToPeer
+from chicoryproxy.protocol.messages import (
+    FlowRecord,
+    Handover,
+    LeavingNotice,
+    Priority,
+    SlotRelease,
+)
 
 RESEND_S = 0.5
 MAX_RECORDS_PER_MESSAGE = 36
--- a/src/chicoryproxy/routing/hints.py
+++ b/src/chicoryproxy/routing/hints.py
@@ -2,10 +2,10 @@
 
 from itertools import islice
 
-from chicoryproxy.actions import SendToPeer
-from chicoryproxy.budget import ControlBudget
 from chicoryproxy.ids import FlowKey, InstanceId
-from chicoryproxy.messages import FlowHints, FlowRecord, Priority
+from chicoryproxy.protocol.actions import SendToPeer
+from chicoryproxy.protocol.budget import ControlBudget
+from chicoryproxy.protocol.messages import FlowHints, FlowRecord, Priority
 
 RECORD_BYTES = 30
 ENVELOPE_BYTES = 80
--- a/src/chicoryproxy/routing/homes.py
+++ b/src/chicoryproxy/routing/homes.py
@@ -5,8 +5,8 @@
 from msgspec import Struct
 
 from chicoryproxy.ids import DomainId, InstanceId, RegionId, UpstreamId
-from chicoryproxy.messages import Member, SlotName
 from chicoryproxy.model import Instance
+from chicoryproxy.protocol.messages import Member, SlotName
 from chicoryproxy.rendezvous import choose_homes, choose_owner
 from chicoryproxy.states import MemberState
 
--- a/src/chicoryproxy/routing/leases.py
+++ b/src/chicoryproxy/routing/leases.py
@@ -1,8 +1,8 @@
 """What an entry does about grants besides deciding on packets: requests, answers and evidence."""
 
-from chicoryproxy.actions import SendToPeer
-from chicoryproxy.messages import GrantRequest, OpeningOutcomes, Priority
-from chicoryproxy.parts import Actions, EntryParts
+from chicoryproxy.protocol.actions import SendToPeer
+from chicoryproxy.protocol.messages import GrantRequest, OpeningOutcomes, Priority
+from chicoryproxy.routing.parts import Actions, EntryParts
 
 OUTCOME_INTERVAL_S = 1.0
 
--- a/src/chicoryproxy/routing/openings.py
+++ b/src/chicoryproxy/routing/openings.py
@@ -5,15 +5,15 @@
 
 from msgspec import Struct
 
-from chicoryproxy.choke import Gate, is_permitted
-from chicoryproxy.grants import GrantHolder
-from chicoryproxy.homes import HomeDirectory
 from chicoryproxy.ids import ServiceId, UpstreamId
-from chicoryproxy.messages import GrantRequest, SlotName
 from chicoryproxy.model import UpstreamCondition
+from chicoryproxy.protocol.messages import GrantRequest, SlotName
 from chicoryproxy.rendezvous import score
-from chicoryproxy.route import PacketAtHand
-from chicoryproxy.slots import ServiceSlots
+from chicoryproxy.routing.choke import Gate, is_permitted
+from chicoryproxy.routing.grants import GrantHolder
+from chicoryproxy.routing.homes import HomeDirectory
+from chicoryproxy.routing.route import PacketAtHand
+from chicoryproxy.routing.slots import ServiceSlots
 from chicoryproxy.states import DropReason, RefusalReason, RouteReason, UpstreamState
 
 LIMITED_BY_GRANTS = frozenset({UpstreamState.COLD, UpstreamState.WARMING})
--- a/src/chicoryproxy/routing/outcomes.py
+++ b/src/chicoryproxy/routing/outcomes.py
@@ -4,7 +4,7 @@
 from collections.abc import Iterable
 
 from chicoryproxy.ids import UpstreamId
-from chicoryproxy.messages import OpeningOutcomes
+from chicoryproxy.protocol.messages import OpeningOutcomes
 
 
 class OutcomeCounts:
--- a/src/chicoryproxy/routing/parts.py
+++ b/src/chicoryproxy/routing/parts.py
@@ -1,12 +1,5 @@
 """The parts of a packet core that its decisions share."""
 
-from chicoryproxy.actions import LogRoute, PacketAction, SendToPeer
-from chicoryproxy.budget import ControlBudget
-from chicoryproxy.contact import create_peer_contact
-from chicoryproxy.grants import REFUSAL_WAIT_S, GrantHolder, GrantOwner
-from chicoryproxy.handover import create_handover_queue
-from chicoryproxy.hints import HintBatches
-from chicoryproxy.homes import create_home_directory
 from chicoryproxy.ids import (
     DomainId,
     FlowKey,
@@ -16,17 +9,31 @@
     SlotIndex,
     UpstreamId,
 )
-from chicoryproxy.messages import FlowRecord, Grant, GrantRequest, Priority, SlotName, SlotReleases
 from chicoryproxy.model import FleetLimits
-from chicoryproxy.openings import create_openings
-from chicoryproxy.outcomes import OutcomeCounts
-from chicoryproxy.records import create_flow_records
-from chicoryproxy.route import PacketAtHand
-from chicoryproxy.settlement import create_settlement
-from chicoryproxy.slots import ServiceSlots
+from chicoryproxy.protocol.actions import LogRoute, PacketAction, SendToPeer
+from chicoryproxy.protocol.budget import ControlBudget
+from chicoryproxy.protocol.messages import (
+    FlowRecord,
+    Grant,
+    GrantRequest,
+    Priority,
+    SlotName,
+    SlotReleases,
+)
+from chicoryproxy.routing.contact import create_peer_contact
+from chicoryproxy.routing.grants import REFUSAL_WAIT_S, GrantHolder, GrantOwner
+from chicoryproxy.routing.handover import create_handover_queue
+from chicoryproxy.routing.hints import HintBatches
+from chicoryproxy.routing.homes import create_home_directory
+from chicoryproxy.routing.openings import create_openings
+from chicoryproxy.routing.outcomes import OutcomeCounts
+from chicoryproxy.routing.records import create_flow_records
+from chicoryproxy.routing.route import PacketAtHand
+from chicoryproxy.routing.settlement import create_settlement
+from chicoryproxy.routing.slots import ServiceSlots
+from chicoryproxy.routing.takeover import create_take_over
+from chicoryproxy.routing.world import create_world
 from chicoryproxy.states import DropReason, RefusalReason, RouteReason
-from chicoryproxy.takeover import create_take_over
-from chicoryproxy.world import create_world
 
 MAX_RECORDS_PER_SLOT = 10_000
 ENTRY_SHARE = 0.5
--- a/src/chicoryproxy/routing/peers.py
+++ b/src/chicoryproxy/routing/peers.py
@@ -2,10 +2,9 @@
 
 from collections.abc import Callable
 
-from chicoryproxy.actions import SendToPeer
-from chicoryproxy.handover import LeavingEntry
 from chicoryproxy.ids import NO_VERSION, InstanceId
-from chicoryproxy.messages import (
+from chicoryproxy.protocol.actions import SendToPeer
+from chicoryproxy.protocol.messages import (
     EntryMessage,
     FlowAnswer,
     FlowHints,
@@ -27,8 +26,9 @@
     SlotReleases,
     SlotReport,
 )
-from chicoryproxy.parts import Actions, EntryParts
-from chicoryproxy.releases import ReleaseDuty
+from chicoryproxy.routing.handover import LeavingEntry
+from chicoryproxy.routing.parts import Actions, EntryParts
+from chicoryproxy.routing.releases import ReleaseDuty
 from chicoryproxy.states import UpstreamState
 
 MAX_RECORDS_PER_ANSWER = 20_000
--- a/src/chicoryproxy/routing/records.py
+++ b/src/chicoryproxy/routing/records.py
@@ -4,10 +4,10 @@
 
 from msgspec import Struct
 
-from chicoryproxy.flowtable import FlowFlag, FlowTable, upstream_number
 from chicoryproxy.ids import FlowKey, ServiceId, UpstreamId
-from chicoryproxy.messages import FlowRecord, SlotName
 from chicoryproxy.model import Service
+from chicoryproxy.protocol.messages import FlowRecord, SlotName
+from chicoryproxy.routing.flowtable import FlowFlag, FlowTable, upstream_number
 from chicoryproxy.states import DropReason
 
 _HALF_OPEN = int(FlowFlag.HALF_OPEN)
--- a/src/chicoryproxy/routing/releases.py
+++ b/src/chicoryproxy/routing/releases.py
@@ -6,10 +6,9 @@
 
 from collections.abc import Sequence
 
-from chicoryproxy.actions import SendToPeer
-from chicoryproxy.choke import is_permitted
 from chicoryproxy.ids import InstanceId
-from chicoryproxy.messages import (
+from chicoryproxy.protocol.actions import SendToPeer
+from chicoryproxy.protocol.messages import (
     Priority,
     ReleaseQuery,
     SlotName,
@@ -17,10 +16,11 @@
     SlotRelease,
     SlotReleases,
 )
-from chicoryproxy.parts import Actions, EntryParts
-from chicoryproxy.route import ServiceRoute
-from chicoryproxy.settlement import ReadySlot, announce
-from chicoryproxy.slots import ServiceSlots
+from chicoryproxy.routing.choke import is_permitted
+from chicoryproxy.routing.parts import Actions, EntryParts
+from chicoryproxy.routing.route import ServiceRoute
+from chicoryproxy.routing.settlement import ReadySlot, announce
+from chicoryproxy.routing.slots import ServiceSlots
 
 SETTLE_INTERVAL_S = 0.25
 REFRESH_IDLE_SHARE = 0.5
--- a/src/chicoryproxy/routing/reset.py
+++ b/src/chicoryproxy/routing/reset.py
@@ -8,7 +8,7 @@
 
 import dpkt
 
-from chicoryproxy.packet import FLAG_ACK, FLAG_RST, read_packet
+from chicoryproxy.protocol.packet import FLAG_ACK, FLAG_RST, read_packet
 from chicoryproxy.states import DropReason, Protocol
 
 HOP_LIMIT = 64
--- a/src/chicoryproxy/routing/returns.py
+++ b/src/chicoryproxy/routing/returns.py
@@ -1,11 +1,9 @@
 """Packets on their way back from an upstream to a caller."""
 
-from chicoryproxy.actions import Drop, Return, ReturnPacket, SendToPeer
-from chicoryproxy.decision import Decider
-from chicoryproxy.flowtable import FlowFlag
 from chicoryproxy.ids import FlowKey, InstanceId, UpstreamId
-from chicoryproxy.messages import PassedPacket, Priority
-from chicoryproxy.packet import (
+from chicoryproxy.protocol.actions import Drop, Return, ReturnPacket, SendToPeer
+from chicoryproxy.protocol.messages import PassedPacket, Priority
+from chicoryproxy.protocol.packet import (
     FLAG_ACK,
     FLAG_FIN,
     FLAG_RST,
@@ -13,8 +11,10 @@
     PacketHead,
     hash_returned_flow,
 )
-from chicoryproxy.parts import Actions, EntryParts
-from chicoryproxy.route import ServiceRoute
+from chicoryproxy.routing.decision import Decider
+from chicoryproxy.routing.flowtable import FlowFlag
+from chicoryproxy.routing.parts import Actions, EntryParts
+from chicoryproxy.routing.route import ServiceRoute
 from chicoryproxy.states import DropReason, RouteReason
 
 SYN_ACK = FLAG_SYN | FLAG_ACK
--- a/src/chicoryproxy/routing/route.py
+++ b/src/chicoryproxy/routing/route.py
@@ -5,10 +5,10 @@
 from msgspec import Struct
 
 from chicoryproxy.ids import FlowKey, InstanceId, ServiceId, UpstreamId
-from chicoryproxy.messages import FlowRecord, SlotName
 from chicoryproxy.model import Endpoint, Service, Upstream
-from chicoryproxy.packet import PacketHead
-from chicoryproxy.slots import ServiceSlots
+from chicoryproxy.protocol.messages import FlowRecord, SlotName
+from chicoryproxy.protocol.packet import PacketHead
+from chicoryproxy.routing.slots import ServiceSlots
 from chicoryproxy.states import Protocol
 
 
--- a/src/chicoryproxy/routing/router.py
+++ b/src/chicoryproxy/routing/router.py
@@ -8,16 +8,10 @@
 
 from msgspec import Struct
 
-from chicoryproxy.actions import Drop, PacketAction, SendToPeer
-from chicoryproxy.decision import create_decider
-from chicoryproxy.description import EntryDescription, describe_entry
-from chicoryproxy.explanation import Explanation, explain_flow
-from chicoryproxy.flowname import FlowName
-from chicoryproxy.flowtable import FlowFlag
-from chicoryproxy.handover import create_leaving_entry
 from chicoryproxy.ids import DomainId, FlowKey, InstanceId, RegionId, UpstreamId
-from chicoryproxy.leases import create_lease_duty
-from chicoryproxy.messages import (
+from chicoryproxy.model import FleetLimits
+from chicoryproxy.protocol.actions import Drop, PacketAction, SendToPeer
+from chicoryproxy.protocol.messages import (
     EntryMessage,
     EntryReport,
     FlowRecord,
@@ -27,14 +21,20 @@
     SlotName,
     ViewUpdate,
 )
-from chicoryproxy.model import FleetLimits
-from chicoryproxy.packet import UDP, PacketHead, hash_flow, read_packet
-from chicoryproxy.parts import ENTRY_SHARE, MAX_RECORDS_PER_SLOT, Actions, EntryParts
-from chicoryproxy.peers import create_peer_exchange
-from chicoryproxy.releases import create_release_duty
-from chicoryproxy.returns import create_return_path
-from chicoryproxy.route import PacketAtHand, ServiceRoute
-from chicoryproxy.slots import Answer, ServiceSlots
+from chicoryproxy.protocol.packet import UDP, PacketHead, hash_flow, read_packet
+from chicoryproxy.routing.decision import create_decider
+from chicoryproxy.routing.description import EntryDescription, describe_entry
+from chicoryproxy.routing.explanation import Explanation, explain_flow
+from chicoryproxy.routing.flowname import FlowName
+from chicoryproxy.routing.flowtable import FlowFlag
+from chicoryproxy.routing.handover import create_leaving_entry
+from chicoryproxy.routing.leases import create_lease_duty
+from chicoryproxy.routing.parts import ENTRY_SHARE, MAX_RECORDS_PER_SLOT, Actions, EntryParts
+from chicoryproxy.routing.peers import create_peer_exchange
+from chicoryproxy.routing.releases import create_release_duty
+from chicoryproxy.routing.returns import create_return_path
+from chicoryproxy.routing.route import PacketAtHand, ServiceRoute
+from chicoryproxy.routing.slots import Answer, ServiceSlots
 from chicoryproxy.states import DropReason, RouteReason
 
 EXPIRED_PER_TICK = 2000
--- a/src/chicoryproxy/routing/settlement.py
+++ b/src/chicoryproxy/routing/settlement.py
@@ -4,10 +4,9 @@
 
 from msgspec import Struct
 
-from chicoryproxy.actions import SendToPeer
-from chicoryproxy.homes import HomeDirectory
 from chicoryproxy.ids import InstanceId
-from chicoryproxy.messages import (
+from chicoryproxy.protocol.actions import SendToPeer
+from chicoryproxy.protocol.messages import (
     Priority,
     SlotName,
     SlotQuery,
@@ -15,6 +14,7 @@
     SlotReleases,
     SlotReport,
 )
+from chicoryproxy.routing.homes import HomeDirectory
 
 ANSWER_TIMEOUT_S = 1.0
 MAX_SLOTS_PER_QUERY = 32
--- a/src/chicoryproxy/routing/slots.py
+++ b/src/chicoryproxy/routing/slots.py
@@ -6,11 +6,11 @@
 
 from msgspec import Struct
 
-from chicoryproxy.actions import Forward
 from chicoryproxy.ids import NO_VERSION, Epoch, FlowKey, ServiceId, SlotIndex, UpstreamId, Version
-from chicoryproxy.messages import SlotFloor, SlotName, SlotRelease
 from chicoryproxy.model import Generation, UpstreamCondition
-from chicoryproxy.placement import PlacementTable, create_table
+from chicoryproxy.protocol.actions import Forward
+from chicoryproxy.protocol.messages import SlotFloor, SlotName, SlotRelease
+from chicoryproxy.routing.placement import PlacementTable, create_table
 
 NO_EPOCH = Epoch(0)
 NO_UPSTREAM = UpstreamId("")
--- a/src/chicoryproxy/routing/takeover.py
+++ b/src/chicoryproxy/routing/takeover.py
@@ -8,10 +8,10 @@
 
 from msgspec import Struct
 
-from chicoryproxy.actions import SendToPeer
 from chicoryproxy.ids import InstanceId
-from chicoryproxy.messages import FlowAnswer, FlowQuery, Priority, SlotName, SlotQuestion
-from chicoryproxy.route import PacketAtHand
+from chicoryproxy.protocol.actions import SendToPeer
+from chicoryproxy.protocol.messages import FlowAnswer, FlowQuery, Priority, SlotName, SlotQuestion
+from chicoryproxy.routing.route import PacketAtHand
 
 WAIT_S = 0.05
 PATIENCE_S = 0.6
--- a/src/chicoryproxy/routing/world.py
+++ b/src/chicoryproxy/routing/world.py
@@ -4,10 +4,7 @@
 
 from msgspec import Struct
 
-from chicoryproxy.choke import Gate, create_gate
-from chicoryproxy.homes import HomeDirectory, MemberChange
 from chicoryproxy.ids import NO_VERSION, ServiceId, UpstreamId, Version
-from chicoryproxy.messages import SlotName, ViewUpdate
 from chicoryproxy.model import (
     Configuration,
     FleetLimits,
@@ -16,9 +13,12 @@
     Upstream,
     UpstreamCondition,
 )
-from chicoryproxy.packet import pack_address
-from chicoryproxy.route import ServiceRoute
-from chicoryproxy.slots import Answer, ServiceSlots, create_service_slots
+from chicoryproxy.protocol.messages import SlotName, ViewUpdate
+from chicoryproxy.protocol.packet import pack_address
+from chicoryproxy.routing.choke import Gate, create_gate
+from chicoryproxy.routing.homes import HomeDirectory, MemberChange
+from chicoryproxy.routing.route import ServiceRoute
+from chicoryproxy.routing.slots import Answer, ServiceSlots, create_service_slots
 from chicoryproxy.states import UpstreamState
 
 
--- /dev/null
+++ b/src/chicoryproxy/telemetry/__init__.py
@@ -0,0 +1,1 @@
+"""Logs and metrics of the product's processes."""
--- a/src/chicoryproxy/telemetry/logs.py
+++ b/src/chicoryproxy/telemetry/logs.py
@@ -14,14 +14,15 @@
 import time
 from collections import deque
 from collections.abc import Iterable, Iterator
-from enum import Enum, unique
+from enum import Enum
 from typing import Any, TextIO
 
 from msgspec import Struct
 from msgspec.json import Encoder
 from pythonjsonlogger.msgspec import MsgspecFormatter
 
-from chicoryproxy.actions import LogControl, LogRoute
+from chicoryproxy.configuration.logformat import LogFormat
+from chicoryproxy.protocol.actions import LogControl, LogRoute
 from chicoryproxy.states import DropReason, RefusalReason, RouteReason
 
 QUEUE_LINES = 8192
@@ -37,15 +38,6 @@
 _RESERVED = frozenset(vars(logging.makeLogRecord({}))) | {"message", "asctime", "taskName", "part"}
 
 
-@unique
-class LogFormat(Enum):
-    """Form of the log lines; ``AUTO`` is ``HUMAN`` on a terminal and ``JSON`` elsewhere."""
-
-    AUTO = "auto"
-    HUMAN = "human"
-    JSON = "json"
-
-
 class PartLogger(logging.LoggerAdapter[logging.Logger]):
     """Writes lines with the fixed prefix of one part.
 
--- a/src/chicoryproxy/testing/_fakefleet.py
+++ b/src/chicoryproxy/testing/_fakefleet.py
@@ -5,9 +5,10 @@
 from ipaddress import ip_address
 from random import Random
 
-from chicoryproxy._fakehosts import FakeFlow, FakeUpstream, FlowOutcome
-from chicoryproxy._fakewire import Schedule, Segment, unpack_segment
-from chicoryproxy.actions import (
+from chicoryproxy.control.core import ControlCore, create_control_core
+from chicoryproxy.ids import DomainId, InstanceId, UpstreamId
+from chicoryproxy.model import Configuration, Endpoint, Instance, Service
+from chicoryproxy.protocol.actions import (
     ControlAction,
     Drop,
     Forward,
@@ -23,13 +24,17 @@
     UpdateEntry,
     WatchPlatform,
 )
-from chicoryproxy.control import ControlCore, create_control_core
-from chicoryproxy.events import ConfigurationRead, HealthReading, InstancesRead, PlatformUnread
-from chicoryproxy.ids import DomainId, InstanceId, UpstreamId
-from chicoryproxy.messages import PassedPacket
-from chicoryproxy.model import Configuration, Endpoint, Instance, Service
-from chicoryproxy.router import PacketCore, create_packet_core
+from chicoryproxy.protocol.events import (
+    ConfigurationRead,
+    HealthReading,
+    InstancesRead,
+    PlatformUnread,
+)
+from chicoryproxy.protocol.messages import PassedPacket
+from chicoryproxy.routing.router import PacketCore, create_packet_core
 from chicoryproxy.states import ReturnPath
+from chicoryproxy.testing._fakehosts import FakeFlow, FakeUpstream, FlowOutcome
+from chicoryproxy.testing._fakewire import Schedule, Segment, unpack_segment
 
 TICK_S = 0.02
 CONTROL_TICK_S = 0.1
--- a/src/chicoryproxy/testing/_fakehosts.py
+++ b/src/chicoryproxy/testing/_fakehosts.py
@@ -5,12 +5,12 @@
 from enum import Enum, unique
 from ipaddress import ip_address
 
-from chicoryproxy._fakewire import Schedule, Segment
-from chicoryproxy.events import HealthReading
 from chicoryproxy.ids import UpstreamId
 from chicoryproxy.model import ServiceAddress, Upstream
-from chicoryproxy.packet import FLAG_ACK, FLAG_FIN, FLAG_RST, FLAG_SYN
+from chicoryproxy.protocol.events import HealthReading
+from chicoryproxy.protocol.packet import FLAG_ACK, FLAG_FIN, FLAG_RST, FLAG_SYN
 from chicoryproxy.states import UpstreamState
+from chicoryproxy.testing._fakewire import Schedule, Segment
 
 WINDOW_S = 1.0
 OPENING_RETRY_S = 1.0
--- a/src/chicoryproxy/testing/caller_standin.py
+++ b/src/chicoryproxy/testing/caller_standin.py
@@ -6,9 +6,9 @@
 from enum import Enum, unique
 
 from chicoryproxy.ids import UpstreamId
-from chicoryproxy.packet import FLAG_ACK, FLAG_FIN, FLAG_RST, FLAG_SYN
-from chicoryproxy.segment import SEQUENCE_MASK, Peer, Segment, build_packet, read_segment
-from chicoryproxy.upstream_standin import FLAG_PSH, NAME_END
+from chicoryproxy.network.segment import SEQUENCE_MASK, Peer, Segment, build_packet, read_segment
+from chicoryproxy.protocol.packet import FLAG_ACK, FLAG_FIN, FLAG_RST, FLAG_SYN
+from chicoryproxy.testing.upstream_standin import FLAG_PSH, NAME_END
 
 RETRANSMIT_S = 0.4
 MAX_TRIES = 50
--- a/src/chicoryproxy/testing/deployments.py
+++ b/src/chicoryproxy/testing/deployments.py
@@ -1,18 +1,9 @@
-"""Fakes for tests: a clock, a network between cores, a fabric, upstreams and callers.
-
-A ``FakeFleet`` drives the real cores of several instances in one process. Time is an event queue,
-so that a run takes no longer than its events, and every delay, loss and choice comes from one
-seed. ``create_tenggara`` and ``create_al_batinah`` give both users' deployments with the sizes
-and latencies of today.
-"""
+"""Deployments of both users, for tests: ``create_tenggara`` and ``create_al_batinah``."""
 
 from collections.abc import Sequence
 
 import msgspec
 
-from chicoryproxy._fakefleet import FakeFleet, FakeNode, FakePlatform
-from chicoryproxy._fakehosts import FakeFlow, FakeUpstream, FlowOutcome
-from chicoryproxy._fakewire import Schedule, Segment, unpack_segment
 from chicoryproxy.ids import DomainId, InstanceId, RegionId, ServiceId, UpstreamId, Version
 from chicoryproxy.model import (
     Capacity,
@@ -28,24 +19,7 @@
     WarmUp,
 )
 from chicoryproxy.states import DomainState, Protocol, ReturnPath
-
-__all__ = [
-    "Deployment",
-    "FakeFleet",
-    "FakeFlow",
-    "FakeNode",
-    "FakePlatform",
-    "FakeUpstream",
-    "FlowOutcome",
-    "Schedule",
-    "Segment",
-    "change_upstreams",
-    "create_al_batinah",
-    "create_instances",
-    "create_tenggara",
-    "set_domain",
-    "unpack_segment",
-]
+from chicoryproxy.testing._fakefleet import FakeFleet
 
 DATA_PORT = 5555
 PEER_PORT = 5556
--- a/src/chicoryproxy/testing/fabric_standin.py
+++ b/src/chicoryproxy/testing/fabric_standin.py
@@ -3,8 +3,8 @@
 import random
 from collections.abc import Callable, Sequence
 
-from chicoryproxy.datasocket import Address, DataSocket
 from chicoryproxy.model import Endpoint
+from chicoryproxy.network.datasocket import Address, DataSocket
 
 
 class FabricStandIn:
--- a/src/chicoryproxy/testing/platform_standin.py
+++ b/src/chicoryproxy/testing/platform_standin.py
@@ -8,12 +8,12 @@
 import msgspec
 from aiohttp import web
 
+from chicoryproxy.configuration.published import PublishedFault
+from chicoryproxy.configuration.splitter import publish
 from chicoryproxy.ids import UpstreamId
 from chicoryproxy.model import Configuration, Endpoint, Instance
-from chicoryproxy.probe import HealthAnswer
-from chicoryproxy.publication import CONFIGURATION_PATH, INSTANCES_PATH, VALUES_PATH
-from chicoryproxy.published import PublishedFault
-from chicoryproxy.splitter import publish
+from chicoryproxy.processes.probe import HealthAnswer
+from chicoryproxy.processes.publication import CONFIGURATION_PATH, INSTANCES_PATH, VALUES_PATH
 
 NO_WAIT_S = 0.0
 
--- a/src/chicoryproxy/testing/upstream_standin.py
+++ b/src/chicoryproxy/testing/upstream_standin.py
@@ -8,11 +8,11 @@
 
 from msgspec import Struct
 
-from chicoryproxy.datasocket import Address, DataSocket
 from chicoryproxy.ids import UpstreamId
 from chicoryproxy.model import Endpoint
-from chicoryproxy.packet import FLAG_ACK, FLAG_FIN, FLAG_RST, FLAG_SYN
-from chicoryproxy.segment import SEQUENCE_MASK, Peer, Segment, build_packet, read_segment
+from chicoryproxy.network.datasocket import Address, DataSocket
+from chicoryproxy.network.segment import SEQUENCE_MASK, Peer, Segment, build_packet, read_segment
+from chicoryproxy.protocol.packet import FLAG_ACK, FLAG_FIN, FLAG_RST, FLAG_SYN
 
 FIRST_SEQUENCE = 1000
 NAME_END = b"|"
--- a/tests/control_net.py
+++ b/tests/control_net.py
@@ -6,11 +6,8 @@
 
 import msgspec
 
-from chicoryproxy.actions import ReadHealth, SendToView, StopWatching, UpdateEntry, WatchPlatform
-from chicoryproxy.control import ControlCore, create_control_core
-from chicoryproxy.events import ConfigurationRead, HealthReading, InstancesRead, PlatformUnread
+from chicoryproxy.control.core import ControlCore, create_control_core
 from chicoryproxy.ids import DomainId, InstanceId, RegionId, ServiceId, UpstreamId, Version
-from chicoryproxy.messages import MemberState, ViewMessage, ViewUpdate
 from chicoryproxy.model import (
     Configuration,
     Domain,
@@ -21,7 +18,21 @@
     ServiceAddress,
     Upstream,
 )
-from chicoryproxy.sizes import estimate_message
+from chicoryproxy.protocol.actions import (
+    ReadHealth,
+    SendToView,
+    StopWatching,
+    UpdateEntry,
+    WatchPlatform,
+)
+from chicoryproxy.protocol.events import (
+    ConfigurationRead,
+    HealthReading,
+    InstancesRead,
+    PlatformUnread,
+)
+from chicoryproxy.protocol.messages import MemberState, ViewMessage, ViewUpdate
+from chicoryproxy.protocol.sizes import estimate_message
 from chicoryproxy.states import DomainState, Protocol, UpstreamState
 
 TICK_S = 0.1
--- a/tests/node/conftest.py
+++ b/tests/node/conftest.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from chicoryproxy.node.loop import Loop
+from chicoryproxy.eventloop.loop import Loop
 from tests.node.standins import StoreStandIn
 
 
--- a/tests/node/standins.py
+++ b/tests/node/standins.py
@@ -4,9 +4,9 @@
 import json
 import socket
 
+from chicoryproxy.eventloop.loop import Loop
+from chicoryproxy.eventloop.stream import Listener, Stream, StreamHandler
 from chicoryproxy.model import Endpoint
-from chicoryproxy.node.loop import Loop
-from chicoryproxy.node.stream import Listener, Stream, StreamHandler
 
 HOST = "127.0.0.1"
 DEADLINE_S = 5.0
--- a/tests/node/test_http.py
+++ b/tests/node/test_http.py
@@ -2,8 +2,7 @@
 
 import socket
 
-from chicoryproxy.model import Endpoint
-from chicoryproxy.node.http import (
+from chicoryproxy.eventloop.http import (
     HttpAnswer,
     HttpClient,
     HttpFailure,
@@ -11,6 +10,7 @@
     HttpServer,
     HttpTimeout,
 )
+from chicoryproxy.model import Endpoint
 from tests.node.standins import HOST, pick_port, run_until
 
 
--- a/tests/node/test_probe.py
+++ b/tests/node/test_probe.py
@@ -4,11 +4,11 @@
 
 import pytest
 
+from chicoryproxy.eventloop.stream import Listener, Stream, StreamHandler
 from chicoryproxy.forwarding.confirmation import ProbeResult
 from chicoryproxy.ids import UpstreamId
 from chicoryproxy.model import Endpoint
 from chicoryproxy.node.probe import probe_connection, probe_identity
-from chicoryproxy.node.stream import Listener, Stream, StreamHandler
 from tests.node.standins import HOST, pick_port, run_until
 
 
--- a/tests/replay_net.py
+++ b/tests/replay_net.py
@@ -8,17 +8,17 @@
 
 import msgspec
 
-from chicoryproxy.actions import Forward, ForwardHeld, PacketAction, SendToPeer
+from chicoryproxy.control.versions import VersionStore
 from chicoryproxy.ids import InstanceId, SlotIndex, UpstreamId, Version
-from chicoryproxy.messages import FlowHints, Member, SlotName, SlotReleases, ViewUpdate
 from chicoryproxy.model import Configuration, FlowLimits, Instance, Service
-from chicoryproxy.packet import FLAG_ACK, FLAG_SYN, PacketHead, hash_flow, read_packet
-from chicoryproxy.placement import choose_size
+from chicoryproxy.protocol.actions import Forward, ForwardHeld, PacketAction, SendToPeer
+from chicoryproxy.protocol.messages import FlowHints, Member, SlotName, SlotReleases, ViewUpdate
+from chicoryproxy.protocol.packet import FLAG_ACK, FLAG_SYN, PacketHead, hash_flow, read_packet
 from chicoryproxy.rendezvous import rank_instances
-from chicoryproxy.router import PacketCore, create_packet_core
+from chicoryproxy.routing.placement import choose_size
+from chicoryproxy.routing.router import PacketCore, create_packet_core
 from chicoryproxy.states import MemberState
 from chicoryproxy.testing import Segment, create_tenggara
-from chicoryproxy.versions import VersionStore
 from spec.routing import RoutingStep
 from spec.system import Finding, Step
 
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -3,8 +3,8 @@
 import random
 import signal
 
+from chicoryproxy.eventloop.stream import Listener, Stream, StreamHandler, open_stream
 from chicoryproxy.model import Endpoint
-from chicoryproxy.node.stream import Listener, Stream, StreamHandler, open_stream
 
 INTERPRETER_START_S = 0.1
 
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -16,9 +16,9 @@
 import tempfile
 from pathlib import Path
 
+from chicoryproxy.eventloop.http import HttpAnswer, HttpClient
+from chicoryproxy.eventloop.loop import Loop
 from chicoryproxy.model import Endpoint
-from chicoryproxy.node.http import HttpAnswer, HttpClient
-from chicoryproxy.node.loop import Loop
 from tests.node.standins import StoreStandIn, pick_port
 from tests.soak.faults import FaultPlan, FaultProxy
 from tests.soak.traffic import DRAIN_S, Caller, Server, to_number
--- a/tests/soak/traffic.py
+++ b/tests/soak/traffic.py
@@ -4,9 +4,9 @@
 import socket
 import struct
 
+from chicoryproxy.eventloop.http import HttpReply
+from chicoryproxy.eventloop.stream import Listener, Stream, StreamHandler
 from chicoryproxy.model import Endpoint
-from chicoryproxy.node.http import HttpReply
-from chicoryproxy.node.stream import Listener, Stream, StreamHandler
 from chicoryproxy.platform.header import FLAG_ACK, FLAG_FIN, FLAG_RST, FLAG_SYN, HEADER_BYTES
 
 HEADER = struct.Struct("<IIIIHHHIIB")
--- a/tests/test_budget.py
+++ b/tests/test_budget.py
@@ -1,7 +1,7 @@
 """The token bucket of control bytes."""
 
-from chicoryproxy.budget import ControlBudget
-from chicoryproxy.messages import Priority
+from chicoryproxy.protocol.budget import ControlBudget
+from chicoryproxy.protocol.messages import Priority
 
 RATE = 1000.0
 
--- a/tests/test_check.py
+++ b/tests/test_check.py
@@ -2,10 +2,10 @@
 
 import pytest
 
-from chicoryproxy.check import ExitCode, main
-from chicoryproxy.keytable import list_rows, render_rows
-from chicoryproxy.schema import WrittenConfiguration
-from chicoryproxy.settings import WrittenSettings
+from chicoryproxy.commands.check import ExitCode, main
+from chicoryproxy.configuration.keytable import list_rows, render_rows
+from chicoryproxy.configuration.schema import WrittenConfiguration
+from chicoryproxy.configuration.settings import WrittenSettings
 
 FLEET = "examples/fleet-albatinah.yaml"
 DAY = "--day=2026-12-03"
--- a/tests/test_choke.py
+++ b/tests/test_choke.py
@@ -2,10 +2,10 @@
 
 import pytest
 
-from chicoryproxy.actions import Forward
-from chicoryproxy.choke import create_gate
 from chicoryproxy.ids import DomainId, RegionId, ServiceId, UpstreamId, Version
 from chicoryproxy.model import Configuration, Domain, Endpoint, Service, Upstream
+from chicoryproxy.protocol.actions import Forward
+from chicoryproxy.routing.choke import create_gate
 from chicoryproxy.states import DomainState, DropReason, RefusalReason
 
 ADDRESS = Endpoint("127.0.0.1", 1)
--- a/tests/test_codec.py
+++ b/tests/test_codec.py
@@ -6,8 +6,6 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from chicoryproxy import codec
-from chicoryproxy.codec import DecodeProblem
 from chicoryproxy.ids import (
     DomainId,
     Epoch,
@@ -20,7 +18,20 @@
     UpstreamId,
     Version,
 )
-from chicoryproxy.messages import (
+from chicoryproxy.model import (
+    Configuration,
+    Domain,
+    Endpoint,
+    Generation,
+    Instance,
+    Service,
+    ServiceAddress,
+    Upstream,
+    UpstreamCondition,
+)
+from chicoryproxy.network import codec
+from chicoryproxy.network.codec import DecodeProblem
+from chicoryproxy.protocol.messages import (
     Ack,
     EntryMessage,
     EntryReport,
@@ -57,17 +68,6 @@
     ViewMessage,
     ViewUpdate,
 )
-from chicoryproxy.model import (
-    Configuration,
-    Domain,
-    Endpoint,
-    Generation,
-    Instance,
-    Service,
-    ServiceAddress,
-    Upstream,
-    UpstreamCondition,
-)
 from chicoryproxy.states import MemberState, Protocol, UpstreamState
 
 MAX_HINT_BYTES = 30
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -2,10 +2,10 @@
 
 import pytest
 
-from chicoryproxy.configuration import ServiceFault, load_configuration
+from chicoryproxy.configuration.configuration import ServiceFault, load_configuration
+from chicoryproxy.configuration.layers import LayerKind
 from chicoryproxy.errors import ConfigurationError
 from chicoryproxy.ids import ServiceId, Version
-from chicoryproxy.layers import LayerKind
 from chicoryproxy.model import Capacity, InstanceLimits
 from chicoryproxy.states import DomainState, ReturnPath
 
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -5,7 +5,7 @@
 import pytest
 
 from chicoryproxy.ids import ServiceId, Version
-from chicoryproxy.messages import EntryReport, Gossip, Ping, ServiceClean
+from chicoryproxy.protocol.messages import EntryReport, Gossip, Ping, ServiceClean
 from chicoryproxy.states import MemberState
 from tests.control_net import DOMAINS, ControlNet, make_configuration, make_upstream
 
--- a/tests/test_ctl.py
+++ b/tests/test_ctl.py
@@ -6,13 +6,13 @@
 import msgspec
 import pytest
 
-from chicoryproxy import ctl
-from chicoryproxy.entry import CONTROL_PORT_OFFSET
+from chicoryproxy.commands import ctl
 from chicoryproxy.ids import DomainId
-from chicoryproxy.inquiry import Unanswered, ask_states
 from chicoryproxy.model import Endpoint
-from chicoryproxy.operations import OperationsServer
-from chicoryproxy.processstate import EntryState, ViewState
+from chicoryproxy.processes.entry import CONTROL_PORT_OFFSET
+from chicoryproxy.processes.inquiry import Unanswered, ask_states
+from chicoryproxy.processes.operations import OperationsServer
+from chicoryproxy.processes.processstate import EntryState, ViewState
 from chicoryproxy.states import DomainState
 from chicoryproxy.testing import change_upstreams, create_upstream, set_domain
 
--- a/tests/test_demo.py
+++ b/tests/test_demo.py
@@ -3,15 +3,15 @@
 import pytest
 from rich.console import Console
 
-from chicoryproxy import demo
-from chicoryproxy.caller_standin import CallerFlow, FlowEnd
-from chicoryproxy.demo import Demo, DemoOptions, DemoResult
-from chicoryproxy.demo_fleet import TARGET
+from chicoryproxy.commands import demo
+from chicoryproxy.commands.demo import Demo, DemoOptions, DemoResult
+from chicoryproxy.commands.demo_fleet import TARGET, reserve_host
 from chicoryproxy.ids import UpstreamId
 from chicoryproxy.model import Endpoint
-from chicoryproxy.packet import FLAG_ACK, FLAG_FIN, FLAG_RST, FLAG_SYN
-from chicoryproxy.segment import Peer, Segment, build_packet, read_segment
-from chicoryproxy.upstream_standin import UpstreamStandIn
+from chicoryproxy.network.segment import Peer, Segment, build_packet, read_segment
+from chicoryproxy.protocol.packet import FLAG_ACK, FLAG_FIN, FLAG_RST, FLAG_SYN
+from chicoryproxy.testing.caller_standin import CallerFlow, FlowEnd
+from chicoryproxy.testing.upstream_standin import UpstreamStandIn
 
 CALLER = Peer("10.9.0.1", 40_000)
 STAYED = UpstreamId("qa-desk-0")
@@ -77,3 +77,9 @@
     assert answers[3] == answers[4]
     assert answers[3].flags == FLAG_FIN | FLAG_ACK
     assert not any(answer.flags & FLAG_RST for answer in answers)
+
+
+def test_demos_at_the_same_time_use_different_addresses():
+    first, second = reserve_host(), reserve_host()
+    with first, second:
+        assert first.getsockname()[0] != second.getsockname()[0]
--- a/tests/test_explanation.py
+++ b/tests/test_explanation.py
@@ -5,9 +5,12 @@
 import msgspec
 import pytest
 
-from chicoryproxy._fakewire import Segment
-from chicoryproxy.actions import Drop, Forward, ForwardHeld, LogRoute, SendToPeer
-from chicoryproxy.explanation import (
+from chicoryproxy.ids import DomainId
+from chicoryproxy.model import Endpoint
+from chicoryproxy.protocol.actions import Drop, Forward, ForwardHeld, LogRoute, SendToPeer
+from chicoryproxy.protocol.messages import PassedPacket
+from chicoryproxy.protocol.packet import FLAG_ACK, FLAG_SYN, hash_flow, read_packet
+from chicoryproxy.routing.explanation import (
     ConditionStep,
     Explanation,
     GenerationStep,
@@ -20,13 +23,10 @@
     ServiceStep,
     SlotStep,
 )
-from chicoryproxy.flowname import FlowName, FlowNameFault, parse_flow
-from chicoryproxy.ids import DomainId
-from chicoryproxy.messages import PassedPacket
-from chicoryproxy.model import Endpoint
-from chicoryproxy.packet import FLAG_ACK, FLAG_SYN, hash_flow, read_packet
+from chicoryproxy.routing.flowname import FlowName, FlowNameFault, parse_flow
 from chicoryproxy.states import DomainState, DropReason, Protocol, RefusalReason
 from chicoryproxy.testing import change_upstreams, create_upstream, set_domain
+from chicoryproxy.testing._fakewire import Segment
 
 START_S = 4.0
 FLOWS = 100
--- a/tests/test_files.py
+++ b/tests/test_files.py
@@ -1,5 +1,5 @@
-from chicoryproxy.document import DocumentFault
-from chicoryproxy.files import load_document
+from chicoryproxy.configuration.document import DocumentFault
+from chicoryproxy.configuration.files import load_document
 from chicoryproxy.finding import FindingList, Place
 
 
--- a/tests/test_flowtable.py
+++ b/tests/test_flowtable.py
@@ -5,7 +5,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
-from chicoryproxy.flowtable import (
+from chicoryproxy.routing.flowtable import (
     CLOSING_TIMEOUT_S,
     HALF_OPEN_TIMEOUT_S,
     MAX_SHARDS_PER_CALL,
--- a/tests/test_grants.py
+++ b/tests/test_grants.py
@@ -6,10 +6,10 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from chicoryproxy.grants import WINDOW_S, GrantHolder, GrantOwner
 from chicoryproxy.ids import DomainId, InstanceId, UpstreamId
-from chicoryproxy.messages import Grant, GrantRequest, OpeningOutcomes
 from chicoryproxy.model import Endpoint, Upstream, UpstreamCondition, WarmUp
+from chicoryproxy.protocol.messages import Grant, GrantRequest, OpeningOutcomes
+from chicoryproxy.routing.grants import WINDOW_S, GrantHolder, GrantOwner
 from chicoryproxy.states import UpstreamState
 
 LEASE_S = 0.25
--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -2,13 +2,13 @@
 
 import pytest
 
-from chicoryproxy.conditions import EPOCHS_PER_VERSION, ConditionStore
-from chicoryproxy.events import HealthReading
-from chicoryproxy.health import CALM_S, UpstreamHealth
+from chicoryproxy.control.conditions import EPOCHS_PER_VERSION, ConditionStore
+from chicoryproxy.control.health import CALM_S, UpstreamHealth
+from chicoryproxy.control.owners import OwnerMap
 from chicoryproxy.ids import Epoch, InstanceId, UpstreamId
-from chicoryproxy.messages import EntryReport, OpeningOutcomes
 from chicoryproxy.model import UpstreamCondition
-from chicoryproxy.owners import OwnerMap
+from chicoryproxy.protocol.events import HealthReading
+from chicoryproxy.protocol.messages import EntryReport, OpeningOutcomes
 from chicoryproxy.rendezvous import choose_owner
 from chicoryproxy.states import UpstreamState
 from tests.control_net import DOMAINS, ControlNet, make_configuration, make_instance, make_upstream
--- a/tests/test_jsonreader.py
+++ b/tests/test_jsonreader.py
@@ -1,9 +1,9 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from chicoryproxy.document import Document
+from chicoryproxy.configuration.document import Document
+from chicoryproxy.configuration.jsonreader import read_json
 from chicoryproxy.finding import FindingList, Place
-from chicoryproxy.jsonreader import read_json
 
 
 def test_values_keep_their_types_and_the_places_of_their_upper_keys():
--- a/tests/test_link.py
+++ b/tests/test_link.py
@@ -5,10 +5,10 @@
 import pytest
 
 from chicoryproxy.ids import ServiceId, Version
-from chicoryproxy.link import LinkClient, LinkServer
-from chicoryproxy.messages import EntryReport, ServiceClean, ViewUpdate
-from chicoryproxy.metrics import Metrics
 from chicoryproxy.model import Configuration
+from chicoryproxy.network.link import LinkClient, LinkServer
+from chicoryproxy.protocol.messages import EntryReport, ServiceClean, ViewUpdate
+from chicoryproxy.telemetry.metrics import Metrics
 
 REPORT = EntryReport((ServiceClean(ServiceId("qa-desk"), Version(3)),))
 
--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -7,11 +7,11 @@
 import msgspec
 import pytest
 
-from chicoryproxy import load
-from chicoryproxy.caller_standin import FlowEnd
+from chicoryproxy.commands import load
+from chicoryproxy.commands.loadrecord import LoadRecord, measure_imbalance
 from chicoryproxy.ids import UpstreamId
-from chicoryproxy.loadrecord import LoadRecord, measure_imbalance
-from chicoryproxy.upstream_standin import UpstreamStandIn
+from chicoryproxy.testing.caller_standin import FlowEnd
+from chicoryproxy.testing.upstream_standin import UpstreamStandIn
 
 SERVICE = "198.51.100.1:443"
 FLOWS = 30
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -8,12 +8,13 @@
 
 import pytest
 
-from chicoryproxy.actions import LogControl, LogRoute
+from chicoryproxy.configuration.logformat import LogFormat
 from chicoryproxy.ids import FlowKey, InstanceId, ServiceId, SlotIndex, UpstreamId, Version
-from chicoryproxy.logs import LogFormat, PartLogger, RouteLog, configure_logs, log_control
-from chicoryproxy.metrics import Metric, create_metrics
 from chicoryproxy.model import Endpoint
+from chicoryproxy.protocol.actions import LogControl, LogRoute
 from chicoryproxy.states import DropReason, RefusalReason, RouteReason
+from chicoryproxy.telemetry.logs import PartLogger, RouteLog, configure_logs, log_control
+from chicoryproxy.telemetry.metrics import Metric, create_metrics
 
 METRICS_PAGE = Path(__file__).parents[1] / "docs" / "operations" / "metrics.md"
 
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -3,11 +3,11 @@
 import msgspec
 import pytest
 
-from chicoryproxy.actions import SendToView
-from chicoryproxy.messages import Gossip, MemberUpdate, Ping, VersionBody
-from chicoryproxy.sizes import estimate_message
+from chicoryproxy.control.versions import EMPTY_CONFIGURATION
+from chicoryproxy.protocol.actions import SendToView
+from chicoryproxy.protocol.messages import Gossip, MemberUpdate, Ping, VersionBody
+from chicoryproxy.protocol.sizes import estimate_message
 from chicoryproxy.states import MemberState
-from chicoryproxy.versions import EMPTY_CONFIGURATION
 from tests.control_net import ControlNet, make_instance
 
 SILENT = (MemberState.SUSPECT, MemberState.HIDDEN)
--- a/tests/test_packet.py
+++ b/tests/test_packet.py
@@ -5,7 +5,13 @@
 import dpkt
 import pytest
 
-from chicoryproxy.packet import PacketHead, hash_flow, hash_returned_flow, pack_address, read_packet
+from chicoryproxy.protocol.packet import (
+    PacketHead,
+    hash_flow,
+    hash_returned_flow,
+    pack_address,
+    read_packet,
+)
 from chicoryproxy.states import DropReason, Protocol
 
 
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -2,7 +2,7 @@
 
 from chicoryproxy.ids import DomainId, InstanceId, RegionId, UpstreamId
 from chicoryproxy.model import FleetLimits
-from chicoryproxy.parts import EntryParts
+from chicoryproxy.routing.parts import EntryParts
 
 NAME = UpstreamId("u")
 
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -6,7 +6,7 @@
 
 from chicoryproxy.ids import DomainId, FlowKey, ServiceId, UpstreamId, Version
 from chicoryproxy.model import Endpoint, Generation, Upstream
-from chicoryproxy.placement import (
+from chicoryproxy.routing.placement import (
     choose_size,
     create_bounded_rendezvous,
     create_modulo,
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -12,8 +12,6 @@
 import pytest
 from ruamel.yaml import YAML
 
-from chicoryproxy.caller_standin import CallerStandIn, FlowEnd
-from chicoryproxy.fabric_standin import FabricStandIn
 from chicoryproxy.ids import DomainId, InstanceId, RegionId, ServiceId, UpstreamId, Version
 from chicoryproxy.model import (
     Configuration,
@@ -24,13 +22,15 @@
     Upstream,
     WarmUp,
 )
-from chicoryproxy.platform_standin import PlatformStandIn
-from chicoryproxy.probe import HealthAnswer
-from chicoryproxy.segment import Peer
+from chicoryproxy.network.segment import Peer
+from chicoryproxy.processes.probe import HealthAnswer
+from chicoryproxy.processes.supervisor import ExitCode
+from chicoryproxy.processes.ticker import Ticker
 from chicoryproxy.states import Protocol, UpstreamState
-from chicoryproxy.supervisor import ExitCode
-from chicoryproxy.ticker import Ticker
-from chicoryproxy.upstream_standin import UpstreamStandIn
+from chicoryproxy.testing.caller_standin import CallerStandIn, FlowEnd
+from chicoryproxy.testing.fabric_standin import FabricStandIn
+from chicoryproxy.testing.platform_standin import PlatformStandIn
+from chicoryproxy.testing.upstream_standin import UpstreamStandIn
 
 SOURCE = Path(__file__).parents[1] / "src"
 KEY = "a key of 32 bytes, for the tests"
@@ -60,7 +60,7 @@
         self.process = await asyncio.create_subprocess_exec(
             sys.executable,
             "-m",
-            f"chicoryproxy.{self.module}",
+            f"chicoryproxy.processes.{self.module}",
             "--settings",
             str(self.settings),
             env={"PYTHONPATH": str(SOURCE)},
@@ -363,7 +363,7 @@
         process = await asyncio.create_subprocess_exec(
             sys.executable,
             "-m",
-            f"chicoryproxy.{module}",
+            f"chicoryproxy.processes.{module}",
             "--settings",
             str(settings),
             env={"PYTHONPATH": str(SOURCE)},
--- a/tests/test_publication.py
+++ b/tests/test_publication.py
@@ -8,17 +8,22 @@
 from hypothesis import strategies as st
 from msgspec import structs
 
-from chicoryproxy import publication
-from chicoryproxy.events import ConfigurationRead, HealthReading, InstancesRead, PlatformUnread
+from chicoryproxy.configuration.splitter import publish
 from chicoryproxy.ids import DomainId, InstanceId, RegionId, ServiceId, UpstreamId, Version
-from chicoryproxy.metrics import Metrics
 from chicoryproxy.model import Configuration, Endpoint, Instance, Service, ServiceAddress
-from chicoryproxy.platform_standin import PlatformStandIn
-from chicoryproxy.probe import HealthAnswer
-from chicoryproxy.publication import CONFIGURATION_PATH, VALUES_PATH, PlatformWatch
-from chicoryproxy.readings import Readings
-from chicoryproxy.splitter import publish
+from chicoryproxy.processes import publication
+from chicoryproxy.processes.probe import HealthAnswer
+from chicoryproxy.processes.publication import CONFIGURATION_PATH, VALUES_PATH, PlatformWatch
+from chicoryproxy.processes.readings import Readings
+from chicoryproxy.protocol.events import (
+    ConfigurationRead,
+    HealthReading,
+    InstancesRead,
+    PlatformUnread,
+)
 from chicoryproxy.states import Protocol, UpstreamState
+from chicoryproxy.telemetry.metrics import Metrics
+from chicoryproxy.testing.platform_standin import PlatformStandIn
 
 UPSTREAM = UpstreamId("qa-desk-1")
 LOCAL = Endpoint("127.0.0.1", 0)
--- a/tests/test_published.py
+++ b/tests/test_published.py
@@ -7,12 +7,10 @@
 from hypothesis import strategies as st
 from msgspec import structs
 
-from chicoryproxy.assembly import PublicationReader, assemble
-from chicoryproxy.configuration import load_configuration
-from chicoryproxy.folder import FolderFault, read_version, write_publication
-from chicoryproxy.ids import Version
-from chicoryproxy.model import Configuration, Domain, Endpoint, Service, ServiceAddress, Upstream
-from chicoryproxy.published import (
+from chicoryproxy.configuration.assembly import PublicationReader, assemble
+from chicoryproxy.configuration.configuration import load_configuration
+from chicoryproxy.configuration.folder import FolderFault, read_version, write_publication
+from chicoryproxy.configuration.published import (
     MAX_VALUE_BYTES,
     FaultReason,
     Group,
@@ -21,7 +19,9 @@
     compute_digest,
     decode_index,
 )
-from chicoryproxy.splitter import publish
+from chicoryproxy.configuration.splitter import publish
+from chicoryproxy.ids import Version
+from chicoryproxy.model import Configuration, Domain, Endpoint, Service, ServiceAddress, Upstream
 from chicoryproxy.states import DomainState, Protocol
 
 FLEET = load_configuration("examples/fleet-albatinah.yaml", Version(3), date(2026, 12, 3))
--- a/tests/test_ramp.py
+++ b/tests/test_ramp.py
@@ -3,7 +3,7 @@
 import pytest
 
 from chicoryproxy.model import Capacity, WarmUp
-from chicoryproxy.ramp import create_evidence_ramp
+from chicoryproxy.routing.ramp import create_evidence_ramp
 
 WARM_UP = WarmUp(cold_openings=2.0, full_openings=200.0, duration_s=30.0)
 CAPACITY = Capacity(slots=2, connections=2000)
--- a/tests/test_readers.py
+++ b/tests/test_readers.py
@@ -1,6 +1,6 @@
 """Which instances watch the platform."""
 
-from chicoryproxy.readers import choose_readers
+from chicoryproxy.control.readers import choose_readers
 from tests.control_net import DOMAINS, ControlNet, make_configuration, make_instance
 
 
--- a/tests/test_reset.py
+++ b/tests/test_reset.py
@@ -8,7 +8,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from chicoryproxy.reset import ResetProblem, create_reset
+from chicoryproxy.routing.reset import ResetProblem, create_reset
 
 ACK = dpkt.tcp.TH_ACK
 SYN = dpkt.tcp.TH_SYN
--- a/tests/test_retry.py
+++ b/tests/test_retry.py
@@ -4,7 +4,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from chicoryproxy.retry import RESERVE_RETRIES, WINDOW_S, RetryBudget
+from chicoryproxy.routing.retry import RESERVE_RETRIES, WINDOW_S, RetryBudget
 
 
 @settings(derandomize=True, max_examples=100, deadline=None)
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -5,11 +5,11 @@
 import msgspec
 import pytest
 
-from chicoryproxy.actions import Forward, SendToPeer
-from chicoryproxy.contact import SILENCE_S
 from chicoryproxy.ids import DomainId, InstanceId
 from chicoryproxy.model import Service
-from chicoryproxy.packet import FLAG_SYN
+from chicoryproxy.protocol.actions import Forward, SendToPeer
+from chicoryproxy.protocol.packet import FLAG_SYN
+from chicoryproxy.routing.contact import SILENCE_S
 from chicoryproxy.states import DomainState, RouteReason
 from chicoryproxy.testing import (
     Deployment,
--- a/tests/test_schema.py
+++ b/tests/test_schema.py
@@ -6,12 +6,12 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from chicoryproxy.configuration import create_configuration
-from chicoryproxy.document import Document, DocumentFault
+from chicoryproxy.configuration.configuration import create_configuration
+from chicoryproxy.configuration.document import Document, DocumentFault
+from chicoryproxy.configuration.yamlreader import read_yaml
 from chicoryproxy.errors import ConfigurationError
 from chicoryproxy.finding import FindingList
 from chicoryproxy.ids import Version
-from chicoryproxy.yamlreader import read_yaml
 
 TODAY = date(2026, 12, 3)
 
--- a/tests/test_seal.py
+++ b/tests/test_seal.py
@@ -4,9 +4,9 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from chicoryproxy import seal
 from chicoryproxy.ids import InstanceId
-from chicoryproxy.seal import Channel, Opened, SealProblem, create_seal
+from chicoryproxy.network import seal
+from chicoryproxy.network.seal import Channel, Opened, SealProblem, create_seal
 
 ALPHA = InstanceId("alpha")
 BETA = InstanceId("beta")
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -1,8 +1,8 @@
 import pytest
 
+from chicoryproxy.configuration.settings import load_settings
 from chicoryproxy.errors import SettingsError
 from chicoryproxy.model import Endpoint
-from chicoryproxy.settings import load_settings
 
 EXAMPLE = "examples/instance.yaml"
 
--- a/tests/test_sizes.py
+++ b/tests/test_sizes.py
@@ -2,9 +2,11 @@
 
 import pytest
 
-from chicoryproxy import codec
 from chicoryproxy.ids import Epoch, Incarnation, InstanceId, UpstreamId, Version
-from chicoryproxy.messages import (
+from chicoryproxy.model import UpstreamCondition
+from chicoryproxy.network import codec
+from chicoryproxy.network.seal import Channel, create_seal
+from chicoryproxy.protocol.messages import (
     Ack,
     Gossip,
     MemberUpdate,
@@ -13,9 +15,7 @@
     VersionFetch,
     ViewMessage,
 )
-from chicoryproxy.model import UpstreamCondition
-from chicoryproxy.seal import Channel, create_seal
-from chicoryproxy.sizes import estimate_message
+from chicoryproxy.protocol.sizes import estimate_message
 from chicoryproxy.states import MemberState, UpstreamState
 
 HEADERS_BYTES = 20 + 8
--- a/tests/test_slots.py
+++ b/tests/test_slots.py
@@ -3,11 +3,11 @@
 import msgspec
 import pytest
 
-from chicoryproxy.choke import create_gate
 from chicoryproxy.ids import Epoch, SlotIndex, UpstreamId, Version
-from chicoryproxy.messages import SlotName, SlotRelease
 from chicoryproxy.model import Generation, UpstreamCondition
-from chicoryproxy.slots import create_service_slots
+from chicoryproxy.protocol.messages import SlotName, SlotRelease
+from chicoryproxy.routing.choke import create_gate
+from chicoryproxy.routing.slots import create_service_slots
 from chicoryproxy.states import UpstreamState
 from chicoryproxy.testing import create_tenggara
 
--- a/tests/test_supervisor.py
+++ b/tests/test_supervisor.py
@@ -5,10 +5,10 @@
 import aiomisc
 import pytest
 
-from chicoryproxy import supervisor
-from chicoryproxy.backoff import Backoff, BackoffLimits
-from chicoryproxy.metrics import Metric, Metrics
-from chicoryproxy.supervisor import Child, Supervisor
+from chicoryproxy.network.backoff import Backoff, BackoffLimits
+from chicoryproxy.processes import supervisor
+from chicoryproxy.processes.supervisor import Child, Supervisor
+from chicoryproxy.telemetry.metrics import Metric, Metrics
 
 
 class Failing(aiomisc.Service):
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -3,8 +3,8 @@
 import pytest
 
 from chicoryproxy.ids import InstanceId, ServiceId, SlotIndex, UpstreamId
-from chicoryproxy.messages import FlowAnswer, SlotName, SlotQuestion
-from chicoryproxy.takeover import PATIENCE_S, WAIT_S, create_take_over
+from chicoryproxy.protocol.messages import FlowAnswer, SlotName, SlotQuestion
+from chicoryproxy.routing.takeover import PATIENCE_S, WAIT_S, create_take_over
 
 SLOT = SlotName(ServiceId("qa-desk"), SlotIndex(3), 512)
 PEERS = [InstanceId("entry-1"), InstanceId("entry-2")]
--- a/tests/test_trace.py
+++ b/tests/test_trace.py
@@ -5,8 +5,8 @@
 
 import pytest
 
-from chicoryproxy import ctl
-from chicoryproxy.trace import trace_caller, trace_request
+from chicoryproxy.commands import ctl
+from chicoryproxy.commands.trace import trace_caller, trace_request
 
 FLOW = "100.64.0.7:1040>198.18.0.1:443"
 OTHER = "100.64.0.8:1040>198.18.0.1:443"
--- a/tests/test_transport.py
+++ b/tests/test_transport.py
@@ -4,11 +4,11 @@
 
 import pytest
 
-from chicoryproxy import transport
 from chicoryproxy.ids import InstanceId
-from chicoryproxy.metrics import Metric, Metrics
-from chicoryproxy.seal import Channel, create_seal
-from chicoryproxy.transport import PeerTransport
+from chicoryproxy.network import transport
+from chicoryproxy.network.seal import Channel, create_seal
+from chicoryproxy.network.transport import PeerTransport
+from chicoryproxy.telemetry.metrics import Metric, Metrics
 
 ALPHA = InstanceId("alpha")
 BETA = InstanceId("beta")
--- a/tests/test_versions.py
+++ b/tests/test_versions.py
@@ -2,9 +2,9 @@
 
 import pytest
 
+from chicoryproxy.control.versions import MAX_GENERATIONS, VersionStore
 from chicoryproxy.ids import InstanceId, ServiceId, Version
-from chicoryproxy.messages import ServiceClean
-from chicoryproxy.versions import MAX_GENERATIONS, VersionStore
+from chicoryproxy.protocol.messages import ServiceClean
 from tests.control_net import DOMAINS, ControlNet, make_configuration, make_instance, make_upstream
 
 SERVICE = ServiceId("recovery-log")
--- a/tests/test_yamlreader.py
+++ b/tests/test_yamlreader.py
@@ -1,9 +1,9 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from chicoryproxy.document import Document, DocumentFault
+from chicoryproxy.configuration.document import Document, DocumentFault
+from chicoryproxy.configuration.yamlreader import read_yaml
 from chicoryproxy.finding import FindingList, Place
-from chicoryproxy.yamlreader import read_yaml
 
 
 def read(text):
