Use the limits that a configuration gives one instance

The control core and the packet core now take the control bytes of their own instance from it. The size of the flow table is fixed when a process starts, before any version is known; neither the fleet's nor an instance's value in a version changes it (docs/operations/configuration.md says so).

--- a/src/chicoryproxy/control/core.py
+++ b/src/chicoryproxy/control/core.py
@@ -6,6 +6,7 @@
 
 from msgspec import Struct
 
+from chicoryproxy.configuration.instancelimits import find_limits
 from chicoryproxy.control.catchup import CatchUp, CatchUpState
 from chicoryproxy.control.conditions import ConditionStore
 from chicoryproxy.control.exchange import VersionExchange
@@ -110,6 +111,8 @@
         self._outbox = Outbox(self._budget)
         self._membership = Membership(instance, seed, self._outbox)
         self._versions = VersionStore()
+        self._limited_by: Configuration | None = None
+        self._own_limits = limits
         self._conditions = ConditionStore(self._outbox)
         self._readers = ReaderDuty(instance, self._outbox)
         self._staleness = Staleness(self._membership, self._outbox)
@@ -240,7 +243,11 @@
 
     @property
     def _limits(self) -> FleetLimits:
-        return self._versions.configuration.fleet
+        configuration = self._versions.configuration
+        if configuration is not self._limited_by:
+            self._limited_by = configuration
+            self._own_limits = find_limits(configuration, self._membership.own.id)
+        return self._own_limits
 
     def _begin(self, now: float) -> None:
         self._now = now
@@ -249,10 +256,10 @@
         self._outbox.version = NO_VERSION if self._is_stale() else self._versions.version
 
     def _finish(self, now: float) -> list[ControlAction]:
-        configuration = self._versions.configuration
         if self._exchange.take_adopted():
-            self._budget.set_rate(configuration.fleet.control_bytes_per_s * VIEW_SHARE)
-            self._membership.configure(configuration.fleet)
+            limits = self._limits
+            self._budget.set_rate(limits.control_bytes_per_s * VIEW_SHARE)
+            self._membership.configure(limits)
             self._follow_members(now)
         if self._versions.version != NO_VERSION:
             live = self._membership.list_reachable()
--- a/src/chicoryproxy/routing/world.py
+++ b/src/chicoryproxy/routing/world.py
@@ -4,6 +4,7 @@
 
 from msgspec import Struct
 
+from chicoryproxy.configuration.instancelimits import find_limits
 from chicoryproxy.ids import NO_VERSION, ServiceId, UpstreamId, Version
 from chicoryproxy.model import (
     Configuration,
@@ -149,7 +150,7 @@
 
     def _take_configuration(self, configuration: Configuration) -> None:
         self.version = configuration.version
-        self.fleet = configuration.fleet
+        self.fleet = find_limits(configuration, self.directory.own)
         self.gate = create_gate(configuration)
         services = {}
         routes = {}
