Let packets wait in the socket while the process starts

A lost packet is sent again up to 1.6 s later.

Now main binds the socket first, with nothing loaded but socket and json; packets wait until the view is complete, at most 0.4 s. While starting, the entry looks every 5 ms whether its view is complete, before every 50 ms.

Ruled out: cheaper imports. msgspec loads textwrap, uuid, datetime and others by itself.

--- a/src/chicoryproxy/__init__.py
+++ b/src/chicoryproxy/__init__.py
@@ -5,7 +5,9 @@
 """
 
 from importlib import import_module
-from typing import TYPE_CHECKING
+
+# ``typing`` is not imported for it, since that costs start time.
+TYPE_CHECKING = False
 
 if TYPE_CHECKING:
     from chicoryproxy.control.core import ControlCore as ControlCore
--- a/src/chicoryproxy/eventloop/packetsocket.py
+++ b/src/chicoryproxy/eventloop/packetsocket.py
@@ -3,6 +3,7 @@
 import socket
 from collections.abc import Callable
 
+from chicoryproxy.eventloop.datagram import open_datagram_socket
 from chicoryproxy.eventloop.loop import Loop
 from chicoryproxy.model import Endpoint
 
@@ -10,26 +11,31 @@
 BATCH_PACKETS = 64
 """Packets that are read before other work gets its turn."""
 
-RECEIVE_BUFFER_BYTES = 1 << 20
-
 
 class PacketSocket:
-    """Reads packets in batches and sends without waiting.
+    """Reads packets in batches, once it is told to, and sends without waiting.
 
     :param receive: called with each packet.
+    :param bound: a socket that is bound already; it is used if it has the address.
 
     :ivar unsent: packets that the socket did not take.
     """
 
-    def __init__(self, loop: Loop, address: Endpoint, receive: Callable[[bytes], None]) -> None:
+    def __init__(
+        self,
+        loop: Loop,
+        address: Endpoint,
+        receive: Callable[[bytes], None],
+        bound: socket.socket | None = None,
+    ) -> None:
         self.unsent = 0
         self._loop = loop
         self._receive = receive
-        self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-        self._socket.setblocking(False)
-        self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
-        self._socket.bind((address.host, address.port))
-        loop.watch(self._socket, on_readable=self._read)
+        if bound is not None and bound.getsockname() != (address.host, address.port):
+            bound.close()
+            bound = None
+        self._socket = bound or open_datagram_socket(address.host, address.port)
+        self._is_reading = False
 
     @property
     def port(self) -> int:
@@ -37,9 +43,16 @@
         port: int = self._socket.getsockname()[1]
         return port
 
+    def start_reading(self) -> None:
+        """Begin to read; packets that have come already are read first."""
+        if not self._is_reading:
+            self._is_reading = True
+            self._loop.watch(self._socket, on_readable=self._read)
+
     def close(self) -> None:
         """Stop to read and close the socket."""
-        self._loop.forget(self._socket)
+        if self._is_reading:
+            self._loop.forget(self._socket)
         self._socket.close()
 
     def send(self, data: bytes, target: tuple[str, int]) -> None:
--- a/src/chicoryproxy/node/dataplane.py
+++ b/src/chicoryproxy/node/dataplane.py
@@ -1,5 +1,6 @@
 """Carries packets: the forwarding core with its socket and its probes."""
 
+import socket
 from collections.abc import Iterable
 
 from chicoryproxy.eventloop.loop import Loop
@@ -29,7 +30,10 @@
 
 
 class DataPlane(TrafficObserver):
-    """Reads packets, sends them where the core says, and probes upstreams."""
+    """Reads packets, sends them where the core says, and probes upstreams.
+
+    :param packets: socket of the callers' packets if it is bound already.
+    """
 
     def __init__(
         self,
@@ -38,6 +42,7 @@
         directory: Directory,
         journal: Journal,
         metrics: EntryMetrics,
+        packets: socket.socket | None = None,
     ) -> None:
         self._loop = loop
         self._metrics = metrics
@@ -51,7 +56,11 @@
         self._caller_port = settings.packets.port
         self._directory = directory
         self._journal = journal
-        self._socket = PacketSocket(loop, settings.packets, self._receive)
+        self._socket = PacketSocket(loop, settings.packets, self._receive, packets)
+
+    def start_reading(self) -> None:
+        """Begin to read packets, those first that came during the start."""
+        self._socket.start_reading()
 
     def stop(self) -> None:
         """Stop to read packets."""
--- a/src/chicoryproxy/node/entry.py
+++ b/src/chicoryproxy/node/entry.py
@@ -1,5 +1,6 @@
 """One entry: data plane, view and life cycle."""
 
+import socket
 from enum import Enum, unique
 
 from chicoryproxy.eventloop.http import HttpReply, HttpServer
@@ -16,6 +17,12 @@
 
 METRICS_PATH = "/metrics"
 TICK_S = 0.05
+STARTING_TICK_S = 0.005
+"""An entry whose view has become complete serves at once."""
+
+MAX_HOLD_S = 0.4
+"""Packets wait this long for a complete view; older ones have been repeated by their callers."""
+
 LEAVE_S = 2.0
 """Time after a request to stop in which the routers notice that this entry leaves."""
 
@@ -30,16 +37,29 @@
 
 
 class Entry(TrafficReports):
-    """Carries packets until it is told to leave."""
-
-    def __init__(self, loop: Loop, settings: EntrySettings, journal: Journal, seed: int) -> None:
+    """Carries packets until it is told to leave.
+
+    :param seed: of the pseudo-random choices.
+    :param packets: socket of the callers' packets if it is bound already.
+    """
+
+    def __init__(
+        self,
+        loop: Loop,
+        settings: EntrySettings,
+        journal: Journal,
+        seed: int,
+        packets: socket.socket | None = None,
+    ) -> None:
         self._loop = loop
         self._settings = settings
         self._journal = journal
         self._phase = EntryPhase.STARTING
         self._view = View(loop, settings, journal, self._follow_up, self, seed)
         self._metrics = EntryMetrics()
-        self._plane = DataPlane(loop, settings, self._view.directory, journal, self._metrics)
+        self._plane = DataPlane(
+            loop, settings, self._view.directory, journal, self._metrics, packets
+        )
         self._plane.forwarder.flows.peer_loads = self._view.peers.loads
         self._metrics_server = HttpServer(loop, settings.metrics, self._answer_metrics)
         self._server = HttpServer(loop, settings.readiness, self._answer_readiness)
@@ -47,6 +67,7 @@
     def start(self) -> None:
         """Begin to serve."""
         self._view.start()
+        self._loop.call_later(MAX_HOLD_S, self._plane.start_reading)
         self._tick()
 
     def apply_settings(self, settings: EntrySettings) -> None:
@@ -104,6 +125,7 @@
         if self._phase is EntryPhase.STARTING and self._view.is_complete:
             self._phase = EntryPhase.SERVING
             self._plane.forwarder.is_synced = True
+            self._plane.start_reading()
             self._journal.write("ready", revision=self._view.replica.synced)
 
     def _tick(self) -> None:
@@ -114,7 +136,8 @@
         self._view.expire(now)
         self._plane.tick(now)
         self._journal.flush()
-        self._loop.call_later(TICK_S, self._tick)
+        is_starting = self._phase is EntryPhase.STARTING
+        self._loop.call_later(STARTING_TICK_S if is_starting else TICK_S, self._tick)
 
     def _handle_pause(self, now: float) -> None:
         event = self._plane.forwarder.pause.tick(self._view.is_confirmed, now)
--- a/src/chicoryproxy/node/peers.py
+++ b/src/chicoryproxy/node/peers.py
@@ -35,6 +35,7 @@
         self.bytes_sent = 0
         self._receive = receive
         self._socket = PacketSocket(loop, address, self._decode)
+        self._socket.start_reading()
 
     def send(self, heartbeat: Heartbeat, targets: Iterable[Endpoint]) -> None:
         """Send a heartbeat to several peers."""
--- /dev/null
+++ b/src/chicoryproxy/node/process.py
@@ -0,0 +1,41 @@
+"""The process that carries packets on the platform."""
+
+import signal
+import socket
+import time
+
+from chicoryproxy.errors import SettingsError
+from chicoryproxy.eventloop.loop import Loop
+from chicoryproxy.node.entry import Entry
+from chicoryproxy.node.journal import Journal
+from chicoryproxy.node.reload import SettingsReloader
+from chicoryproxy.platform.settings import get_settings_path, read_settings
+
+EXIT_OK = 0
+EXIT_SETTINGS = 2
+
+
+def run(packets: socket.socket | None) -> int:
+    """Run an entry until SIGTERM.
+
+    :param packets: socket of the callers' packets if it is bound already.
+    :returns: the exit code.
+    """
+    try:
+        path = get_settings_path()
+        settings = read_settings(path)
+    except SettingsError as error:
+        error.show()
+        return EXIT_SETTINGS
+    loop = Loop()
+    journal = Journal(settings.instance, time.time, loop.read_clock)
+    journal.write("start", domain=settings.domain, bound_early=packets is not None)
+    entry = Entry(loop, settings, journal, time.time_ns(), packets)
+    reloader = SettingsReloader(loop, journal, path, settings, entry.apply_settings)
+    loop.handle_signal(signal.SIGTERM, entry.leave)
+    loop.handle_signal(signal.SIGHUP, reloader.reload)
+    entry.start()
+    reloader.start()
+    loop.run()
+    loop.close()
+    return EXIT_OK
--- a/src/chicoryproxy/platform/settings.py
+++ b/src/chicoryproxy/platform/settings.py
@@ -10,9 +10,9 @@
 from chicoryproxy.forwarding.model import Bounds, EntrySettings
 from chicoryproxy.ids import DomainId, InstanceId, RegionId
 from chicoryproxy.model import Endpoint
+from chicoryproxy.platform.packetaddress import LISTEN_KEY, PACKETS_KEY, SETTINGS_VARIABLE
 from chicoryproxy.platform.records import parse_endpoint
 
-SETTINGS_VARIABLE = "CHICORYPROXY_SETTINGS"
 HEALTH_CONTRACT = "health"
 """Where this part of the rules is in force, health checks may be false either way."""
 
@@ -21,7 +21,7 @@
 
 
 class _Listen(Struct):
-    packets: str = field(name="DatagramAddr")
+    packets: str = field(name=PACKETS_KEY)
     readiness: str = field(name="Ready")
 
 
@@ -46,7 +46,7 @@
     host: str = field(name="IpAddress")
     zone: str = field(name="Zone")
     zones: dict[str, str] = field(name="Zones")
-    listen: _Listen = field(name="ListenAddrs")
+    listen: _Listen = field(name=LISTEN_KEY)
     # First and last port that are free for the system's own traffic.
     internal_ports: tuple[int, int] = field(name="InternalPorts")
     store: _Store = field(name="platform")
--- a/tests/node/test_build.py
+++ b/tests/node/test_build.py
@@ -8,6 +8,7 @@
 PROGRAM = """
 import sys
 import chicoryproxy.node.main
+import chicoryproxy.node.process
 print(*(name for name in sys.modules if name.startswith("chicoryproxy.")))
 """
 
