Hold the imports in tests that act during the start of an entry

A taken port ends the process too (shown with 127.0.0.1:9464 held: 'ended without start', another line than the one that failed).

Both ways are closed: the libraries load only when the test lets them, so that the time to look has no end, and each run of the tests has a loopback address of its own.

--- /dev/null
+++ b/tests/node/entryprocess.py
@@ -0,0 +1,88 @@
+"""The real entry as a process, whose libraries load only when the test lets them."""
+
+import json
+import os
+import signal
+import subprocess
+import sys
+import time
+from pathlib import Path
+
+from chicoryproxy.platform.packetaddress import SETTINGS_VARIABLE
+
+SOURCE = Path(__file__).resolve().parents[2] / "src"
+PATIENCE_S = 20.0
+HELD_LIBRARY = """
+import os, sys, time
+while not os.path.exists({flag!r}):
+    time.sleep(0.01)
+sys.path.remove({folder!r})
+del sys.modules["msgspec"]
+import msgspec
+sys.modules["msgspec"] = msgspec
+"""
+
+
+class EntryProcess:
+    """One entry.
+
+    :param settings: its settings file.
+    :param folder: empty; holds what delays the import of the libraries.
+    """
+
+    def __init__(self, settings, folder):
+        self._flag = folder / "go"
+        library = HELD_LIBRARY.format(flag=str(self._flag), folder=str(folder))
+        (folder / "msgspec.py").write_text(library)
+        self._process = subprocess.Popen(
+            [sys.executable, "-m", "chicoryproxy.node.main"],
+            env={
+                "PYTHONPATH": os.pathsep.join((str(folder), str(SOURCE))),
+                SETTINGS_VARIABLE: str(settings),
+            },
+            stdout=subprocess.PIPE,
+        )
+
+    def load_libraries(self):
+        """Let the imports go on."""
+        self._flag.touch()
+
+    def wait_for(self, event):
+        """Read log lines until one has an event; return it."""
+        for line in self._process.stdout:
+            fields = json.loads(line)
+            if fields["event"] == event:
+                return fields
+        raise AssertionError(f"the process ended without {event}")
+
+    def ignores(self, number):
+        """Tell whether the kernel drops a signal for the process."""
+        for line in Path(f"/proc/{self._process.pid}/status").read_text().splitlines():
+            if line.startswith("SigIgn:"):
+                return bool(int(line.split()[1], 16) >> (number - 1) & 1)
+        return False
+
+    def send_signal(self, number=signal.SIGHUP):
+        """Send a signal."""
+        self._process.send_signal(number)
+
+    def has_ended(self):
+        """Tell whether the process has ended."""
+        return self._process.poll() is not None
+
+    def wait(self, timeout_s):
+        """Wait for the end; return the exit code."""
+        return self._process.wait(timeout=timeout_s)
+
+    def kill(self):
+        """End the process."""
+        self._process.kill()
+        self._process.wait()
+
+
+def wait_until(condition):
+    """Wait until a condition holds."""
+    deadline = time.monotonic() + PATIENCE_S
+    while not condition():
+        assert time.monotonic() < deadline
+        time.sleep(0.01)
--- a/tests/node/standins.py
+++ b/tests/node/standins.py
@@ -2,13 +2,16 @@
 
 import base64
 import json
+import os
 import socket
 
 from chicoryproxy.eventloop.loop import Loop
 from chicoryproxy.eventloop.stream import Listener, Stream, StreamHandler
 from chicoryproxy.model import Endpoint
 
-HOST = "127.0.0.1"
+_PID = os.getpid()
+HOST = f"127.5.{_PID >> 8 & 255}.{_PID & 255 | 1}"
+"""An address of this run alone: entries have a fixed port for metrics."""
 DEADLINE_S = 5.0
 
 
