Send the callers of a cut-off failure domain elsewhere if it can't serve them

Cause: the routers send callers to the entries of their own failure domain while at least one is ready.

Now an entry says that it is not ready when, for a second, most openings found no upstream, no entry of another domain was heard for 0.6 s, and all upstreams there are out of reach from here. It is ready again when another domain is heard, or the refused routes have an upstream. Where upstreams have failed everywhere the other domains are still heard, so that the entries never leave together. A zone that serves most of its openings keeps its callers: its open flows would move with them.

--- a/src/chicoryproxy/forwarding/forwarder.py
+++ b/src/chicoryproxy/forwarding/forwarder.py
@@ -18,6 +18,7 @@
 from chicoryproxy.forwarding.directory import Directory, Lifetime
 from chicoryproxy.forwarding.evidence import FailureDetector
 from chicoryproxy.forwarding.flows import Flow, FlowTable
+from chicoryproxy.forwarding.isolation import OpeningDemand
 from chicoryproxy.forwarding.model import Drop, FlowId, Mark, Refusal, UpstreamPhase
 from chicoryproxy.forwarding.packet import CallerPacket
 from chicoryproxy.forwarding.pause import PauseDetector
@@ -93,11 +94,12 @@
         self.detector = detector
         self.cold = cold
         self.confirmation = confirmation
+        self.demand = OpeningDemand()
         self._pending = PendingWork()
         self.pause = PauseDetector(now)
         self.is_synced = False
         self._directory = directory
-        self._policy = policy
+        self.policy = policy
 
     def handle(self, packet: CallerPacket, now: float) -> Decision:
         """Decide on one packet."""
@@ -155,7 +157,7 @@
     def count_exclusions(self, packet: CallerPacket, now: float) -> Counter[Exclusion]:
         """Count why upstreams of a packet's route may take no opening, for the log."""
         route = self._directory.find_route(packet.route_key)
-        return self._policy.count_exclusions(route, now) if route else Counter()
+        return self.policy.count_exclusions(route, now) if route else Counter()
 
     def expire(self, now: float) -> None:
         """Forget what is old, and suspect upstreams that let callers wait."""
@@ -180,7 +182,8 @@
             flow = self._restart(packet, now)
         self._note_copy(packet, flow, now)
         avoided = self._pending.list_pending(packet.flow, now)
-        upstream = self._policy.choose(Opening(route, packet.flow, flow.tried, avoided), now)
+        upstream = self.policy.choose(Opening(route, packet.flow, flow.tried, avoided), now)
+        self.demand.note(packet.route_key, upstream is None, now)
         if upstream is None:
             self.flows.remove(packet.flow)
             return Refusal.NO_UPSTREAM
--- a/src/chicoryproxy/forwarding/peering.py
+++ b/src/chicoryproxy/forwarding/peering.py
@@ -30,6 +30,9 @@
 LEARNING_S = 1.2
 """Time after the start in which an entry learns who the other ones are."""
 
+CUT_OFF_S = 0.6
+"""Silence of all entries of other failure domains after which they count as cut off."""
+
 FORGET_S = 20.0
 PEERS_IN_HEARTBEAT = 12
 FIRST_IN_HEARTBEAT = 5
@@ -78,6 +81,7 @@
         self._draws = Draws(seed, "peering")
         self._peers: dict[int, _Peer] = {}
         self._confirmed_s = float("-inf")
+        self._heard_elsewhere_s: float | None = None
         self._round = 0
 
     def set_seeds(self, seeds: Iterable[int]) -> None:
@@ -105,6 +109,8 @@
         if heartbeat.sender.host == self.own.host:
             return
         peer = self._learn(heartbeat.sender, now)
+        if heartbeat.sender.domain != self.own.domain:
+            self._heard_elsewhere_s = now
         peer.address = heartbeat.sender
         peer.synced = heartbeat.synced
         self.loads.take_heartbeat(heartbeat, now)
@@ -170,6 +176,11 @@
         """Tell whether this entry has started just now and may know few of the others."""
         return now - self._started_s < LEARNING_S
 
+    def is_cut_off(self, now: float) -> bool:
+        """Tell whether entries of other failure domains were heard once, and none is any more."""
+        heard_s = self._heard_elsewhere_s
+        return heard_s is not None and now - heard_s > CUT_OFF_S
+
     def compute_share(self, now: float) -> DomainShare | None:
         """Compute the place of this entry among the living ones of its failure domain.
 
--- a/src/chicoryproxy/forwarding/placement.py
+++ b/src/chicoryproxy/forwarding/placement.py
@@ -76,6 +76,10 @@
         :returns: ``None`` if no upstream may take it.
         """
 
+    @abstractmethod
+    def can_serve(self, route: Route, now: float) -> bool:
+        """Tell whether some upstream of a route may take an opening."""
+
     @abstractmethod
     def count_exclusions(self, route: Route, now: float) -> Counter[Exclusion]:
         """Count the upstreams of a route that may take no opening, by the reason."""
@@ -109,6 +113,14 @@
                 return upstream
         return None
 
+    def can_serve(self, route: Route, now: float) -> bool:
+        """Tell whether some upstream of a route may take an opening."""
+        return any(
+            self._find_exclusion(upstream, now) is None
+            for target in route.targets
+            for upstream in self._directory.iterate_service(target.service)
+        )
+
     def count_exclusions(self, route: Route, now: float) -> Counter[Exclusion]:
         """Count the upstreams of a route that may take no opening, by the reason."""
         reasons: Counter[Exclusion] = Counter()
--- a/src/chicoryproxy/node/entry.py
+++ b/src/chicoryproxy/node/entry.py
@@ -6,6 +6,7 @@
 from chicoryproxy.eventloop.http import HttpReply, HttpServer
 from chicoryproxy.eventloop.loop import Loop
 from chicoryproxy.forwarding.directory import Belief
+from chicoryproxy.forwarding.isolation import IsolationDetector
 from chicoryproxy.forwarding.model import EntrySettings, Mark
 from chicoryproxy.forwarding.pause import PauseEvent
 from chicoryproxy.forwarding.peermessages import LoadReport
@@ -61,6 +62,13 @@
             loop, settings, self._view.directory, journal, self._metrics, packets
         )
         self._plane.forwarder.flows.peer_loads = self._view.peers.loads
+        self._isolation = IsolationDetector(
+            settings.domain,
+            self._view.directory,
+            self._view.peers,
+            self._plane.forwarder.policy,
+            self._plane.forwarder.demand,
+        )
         self._metrics_server = HttpServer(loop, settings.metrics, self._answer_metrics)
         self._server = HttpServer(loop, settings.readiness, self._answer_readiness)
 
@@ -110,7 +118,8 @@
         self._plane.forwarder.suspect_marks(marks, self._loop.read_clock())
 
     def _answer_readiness(self, path: str) -> HttpReply:
-        return answer_readiness(path, self._phase is EntryPhase.SERVING)
+        is_ready = self._phase is EntryPhase.SERVING and not self._isolation.is_isolated
+        return answer_readiness(path, is_ready)
 
     def _answer_metrics(self, path: str) -> HttpReply:
         if path.partition("?")[0] != METRICS_PATH:
@@ -128,10 +137,20 @@
             self._plane.start_reading()
             self._journal.write("ready", revision=self._view.replica.synced)
 
+    def _update_isolation(self, now: float) -> None:
+        if self._isolation.tick(now):
+            self._metrics.is_isolated = self._isolation.is_isolated
+            self._journal.write(
+                "isolation",
+                isolated=self._isolation.is_isolated,
+                age_s=round(self._view.peers.get_age(now), 3),
+            )
+
     def _tick(self) -> None:
         now = self._loop.read_clock()
         self._handle_pause(now)
         self._update_phase()
+        self._update_isolation(now)
         self._plane.forwarder.cold.share = self._view.peers.compute_share(now)
         self._view.expire(now)
         self._plane.tick(now)
--- a/src/chicoryproxy/node/entrymetrics.py
+++ b/src/chicoryproxy/node/entrymetrics.py
@@ -42,6 +42,7 @@
         self.upstreams = 0
         self.unreachable = 0
         self.peers = 0
+        self.is_isolated = False
         self.handshakes = Histogram()
         self.responses = Histogram()
 
@@ -87,6 +88,10 @@
             "upstreams": ("upstreams that have not ended", self.upstreams),
             "unreachable_upstreams": ("upstreams out of reach", self.unreachable),
             "peers": ("living entries, this one included", self.peers),
+            "isolated": (
+                "1 while callers are sent to other failure domains",
+                int(self.is_isolated),
+            ),
         }
         return [render_gauge(PREFIX + name, text, value) for name, (text, value) in gauges.items()]
 
