Give each run of the tests its own network, and end their processes with them

Three entries of a run that was killed 24 minutes before were still there. Now a run reserves its network with a bound socket and takes the next one if it is in use, and its processes end with it (the way test_processes used already, now in one place).

The soak waited 0.1 s for the interpreter, too short on a loaded machine. It now asks the kernel whether the process handles the signal, and takes it as broken if it does not within 5 s; tests/node/test_main.py keeps the time of the imports.

--- a/tests/node/entryprocess.py
+++ b/tests/node/entryprocess.py
@@ -9,6 +9,7 @@
 from pathlib import Path
 
 from chicoryproxy.platform.packetaddress import SETTINGS_VARIABLE
+from tests.childprocess import end_with_parent
 
 SOURCE = Path(__file__).resolve().parents[2] / "src"
 PATIENCE_S = 20.0
@@ -41,6 +42,7 @@
                 SETTINGS_VARIABLE: str(settings),
             },
             stdout=subprocess.PIPE,
+            preexec_fn=end_with_parent,
         )
 
     def load_libraries(self):
--- a/tests/node/standins.py
+++ b/tests/node/standins.py
@@ -8,9 +8,10 @@
 from chicoryproxy.eventloop.loop import Loop
 from chicoryproxy.eventloop.stream import Listener, Stream, StreamHandler
 from chicoryproxy.model import Endpoint
+from tests.childprocess import reserve_net
 
-_PID = os.getpid()
-HOST = f"127.5.{_PID >> 8 & 255}.{_PID & 255 | 1}"
+_NET, _NET_LOCK = reserve_net(os.getpid() + 100)
+HOST = f"127.{_NET}.0.1"
 """An address of this run alone: entries have a fixed port for metrics."""
 DEADLINE_S = 5.0
 
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -6,8 +6,6 @@
 from chicoryproxy.eventloop.stream import Listener, Stream, StreamHandler, open_stream
 from chicoryproxy.model import Endpoint
 
-INTERPRETER_START_S = 0.1
-
 
 class _Half(StreamHandler):
     """One direction of a proxied connection."""
@@ -124,9 +122,8 @@
     def _hang_up(self):
         entry = self._pick_entry()
         entry.write_settings(extra=self._random.random())
-        # The interpreter itself takes a moment before any module can handle signals.
-        if self._random.random() < 0.5 and entry.get_age() > INTERPRETER_START_S:
-            entry.send_signal(signal.SIGHUP)
+        if self._random.random() < 0.5:
+            entry.reload()
 
     def _disturb_store_of_one(self):
         proxy = self._pick_entry().proxy
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -19,6 +19,7 @@
 from chicoryproxy.eventloop.http import HttpAnswer, HttpClient
 from chicoryproxy.eventloop.loop import Loop
 from chicoryproxy.model import Endpoint
+from tests.childprocess import end_with_parent, reserve_net
 from tests.node.standins import StoreStandIn, pick_port
 from tests.soak.faults import FaultPlan, FaultProxy
 from tests.soak.traffic import DRAIN_S, Caller, Server, to_number
@@ -31,8 +32,9 @@
 RECOVERED_SHARE = 0.9
 SERVICES = ("desk", "vault")
 ZONES = ("north", "south", "west")
-NET = 16 + os.getpid() % 200
+NET, _NET_LOCK = reserve_net(os.getpid())
 START_S = 1.0
+SLOW_START_S = 5.0
 
 
 class Entry:
@@ -84,6 +86,7 @@
                 env=environment,
                 stdout=log,
                 stderr=log,
+                preexec_fn=end_with_parent,
             )
         self._is_ending = False
         self._is_young = False
@@ -104,6 +107,26 @@
         self._is_young = self.get_age() < START_S
         self.send_signal(signal.SIGTERM)
 
+    def reload(self):
+        """Tell it that its settings have changed, once its code runs.
+
+        No module can handle a signal while the interpreter itself starts. How long that takes
+        depends on the machine, so that the kernel is asked instead of the clock.
+        """
+        if self._handles(signal.SIGHUP):
+            self.send_signal(signal.SIGHUP)
+        elif self.get_age() > SLOW_START_S:
+            self._soak.break_promise(f"{self._name} takes no SIGHUP")
+
+    def _handles(self, number):
+        """Tell whether the process ignores or catches a signal."""
+        try:
+            text = Path(f"/proc/{self._process.pid}/status").read_text()
+        except OSError:
+            return False
+        masks = [line.split()[1] for line in text.splitlines() if line[:6] in ("SigIgn", "SigCgt")]
+        return any(int(mask, 16) >> (number - 1) & 1 for mask in masks)
+
     def send_signal(self, number):
         """Send a signal to the process if it runs."""
         self._soak.note_disturbance()
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -1,7 +1,6 @@
 """The real processes on loopback: the whole path, stops, restarts, and a platform that is down."""
 
 import asyncio
-import ctypes
 import json
 import signal
 import sys
@@ -31,6 +30,7 @@
 from chicoryproxy.testing.fabric_standin import FabricStandIn
 from chicoryproxy.testing.platform_standin import PlatformStandIn
 from chicoryproxy.testing.upstream_standin import UpstreamStandIn
+from tests.childprocess import end_with_parent
 
 SOURCE = Path(__file__).parents[1] / "src"
 KEY = "a key of 32 bytes, for the tests"
@@ -40,7 +40,6 @@
 WARM = WarmUp(cold_openings=5000.0, full_openings=5000.0, duration_s=0.1)
 PAYLOAD = b"is heat number 7 certified?"
 FLOWS = 60
-PR_SET_PDEATHSIG = 1
 UPSTREAMS = 4
 
 
@@ -241,11 +240,6 @@
         self.entries[name] = Process("entry", file)
 
 
-def end_with_parent():
-    """Have the system end this process when the test run is killed."""
-    ctypes.CDLL(None).prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
-
-
 def write_endpoint(endpoint):
     return f"{endpoint.host}:{endpoint.port}"
 
