Let one piece of code serve addresses, frames, entry processes and locks

Found by reading the change again; behaviour stays as it is.

- Texts of IPv4 addresses were read in two places (records, peermessages) and written in two (header, peermessages), and again in the soak: forwarding/hosts now, with the check that records had.
- Both ends of a request for changes put the length before a message: one function.
- suspect and check of Confirmation opened a case alike: one method.
- A failed connect built its error beside the function that does so.
- The demo and the tests each reserved a loopback address in a loop of their own: testing/loopback.
- The soak and tests/node each started the entry and read its signal masks: tests/childprocess.
- The soak had a UDP socket of its own beside PacketSocket, the service of a destination twice, a function that returned what it had unpacked, a check of what can't be None, a doc of a field that is not there.

Left: the decision packets of the soak keep their own header format, so that they check the adapter's.

--- a/src/chicoryproxy/commands/demo_fleet.py
+++ b/src/chicoryproxy/commands/demo_fleet.py
@@ -1,7 +1,6 @@
 """The fleet of the demo: real cores and drivers around stand-ins, all on one loop."""
 
 import asyncio
-import socket
 import time
 from collections.abc import Sequence
 
@@ -9,7 +8,6 @@
 
 from chicoryproxy.configuration.settings import Settings
 from chicoryproxy.control.core import create_control_core
-from chicoryproxy.errors import ChicoryError
 from chicoryproxy.ids import DomainId, InstanceId, RegionId, ServiceId, UpstreamId, Version
 from chicoryproxy.model import (
     Configuration,
@@ -36,6 +34,7 @@
 from chicoryproxy.telemetry.metrics import Metric, Metrics
 from chicoryproxy.testing.caller_standin import CallerStandIn
 from chicoryproxy.testing.fabric_standin import FabricStandIn
+from chicoryproxy.testing.loopback import reserve_address
 from chicoryproxy.testing.platform_standin import PlatformStandIn
 from chicoryproxy.testing.upstream_standin import UpstreamStandIn
 
@@ -56,22 +55,6 @@
 DRAIN_TIMEOUT_S = 15.0
 
 
-def reserve_host() -> socket.socket:
-    """Bind a socket to the first loopback address that no other demo uses.
-
-    :raises ChicoryError: if all are in use.
-    """
-    for host in HOSTS:
-        lock = socket.socket()
-        try:
-            lock.bind((host, LOCK_PORT))
-        except OSError:
-            lock.close()
-            continue
-        return lock
-    raise ChicoryError(f"{len(HOSTS)} demos run at the same time; end one of them")
-
-
 class DemoInstance:
     """Both processes' drivers of one instance, supervised on the demo's loop."""
 
@@ -154,7 +137,7 @@
     """
 
     def __init__(self, seed: int) -> None:
-        self._lock = reserve_host()
+        self._lock = reserve_address(HOSTS, LOCK_PORT)
         self._host: str = self._lock.getsockname()[0]
         self.platform = PlatformStandIn()
         self._ports = iter(range(FIRST_PORT, FIRST_PORT + 1000))
--- a/src/chicoryproxy/eventloop/stream.py
+++ b/src/chicoryproxy/eventloop/stream.py
@@ -48,7 +48,7 @@
         code = self._socket.connect_ex((address.host, address.port))
         if code not in (0, errno.EINPROGRESS):
             # The handler hears of it on the loop, as of any later failure.
-            self._loop.call_later(0.0, lambda: self._fail(OSError(code, "connect failed")))
+            self._loop.call_later(0.0, lambda: self._fail(_create_error(code)))
             return
         self._loop.watch(self._socket, on_writable=self._finish_connect)
 
--- a/src/chicoryproxy/forwarding/confirmation.py
+++ b/src/chicoryproxy/forwarding/confirmation.py
@@ -93,9 +93,7 @@
 
     def suspect(self, upstream: Lifetime, now: float) -> None:
         """Ask for a probe of an upstream, unless one succeeded just now."""
-        case = self._cases.get(upstream)
-        if case is None:
-            case = self._cases[upstream] = _Case()
+        case = self._open_case(upstream)
         if case.is_probing or upstream.is_unreachable or now - case.checked_s < FRESH_S:
             return
         case.next_s = now
@@ -168,9 +166,7 @@
 
     def check(self, upstream: Lifetime, now: float) -> None:
         """Ask for a probe of an upstream in good standing, to see whether probes get through."""
-        case = self._cases.get(upstream)
-        if case is None:
-            case = self._cases[upstream] = _Case()
+        case = self._open_case(upstream)
         if not case.is_probing:
             case.checked_s = min(case.checked_s, now - FRESH_S)
             case.next_s = now
@@ -187,6 +183,12 @@
             if upstream.entry.domain == domain:
                 self.suspect(upstream, now)
 
+    def _open_case(self, upstream: Lifetime) -> _Case:
+        case = self._cases.get(upstream)
+        if case is None:
+            case = self._cases[upstream] = _Case()
+        return case
+
     def _may_be_finishing(self, upstream: Lifetime, case: _Case, now: float) -> bool:
         """Tell whether a leaving upstream that accepts no connection may still answer requests."""
         if case.refused_s is None:
--- a/src/chicoryproxy/forwarding/peermessages.py
+++ b/src/chicoryproxy/forwarding/peermessages.py
@@ -99,16 +99,6 @@
 PeerMessage = Heartbeat | ChangesRequest | ChangesReply
 
 
-def parse_host(text: str) -> int:
-    """Return an IPv4 address in text form as a number."""
-    return int.from_bytes(bytes(int(part) for part in text.split(".")), "big")
-
-
-def format_host(host: int) -> str:
-    """Return an IPv4 address in text form."""
-    return ".".join(str(byte) for byte in host.to_bytes(4, "big"))
-
-
 _encoder = msgspec.msgpack.Encoder()
 _decoder: msgspec.msgpack.Decoder[Any] = msgspec.msgpack.Decoder(PeerMessage)
 
--- a/src/chicoryproxy/node/peers.py
+++ b/src/chicoryproxy/node/peers.py
@@ -12,6 +12,7 @@
     ChangesReply,
     ChangesRequest,
     Heartbeat,
+    PeerMessage,
     decode_message,
     encode_message,
 )
@@ -56,6 +57,12 @@
             self.undecoded += 1
 
 
+def _create_frame(message: PeerMessage) -> bytes:
+    """Return the bytes of a message after their length."""
+    body = encode_message(message)
+    return _LENGTH.pack(len(body)) + body
+
+
 class _Frames:
     """Cuts a stream of bytes into messages that follow their length."""
 
@@ -103,8 +110,7 @@
             return
         request = decode_message(frame)
         if isinstance(request, ChangesRequest):
-            body = encode_message(self._answer(request))
-            self.stream.write(_LENGTH.pack(len(body)) + body)
+            self.stream.write(_create_frame(self._answer(request)))
         self.stream.close_when_sent()
 
 
@@ -148,8 +154,7 @@
         self._frames = _Frames()
         self._timer = loop.call_later(EXCHANGE_TIMEOUT_S, lambda: self._finish(None))
         self._stream: Stream = open_stream(loop, peer, self)
-        body = encode_message(request)
-        self._stream.write(_LENGTH.pack(len(body)) + body)
+        self._stream.write(_create_frame(request))
 
     def handle_connected(self) -> None:
         """The bytes that wait are sent by the stream."""
--- a/src/chicoryproxy/node/view.py
+++ b/src/chicoryproxy/node/view.py
@@ -6,6 +6,7 @@
 from chicoryproxy.eventloop.loop import Loop
 from chicoryproxy.forwarding.catchup import CatchUp
 from chicoryproxy.forwarding.directory import Belief, Directory
+from chicoryproxy.forwarding.hosts import format_host, parse_host
 from chicoryproxy.forwarding.model import Change, EntrySettings, Mark, Revision
 from chicoryproxy.forwarding.peering import PeerGroup
 from chicoryproxy.forwarding.peermessages import (
@@ -14,8 +15,6 @@
     Heartbeat,
     LoadReport,
     PeerAddress,
-    format_host,
-    parse_host,
 )
 from chicoryproxy.forwarding.reading import ReaderPolicy
 from chicoryproxy.forwarding.replica import Replica
--- a/src/chicoryproxy/platform/header.py
+++ b/src/chicoryproxy/platform/header.py
@@ -5,6 +5,7 @@
 
 import struct
 
+from chicoryproxy.forwarding.hosts import format_host
 from chicoryproxy.forwarding.model import FlowId, Mark
 from chicoryproxy.forwarding.packet import CallerPacket
 
@@ -71,13 +72,14 @@
 
 def get_caller_host(flow: FlowId) -> str:
     """Return the IPv4 address of the caller in text form."""
-    return _format_host(flow[:4])
+    source, *_ = _FLOW.unpack(flow)
+    return format_host(source)
 
 
 def describe_flow(flow: FlowId) -> str:
     """Return the ends of a flow as ``caller:port>destination:port``."""
-    _, _, port, source_port = _FLOW.unpack(flow)
-    return f"{_format_host(flow[:4])}:{source_port}>{_format_host(flow[4:8])}:{port}"
+    source, host, port, source_port = _FLOW.unpack(flow)
+    return f"{format_host(source)}:{source_port}>{format_host(host)}:{port}"
 
 
 def read_request_id(data: bytes) -> str:
@@ -88,7 +90,3 @@
     start += len(REQUEST_ID_HEADER)
     end = data.find(b"\r\n", start, start + MAX_REQUEST_ID_BYTES)
     return data[start:end].decode("ascii", "replace") if end > 0 else ""
-
-
-def _format_host(address: bytes) -> str:
-    return ".".join(str(byte) for byte in reversed(address))
--- a/src/chicoryproxy/platform/records.py
+++ b/src/chicoryproxy/platform/records.py
@@ -6,6 +6,7 @@
 import msgspec
 from msgspec import Meta, Struct, field
 
+from chicoryproxy.forwarding.hosts import parse_host
 from chicoryproxy.forwarding.model import (
     Change,
     DomainBack,
@@ -156,19 +157,12 @@
     :raises ValueError: if it is something else.
     """
     host, _, port = text.rpartition(":")
-    _read_address(host)
+    parse_host(host)
     if not port.isdecimal() or not 0 < int(port) < 65_536:
         raise ValueError(f"no port in {text!r}")
     return Endpoint(host, int(port))
 
 
-def _read_address(text: str) -> int:
-    parts = text.split(".")
-    if len(parts) != 4 or not all(part.isdecimal() and int(part) < 256 for part in parts):
-        raise ValueError(f"no IPv4 address in {text!r}")
-    return int.from_bytes(bytes(int(part) for part in parts), "big")
-
-
 def _decode_config(value: bytes) -> RoutingPublished | RoutingUnreadable:
     try:
         config = msgspec.json.decode(value, type=_Config)
@@ -196,5 +190,5 @@
     port = route.prefix.strip("/")
     if not port.isdecimal():
         raise ValueError(f"no port in prefix {route.prefix!r} of route {route.name!r}")
-    key = RouteKey(_read_address(route.hostname), int(port))
+    key = RouteKey(parse_host(route.hostname), int(port))
     return Route(route.name, key, targets)
--- a/tests/childprocess.py
+++ b/tests/childprocess.py
@@ -2,8 +2,14 @@
 
 import ctypes
 import signal
-import socket
+import subprocess
+import sys
+from pathlib import Path
 
+from chicoryproxy.platform.packetaddress import SETTINGS_VARIABLE
+from chicoryproxy.testing.loopback import reserve_address
+
+SOURCE = Path(__file__).resolve().parents[1] / "src"
 PR_SET_PDEATHSIG = 1
 FIRST_NET = 16
 NETS = 200
@@ -21,13 +27,35 @@
     :param start: the first one to try.
     :returns: the number N and the socket that holds it.
     """
-    for number in range(NETS):
-        net = FIRST_NET + (start + number) % NETS
-        lock = socket.socket()
-        try:
-            lock.bind((f"127.{net}.0.1", LOCK_PORT))
-        except OSError:
-            lock.close()
-            continue
-        return net, lock
-    raise AssertionError("all networks are in use by other runs")
+    nets = [FIRST_NET + (start + number) % NETS for number in range(NETS)]
+    lock = reserve_address([f"127.{net}.0.1" for net in nets], LOCK_PORT)
+    return int(lock.getsockname()[0].split(".")[1]), lock
+
+
+def start_entry(settings, *folders, **streams):
+    """Start an entry of the platform.
+
+    :param settings: its settings file.
+    :param folders: come before the sources on the module path.
+    :param streams: ``stdout`` and ``stderr`` of the process.
+    """
+    path = ":".join(str(folder) for folder in (*folders, SOURCE))
+    return subprocess.Popen(
+        [sys.executable, "-m", "chicoryproxy.node.main"],
+        env={"PYTHONPATH": path, SETTINGS_VARIABLE: str(settings)},
+        preexec_fn=end_with_parent,
+        **streams,
+    )
+
+
+def has_signal(process, number, *masks):
+    """Tell whether a signal is in one of a process's masks; false once the process is gone.
+
+    :param masks: names as the kernel gives them, ``SigIgn`` for ignored, ``SigCgt`` for caught.
+    """
+    try:
+        text = Path(f"/proc/{process.pid}/status").read_text()
+    except OSError:
+        return False
+    values = [line.split()[1] for line in text.splitlines() if line.partition(":")[0] in masks]
+    return any(int(value, 16) >> (number - 1) & 1 for value in values)
--- a/tests/forwarding/test_peering.py
+++ b/tests/forwarding/test_peering.py
@@ -3,9 +3,10 @@
 import pytest
 
 from chicoryproxy.forwarding.coldstart import ColdBudget
+from chicoryproxy.forwarding.hosts import parse_host
 from chicoryproxy.forwarding.model import Mark, Revision
 from chicoryproxy.forwarding.peering import ALIVE_S, FANOUT, LEARNING_S, PeerGroup
-from chicoryproxy.forwarding.peermessages import LoadReport, PeerAddress, encode_message, parse_host
+from chicoryproxy.forwarding.peermessages import LoadReport, PeerAddress, encode_message
 from chicoryproxy.forwarding.reading import SILENCE_S, ReaderPolicy
 
 DOMAINS = 3
--- a/tests/node/entryprocess.py
+++ b/tests/node/entryprocess.py
@@ -1,17 +1,12 @@
 """The real entry as a process, whose libraries load only when the test lets them."""
 
 import json
-import os
 import signal
 import subprocess
-import sys
 import time
-from pathlib import Path
 
-from chicoryproxy.platform.packetaddress import SETTINGS_VARIABLE
-from tests.childprocess import end_with_parent
+from tests.childprocess import has_signal, start_entry
 
-SOURCE = Path(__file__).resolve().parents[2] / "src"
 PATIENCE_S = 20.0
 HELD_LIBRARY = """
 import os, sys, time
@@ -35,15 +30,7 @@
         self._flag = folder / "go"
         library = HELD_LIBRARY.format(flag=str(self._flag), folder=str(folder))
         (folder / "msgspec.py").write_text(library)
-        self._process = subprocess.Popen(
-            [sys.executable, "-m", "chicoryproxy.node.main"],
-            env={
-                "PYTHONPATH": os.pathsep.join((str(folder), str(SOURCE))),
-                SETTINGS_VARIABLE: str(settings),
-            },
-            stdout=subprocess.PIPE,
-            preexec_fn=end_with_parent,
-        )
+        self._process = start_entry(settings, folder, stdout=subprocess.PIPE)
 
     def load_libraries(self):
         """Let the imports go on."""
@@ -59,10 +46,7 @@
 
     def ignores(self, number):
         """Tell whether the kernel drops a signal for the process."""
-        for line in Path(f"/proc/{self._process.pid}/status").read_text().splitlines():
-            if line.startswith("SigIgn:"):
-                return bool(int(line.split()[1], 16) >> (number - 1) & 1)
-        return False
+        return has_signal(self._process, number, "SigIgn")
 
     def send_signal(self, number=signal.SIGHUP):
         """Send a signal."""
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -11,18 +11,18 @@
 import os
 import random
 import signal
-import subprocess
 import sys
 import tempfile
 from pathlib import Path
 
 from chicoryproxy.eventloop.http import HttpAnswer, HttpClient
 from chicoryproxy.eventloop.loop import Loop
+from chicoryproxy.forwarding.hosts import format_host, parse_host
 from chicoryproxy.model import Endpoint
-from tests.childprocess import end_with_parent, reserve_net
+from tests.childprocess import has_signal, reserve_net, start_entry
 from tests.node.standins import StoreStandIn, pick_port
 from tests.soak.faults import FaultPlan, FaultProxy
-from tests.soak.traffic import DRAIN_S, Caller, Server, to_number
+from tests.soak.traffic import DRAIN_S, Caller, Server
 
 ROOT = Path(__file__).resolve().parents[2]
 CALM_S = 4.5
@@ -78,16 +78,8 @@
 
     def start(self):
         """Start the process."""
-        environment = {"PATH": os.environ["PATH"], "PYTHONPATH": str(ROOT / "src")}
-        environment["CHICORYPROXY_SETTINGS"] = str(self._path)
         with self._log.open("ab") as log:
-            self._process = subprocess.Popen(
-                [sys.executable, "-m", "chicoryproxy.node.main"],
-                env=environment,
-                stdout=log,
-                stderr=log,
-                preexec_fn=end_with_parent,
-            )
+            self._process = start_entry(self._path, stdout=log, stderr=log)
         self._is_ending = False
         self._is_young = False
         self._started_s = self._soak.loop.read_clock()
@@ -113,20 +105,11 @@
         No module can handle a signal while the interpreter itself starts. How long that takes
         depends on the machine, so that the kernel is asked instead of the clock.
         """
-        if self._handles(signal.SIGHUP):
+        if has_signal(self._process, signal.SIGHUP, "SigIgn", "SigCgt"):
             self.send_signal(signal.SIGHUP)
         elif self.get_age() > SLOW_START_S:
             self._soak.break_promise(f"{self._name} takes no SIGHUP")
 
-    def _handles(self, number):
-        """Tell whether the process ignores or catches a signal."""
-        try:
-            text = Path(f"/proc/{self._process.pid}/status").read_text()
-        except OSError:
-            return False
-        masks = [line.split()[1] for line in text.splitlines() if line[:6] in ("SigIgn", "SigCgt")]
-        return any(int(mask, 16) >> (number - 1) & 1 for mask in masks)
-
     def send_signal(self, number):
         """Send a signal to the process if it runs."""
         self._soak.note_disturbance()
@@ -178,7 +161,7 @@
         self._servers = []
         self._out = {}
         self._version = 0
-        self.routes = [(to_number("198.18.0.1"), 443), (to_number("198.18.0.2"), 443)]
+        self.routes = [(parse_host("198.18.0.1"), 443), (parse_host("198.18.0.2"), 443)]
         self._added = None
         self._dropped_s = {}
         for number in range(servers):
@@ -255,7 +238,7 @@
         now = self.loop.read_clock()
         self._version += self._random.randint(1, 5)
         if toggles_route and self._added is None:
-            self._added = (to_number("198.18.0.9"), 443)
+            self._added = (parse_host("198.18.0.9"), 443)
             self.routes.append(self._added)
             self._dropped_s.pop(self._added, None)
         elif toggles_route:
@@ -316,7 +299,7 @@
         """An opening reaches a server of its service that may take it."""
         now = self.loop.read_clock()
         route = (host, port)
-        service = SERVICES[1] if host == to_number("198.18.0.2") else SERVICES[0]
+        service = _get_service(host)
         if server.service != service:
             self.break_promise(f"{server.name} of {server.service} got an opening of {service}")
         if now - self._disturbed_s < CALM_S:
@@ -340,9 +323,12 @@
 
     def _describe_route(self, index, route):
         host, port = route
-        text = ".".join(str(byte) for byte in host.to_bytes(4, "big"))
-        service = SERVICES[1] if host == to_number("198.18.0.2") else SERVICES[0]
-        return {"Name": f"r-{index}", "Hostname": text, "Prefix": f"/{port}/", "Service": service}
+        return {
+            "Name": f"r-{index}",
+            "Hostname": format_host(host),
+            "Prefix": f"/{port}/",
+            "Service": _get_service(host),
+        }
 
     def _add_server(self, service, zone, host=None, name=None):
         host = host or self._pick_server_host()
@@ -374,6 +360,11 @@
         self._asked_before, self._answered_before = self.asked, self.answered
 
 
+def _get_service(host):
+    """Return the service behind a destination."""
+    return SERVICES[1] if host == parse_host("198.18.0.2") else SERVICES[0]
+
+
 def _strip(packet):
     return packet[:26] + packet[30:]
 
--- a/tests/soak/traffic.py
+++ b/tests/soak/traffic.py
@@ -1,11 +1,11 @@
 """Servers and callers of the soak: they speak the platform's packets and keep what they saw."""
 
 import random
-import socket
 import struct
 
-from chicoryproxy.eventloop.http import HttpReply
+from chicoryproxy.eventloop.packetsocket import PacketSocket
 from chicoryproxy.eventloop.stream import Listener, Stream, StreamHandler
+from chicoryproxy.forwarding.hosts import format_host, parse_host
 from chicoryproxy.model import Endpoint
 from chicoryproxy.platform.header import FLAG_ACK, FLAG_FIN, FLAG_RST, FLAG_SYN, HEADER_BYTES
 
@@ -16,27 +16,11 @@
 REQUEST_TIMEOUT_S = 2.0
 
 
-def to_number(host):
-    """Return an IPv4 address as a number."""
-    return int.from_bytes(socket.inet_aton(host), "big")
-
-
-def open_udp(loop, host, port, receive):
+def open_packet_socket(loop, host, port, receive):
     """Open a UDP socket whose datagrams go to a function."""
-    sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-    sock.setblocking(False)
-    sock.bind((host, port))
-
-    def read():
-        for _ in range(64):
-            try:
-                data = sock.recv(4096)
-            except OSError:
-                return
-            receive(data)
-
-    loop.watch(sock, on_readable=read)
-    return sock
+    packets = PacketSocket(loop, Endpoint(host, port), receive)
+    packets.start_reading()
+    return packets
 
 
 class _Health(StreamHandler):
@@ -54,16 +38,12 @@
 
     def handle_data(self, data):
         """Tell the id."""
-        reply = HttpReply(200)
-        head = f"HTTP/1.1 {reply.status} OK\r\nX-Instance-Id: {self._server.name}\r\n"
+        head = f"HTTP/1.1 200 OK\r\nX-Instance-Id: {self._server.name}\r\n"
         self.stream.write(head.encode() + b"Content-Length: 0\r\n\r\n")
 
 
 class Server:
-    """One lifetime of a server.
-
-    :ivar openings: time, destination and number of each opening that arrived.
-    """
+    """One lifetime of a server."""
 
     def __init__(self, soak, name, host, port, service, zone):
         self.name = name
@@ -78,7 +58,7 @@
         self._soak = soak
         self._flows = {}
         self._port = port
-        self._udp = open_udp(soak.loop, host, port, self._receive)
+        self._udp = open_packet_socket(soak.loop, host, port, self._receive)
         self._tcp = Listener(soak.loop, Endpoint(host, port), self._serve)
 
     def describe(self):
@@ -104,7 +84,6 @@
         """End at once, as a crash does."""
         self.is_alive = False
         self.changed_s = self._soak.loop.read_clock()
-        self._soak.loop.forget(self._udp)
         self._udp.close()
         self._tcp.close()
 
@@ -146,8 +125,8 @@
             port,
         )
         head = HEADER.pack(*numbers, len(body), 1, mark, flags)
-        target = (socket.inet_ntoa(source.to_bytes(4, "big")), self._soak.packet_port)
-        self._udp.sendto(head + body, target)
+        target = (format_host(source), self._soak.packet_port)
+        self._udp.send(head + body, target)
 
 
 class Caller:
@@ -156,12 +135,12 @@
     def __init__(self, soak, host, seed):
         self._soak = soak
         self._random = random.Random(seed)
-        self._host = to_number(host)
+        self._host = parse_host(host)
         self._port = 1024
         self._number = 0
         self._state = "idle"
         self._timers = []
-        self._sock = open_udp(soak.loop, host, soak.packet_port, self._receive)
+        self._udp = open_packet_socket(soak.loop, host, soak.packet_port, self._receive)
         soak.loop.call_later(self._random.random(), self.open)
 
     def open(self):
@@ -207,11 +186,10 @@
         packet = HEADER.pack(*numbers, len(body), 7, self._mark, flags) + body
         self._soak.note_sent(packet)
         entry = self._soak.choose_entry((self._host, self._port, host, port))
-        if entry is not None:
-            self._sock.sendto(packet, (entry, self._soak.packet_port))
+        self._udp.send(packet, (entry, self._soak.packet_port))
 
     def _receive(self, data):
-        sequence, _, host, _, port, source_port, size, _, mark, flags = _unpack(data)
+        sequence, _, _, _, port, source_port, size, _, mark, flags = HEADER.unpack_from(data)
         if port != self._port and source_port != self._port:
             return
         now = self._soak.loop.read_clock()
@@ -255,11 +233,3 @@
         for timer in self._timers:
             timer.cancel()
         self._timers = []
-
-
-def _unpack(data):
-    """Return the fields of a packet to a caller, with its ports as that packet names them."""
-    sequence, acknowledged, source, host, port, source_port, size, total, mark, flags = (
-        HEADER.unpack_from(data)
-    )
-    return sequence, acknowledged, source, host, port, source_port, size, total, mark, flags
--- a/tests/test_demo.py
+++ b/tests/test_demo.py
@@ -5,12 +5,13 @@
 
 from chicoryproxy.commands import demo
 from chicoryproxy.commands.demo import Demo, DemoOptions, DemoResult
-from chicoryproxy.commands.demo_fleet import TARGET, reserve_host
+from chicoryproxy.commands.demo_fleet import HOSTS, LOCK_PORT, TARGET
 from chicoryproxy.ids import UpstreamId
 from chicoryproxy.model import Endpoint
 from chicoryproxy.network.segment import Peer, Segment, build_packet, read_segment
 from chicoryproxy.protocol.packet import FLAG_ACK, FLAG_FIN, FLAG_RST, FLAG_SYN
 from chicoryproxy.testing.caller_standin import CallerFlow, FlowEnd
+from chicoryproxy.testing.loopback import reserve_address
 from chicoryproxy.testing.upstream_standin import UpstreamStandIn
 
 CALLER = Peer("10.9.0.1", 40_000)
@@ -80,6 +81,6 @@
 
 
 def test_demos_at_the_same_time_use_different_addresses():
-    first, second = reserve_host(), reserve_host()
+    first, second = (reserve_address(HOSTS, LOCK_PORT) for _ in range(2))
     with first, second:
         assert first.getsockname()[0] != second.getsockname()[0]
