Log on whose word a flow is reset or moved

`refuse` and `reset` now have the upstream, its phase, the cause and its age; `flow_moved` and `catch_up` are new lines under the budget of frequent lines. No decision changes.

--- a/src/chicoryproxy/forwarding/directory.py
+++ b/src/chicoryproxy/forwarding/directory.py
@@ -25,6 +25,7 @@
     RoutingUnreadable,
     RoutingVersion,
     ServiceLimits,
+    UnreachableCause,
     UpstreamEntry,
     UpstreamListed,
     UpstreamPhase,
@@ -55,6 +56,8 @@
     :ivar cold_until_s: time until which it is cold.
     :ivar is_mark_taken: another lifetime owns its mark.
     :ivar is_unreachable: connections to it failed, and none has succeeded since.
+    :ivar unreachable_cause: evidence that made it unreachable the last time.
+    :ivar unreachable_since_s: when it became unreachable the last time.
     :ivar answered_s: when a caller last acknowledged data of it.
     """
 
@@ -70,6 +73,8 @@
         "cold_until_s",
         "is_mark_taken",
         "is_unreachable",
+        "unreachable_cause",
+        "unreachable_since_s",
         "answered_s",
     )
 
@@ -85,6 +90,8 @@
         self.cold_until_s = now
         self.is_mark_taken = False
         self.is_unreachable = False
+        self.unreachable_cause: UnreachableCause | None = None
+        self.unreachable_since_s = float("-inf")
         self.answered_s = float("-inf")
 
     @property
@@ -96,6 +103,13 @@
         """Return whether the upstream is still cold."""
         return now < self.cold_until_s
 
+    def mark_unreachable(self, cause: UnreachableCause, now: float) -> None:
+        """Mark the upstream as unreachable, and keep the first evidence of it."""
+        if not self.is_unreachable:
+            self.is_unreachable = True
+            self.unreachable_cause = cause
+            self.unreachable_since_s = now
+
 
 @unique
 class DirectoryEventKind(Enum):
@@ -248,7 +262,7 @@
         known = self._current.get(entry.id)
         events: list[DirectoryEvent] = []
         if known is not None and known.identity != identity:
-            known.is_unreachable = True
+            known.mark_unreachable(UnreachableCause.NEWER_LIFETIME, now)
             events.append(self._end(known, "replaced by a newer lifetime", revision, now))
             known = None
         if known is None:
@@ -349,7 +363,7 @@
         known = self._current.get(previous) if previous and previous != entry.id else None
         if known is None or known.entry.address != entry.address:
             return []
-        known.is_unreachable = True
+        known.mark_unreachable(UnreachableCause.ADDRESS_REASSIGNED, now)
         return [self._end(known, f"its address belongs to {entry.id}", revision, now)]
 
     def _restore_ended(self, identity: str) -> Lifetime | None:
--- a/src/chicoryproxy/forwarding/forwarder.py
+++ b/src/chicoryproxy/forwarding/forwarder.py
@@ -60,6 +60,10 @@
     def record_suspicion(self, upstream: Lifetime, failures: int) -> None:
         """Record that an upstream became suspected and openings avoid it."""
 
+    @abstractmethod
+    def record_upstream_change(self, flow: FlowId, former: Lifetime, upstream: Lifetime) -> None:
+        """Record that the packets of an open flow go to another upstream than before."""
+
 
 class BrokenFlow(Struct, frozen=True):
     """Flow to reset without waiting for its next packet.
@@ -250,6 +254,8 @@
     ) -> None:
         flow = self.flows.touch(packet.flow, now)
         if not flow.is_open or flow.upstream is not upstream:
+            if flow.is_open and flow.upstream is not None:
+                self.observer.record_upstream_change(packet.flow, flow.upstream, upstream)
             flow.is_open = True
             flow.acknowledged = packet.acknowledged
             self.flows.assign(flow, upstream)
--- a/src/chicoryproxy/forwarding/model.py
+++ b/src/chicoryproxy/forwarding/model.py
@@ -234,6 +234,17 @@
     GONE = "gone"
 
 
+@unique
+class UnreachableCause(Enum):
+    """Evidence that made an upstream unreachable."""
+
+    REFUSED = "refused"
+    TIMEOUT = "timeout"
+    OTHER_SERVER = "other_server"
+    NEWER_LIFETIME = "newer_lifetime"
+    ADDRESS_REASSIGNED = "address_reassigned"
+
+
 @unique
 class Drop(Enum):
     """Why a packet was dropped without an answer."""
--- a/src/chicoryproxy/forwarding/reachability.py
+++ b/src/chicoryproxy/forwarding/reachability.py
@@ -13,7 +13,7 @@
 from enum import Enum, unique
 
 from chicoryproxy.forwarding.directory import Lifetime
-from chicoryproxy.forwarding.model import UpstreamPhase
+from chicoryproxy.forwarding.model import UnreachableCause, UpstreamPhase
 from chicoryproxy.ids import DomainId
 
 TIMEOUTS_TO_CONFIRM = 2
@@ -54,6 +54,13 @@
     DISCARDED = "discarded"
 
 
+_CAUSES = {
+    ProbeResult.REFUSED: UnreachableCause.REFUSED,
+    ProbeResult.TIMEOUT: UnreachableCause.TIMEOUT,
+    ProbeResult.OTHER_SERVER: UnreachableCause.OTHER_SERVER,
+}
+
+
 class _ProbeState:
     """Probe state of one upstream.
 
@@ -143,7 +150,7 @@
             state.failed_probes = 0
             state.refused_since_s = None
             state.recheck_interval_s = RECHECK_MIN_S
-            return self._set_unreachable(upstream, False)
+            return self._set_reachable(upstream)
         if upstream.answered_s > state.probed_s - self._quiet_s:
             state.failed_probes = 0
             state.next_s = now + self._quiet_s
@@ -164,7 +171,7 @@
                 return False
         state.next_s = now + state.recheck_interval_s
         state.recheck_interval_s = min(RECHECK_MAX_S, state.recheck_interval_s * 2)
-        return self._set_unreachable(upstream, True)
+        return self._set_unreachable(upstream, _CAUSES[result], now)
 
     def list_unreachable(self) -> list[Lifetime]:
         """Return the unreachable upstreams."""
@@ -218,7 +225,12 @@
             return True
         return not upstream.is_unreachable and state.next_s <= state.checked_s < now - RECHECK_MIN_S
 
-    def _set_unreachable(self, upstream: Lifetime, is_unreachable: bool) -> bool:
-        has_changed = upstream.is_unreachable is not is_unreachable
-        upstream.is_unreachable = is_unreachable
+    def _set_reachable(self, upstream: Lifetime) -> bool:
+        has_changed = upstream.is_unreachable
+        upstream.is_unreachable = False
+        return has_changed
+
+    def _set_unreachable(self, upstream: Lifetime, cause: UnreachableCause, now: float) -> bool:
+        has_changed = not upstream.is_unreachable
+        upstream.mark_unreachable(cause, now)
         return has_changed
--- a/src/chicoryproxy/node/dataplane.py
+++ b/src/chicoryproxy/node/dataplane.py
@@ -2,6 +2,7 @@
 
 import socket
 from collections.abc import Iterable
+from typing import Any
 
 from chicoryproxy.eventloop.loop import Loop
 from chicoryproxy.eventloop.packetsocket import PacketSocket
@@ -108,6 +109,16 @@
         """Log that new flows avoid an upstream."""
         self._journal.write("suspect", upstream=upstream.entry.id, failures=failures)
 
+    def record_upstream_change(self, flow: FlowId, former: Lifetime, upstream: Lifetime) -> None:
+        """Log that an open flow moved to another upstream."""
+        self._metrics.moved_flows += 1
+        self._journal.write_rate_limited(
+            "flow_moved",
+            flow=describe_flow(flow),
+            former=former.entry.id,
+            upstream=upstream.entry.id,
+        )
+
     def _receive(self, data: bytes) -> None:
         packet = read_packet(data)
         if packet is None:
@@ -146,9 +157,20 @@
                 "reset",
                 reason=Refusal.UPSTREAM_UNREACHABLE.value,
                 flow=describe_flow(item.flow),
-                upstream=upstream.entry.id,
+                **self._describe_evidence(upstream),
             )
 
+    def _describe_evidence(self, upstream: Lifetime) -> dict[str, Any]:
+        """Return an upstream, the evidence that made it unreachable, and the age of that."""
+        cause = upstream.unreachable_cause
+        age_s = self._loop.read_clock() - upstream.unreachable_since_s
+        return {
+            "upstream": upstream.entry.id,
+            "phase": upstream.phase.value,
+            "cause": cause.value if cause else None,
+            "cause_age_s": round(age_s, 3),
+        }
+
     def _probe(self, upstream: Lifetime) -> None:
         def handle_result(result: ProbeResult) -> None:
             self._handle_probe_result(upstream, result)
@@ -209,15 +231,18 @@
 
     def _log_refused(self, packet: CallerPacket, refusal: Refusal) -> None:
         self._metrics.refusals[refusal] += 1
-        excluded = {}
+        details: dict[str, Any] = {}
         if refusal is Refusal.NO_UPSTREAM:
             counts = self.forwarder.count_exclusions(packet, self._loop.read_clock())
-            excluded = {reason.value: count for reason, count in counts.items()}
+            details["excluded"] = {reason.value: count for reason, count in counts.items()}
+        upstream = self._directory.find_by_mark(packet.mark)
+        if refusal is Refusal.UPSTREAM_UNREACHABLE and upstream is not None:
+            details.update(self._describe_evidence(upstream))
         self._journal.write(
             "refuse",
             reason=refusal.value,
             flow=describe_flow(packet.flow),
             mark=f"{packet.mark:08x}",
             version=self._directory.version,
-            excluded=excluded,
+            **details,
         )
--- a/src/chicoryproxy/node/entrymetrics.py
+++ b/src/chicoryproxy/node/entrymetrics.py
@@ -29,6 +29,7 @@
         self.refusals: Counter[Refusal] = Counter()
         self.drops: Counter[Drop] = Counter()
         self.broken_flows = 0
+        self.moved_flows = 0
         self.probes: Counter[ProbeResult] = Counter()
         self.store_calls = 0
         self.store_failures = 0
@@ -59,6 +60,7 @@
             "opening_copies_total": ("openings that callers repeated", self.repeated_openings),
             "packets_total": ("packets of open flows", self.packets),
             "broken_flows_total": ("flows reset without a packet", self.broken_flows),
+            "moved_flows_total": ("open flows that changed their upstream", self.moved_flows),
             "store_calls_total": ("calls to the platform's store", self.store_calls),
             "store_failures_total": ("failed calls to the store", self.store_failures),
             "heartbeat_bytes_total": ("bytes of heartbeats sent", self.heartbeat_bytes),
--- a/src/chicoryproxy/node/view.py
+++ b/src/chicoryproxy/node/view.py
@@ -248,13 +248,13 @@
             if reply is None:
                 self._journal.write("peer_silent", host=peer.host, since=request.since)
             else:
-                self._handle_reply(reply, peer)
+                self._handle_reply(request, reply, peer)
                 if not request.since:
                     self._journal.write("view_from_peer", host=peer.host, revision=reply.synced)
 
         ChangesClient(self._loop, peer, request, handle_reply)
 
-    def _handle_reply(self, reply: ChangesReply, peer: Endpoint) -> None:
+    def _handle_reply(self, request: ChangesRequest, reply: ChangesReply, peer: Endpoint) -> None:
         try:
             changes = self._change_exchange.restore_changes(reply)
         except ValueError as error:
@@ -262,6 +262,13 @@
             # no longer applies. The next request asks for the changes that are still missing.
             self._journal.write("reply_unfit", host=peer.host, reason=str(error))
             return
+        self._journal.write_rate_limited(
+            "catch_up",
+            host=peer.host,
+            since=request.since,
+            revision=reply.synced,
+            changes=len(changes),
+        )
         self._merge(changes, reply.synced)
         if reply.age_s >= 0:
             self._note_confirmation(self._loop.read_clock() - reply.age_s)
--- a/tests/forwarding/harness.py
+++ b/tests/forwarding/harness.py
@@ -50,6 +50,9 @@
     def record_suspicion(self, upstream, failures):
         """Do nothing."""
 
+    def record_upstream_change(self, flow, former, upstream):
+        """Do nothing."""
+
 
 class ForwarderHarness:
     """A directory and a forwarding core with a simulated clock."""
