Decide who owns a reused address by revision and start, not by order of arrival

Cause: of two registrations with one address, the directory ended the one that it had got first. A listing comes in the order of keys, a peer's reply beside a listing in any order, and a dead upstream stays listed for seconds after its address was given away; so an entry that started then ended the living upstream for good, reset its flows and never probed it again.

Now the later revision owns the address, whichever comes first, unless the starts of the two lifetimes say the opposite; then none is ended, and the log has `address_conflict`. The class: a final belief from the order in which news arrived.

--- a/src/chicoryproxy/forwarding/directory.py
+++ b/src/chicoryproxy/forwarding/directory.py
@@ -50,6 +50,7 @@
 class Lifetime:
     """One lifetime of an upstream, from its start to its end.
 
+    :ivar revision: revision that last wrote its registration.
     :ivar mark: its identifier in the packets.
     :ivar prefix: precedes each packet in a datagram to it.
     :ivar phase_since_s: when the phase began, on the clock of this process.
@@ -64,6 +65,7 @@
     __slots__ = (
         "entry",
         "identity",
+        "revision",
         "mark",
         "prefix",
         "mark_bytes",
@@ -78,9 +80,10 @@
         "answered_s",
     )
 
-    def __init__(self, entry: UpstreamEntry, identity: str, now: float) -> None:
+    def __init__(self, entry: UpstreamEntry, identity: str, revision: Revision, now: float) -> None:
         self.entry = entry
         self.identity = identity
+        self.revision = revision
         self.mark = compute_mark(identity)
         self.mark_bytes = self.mark.to_bytes(4, "little")
         self.prefix = entry.number.to_bytes(8, "big")
@@ -103,6 +106,13 @@
         """Return whether the upstream is still cold."""
         return now < self.cold_until_s
 
+    def update(self, entry: UpstreamEntry, revision: Revision, now: float) -> None:
+        """Apply a newer registration of the same lifetime."""
+        self.entry = entry
+        self.revision = revision
+        self.target = (entry.address.host, entry.address.port)
+        self.cold_until_s = max(self.cold_until_s, now + entry.cold_remaining_s)
+
     def mark_unreachable(self, cause: UnreachableCause, now: float) -> None:
         """Mark the upstream as unreachable, and keep the first evidence of it."""
         if not self.is_unreachable:
@@ -119,6 +129,7 @@
     UPSTREAM_PHASE = "upstream_phase"
     UPSTREAM_UNREADABLE = "upstream_unreadable"
     MARK_COLLISION = "mark_clash"
+    ADDRESS_CONFLICT = "address_conflict"
     VERSION = "version"
     VERSION_UNREADABLE = "version_unreadable"
     VERSION_OLDER = "version_older"
@@ -256,7 +267,7 @@
         return events
 
     def _apply_listed(
-        self, entry: UpstreamEntry, revision: int, now: float
+        self, entry: UpstreamEntry, revision: Revision, now: float
     ) -> list[DirectoryEvent]:
         identity = get_identity(entry)
         known = self._current.get(entry.id)
@@ -266,11 +277,13 @@
             events.append(self._end(known, "replaced by a newer lifetime", revision, now))
             known = None
         if known is None:
-            known = self._restore_ended(identity) or Lifetime(entry, identity, now)
+            known = self._restore_ended(identity) or Lifetime(entry, identity, revision, now)
+            known.update(entry, revision, now)
             events.extend(self._add(known, revision, now))
-        known.entry = entry
-        known.target = (entry.address.host, entry.address.port)
-        known.cold_until_s = max(known.cold_until_s, now + entry.cold_remaining_s)
+            if known.phase is UpstreamPhase.GONE:
+                return events
+        else:
+            known.update(entry, revision, now)
         phase = UpstreamPhase.DRAINING if entry.is_draining else UpstreamPhase.SERVING
         if known.phase is not phase:
             events.append(self._set_phase(known, phase, "published", revision, now))
@@ -334,37 +347,51 @@
 
     def _add(self, lifetime: Lifetime, revision: int, now: float) -> list[DirectoryEvent]:
         entry = lifetime.entry
-        events = self._end_previous_owner(entry, revision, now)
         self._current[entry.id] = lifetime
         self._services.setdefault(entry.service, {})[entry.id] = lifetime
         lifetime.phase_since_s = now
         detail = f"{entry.service} at {entry.address.host}:{entry.address.port}"
-        events.append(DirectoryEvent(DirectoryEventKind.UPSTREAM_NEW, entry.id, detail, revision))
+        return [
+            DirectoryEvent(DirectoryEventKind.UPSTREAM_NEW, entry.id, detail, revision),
+            *self._claim_mark(lifetime, revision),
+            *self._claim_address(lifetime, revision, now),
+        ]
+
+    def _claim_mark(self, lifetime: Lifetime, revision: int) -> list[DirectoryEvent]:
+        """Decide whether a new lifetime or another one with the same mark owns it."""
         owner = self._marks.get(lifetime.mark)
         if owner is None or owner is lifetime or owner.phase is UpstreamPhase.GONE:
             self._marks[lifetime.mark] = lifetime
-            return events
+            return []
         lesser, greater = sorted((owner, lifetime), key=lambda item: item.identity)
         self._marks[lifetime.mark] = lesser
         lesser.is_mark_taken = False
         greater.is_mark_taken = True
         detail = f"mark {lifetime.mark:08x} belongs to {lesser.identity}"
         return [
-            *events,
-            DirectoryEvent(DirectoryEventKind.MARK_COLLISION, greater.entry.id, detail, revision),
+            DirectoryEvent(DirectoryEventKind.MARK_COLLISION, greater.entry.id, detail, revision)
         ]
 
-    def _end_previous_owner(
-        self, entry: UpstreamEntry, revision: int, now: float
-    ) -> list[DirectoryEvent]:
-        """End the lifetime whose address was reassigned to a newer one."""
-        previous = self._addresses.get(entry.address)
-        self._addresses[entry.address] = entry.id
-        known = self._current.get(previous) if previous and previous != entry.id else None
-        if known is None or known.entry.address != entry.address:
+    def _claim_address(self, lifetime: Lifetime, revision: int, now: float) -> list[DirectoryEvent]:
+        """End the earlier one of a new lifetime and another one with the same address.
+
+        Registrations arrive in any order, so that the new one may be the earlier one.
+        """
+        address = lifetime.entry.address
+        owner = self._current.get(self._addresses.get(address, lifetime.entry.id))
+        if owner is None or owner is lifetime or owner.entry.address != address:
+            self._addresses[address] = lifetime.entry.id
             return []
-        known.mark_unreachable(UnreachableCause.ADDRESS_REASSIGNED, now)
-        return [self._end(known, f"its address belongs to {entry.id}", revision, now)]
+        later = _find_later(owner, lifetime)
+        if later is None:
+            detail = f"address of {owner.entry.id} too, and it is unclear which one is later"
+            kind = DirectoryEventKind.ADDRESS_CONFLICT
+            return [DirectoryEvent(kind, lifetime.entry.id, detail, revision)]
+        self._addresses[address] = later.entry.id
+        earlier = owner if later is lifetime else lifetime
+        earlier.mark_unreachable(UnreachableCause.ADDRESS_REASSIGNED, now)
+        reason = f"its address belongs to {later.entry.id} since revision {later.revision}"
+        return [self._end(earlier, reason, revision, now)]
 
     def _restore_ended(self, identity: str) -> Lifetime | None:
         lifetime = self._ended.pop(identity, None)
@@ -402,3 +429,16 @@
         return DirectoryEvent(
             DirectoryEventKind.UPSTREAM_PHASE, lifetime.entry.id, detail, revision, lifetime
         )
+
+
+def _find_later(first: Lifetime, second: Lifetime) -> Lifetime | None:
+    """Return which of two lifetimes that had the same address began later.
+
+    The registration of an ended lifetime may be written late, and the clocks of the upstreams may
+    differ; therefore both the revision and the start have to say so.
+
+    :returns: ``None`` if they contradict each other.
+    """
+    earlier, later = sorted((first, second), key=lambda item: item.revision)
+    starts = (earlier.entry.started_ms, later.entry.started_ms)
+    return None if all(starts) and starts[0] > starts[1] else later
--- a/tests/forwarding/harness.py
+++ b/tests/forwarding/harness.py
@@ -3,7 +3,7 @@
 import itertools
 
 from chicoryproxy.forwarding.coldstart import DomainShare
-from chicoryproxy.forwarding.directory import Directory, Lifetime
+from chicoryproxy.forwarding.directory import Directory, DirectoryEvent, Lifetime
 from chicoryproxy.forwarding.forwarder import Forwarder, TrafficObserver, create_forwarder
 from chicoryproxy.forwarding.model import (
     NO_REVISION,
@@ -55,10 +55,14 @@
 
 
 class ForwarderHarness:
-    """A directory and a forwarding core with a simulated clock."""
+    """A directory and a forwarding core with a simulated clock.
+
+    :ivar events: events of the last change of the directory.
+    """
 
     def __init__(self) -> None:
         self.now = 100.0
+        self.events: list[DirectoryEvent] = []
         self.directory = Directory(Bounds())
         self.forwarder: Forwarder = create_forwarder(
             OWN_DOMAIN, self.directory, self.now, NullObserver()
@@ -76,9 +80,11 @@
             self.now = min(end, self.now + 0.5)
             self.forwarder.pause.tick(True, self.now)
 
-    def apply(self, key, fact):
-        """Apply a fact with the next revision; return the directory events."""
-        return self.directory.apply(Change(key, Revision(next(self._revisions)), fact), self.now)
+    def apply(self, key, fact, revision=None):
+        """Apply a fact with the given or the next revision; return the directory events."""
+        revision = Revision(revision or next(self._revisions))
+        self.events = self.directory.apply(Change(key, revision, fact), self.now)
+        return self.events
 
     def publish_routing(self, version, routes=None, cold_per_s=0.0):
         """Publish a configuration with the two standard routes or the given ones."""
@@ -103,8 +109,9 @@
         cold_s=0.0,
         started_ms=1,
         address=None,
+        revision=None,
     ):
-        """Publish the registration of an upstream; return its lifetime."""
+        """Publish the registration of an upstream; return its lifetime if it is present."""
         upstream = UpstreamId(name)
         known = self.find_upstream(name)
         if address is None:
@@ -114,7 +121,7 @@
         entry = UpstreamEntry(
             upstream, 7, service, address, domain, slots, draining, cold_s, started_ms
         )
-        self.apply(get_upstream_key(upstream), UpstreamListed(entry))
+        self.apply(get_upstream_key(upstream), UpstreamListed(entry), revision)
         return self.find_upstream(name)
 
     def remove_upstream(self, name):
--- a/tests/forwarding/test_directory.py
+++ b/tests/forwarding/test_directory.py
@@ -1,12 +1,17 @@
 """State of upstreams, versions and failure domains after changes of the store."""
 
+import itertools
+
+import pytest
+
 from chicoryproxy.forwarding import directory as directory_module
 from chicoryproxy.forwarding.directory import RETURN_GRACE_S, DirectoryEventKind
 from chicoryproxy.forwarding.marks import compute_mark
 from chicoryproxy.forwarding.model import Mark, UpstreamPhase, UpstreamUnreadable
 from chicoryproxy.forwarding.replica import get_upstream_key
 from chicoryproxy.ids import UpstreamId
-from tests.forwarding.harness import ARCHIVE, OTHER_DOMAIN, ROUTE, SERVICE
+from chicoryproxy.model import Endpoint
+from tests.forwarding.harness import ARCHIVE, OTHER_DOMAIN, ROUTE, SERVICE, create_packet
 
 
 def kinds(beliefs):
@@ -55,6 +60,32 @@
     assert former.is_unreachable
 
 
+@pytest.mark.parametrize("order", list(itertools.permutations((1, 2, 3))))
+def test_flows_survive_an_older_registration_of_the_same_address(harness, order):
+    """An entry that started while a dead server was still listed reset flows of its successor."""
+    address = Endpoint("10.1.0.9", 8000)
+    for number in order:
+        harness.publish_upstream(
+            f"i-{number}", address=address, started_ms=number, revision=10 * number
+        )
+    present = harness.find_upstream("i-3")
+    assert list(harness.directory.iterate_present()) == [present]
+    assert present.can_open
+    packet = create_packet(mark=present.mark, acknowledged=1, size=10)
+    assert harness.send(packet) is present
+
+
+def test_a_registration_written_late_does_not_end_the_owner_of_its_address(harness):
+    """A write of a dead server that the store completed late has the newer revision."""
+    address = Endpoint("10.1.0.9", 8000)
+    present = harness.publish_upstream("i-2", address=address, started_ms=9, revision=5)
+    harness.publish_upstream("i-1", address=address, started_ms=4, revision=6)
+    assert DirectoryEventKind.ADDRESS_CONFLICT in kinds(harness.events)
+    assert present.can_open
+    packet = create_packet(mark=present.mark, acknowledged=1, size=10)
+    assert harness.send(packet) is present
+
+
 def test_an_unreadable_registration_affects_only_its_upstream(harness):
     harness.publish_upstream("i-1")
     harness.publish_upstream("i-2")
