Count a removal only while it is kept

Each removal of an upstream raised the count of kept removals, but its return or a second removal did not lower it.

test_upstreams_that_return_often_do_not_evict_removals failed before.

--- a/src/chicoryproxy/forwarding/replica.py
+++ b/src/chicoryproxy/forwarding/replica.py
@@ -66,6 +66,8 @@
         # Reinserting the key keeps the dict ordered by last change.
         self._changes.pop(change.key, None)
         self._changes[change.key] = change
+        if known is not None and isinstance(known.fact, UpstreamUnlisted):
+            self._tombstones -= 1
         if isinstance(change.fact, UpstreamUnlisted):
             self._tombstones += 1
             self._evict_oldest_tombstone()
--- a/tests/forwarding/test_replica.py
+++ b/tests/forwarding/test_replica.py
@@ -3,6 +3,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from chicoryproxy.forwarding import replica as replica_module
 from chicoryproxy.forwarding.model import (
     NO_REVISION,
     Change,
@@ -77,6 +78,27 @@
     assert [item.revision for item in replica.get_since(Revision(3))] == [4, 5]
 
 
+def test_upstreams_that_return_often_do_not_evict_removals(monkeypatch):
+    """Flapping upstream: removals of others were forgotten, so that peers kept these."""
+    monkeypatch.setattr(replica_module, "MAX_TOMBSTONES", 2)
+    replica = Replica()
+    replica.merge(remove("i-1", 1))
+    for revision in range(2, 12, 2):
+        replica.merge(remove("i-2", revision))
+        replica.merge(add("i-2", revision + 1))
+    assert [item.revision for item in replica.get_since(NO_REVISION)] == [1, 11]
+    assert replica.complete_since == NO_REVISION
+
+
+def test_an_evicted_removal_shortens_the_history(monkeypatch):
+    """A peer that is behind it must get all keys."""
+    monkeypatch.setattr(replica_module, "MAX_TOMBSTONES", 2)
+    replica = Replica()
+    for revision, name in enumerate(KEYS, 1):
+        replica.merge(remove(name, revision))
+    assert replica.complete_since == 1
+
+
 def test_the_synced_revision_never_decreases():
     replica = Replica()
     replica.advance_synced(Revision(9), NO_REVISION)
