Handle what sockets have before a timer that became due meanwhile

Cause: the loop read the clock for its timers after it had handled a batch of events. Change: a timer runs only if it was due before the last poll, or the poll found nothing until its deadline. It runs one iteration later at most; 200 timers of an idle loop take 200 polls as before. Callers saw resets of open flows while their entry was busy (by reading; not seen in a log).

--- a/src/chicoryproxy/eventloop/loop.py
+++ b/src/chicoryproxy/eventloop/loop.py
@@ -7,6 +7,7 @@
 
 import heapq
 import itertools
+import math
 import selectors
 import signal
 import socket
@@ -102,12 +103,20 @@
         signal.signal(number, lambda *_: None)
 
     def run(self) -> None:
-        """Run until ``stop`` is called."""
+        """Run until ``stop`` is called.
+
+        An event of a socket that happened before the deadline of a timer is handled before it:
+        a timer that becomes due while this process is busy waits for the next poll.
+        """
         self._is_running = True
         while self._is_running:
-            for key, events in self._selector.select(self._get_timeout_s()):
+            polled_s = read_clock()
+            deadline_s = self._timers[0][0] if self._timers else math.inf
+            timeout_s = max(0.0, deadline_s - polled_s) if self._timers else None
+            ready = self._selector.select(timeout_s)
+            for key, events in ready:
                 self._handle_ready(key, events)
-            self._run_timers()
+            self._run_timers(polled_s if ready else max(polled_s, deadline_s))
 
     def stop(self) -> None:
         """Make ``run`` return after the current iteration."""
@@ -126,14 +135,8 @@
         if events & selectors.EVENT_READ and handlers.on_readable:
             handlers.on_readable()
 
-    def _get_timeout_s(self) -> float | None:
-        if not self._timers:
-            return None
-        return max(0.0, self._timers[0][0] - read_clock())
-
-    def _run_timers(self) -> None:
-        now = read_clock()
-        while self._timers and self._timers[0][0] <= now:
+    def _run_timers(self, limit_s: float) -> None:
+        while self._timers and self._timers[0][0] <= limit_s:
             _, _, timer = heapq.heappop(self._timers)
             timer.callback()
 
--- a/tests/node/test_probe.py
+++ b/tests/node/test_probe.py
@@ -1,6 +1,8 @@
 """Probe results for servers that respond, are gone, are silent or have another id."""
 
 import socket
+import threading
+import time
 
 import pytest
 
@@ -8,7 +10,12 @@
 from chicoryproxy.forwarding.reachability import ProbeResult
 from chicoryproxy.ids import UpstreamId
 from chicoryproxy.model import Endpoint
-from chicoryproxy.node.probe import probe_connection, probe_identity
+from chicoryproxy.node.probe import (
+    CONNECT_TIMEOUT_S,
+    IDENTITY_TIMEOUT_S,
+    probe_connection,
+    probe_identity,
+)
 from tests.node.fakestore import HOST, pick_port, run_until
 
 
@@ -82,3 +89,58 @@
             loop, lambda done: probe_identity(loop, address, "/health", UpstreamId("i"), done)
         )
         assert result is ProbeResult.TIMEOUT
+
+
+def block_loop(loop, reader, seconds):
+    """Let one event of the loop take long, as a batch of packets does on a slow machine."""
+
+    def handle():
+        loop.unwatch(reader)
+        time.sleep(seconds)
+
+    loop.watch(reader, on_readable=handle)
+
+
+def test_a_connection_that_is_ready_when_its_timer_is_late_has_succeeded(loop, server):
+    """Busy loop: the connection was there in time; only this process was slow to look."""
+    results = []
+    reader, writer = socket.socketpair()
+    with reader, writer:
+
+        def start():
+            loop.unwatch(reader)
+            probe_connection(loop, server.address, results.append)
+            time.sleep(CONNECT_TIMEOUT_S + 0.03)
+
+        loop.watch(reader, on_readable=start)
+        writer.send(b"x")
+        run_until(loop, lambda: results)
+    assert results == [ProbeResult.CONNECTED_SLOWLY]
+
+
+def test_a_health_check_that_is_answered_when_its_timer_is_late_has_succeeded(loop):
+    """Busy loop: the answer was there in time."""
+    reader, writer = socket.socketpair()
+    with socket.socket() as listener, reader, writer:
+        listener.bind((HOST, 0))
+        listener.listen()
+
+        def answer():
+            connection, _ = listener.accept()
+            with connection:
+                connection.recv(1024)
+                writer.send(b"x")
+                time.sleep(0.05)
+                connection.send(
+                    b"HTTP/1.1 200 X\r\nX-Instance-Id: i-7\r\nContent-Length: 0\r\n\r\n"
+                )
+
+        thread = threading.Thread(target=answer)
+        thread.start()
+        block_loop(loop, reader, IDENTITY_TIMEOUT_S + 0.03)
+        address = Endpoint(*listener.getsockname())
+        result = run(
+            loop, lambda done: probe_identity(loop, address, "/health", UpstreamId("i-7"), done)
+        )
+        thread.join()
+    assert result in (ProbeResult.CONNECTED, ProbeResult.CONNECTED_SLOWLY)
