Decide in the forwarder which flows a change of phase resets

No change of behaviour: the data plane asked the forwarder for each half of the decision. The tests of the core, on their fake clock, can now press on it.

--- a/src/chicoryproxy/forwarding/forwarder.py
+++ b/src/chicoryproxy/forwarding/forwarder.py
@@ -129,6 +129,19 @@
             self.reachability.suspect_domain(upstream.entry.domain, present, now)
         return self.break_flows(upstream)
 
+    def handle_phase_change(self, upstream: Lifetime, now: float) -> list[BrokenFlow]:
+        """Process a change of an upstream's phase.
+
+        An upstream that is missing or gone may still serve its flows; it is probed.
+
+        :returns: the flows to reset.
+        """
+        if upstream.is_unreachable:
+            return self.break_flows(upstream)
+        if upstream.phase in (UpstreamPhase.MISSING, UpstreamPhase.GONE):
+            self.suspect_if_used(upstream, now)
+        return []
+
     def suspect_marks(self, marks: Iterable[Mark], now: float) -> None:
         """Request probes of upstreams that a peer can't reach."""
         for mark in marks:
--- a/src/chicoryproxy/node/dataplane.py
+++ b/src/chicoryproxy/node/dataplane.py
@@ -17,7 +17,6 @@
     EntrySettings,
     FlowId,
     Refusal,
-    UpstreamPhase,
 )
 from chicoryproxy.forwarding.packet import CallerPacket
 from chicoryproxy.forwarding.reachability import ProbeResult
@@ -78,18 +77,12 @@
             self._probe(upstream)
 
     def handle_view_change(self, belief: DirectoryEvent) -> None:
-        """Follow a change of an upstream's phase.
-
-        Flows of an unreachable upstream are reset. An upstream that is missing or gone may still
-        serve its flows; it is probed.
-        """
+        """Follow a change of an upstream's phase."""
         upstream = belief.lifetime
         if belief.kind is not DirectoryEventKind.UPSTREAM_PHASE or upstream is None:
             return
-        if upstream.is_unreachable:
-            self._reset_flows(self.forwarder.break_flows(upstream), upstream)
-        elif upstream.phase in (UpstreamPhase.MISSING, UpstreamPhase.GONE):
-            self.forwarder.suspect_if_used(upstream, self._loop.read_clock())
+        broken = self.forwarder.handle_phase_change(upstream, self._loop.read_clock())
+        self._reset_flows(broken, upstream)
 
     def update_metrics(self) -> None:
         """Update the metrics that aren't counted as events occur."""
