Take a quick connection as a control only if it began by the last timeout

Cause: two timeouts proved that an upstream is out of reach if any connection to another one had succeeded quickly since the first of them. While the own link is full all probes time out, again and again; the first success at its end confirmed the last timeout, whose segment had been lost before it. Change: the control must have been started after the probe before the last and by the start of the last, so that the last had a working network from its beginning. No probe or wait is added where the control works: control and second probe start in the same tick as before. Callers saw: all open flows of a sound upstream reset when a congestion of the entry's link ends.

--- a/src/chicoryproxy/forwarding/reachability.py
+++ b/src/chicoryproxy/forwarding/reachability.py
@@ -4,11 +4,14 @@
 because its address may have been reassigned to another server.
 
 Passive observation can't distinguish a dead upstream from a slow one. A refused connection proves
-that its process has ended; two connections that time out while one to another upstream succeeds
-quickly prove that packets of this entry do not arrive. The flows of the upstream are reset only
-then. A congested link or a slow entry delays all connections alike and proves nothing.
+that its process has ended; two connections in a row that time out prove that packets of this entry
+do not arrive, if one to another upstream succeeds quickly that was started between the two or
+together with the last. The flows of the upstream are reset only then. A congested link or a slow
+entry delays all connections alike and proves nothing, nor does a connection that succeeds when it
+is over.
 """
 
+from collections import deque
 from collections.abc import Iterable
 from enum import Enum, unique
 
@@ -17,6 +20,9 @@
 from chicoryproxy.ids import DomainId
 
 TIMEOUTS_TO_CONFIRM = 2
+MAX_CONTROLS = 64
+"""Number of quick connections whose start is kept; more succeed only while nothing is wrong."""
+
 RECHECK_MIN_S = 0.6
 RECHECK_MAX_S = 4.0
 """The interval between probes of an unreachable upstream doubles from the minimum up to this."""
@@ -60,7 +66,7 @@
     :ivar failed_probes: failed probes since the last success.
     :ivar checked_s: time of the last result.
     :ivar probed_s: start of the last probe.
-    :ivar first_timeout_s: start of the first of these probes, if it timed out.
+    :ivar last_timeout_s: start of the last of these probes that timed out.
     :ivar next_s: time of the next probe; none is due unless it is after ``checked_s``.
     :ivar refused_since_s: time of the first refused connection.
     """
@@ -70,7 +76,7 @@
         "failed_probes",
         "checked_s",
         "probed_s",
-        "first_timeout_s",
+        "last_timeout_s",
         "next_s",
         "recheck_interval_s",
         "refused_since_s",
@@ -81,7 +87,7 @@
         self.failed_probes = 0
         self.checked_s = float("-inf")
         self.probed_s = float("-inf")
-        self.first_timeout_s = float("-inf")
+        self.last_timeout_s = float("-inf")
         self.next_s = float("-inf")
         self.recheck_interval_s = RECHECK_MIN_S
         self.refused_since_s: float | None = None
@@ -96,7 +102,7 @@
 
     def __init__(self, quiet_s: float = 0.0) -> None:
         self._quiet_s = quiet_s
-        self._last_connected_s = float("-inf")
+        self._controls_s: deque[float] = deque(maxlen=MAX_CONTROLS)
         self._states: dict[Lifetime, _ProbeState] = {}
         self._active_probes = 0
         self._domain_probed_s: dict[DomainId, float] = {}
@@ -138,7 +144,7 @@
             return False
         state.checked_s = now
         if result is ProbeResult.CONNECTED:
-            self._last_connected_s = now
+            self._controls_s.append(state.probed_s)
         if result in (ProbeResult.CONNECTED, ProbeResult.CONNECTED_SLOWLY):
             state.failed_probes = 0
             state.refused_since_s = None
@@ -153,12 +159,9 @@
             return False
         state.failed_probes += 1
         if result is ProbeResult.TIMEOUT and not upstream.is_unreachable:
-            if state.failed_probes == 1:
-                state.first_timeout_s = state.probed_s
-            if (
-                state.failed_probes < TIMEOUTS_TO_CONFIRM
-                or self._last_connected_s < state.first_timeout_s
-            ):
+            is_confirmed = self._is_timeout_confirmed(state)
+            state.last_timeout_s = state.probed_s
+            if not is_confirmed:
                 state.checked_s = float("-inf")
                 state.next_s = now
                 return False
@@ -202,6 +205,12 @@
             state = self._states[upstream] = _ProbeState()
         return state
 
+    def _is_timeout_confirmed(self, state: _ProbeState) -> bool:
+        """Return whether a timeout is the second one, and the network worked when it began."""
+        return state.failed_probes >= TIMEOUTS_TO_CONFIRM and any(
+            state.last_timeout_s <= started_s <= state.probed_s for started_s in self._controls_s
+        )
+
     def _may_be_finishing(self, upstream: Lifetime, state: _ProbeState, now: float) -> bool:
         """Return whether a leaving upstream that refuses connections may still answer requests."""
         if state.refused_since_s is None:
