Probe the control beside the limit of concurrent probes

Cause: probes that time out without a control are repeated at once, first come first served, 16 at a time. Callers saw no wrong reset, but hung until their own time-out on the flows of a domain that is cut off. Test: test_a_cut_domain_with_many_upstreams_is_found_out failed before.

--- a/src/chicoryproxy/forwarding/forwarder.py
+++ b/src/chicoryproxy/forwarding/forwarder.py
@@ -120,7 +120,7 @@
         if result is ProbeResult.TIMEOUT and not upstream.is_unreachable:
             control = self._control.choose(upstream, now)
             if control is not None:
-                self.reachability.check(control, now)
+                self.reachability.check(control, now, is_control=True)
         if not has_changed or not upstream.is_unreachable:
             return []
         if result is ProbeResult.TIMEOUT:
--- a/src/chicoryproxy/forwarding/reachability.py
+++ b/src/chicoryproxy/forwarding/reachability.py
@@ -63,6 +63,7 @@
 class _ProbeState:
     """Probe state of one upstream.
 
+    :ivar is_control: the next probe is started beyond the limit of concurrent ones.
     :ivar failed_probes: failed probes since the last success.
     :ivar checked_s: time of the last result.
     :ivar probed_s: start of the last probe.
@@ -73,6 +74,7 @@
 
     __slots__ = (
         "is_probing",
+        "is_control",
         "failed_probes",
         "checked_s",
         "probed_s",
@@ -84,6 +86,7 @@
 
     def __init__(self) -> None:
         self.is_probing = False
+        self.is_control = False
         self.failed_probes = 0
         self.checked_s = float("-inf")
         self.probed_s = float("-inf")
@@ -121,9 +124,10 @@
             if self._is_done(upstream, state, now):
                 del self._states[upstream]
             elif not state.is_probing and state.checked_s < state.next_s <= now:
-                if self._active_probes >= MAX_CONCURRENT_PROBES:
-                    break
+                if self._active_probes >= MAX_CONCURRENT_PROBES and not state.is_control:
+                    continue
                 state.is_probing = True
+                state.is_control = False
                 state.probed_s = now
                 self._active_probes += 1
                 due.append(upstream)
@@ -180,10 +184,15 @@
         state = self._states.get(upstream)
         return state is not None and now - state.checked_s < FAILURE_VALID_S
 
-    def check(self, upstream: Lifetime, now: float) -> None:
-        """Request a probe of an unsuspected upstream, to check that probes work at all."""
+    def check(self, upstream: Lifetime, now: float, is_control: bool = False) -> None:
+        """Request a probe of an unsuspected upstream.
+
+        :param is_control: it shows whether probes work at all. It does not wait for the others,
+            whose results mean nothing without it.
+        """
         state = self._get_state(upstream)
         if not state.is_probing:
+            state.is_control = is_control
             state.checked_s = min(state.checked_s, now - SUCCESS_VALID_S)
             state.next_s = now
 
--- a/tests/forwarding/test_proofs.py
+++ b/tests/forwarding/test_proofs.py
@@ -152,3 +152,17 @@
     network.delays_s = {upstream.entry.id: 0.1 for upstream in upstreams}
     network.run(3.0)
     assert not any(upstream.is_unreachable for upstream in upstreams)
+
+
+# A domain is cut off: the probe of the control must not wait behind those of the domain.
+@pytest.mark.parametrize("is_control_first", [True, False])
+def test_a_cut_domain_with_many_upstreams_is_found_out(harness, network, is_control_first):
+    if is_control_first:
+        harness.publish_upstream("near")
+    far = [harness.publish_upstream(f"i-{number}", domain=OTHER_DOMAIN) for number in range(40)]
+    harness.publish_upstream("near")
+    for upstream in far:
+        network.delays_s[upstream.entry.id] = NEVER_S
+        suspect(harness, upstream)
+    network.run(1.5)
+    assert all(upstream.is_unreachable for upstream in far)
