Let a leaving upstream finish although its registration lapsed

Cause: the registration of a draining upstream that vanishes while the store recovers makes it missing, not gone, and the time to finish (2 s) was given by the phase: one refused connection reset its flows. Change: the time is given by its last registration. Callers saw: resets in a release beside trouble of the store, while the server finished its requests. Where the server has really ended, they wait up to 2 s longer, only in the 3 s after a failed read. Test: test_a_leaving_upstream_whose_registration_lapsed_keeps_its_flows failed before.

--- a/src/chicoryproxy/forwarding/reachability.py
+++ b/src/chicoryproxy/forwarding/reachability.py
@@ -224,10 +224,11 @@
         """Return whether a leaving upstream that refuses connections may still answer requests."""
         if state.refused_since_s is None:
             state.refused_since_s = now
-        if upstream.phase is UpstreamPhase.DRAINING:
-            return now - state.refused_since_s < DRAIN_FINISHING_S
-        has_left = upstream.phase is UpstreamPhase.GONE
-        return has_left and now - upstream.phase_since_s < REMOVED_FINISHING_S
+        if upstream.phase is UpstreamPhase.GONE:
+            return now - upstream.phase_since_s < REMOVED_FINISHING_S
+        # The registration of a draining upstream may also lapse while the store is unavailable.
+        is_draining = upstream.entry.is_draining
+        return is_draining and now - state.refused_since_s < DRAIN_FINISHING_S
 
     def _is_done(self, upstream: Lifetime, state: _ProbeState, now: float) -> bool:
         if state.is_probing:
--- a/tests/forwarding/test_proofs.py
+++ b/tests/forwarding/test_proofs.py
@@ -10,7 +10,7 @@
 
 import pytest
 
-from chicoryproxy.forwarding.reachability import ProbeResult
+from chicoryproxy.forwarding.reachability import DRAIN_FINISHING_S, ProbeResult
 from chicoryproxy.node.probe import CONNECT_TIMEOUT_S, IDENTITY_TIMEOUT_S, SLOW_CONNECT_S
 from tests.forwarding.harness import OTHER_DOMAIN, create_packet
 
@@ -144,6 +144,34 @@
     assert len(network.broken) == 1
 
 
+# Release beside a store outage: the registration lapses while the server finishes its requests.
+def test_a_leaving_upstream_whose_registration_lapsed_keeps_its_flows(harness, network):
+    upstream = harness.publish_upstream("i-1")
+    harness.open_flow()
+    harness.publish_upstream("i-1", draining=True)
+    harness.directory.record_store_failure(harness.now)
+    harness.remove_upstream("i-1")
+    network.refusing.add("i-1")
+    suspect(harness, upstream)
+    network.run(0.5)
+    assert network.broken == []
+    network.run(DRAIN_FINISHING_S)
+    assert len(network.broken) == 1
+
+
+# The state of a finished probe is discarded between two refusals.
+def test_refusals_of_a_leaving_upstream_add_up_over_pauses_between_probes(harness, network):
+    upstream = harness.publish_upstream("i-1")
+    harness.open_flow()
+    harness.publish_upstream("i-1", draining=True)
+    network.refusing.add("i-1")
+    suspect(harness, upstream)
+    network.run(DRAIN_FINISHING_S - 0.1)
+    assert network.broken == []
+    network.run(0.5)
+    assert len(network.broken) == 1
+
+
 # A domain with many upstreams is suspected at once.
 def test_many_probes_at_once_make_no_living_upstream_unreachable(harness, network):
     upstreams = [harness.publish_upstream(f"i-{number}") for number in range(60)]
