Take answers of a leaving upstream as a sign of life

Cause: an upstream that leaves and has closed its listener was taken for dead 2 s after the first refused connection, however many responses its callers had acknowledged since; only an answer during the few milliseconds of a probe counted. Change: the 2 s run from the last answer, if that is later. Callers saw: long responses reset in a release, where the server finishes for more than 2 s. Of a server that crashes while it drains they wait 2 s from its last answer, if it answered after the first refusal; otherwise as before. Test: test_a_leaving_upstream_that_goes_on_answering_keeps_its_flows failed before.

--- a/src/chicoryproxy/forwarding/reachability.py
+++ b/src/chicoryproxy/forwarding/reachability.py
@@ -34,8 +34,8 @@
 """Age from which a failed probe no longer justifies resetting an open flow."""
 
 DRAIN_FINISHING_S = 2.0
-"""A draining upstream that refuses connections for this long has ended, although its registration
-is still there."""
+"""A draining upstream that refuses connections for this long and answers no caller of this entry
+has ended, although its registration is still there."""
 
 FINISHING_RECHECK_S = 0.3
 REMOVED_FINISHING_S = 0.25
@@ -69,7 +69,7 @@
     :ivar probed_s: start of the last probe.
     :ivar last_timeout_s: start of the last of these probes that timed out.
     :ivar next_s: time of the next probe; none is due unless it is after ``checked_s``.
-    :ivar refused_since_s: time of the first refused connection.
+    :ivar refused_since_s: time of the first refused connection, or of a later answer.
     """
 
     __slots__ = (
@@ -224,6 +224,8 @@
         """Return whether a leaving upstream that refuses connections may still answer requests."""
         if state.refused_since_s is None:
             state.refused_since_s = now
+        # A process that answers after it has closed its listener has not ended.
+        state.refused_since_s = max(state.refused_since_s, upstream.answered_s)
         if upstream.phase is UpstreamPhase.GONE:
             return now - upstream.phase_since_s < REMOVED_FINISHING_S
         # The registration of a draining upstream may also lapse while the store is unavailable.
--- a/tests/forwarding/test_proofs.py
+++ b/tests/forwarding/test_proofs.py
@@ -144,6 +144,22 @@
     assert len(network.broken) == 1
 
 
+# Release: the server has closed its listener and still sends a long response.
+def test_a_leaving_upstream_that_goes_on_answering_keeps_its_flows(harness, network):
+    upstream = harness.publish_upstream("i-1")
+    _, port = harness.open_flow()
+    harness.publish_upstream("i-1", draining=True)
+    network.refusing.add("i-1")
+    suspect(harness, upstream)
+    for number in range(1, 9):
+        harness.send(create_packet(port=port, mark=upstream.mark, acknowledged=900 * number))
+        network.run(0.55)
+        suspect(harness, upstream)
+    assert network.broken == []
+    network.run(DRAIN_FINISHING_S + 0.5)
+    assert len(network.broken) == 1
+
+
 # Release beside a store outage: the registration lapses while the server finishes its requests.
 def test_a_leaving_upstream_whose_registration_lapsed_keeps_its_flows(harness, network):
     upstream = harness.publish_upstream("i-1")
