Don't take a server that accepts and does not answer for dead

Cause: an upstream that was out of reach once is probed by its health check, with 0.4 s. A check waits for a slot like a request, so that a busy server answers late, or closes the connection. That counted as a time-out, alone renewed the proof for 0.8 s, and each flow that another entry had opened at that living server was reset here, long after the trouble. An answer without an id counted as another server. Change: a connection that is accepted without an answer that names the server is a result of its own, "silent". It proves nothing; the upstream gets no openings here and is probed again as before. The age of a proof is counted from the proof and no longer from the last result. Callers saw: resets of open flows at busy servers, from an entry that was cut off from them earlier. Callers of a dead upstream wait longer only if a busy server has its address and the registration of that one isn't known yet.

--- a/src/chicoryproxy/eventloop/http.py
+++ b/src/chicoryproxy/eventloop/http.py
@@ -51,6 +51,8 @@
     """A client with one connection to a server and at most one request in flight.
 
     The first request opens the connection; the next request after a failure reopens it.
+
+    :ivar was_connected: the server accepted the last connection, whether it answered or not.
     """
 
     def __init__(self, loop: Loop, server: Endpoint) -> None:
@@ -58,6 +60,7 @@
         self._server = server
         self._stream: Stream | None = None
         self._server_changed = False
+        self.was_connected = False
         self._parser: httptools.HttpResponseParser | None = None
         self._headers: dict[bytes, bytes] = {}
         self._body = bytearray()
@@ -81,6 +84,7 @@
         self._server_changed = False
         if self._stream is None or self._stream.is_closed:
             self._parser = httptools.HttpResponseParser(self)
+            self.was_connected = False
             self._stream = open_stream(self._loop, self._server, self)
         self._on_result = on_result
         due_s = self._loop.read_clock() + timeout_s
@@ -97,7 +101,8 @@
             self._stream.close()
 
     def handle_connected(self) -> None:
-        """Do nothing; the stream sends the buffered request."""
+        """Note it; the stream sends the buffered request."""
+        self.was_connected = True
 
     def handle_data(self, data: bytes) -> None:
         """Pass received bytes to the parser; a response that can't be parsed is a failure."""
--- a/src/chicoryproxy/forwarding/reachability.py
+++ b/src/chicoryproxy/forwarding/reachability.py
@@ -50,11 +50,15 @@
 
 @unique
 class ProbeResult(Enum):
-    """Outcome of a connection to an upstream."""
+    """Outcome of a connection to an upstream.
+
+    ``SILENT``: a server accepted the connection, but did not say which one it is; it may be busy.
+    """
 
     CONNECTED = "connected"
     CONNECTED_SLOWLY = "connected_slowly"
     OTHER_SERVER = "other_server"
+    SILENT = "silent"
     REFUSED = "refused"
     TIMEOUT = "timeout"
     DISCARDED = "discarded"
@@ -66,6 +70,7 @@
     :ivar is_control: the next probe is started beyond the limit of concurrent ones.
     :ivar failed_probes: failed probes since the last success.
     :ivar checked_s: time of the last result.
+    :ivar proved_s: time of the last result that proved the upstream unreachable.
     :ivar probed_s: start of the last probe.
     :ivar last_timeout_s: start of the last of these probes that timed out.
     :ivar next_s: time of the next probe; none is due unless it is after ``checked_s``.
@@ -77,6 +82,7 @@
         "is_control",
         "failed_probes",
         "checked_s",
+        "proved_s",
         "probed_s",
         "last_timeout_s",
         "next_s",
@@ -89,6 +95,7 @@
         self.is_control = False
         self.failed_probes = 0
         self.checked_s = float("-inf")
+        self.proved_s = float("-inf")
         self.probed_s = float("-inf")
         self.last_timeout_s = float("-inf")
         self.next_s = float("-inf")
@@ -161,6 +168,10 @@
         if result is ProbeResult.REFUSED and self._may_be_finishing(upstream, state, now):
             state.next_s = now + FINISHING_RECHECK_S
             return False
+        if result is ProbeResult.SILENT:
+            state.failed_probes = 0
+            self._schedule_recheck(state, now)
+            return False
         state.failed_probes += 1
         if result is ProbeResult.TIMEOUT and not upstream.is_unreachable:
             is_confirmed = self._is_timeout_confirmed(state)
@@ -169,8 +180,8 @@
                 state.checked_s = float("-inf")
                 state.next_s = now
                 return False
-        state.next_s = now + state.recheck_interval_s
-        state.recheck_interval_s = min(RECHECK_MAX_S, state.recheck_interval_s * 2)
+        state.proved_s = now
+        self._schedule_recheck(state, now)
         return self._set_unreachable(upstream, True)
 
     def list_unreachable(self) -> list[Lifetime]:
@@ -182,7 +193,7 @@
         if upstream.phase is UpstreamPhase.GONE:
             return True
         state = self._states.get(upstream)
-        return state is not None and now - state.checked_s < FAILURE_VALID_S
+        return state is not None and now - state.proved_s < FAILURE_VALID_S
 
     def check(self, upstream: Lifetime, now: float, is_control: bool = False) -> None:
         """Request a probe of an unsuspected upstream.
@@ -214,6 +225,10 @@
             state = self._states[upstream] = _ProbeState()
         return state
 
+    def _schedule_recheck(self, state: _ProbeState, now: float) -> None:
+        state.next_s = now + state.recheck_interval_s
+        state.recheck_interval_s = min(RECHECK_MAX_S, state.recheck_interval_s * 2)
+
     def _is_timeout_confirmed(self, state: _ProbeState) -> bool:
         """Return whether a timeout is the second one, and the network worked when it began."""
         return state.failed_probes >= TIMEOUTS_TO_CONFIRM and any(
--- a/src/chicoryproxy/node/probe.py
+++ b/src/chicoryproxy/node/probe.py
@@ -2,7 +2,13 @@
 
 from collections.abc import Callable
 
-from chicoryproxy.eventloop.http import HttpClient, HttpResponse, HttpResult, HttpTimeout
+from chicoryproxy.eventloop.http import (
+    HttpClient,
+    HttpFailure,
+    HttpResponse,
+    HttpResult,
+    HttpTimeout,
+)
 from chicoryproxy.eventloop.loop import Loop
 from chicoryproxy.eventloop.stream import Stream, StreamHandler, open_stream
 from chicoryproxy.forwarding.reachability import ProbeResult
@@ -75,16 +81,25 @@
     def handle_result(result: HttpResult) -> None:
         client.close()
         if isinstance(result, HttpResponse):
-            is_same = read_identity(result.headers) == upstream
-            on_result(ProbeResult.CONNECTED if is_same else ProbeResult.OTHER_SERVER)
-        elif isinstance(result, HttpTimeout):
-            on_result(_classify_timeout(result.late_s))
-        else:
+            on_result(_classify_identity(read_identity(result.headers), upstream))
+        elif isinstance(result, HttpTimeout) and result.late_s > MAX_TIMER_DELAY_S:
+            on_result(ProbeResult.DISCARDED)
+        elif client.was_connected:
+            on_result(ProbeResult.SILENT)
+        elif isinstance(result, HttpFailure):
             on_result(_classify_error(result.error))
+        else:
+            on_result(ProbeResult.TIMEOUT)
 
     client.get(path, IDENTITY_TIMEOUT_S, handle_result)
 
 
+def _classify_identity(identity: UpstreamId, expected: UpstreamId) -> ProbeResult:
+    if not identity:
+        return ProbeResult.SILENT
+    return ProbeResult.CONNECTED if identity == expected else ProbeResult.OTHER_SERVER
+
+
 def _classify_error(error: OSError | None) -> ProbeResult:
     if isinstance(error, ConnectionRefusedError):
         return ProbeResult.REFUSED
--- a/tests/forwarding/test_proofs.py
+++ b/tests/forwarding/test_proofs.py
@@ -144,6 +144,20 @@
     assert len(network.broken) == 1
 
 
+# The cut of this entry is over for long, and the upstream is busy with requests.
+@pytest.mark.parametrize("phase", ["serving", "draining"])
+def test_a_busy_health_check_after_a_cut_resets_no_flow(harness, network, phase):
+    upstream = harness.publish_upstream("i-1")
+    make_unreachable(harness, network, upstream)
+    network.health["i-1"] = ProbeResult.SILENT
+    harness.publish_upstream("i-1", draining=phase == "draining")
+    network.run(2 * CONTACT_S)
+    for _ in range(20):
+        assert send_data(harness, upstream, 1024) is upstream
+        network.run(0.2)
+    assert network.broken == []
+
+
 # Release: the server has closed its listener and still sends a long response.
 def test_a_leaving_upstream_that_goes_on_answering_keeps_its_flows(harness, network):
     upstream = harness.publish_upstream("i-1")
@@ -198,6 +212,14 @@
     assert not any(upstream.is_unreachable for upstream in upstreams)
 
 
+# A living upstream that answered its health check is used again.
+def test_an_upstream_that_is_back_gets_openings_again(harness, network):
+    upstream = harness.publish_upstream("i-1")
+    make_unreachable(harness, network, upstream)
+    network.run(CONTACT_S)
+    assert harness.send_opening()[0] is upstream
+
+
 # A domain is cut off: the probe of the control must not wait behind those of the domain.
 @pytest.mark.parametrize("is_control_first", [True, False])
 def test_a_cut_domain_with_many_upstreams_is_found_out(harness, network, is_control_first):
