Take a late answer to a health check for a slow connection

Cause: any answer of a health check within 0.4 s counted as a quick connection, and so confirmed the time-outs of other upstreams, although the network or this process may be slow; a plain connection has to succeed within 0.04 s for that. Change: the same limit for both. Callers saw: a part in wrong resets when a link is congested and some upstream is unreachable already. Test: test_a_health_check_that_is_answered_late_is_a_slow_connection failed before.

--- a/src/chicoryproxy/node/probe.py
+++ b/src/chicoryproxy/node/probe.py
@@ -39,9 +39,7 @@
 
     def handle_connected(self) -> None:
         """Report success; the kernel of the upstream's host completed the handshake."""
-        duration_s = self._loop.read_clock() - self._due_s + CONNECT_TIMEOUT_S
-        is_slow = duration_s > SLOW_CONNECT_S
-        self._finish(ProbeResult.CONNECTED_SLOWLY if is_slow else ProbeResult.CONNECTED)
+        self._finish(_classify_duration(self._loop.read_clock() - self._due_s + CONNECT_TIMEOUT_S))
 
     def handle_data(self, data: bytes) -> None:
         """Do nothing; no request is sent, so that no response is expected."""
@@ -77,11 +75,13 @@
     :param on_result: called once with the result.
     """
     client = HttpClient(loop, address)
+    started_s = loop.read_clock()
 
     def handle_result(result: HttpResult) -> None:
         client.close()
         if isinstance(result, HttpResponse):
-            on_result(_classify_identity(read_identity(result.headers), upstream))
+            duration_s = loop.read_clock() - started_s
+            on_result(_classify_identity(read_identity(result.headers), upstream, duration_s))
         elif isinstance(result, HttpTimeout) and result.late_s > MAX_TIMER_DELAY_S:
             on_result(ProbeResult.DISCARDED)
         elif client.was_connected:
@@ -94,10 +94,17 @@
     client.get(path, IDENTITY_TIMEOUT_S, handle_result)
 
 
-def _classify_identity(identity: UpstreamId, expected: UpstreamId) -> ProbeResult:
+def _classify_identity(
+    identity: UpstreamId, expected: UpstreamId, duration_s: float
+) -> ProbeResult:
     if not identity:
         return ProbeResult.SILENT
-    return ProbeResult.CONNECTED if identity == expected else ProbeResult.OTHER_SERVER
+    return _classify_duration(duration_s) if identity == expected else ProbeResult.OTHER_SERVER
+
+
+def _classify_duration(duration_s: float) -> ProbeResult:
+    is_slow = duration_s > SLOW_CONNECT_S
+    return ProbeResult.CONNECTED_SLOWLY if is_slow else ProbeResult.CONNECTED
 
 
 def _classify_error(error: OSError | None) -> ProbeResult:
--- a/tests/node/test_probe.py
+++ b/tests/node/test_probe.py
@@ -13,6 +13,7 @@
 from chicoryproxy.node.probe import (
     CONNECT_TIMEOUT_S,
     IDENTITY_TIMEOUT_S,
+    SLOW_CONNECT_S,
     probe_connection,
     probe_identity,
 )
@@ -128,6 +129,16 @@
     listener.close()
 
 
+def test_a_health_check_that_is_answered_late_is_a_slow_connection(loop, server):
+    """Congested link: the answer arrives, but it must not confirm the timeouts of others."""
+    server.delay_s = SLOW_CONNECT_S + 0.05
+    result = run(
+        loop,
+        lambda done: probe_identity(loop, server.address, "/health", UpstreamId("i-7"), done),
+    )
+    assert result is ProbeResult.CONNECTED_SLOWLY
+
+
 def block_loop(loop, reader, seconds):
     """Let one event of the loop take long, as a batch of packets does on a slow machine."""
 
