Let a lapse or change of a registration renew no old proof

Cause: once the registration of an upstream that was out of reach lapsed, the upstream counted as proved dead for good, and its probes ended: an entry cut off from it while the store was away reset each of its flows for 90 s, though it lives. Any change of phase, a drain too, reset at once the flows of an upstream whose last failed probe was old, also those that had come since because they may well be open. Change: only a newer lifetime ends an upstream without a probe. For one that a probe found out of reach, the age of the proof counts in every phase (0.8 s); a packet of a flow asks for a new probe, and the flows that waited for it are reset with its result. An upstream that is gone isn't probed unless asked for. Callers saw: resets of open flows at a living upstream after an outage of the store or in a release. Callers of a dead one that come later wait for one probe: some milliseconds where its host refuses, 0.4 s where it is silent; a reset then follows at once instead of with their next packet. Tests: test_lapse_of_a_registration_does_not_make_an_old_proof_last and test_a_change_of_phase_does_not_renew_an_old_proof (drain, lapse) failed before.

--- a/src/chicoryproxy/forwarding/forwarder.py
+++ b/src/chicoryproxy/forwarding/forwarder.py
@@ -116,14 +116,15 @@
         :returns: the flows to reset. Idle flows are included, so that their callers learn of the
             failure before they send a request that may not be retried.
         """
-        has_changed = self.reachability.handle_result(upstream, result, now)
+        was_unreachable = upstream.is_unreachable
+        is_decided = self.reachability.handle_result(upstream, result, now)
         if result is ProbeResult.TIMEOUT and not upstream.is_unreachable:
             control = self._control.choose(upstream, now)
             if control is not None:
                 self.reachability.check(control, now, is_control=True)
-        if not has_changed or not upstream.is_unreachable:
+        if not is_decided or not upstream.is_unreachable:
             return []
-        if result is ProbeResult.TIMEOUT:
+        if result is ProbeResult.TIMEOUT and not was_unreachable:
             # A network partition would also affect the other upstreams of the failure domain.
             present = self._directory.iterate_present()
             self.reachability.suspect_domain(upstream.entry.domain, present, now)
@@ -137,8 +138,10 @@
         :returns: the flows to reset.
         """
         if upstream.is_unreachable:
-            return self.break_flows(upstream)
-        if upstream.phase in (UpstreamPhase.MISSING, UpstreamPhase.GONE):
+            if self.reachability.is_confirmed_unreachable(upstream, now):
+                return self.break_flows(upstream)
+            self.reachability.check(upstream, now)
+        elif upstream.phase in (UpstreamPhase.MISSING, UpstreamPhase.GONE):
             self.suspect_if_used(upstream, now)
         return []
 
--- a/src/chicoryproxy/forwarding/reachability.py
+++ b/src/chicoryproxy/forwarding/reachability.py
@@ -42,6 +42,9 @@
 """Time after the removal of an upstream's registration in which its last responses may still be in
 transit."""
 
+MAX_FLOW_S = 60.0
+"""An upstream that has ended for this long has no flows."""
+
 MAX_CONCURRENT_PROBES = 16
 
 MIN_DOMAIN_PROBE_INTERVAL_S = 1.0
@@ -67,6 +70,7 @@
 class _ProbeState:
     """Probe state of one upstream.
 
+    :ivar is_awaited: flows of the unreachable upstream wait for a new proof.
     :ivar is_control: the next probe is started beyond the limit of concurrent ones.
     :ivar failed_probes: failed probes since the last success.
     :ivar checked_s: time of the last result.
@@ -79,6 +83,7 @@
 
     __slots__ = (
         "is_probing",
+        "is_awaited",
         "is_control",
         "failed_probes",
         "checked_s",
@@ -92,6 +97,7 @@
 
     def __init__(self) -> None:
         self.is_probing = False
+        self.is_awaited = False
         self.is_control = False
         self.failed_probes = 0
         self.checked_s = float("-inf")
@@ -102,6 +108,11 @@
         self.recheck_interval_s = RECHECK_MIN_S
         self.refused_since_s: float | None = None
 
+    @property
+    def has_proof(self) -> bool:
+        """True if a probe, and not a newer lifetime, proved the upstream unreachable."""
+        return self.proved_s > float("-inf")
+
 
 class ReachabilityMonitor:
     """Schedules probes and determines from their results which upstreams are unreachable.
@@ -143,7 +154,8 @@
     def handle_result(self, upstream: Lifetime, result: ProbeResult, now: float) -> bool:
         """Process the result of a probe.
 
-        :returns: True if the upstream became reachable or unreachable.
+        :returns: True if the upstream became reachable or unreachable, or was proved unreachable
+            again for the flows that waited for it.
         """
         state = self._states.get(upstream)
         if state is None:
@@ -158,6 +170,8 @@
             self._controls_s.append(state.probed_s)
         if result in (ProbeResult.CONNECTED, ProbeResult.CONNECTED_SLOWLY):
             state.failed_probes = 0
+            state.proved_s = float("-inf")
+            state.is_awaited = False
             state.refused_since_s = None
             state.recheck_interval_s = RECHECK_MIN_S
             return self._set_unreachable(upstream, False)
@@ -170,7 +184,7 @@
             return False
         if result is ProbeResult.SILENT:
             state.failed_probes = 0
-            self._schedule_recheck(state, now)
+            self._schedule_recheck(upstream, state, now)
             return False
         state.failed_probes += 1
         if result is ProbeResult.TIMEOUT and not upstream.is_unreachable:
@@ -181,19 +195,27 @@
                 state.next_s = now
                 return False
         state.proved_s = now
-        self._schedule_recheck(state, now)
-        return self._set_unreachable(upstream, True)
+        self._schedule_recheck(upstream, state, now)
+        was_awaited, state.is_awaited = state.is_awaited, False
+        return self._set_unreachable(upstream, True) or was_awaited
 
     def list_unreachable(self) -> list[Lifetime]:
-        """Return the unreachable upstreams."""
-        return [upstream for upstream in self._states if upstream.is_unreachable]
+        """Return the unreachable upstreams that have not ended."""
+        return [
+            upstream
+            for upstream in self._states
+            if upstream.is_unreachable and upstream.phase is not UpstreamPhase.GONE
+        ]
 
     def is_confirmed_unreachable(self, upstream: Lifetime, now: float) -> bool:
-        """Return whether an unreachable upstream failed a recent probe or has ended."""
-        if upstream.phase is UpstreamPhase.GONE:
-            return True
+        """Return whether an unreachable upstream failed a recent probe or was replaced.
+
+        A registration that has lapsed adds nothing to an old failed probe.
+        """
         state = self._states.get(upstream)
-        return state is not None and now - state.proved_s < FAILURE_VALID_S
+        if state is None or not state.has_proof:
+            return upstream.phase is UpstreamPhase.GONE
+        return now - state.proved_s < FAILURE_VALID_S
 
     def check(self, upstream: Lifetime, now: float, is_control: bool = False) -> None:
         """Request a probe of an unsuspected upstream.
@@ -202,6 +224,7 @@
             whose results mean nothing without it.
         """
         state = self._get_state(upstream)
+        state.is_awaited = upstream.is_unreachable
         if not state.is_probing:
             state.is_control = is_control
             state.checked_s = min(state.checked_s, now - SUCCESS_VALID_S)
@@ -225,7 +248,9 @@
             state = self._states[upstream] = _ProbeState()
         return state
 
-    def _schedule_recheck(self, state: _ProbeState, now: float) -> None:
+    def _schedule_recheck(self, upstream: Lifetime, state: _ProbeState, now: float) -> None:
+        if upstream.phase is UpstreamPhase.GONE:
+            return
         state.next_s = now + state.recheck_interval_s
         state.recheck_interval_s = min(RECHECK_MAX_S, state.recheck_interval_s * 2)
 
@@ -251,7 +276,7 @@
         if state.is_probing:
             return False
         if upstream.phase is UpstreamPhase.GONE and upstream.is_unreachable:
-            return True
+            return not state.has_proof or now - upstream.phase_since_s > MAX_FLOW_S
         return not upstream.is_unreachable and state.next_s <= state.checked_s < now - RECHECK_MIN_S
 
     def _set_unreachable(self, upstream: Lifetime, is_unreachable: bool) -> bool:
--- a/tests/forwarding/test_proofs.py
+++ b/tests/forwarding/test_proofs.py
@@ -10,6 +10,8 @@
 
 import pytest
 
+from chicoryproxy.forwarding.directory import RETURN_GRACE_S
+from chicoryproxy.forwarding.model import Refusal, UpstreamPhase
 from chicoryproxy.forwarding.reachability import DRAIN_FINISHING_S, ProbeResult
 from chicoryproxy.node.probe import CONNECT_TIMEOUT_S, IDENTITY_TIMEOUT_S, SLOW_CONNECT_S
 from tests.forwarding.harness import OTHER_DOMAIN, create_packet
@@ -158,6 +160,56 @@
     assert network.broken == []
 
 
+# An entry is cut off from the upstream while its registration lapses in a store outage.
+def test_lapse_of_a_registration_does_not_make_an_old_proof_last(harness, network):
+    upstream = harness.publish_upstream("i-1")
+    network.refusing.add("i-1")
+    suspect(harness, upstream)
+    network.run(0.1)
+    assert upstream.is_unreachable
+    harness.directory.record_store_failure(harness.now)
+    harness.remove_upstream("i-1")
+    network.run(RETURN_GRACE_S)
+    harness.directory.expire(harness.now)
+    assert upstream.phase is UpstreamPhase.GONE
+    network.refusing.clear()
+    network.run(2 * CONTACT_S)
+    assert send_data(harness, upstream, 1024) is upstream
+    network.run(0.2)
+    assert send_data(harness, upstream, 1024) is upstream
+    assert not upstream.is_unreachable
+
+
+# The upstream is back, its flow goes on here, and then its registration changes or lapses.
+@pytest.mark.parametrize("change", ["drain", "lapse"])
+def test_a_change_of_phase_does_not_renew_an_old_proof(harness, network, change):
+    upstream = harness.publish_upstream("i-1")
+    make_unreachable(harness, network, upstream)
+    harness.now += OLD_PROOF_S
+    assert send_data(harness, upstream, 1024) is upstream
+    if change == "drain":
+        harness.publish_upstream("i-1", draining=True)
+    else:
+        harness.remove_upstream("i-1")
+    network.broken += harness.forwarder.handle_phase_change(upstream, harness.now)
+    network.run(0.2)
+    assert network.broken == []
+
+
+# Reused id: a newer lifetime proves the end of the former one, whenever it was last probed.
+def test_flows_of_a_replaced_lifetime_are_reset_even_if_it_was_unreachable_before(harness, network):
+    upstream = harness.publish_upstream("i-1")
+    make_unreachable(harness, network, upstream)
+    network.health["i-1"] = ProbeResult.OTHER_SERVER
+    harness.now += OLD_PROOF_S
+    send_data(harness, upstream, 1024)
+    harness.publish_upstream("i-1", started_ms=2)
+    network.broken += harness.forwarder.handle_phase_change(upstream, harness.now)
+    network.run(0.2)
+    assert len(network.broken) == 1
+    assert send_data(harness, upstream, 1024) is Refusal.UPSTREAM_UNREACHABLE
+
+
 # Release: the server has closed its listener and still sends a long response.
 def test_a_leaving_upstream_that_goes_on_answering_keeps_its_flows(harness, network):
     upstream = harness.publish_upstream("i-1")
