Prove an upstream unreachable again by two timeouts, as the first time

Cause: of an upstream that was out of reach once, a single timeout without a control renewed the proof: one lost segment, or a moment of congestion of the own link, reset the flows of a living upstream that came from other entries in the next 0.8 s. Change: a timeout of the regular probes proves nothing new. If a flow waits for the proof, two timeouts in a row with a control are needed, as for a sound upstream. Callers saw: resets of open flows at a living upstream by an entry that was cut off from it before. Test: test_one_timeout_after_a_cut_resets_no_flow failed before.

--- a/src/chicoryproxy/forwarding/forwarder.py
+++ b/src/chicoryproxy/forwarding/forwarder.py
@@ -118,7 +118,7 @@
         """
         was_unreachable = upstream.is_unreachable
         is_decided = self.reachability.handle_result(upstream, result, now)
-        if result is ProbeResult.TIMEOUT and not upstream.is_unreachable:
+        if result is ProbeResult.TIMEOUT and self.reachability.needs_control(upstream):
             control = self._control.choose(upstream, now)
             if control is not None:
                 self.reachability.check(control, now, is_control=True)
--- a/src/chicoryproxy/forwarding/reachability.py
+++ b/src/chicoryproxy/forwarding/reachability.py
@@ -72,7 +72,7 @@
 
     :ivar is_awaited: flows of the unreachable upstream wait for a new proof.
     :ivar is_control: the next probe is started beyond the limit of concurrent ones.
-    :ivar failed_probes: failed probes since the last success.
+    :ivar failed_probes: timeouts since the last success or request of a new proof.
     :ivar checked_s: time of the last result.
     :ivar proved_s: time of the last result that proved the upstream unreachable.
     :ivar probed_s: start of the last probe.
@@ -186,14 +186,8 @@
             state.failed_probes = 0
             self._schedule_recheck(upstream, state, now)
             return False
-        state.failed_probes += 1
-        if result is ProbeResult.TIMEOUT and not upstream.is_unreachable:
-            is_confirmed = self._is_timeout_confirmed(state)
-            state.last_timeout_s = state.probed_s
-            if not is_confirmed:
-                state.checked_s = float("-inf")
-                state.next_s = now
-                return False
+        if result is ProbeResult.TIMEOUT and not self._is_proved_by_timeout(upstream, state, now):
+            return False
         state.proved_s = now
         self._schedule_recheck(upstream, state, now)
         was_awaited, state.is_awaited = state.is_awaited, False
@@ -217,6 +211,11 @@
             return upstream.phase is UpstreamPhase.GONE
         return now - state.proved_s < FAILURE_VALID_S
 
+    def needs_control(self, upstream: Lifetime) -> bool:
+        """Return whether a timeout of an upstream could prove something, for its flows."""
+        state = self._states.get(upstream)
+        return not upstream.is_unreachable or (state is not None and state.is_awaited)
+
     def check(self, upstream: Lifetime, now: float, is_control: bool = False) -> None:
         """Request a probe of an unsuspected upstream.
 
@@ -224,7 +223,9 @@
             whose results mean nothing without it.
         """
         state = self._get_state(upstream)
-        state.is_awaited = upstream.is_unreachable
+        if upstream.is_unreachable and not state.is_awaited:
+            state.is_awaited = True
+            state.failed_probes = 0
         if not state.is_probing:
             state.is_control = is_control
             state.checked_s = min(state.checked_s, now - SUCCESS_VALID_S)
@@ -254,11 +255,23 @@
         state.next_s = now + state.recheck_interval_s
         state.recheck_interval_s = min(RECHECK_MAX_S, state.recheck_interval_s * 2)
 
-    def _is_timeout_confirmed(self, state: _ProbeState) -> bool:
-        """Return whether a timeout is the second one, and the network worked when it began."""
-        return state.failed_probes >= TIMEOUTS_TO_CONFIRM and any(
+    def _is_proved_by_timeout(self, upstream: Lifetime, state: _ProbeState, now: float) -> bool:
+        """Return whether a timeout is the second one, and the network worked when it began.
+
+        If not, the next probe is scheduled.
+        """
+        state.failed_probes += 1
+        is_confirmed = state.failed_probes >= TIMEOUTS_TO_CONFIRM and any(
             state.last_timeout_s <= started_s <= state.probed_s for started_s in self._controls_s
         )
+        state.last_timeout_s = state.probed_s
+        if upstream.is_unreachable and not state.is_awaited:
+            self._schedule_recheck(upstream, state, now)
+            return False
+        if not is_confirmed:
+            state.checked_s = float("-inf")
+            state.next_s = now
+        return is_confirmed
 
     def _may_be_finishing(self, upstream: Lifetime, state: _ProbeState, now: float) -> bool:
         """Return whether a leaving upstream that refuses connections may still answer requests."""
--- a/tests/forwarding/test_proofs.py
+++ b/tests/forwarding/test_proofs.py
@@ -160,6 +160,36 @@
     assert network.broken == []
 
 
+# The cut of this entry is over for long; one first segment to the upstream is lost.
+def test_one_timeout_after_a_cut_resets_no_flow(harness, network):
+    upstream = harness.publish_upstream("i-1")
+    harness.publish_upstream("i-2")
+    make_unreachable(harness, network, upstream)
+    network.health["i-1"] = ProbeResult.SILENT
+    network.run(2 * CONTACT_S)
+    network.delays_s["i-1"] = NEVER_S
+    assert send_data(harness, upstream, 1024) is upstream
+    network.run(IDENTITY_TIMEOUT_S)
+    network.delays_s.clear()
+    network.run(0.1)
+    assert send_data(harness, upstream, 1024) is upstream
+    assert network.broken == []
+
+
+# An upstream is dead and silent; a flow comes from another entry later.
+def test_flow_of_a_silent_upstream_that_comes_later_is_reset_by_a_new_proof(harness, network):
+    upstream = harness.publish_upstream("i-1")
+    harness.publish_upstream("i-2")
+    make_unreachable(harness, network, upstream)
+    network.delays_s["i-1"] = NEVER_S
+    network.run(2 * CONTACT_S)
+    decisions = []
+    for pause_s in (0.2, 0.4, 0.8, 1.6):
+        decisions.append(send_data(harness, upstream, 1024))
+        network.run(pause_s)
+    assert network.broken or Refusal.UPSTREAM_UNREACHABLE in decisions
+
+
 # An entry is cut off from the upstream while its registration lapses in a store outage.
 def test_lapse_of_a_registration_does_not_make_an_old_proof_last(harness, network):
     upstream = harness.publish_upstream("i-1")
