Don't take an upstream for dead whose answers still reach callers

Cause: a connection has 0.12 s, and two that time out reset all flows within 0.3 s. Of these only what was acknowledged during the probe itself counted. Change: time-outs prove nothing within half a second of an acknowledged answer; the probe is repeated. Callers saw: all open flows of a server reset when a burst fills its link. Where callers acknowledge nothing through this entry, connections that take longer than 0.12 s are still taken for dead.

--- a/src/chicoryproxy/forwarding/reachability.py
+++ b/src/chicoryproxy/forwarding/reachability.py
@@ -33,6 +33,10 @@
 FAILURE_VALID_S = 0.8
 """Age from which a failed probe no longer justifies resetting an open flow."""
 
+ANSWER_VALID_S = 0.5
+"""Timeouts prove nothing about an upstream that a caller acknowledged within this time: its packets
+may wait that long at a full link, and those of a new connection with them."""
+
 DRAIN_FINISHING_S = 2.0
 """A draining upstream that refuses connections for this long and answers no caller of this entry
 has ended, although its registration is still there."""
@@ -258,12 +262,16 @@
     def _is_proved_by_timeout(self, upstream: Lifetime, state: _ProbeState, now: float) -> bool:
         """Return whether a timeout is the second one, and the network worked when it began.
 
+        An upstream that answers callers all the same isn't unreachable.
         If not, the next probe is scheduled.
         """
         state.failed_probes += 1
-        is_confirmed = state.failed_probes >= TIMEOUTS_TO_CONFIRM and any(
+        is_answering = now - upstream.answered_s < ANSWER_VALID_S
+        is_network_working = any(
             state.last_timeout_s <= started_s <= state.probed_s for started_s in self._controls_s
         )
+        is_repeated = state.failed_probes >= TIMEOUTS_TO_CONFIRM
+        is_confirmed = is_repeated and is_network_working and not is_answering
         state.last_timeout_s = state.probed_s
         if upstream.is_unreachable and not state.is_awaited:
             self._schedule_recheck(upstream, state, now)
--- a/tests/forwarding/test_proofs.py
+++ b/tests/forwarding/test_proofs.py
@@ -284,6 +284,32 @@
     assert len(network.broken) == 1
 
 
+# A burst fills the link of a server: its packets wait up to half a second, but its answers arrive.
+def test_an_upstream_whose_answers_wait_in_a_queue_keeps_its_flows(harness, network):
+    harness.publish_upstream("i-1")
+    harness.publish_upstream("i-2")
+    upstream, port = harness.open_flow()
+    network.delays_s = {upstream.entry.id: 0.45}
+    for number in range(1, 10):
+        harness.send(create_packet(port=port, mark=upstream.mark, acknowledged=900 * number))
+        suspect(harness, upstream)
+        network.run(0.45)
+    assert network.broken == []
+
+
+# The machine of a busy server loses its power: the proof waits little for its last answers.
+def test_an_upstream_that_has_just_answered_and_is_silent_is_found_out(harness, network):
+    harness.publish_upstream("i-1")
+    harness.publish_upstream("i-2")
+    upstream, port = harness.open_flow()
+    harness.send(create_packet(port=port, mark=upstream.mark, acknowledged=900))
+    network.delays_s = {upstream.entry.id: NEVER_S}
+    send_data(harness, upstream, port, acknowledged=900)
+    network.run(0.7)
+    assert upstream.is_unreachable
+    assert len(network.broken) == 1
+
+
 # A domain with many upstreams is suspected at once.
 def test_many_probes_at_once_make_no_living_upstream_unreachable(harness, network):
     upstreams = [harness.publish_upstream(f"i-{number}") for number in range(60)]
