--- a/src/chicoryproxy/eventloop/loop.py
+++ b/src/chicoryproxy/eventloop/loop.py
@@ -116,7 +116,8 @@
             ready = self._selector.select(timeout_s)
             for key, events in ready:
                 self._handle_ready(key, events)
-            self._run_timers(polled_s if ready else max(polled_s, deadline_s))
+            quiet_until_s = polled_s if ready else max(polled_s, deadline_s)
+            self._run_timers(min(quiet_until_s, read_clock()))
 
     def stop(self) -> None:
         """Make ``run`` return after the current iteration."""
