Keep a replaced lifetime ended whatever its last probe said

A lifetime that a probe had found unreachable before a newer one took its id was ended only by the age of that probe, and the health check of its successor, which gives the same id, made it reachable again. Its packets went to the new process, which resets them; the old one is dead, so that no living flow was hurt.

The registration is a cause of its own now and replaces that of a probe (Lifetime.is_replaced). test_a_replaced_lifetime_that_was_unreachable_before_does_not_come_back failed before.

--- a/src/chicoryproxy/forwarding/directory.py
+++ b/src/chicoryproxy/forwarding/directory.py
@@ -46,6 +46,8 @@
 IDLE_TIMEOUT_S = 15.0
 """Default until the first version of the configuration is known."""
 
+_REPLACED = frozenset({UnreachableCause.NEWER_LIFETIME, UnreachableCause.ADDRESS_REASSIGNED})
+
 
 class Lifetime:
     """One lifetime of an upstream, from its start to its end.
@@ -57,7 +59,7 @@
     :ivar cold_until_s: time until which it is cold.
     :ivar is_mark_taken: another lifetime owns its mark.
     :ivar is_unreachable: connections to it failed, and none has succeeded since.
-    :ivar unreachable_cause: evidence that made it unreachable the last time.
+    :ivar unreachable_cause: evidence that made it unreachable the last time, or that replaced it.
     :ivar unreachable_since_s: when it became unreachable the last time.
     :ivar answered_s: when a caller last acknowledged data of it.
     """
@@ -113,9 +115,14 @@
         self.target = (entry.address.host, entry.address.port)
         self.cold_until_s = max(self.cold_until_s, now + entry.cold_remaining_s)
 
+    @property
+    def is_replaced(self) -> bool:
+        """True if another lifetime has its id or its address, so that it has ended."""
+        return self.is_unreachable and self.unreachable_cause in _REPLACED
+
     def mark_unreachable(self, cause: UnreachableCause, now: float) -> None:
-        """Mark the upstream as unreachable, and keep the first evidence of it."""
-        if not self.is_unreachable:
+        """Mark the upstream as unreachable, and keep the first evidence of it or its end."""
+        if not self.is_unreachable or cause in _REPLACED:
             self.is_unreachable = True
             self.unreachable_cause = cause
             self.unreachable_since_s = now
--- a/src/chicoryproxy/forwarding/reachability.py
+++ b/src/chicoryproxy/forwarding/reachability.py
@@ -119,11 +119,6 @@
         self.recheck_interval_s = RECHECK_MIN_S
         self.refused_since_s: float | None = None
 
-    @property
-    def has_proof(self) -> bool:
-        """True if a probe, and not a newer lifetime, proved the upstream unreachable."""
-        return self.proved_s > float("-inf")
-
 
 class ReachabilityMonitor:
     """Schedules probes and determines from their results which upstreams are unreachable.
@@ -173,6 +168,8 @@
             return False
         state.is_probing = False
         self._active_probes -= 1
+        if upstream.is_replaced:
+            return False
         if result is ProbeResult.DISCARDED:
             state.next_s = now
             return False
@@ -218,9 +215,9 @@
         A registration that has lapsed adds nothing to an old failed probe.
         """
         state = self._states.get(upstream)
-        if state is None or not state.has_proof:
-            return upstream.phase is UpstreamPhase.GONE
-        return now - state.proved_s < FAILURE_VALID_S
+        if upstream.is_replaced:
+            return True
+        return state is not None and now - state.proved_s < FAILURE_VALID_S
 
     def needs_control(self, upstream: Lifetime) -> bool:
         """Return whether a timeout of an upstream could prove something, for its flows."""
@@ -304,7 +301,7 @@
         if state.is_probing:
             return False
         if upstream.phase is UpstreamPhase.GONE and upstream.is_unreachable:
-            return not state.has_proof or now - upstream.phase_since_s > MAX_FLOW_S
+            return upstream.is_replaced or now - upstream.phase_since_s > MAX_FLOW_S
         return not upstream.is_unreachable and state.next_s <= state.checked_s < now - RECHECK_MIN_S
 
     def _set_reachable(self, upstream: Lifetime) -> bool:
--- a/tests/forwarding/test_proofs.py
+++ b/tests/forwarding/test_proofs.py
@@ -240,6 +240,15 @@
     assert send_data(harness, upstream, 1024) is Refusal.UPSTREAM_UNREACHABLE
 
 
+# Reused id and address: the health check of the next lifetime answers with the same id.
+def test_a_replaced_lifetime_that_was_unreachable_before_does_not_come_back(harness, network):
+    upstream = harness.publish_upstream("i-1")
+    make_unreachable(harness, network, upstream)
+    harness.publish_upstream("i-1", started_ms=2)
+    network.run(CONTACT_S)
+    assert send_data(harness, upstream, 1024) is Refusal.UPSTREAM_UNREACHABLE
+
+
 # Release: the server has closed its listener and still sends a long response.
 def test_a_leaving_upstream_that_goes_on_answering_keeps_its_flows(harness, network):
     upstream = harness.publish_upstream("i-1")
