Send copies of an opening that waited in a queue where the opening went

Seen by callers: after each restart or slow moment of an entry, an opening and its copies that waited together in its socket went to two upstreams within 0.01 s. Both answered; the second one kept a flow that nobody opened, the first was held for silent, probed, and at times avoided as suspected.

Cause: each copy counted as proof that the upstream before it had not answered, whatever the time since.

Fix: a copy that comes within 0.1 s of the last upstream's first copy goes to it again, unless it has left, can't be reached, or is out.

Three of the six tests failed before; the other three guard the second chance of callers of dead upstreams.

--- a/src/chicoryproxy/forwarding/flows.py
+++ b/src/chicoryproxy/forwarding/flows.py
@@ -23,6 +23,7 @@
 
     :ivar upstream: where its packets go; ``None`` before the first is assigned.
     :ivar tried: upstreams that got a copy of its opening.
+    :ivar tried_s: when the last of these upstreams got its first copy.
     :ivar opened_s: time of its first packet at this entry.
     :ivar seen_s: time of its last packet at this entry.
     :ivar sent: highest offset of the caller's data seen.
@@ -36,6 +37,7 @@
     __slots__ = (
         "upstream",
         "tried",
+        "tried_s",
         "opened_s",
         "seen_s",
         "sent",
@@ -49,6 +51,7 @@
     def __init__(self, now: float) -> None:
         self.upstream: Lifetime | None = None
         self.tried: list[Lifetime] = []
+        self.tried_s = now
         self.opened_s = now
         self.seen_s = now
         self.sent = -1
--- a/src/chicoryproxy/forwarding/forwarder.py
+++ b/src/chicoryproxy/forwarding/forwarder.py
@@ -17,7 +17,7 @@
 from chicoryproxy.forwarding.failuredetector import FailureDetector
 from chicoryproxy.forwarding.flows import Flow, FlowTable
 from chicoryproxy.forwarding.isolation import RecentOpenings
-from chicoryproxy.forwarding.model import Drop, FlowId, Mark, Refusal, UpstreamPhase
+from chicoryproxy.forwarding.model import Drop, FlowId, Mark, Refusal, Route, UpstreamPhase
 from chicoryproxy.forwarding.packet import CallerPacket
 from chicoryproxy.forwarding.pause import PauseDetector
 from chicoryproxy.forwarding.pending import PendingResponses
@@ -38,6 +38,10 @@
 """Where health checks may fail falsely, an upstream counts as unreachable only if it has also
 answered no caller for this long."""
 
+ANSWER_TIMEOUT_S = 0.1
+"""An upstream that got an opening less than this ago may still answer it. Callers send the first
+copy after twice this time; copies that arrive sooner waited in the queue of this entry."""
+
 _HALF_SEQUENCE_RANGE = 1 << 31
 _SEQUENCE_MASK = (1 << 32) - 1
 
@@ -181,6 +185,9 @@
                 # A late retransmission of the opening, which was answered already.
                 return flow.upstream
             flow = self._replace_flow(packet, now)
+        awaited = self._find_awaited(flow, route, now)
+        if awaited is not None:
+            return awaited
         self._record_retransmission(packet, flow, now)
         avoided = self._pending.list_pending(packet.flow, now)
         upstream = self.policy.choose(Opening(route, packet.flow, flow.tried, avoided), now)
@@ -190,12 +197,26 @@
             return Refusal.NO_UPSTREAM
         if upstream not in flow.tried:
             flow.tried.append(upstream)
+            flow.tried_s = now
         if upstream.is_cold(now):
             self.cold_budget.record_opening(upstream, now)
         self.flows.assign(flow, upstream)
         self._pending.add_opening(packet.flow, flow, upstream, now)
         return upstream
 
+    def _find_awaited(self, flow: Flow, route: Route, now: float) -> Lifetime | None:
+        """Return the upstream that has not yet had time to answer an earlier copy, if any.
+
+        If another upstream got this copy, both would answer.
+        """
+        if not flow.tried or now - flow.tried_s >= ANSWER_TIMEOUT_S:
+            return None
+        upstream = flow.tried[-1]
+        entry = upstream.entry
+        is_allowed = any(target.service == entry.service for target in route.targets)
+        is_out = self._directory.is_domain_out(entry.domain)
+        return upstream if is_allowed and upstream.can_open and not is_out else None
+
     def _replace_flow(self, packet: CallerPacket, now: float) -> Flow:
         """Replace a flow whose addresses and ports are reused by a new one."""
         self.flows.remove(packet.flow)
--- /dev/null
+++ b/tests/forwarding/test_answered_openings.py
@@ -0,0 +1,110 @@
+"""Copies of an opening may reach two upstreams; the packets go to the one that has the flow.
+
+Each server numbers its answers from its own start. An upstream that has only answered an opening
+resets the caller if a packet of the open flow reaches it.
+"""
+
+from chicoryproxy.forwarding.reachability import ProbeResult
+from tests.forwarding.harness import ForwarderHarness, create_packet
+
+PORT = 2048
+CALLER_START = 5_000
+FIRST_START = 1_000_000_000
+UPSTREAMS = ("i-1", "i-2", "i-3")
+
+
+def create_entry():
+    """Create an entry with a configuration and three upstreams."""
+    entry = ForwarderHarness()
+    entry.publish_routing(1)
+    for name in UPSTREAMS:
+        entry.publish_upstream(name)
+    return entry
+
+
+def send_opening(entry, copy=0, sequence=CALLER_START):
+    """Send a copy of the opening; return the decision."""
+    return entry.send(create_packet(port=PORT, sequence=sequence, copy=copy, is_opening=True))
+
+
+def send_packet(entry, marked, server_start, sequence=CALLER_START + 1, received=0, **fields):
+    """Send a packet of the open flow whose upstream numbers its answers from a start.
+
+    :param marked: upstream whose mark the caller echoes.
+    :param received: bytes of the response that the caller has acknowledged.
+    """
+    acknowledged = server_start + 1 + received
+    return entry.send(
+        create_packet(
+            port=PORT,
+            mark=marked.mark,
+            sequence=sequence,
+            acknowledged=acknowledged,
+            **fields,
+        )
+    )
+
+
+def get_name(upstream):
+    """Return the id of an upstream; the entries' lifetimes are different objects."""
+    return upstream.entry.id
+
+
+def test_copies_that_waited_in_the_queue_of_an_entry_reach_one_upstream():
+    """A starting or slow entry reads an opening and its copies together; no upstream is late."""
+    entry = create_entry()
+    first = send_opening(entry)
+    entry.now += 0.01
+    assert send_opening(entry, copy=1) is first
+    entry.now += 0.01
+    assert send_opening(entry, copy=2) is first
+
+
+def test_a_flow_whose_copies_waited_in_a_queue_keeps_its_upstream_at_any_entry():
+    """Both copies are answered, and the routers move the flow to an entry that doesn't know it."""
+    entry, other = create_entry(), create_entry()
+    first = send_opening(entry)
+    entry.now += 0.01
+    last = send_opening(entry, copy=1)
+    assert send_packet(entry, first, FIRST_START, size=10) is first
+    moved = send_packet(other, last, FIRST_START, CALLER_START + 11, received=300, size=10)
+    assert get_name(moved) == get_name(first)
+
+
+def test_copies_that_waited_in_the_queue_of_an_entry_are_no_failure():
+    """False evidence: each restart of an entry would make openings avoid upstreams that serve."""
+    entry = create_entry()
+    first = send_opening(entry)
+    entry.now += 0.01
+    send_opening(entry, copy=1)
+    assert entry.forwarder.failure_detector.get_failures(first) == 0
+    assert entry.forwarder.reachability.pop_due(entry.now) == []
+
+
+def test_a_copy_after_the_time_for_an_answer_avoids_the_silent_upstream():
+    """The first upstream has ended; the copies are the caller's only other chance."""
+    entry = create_entry()
+    first = send_opening(entry)
+    entry.now += 0.01
+    send_opening(entry, copy=1)
+    entry.now += 0.19
+    assert send_opening(entry, copy=2) is not first
+    assert entry.forwarder.failure_detector.get_failures(first) == 1
+
+
+def test_a_copy_that_waited_in_the_queue_avoids_an_upstream_that_refuses_connections():
+    entry = create_entry()
+    first = send_opening(entry)
+    entry.forwarder.reachability.suspect(first, entry.now)
+    entry.forwarder.reachability.pop_due(entry.now)
+    entry.forwarder.handle_probe_result(first, ProbeResult.REFUSED, entry.now)
+    entry.now += 0.01
+    assert send_opening(entry, copy=1) is not first
+
+
+def test_a_copy_that_waited_in_the_queue_avoids_an_upstream_that_leaves():
+    entry = create_entry()
+    first = send_opening(entry)
+    entry.publish_upstream(get_name(first), draining=True)
+    entry.now += 0.01
+    assert send_opening(entry, copy=1) is not first
