Keep the record of an old flow apart from a new one with its ports

Seen by callers: a flow on a port that was used less than the idle timeout ago, opened through another entry, goes to the upstream of the old flow if the new one's got a copy of the old opening or is not known here yet. That upstream resets it. A copy of its opening goes to the old upstream too, even if that is draining or in a domain that is out. New requests also counted as repeated ones against it.

Cause: the record was found by addresses and ports alone.

Fix: each server and each caller numbers its bytes from a start of its own (seen in logs: starts differ widely from flow to flow). A packet whose acknowledged offset, or an opening whose sequence number, is 16 MB or more away from the record's belongs to another flow; the record is discarded and the mark decides. One reused port in 128 is not noticed.

--- a/src/chicoryproxy/forwarding/flows.py
+++ b/src/chicoryproxy/forwarding/flows.py
@@ -26,7 +26,7 @@
     :ivar tried_s: when the last of these upstreams got its first copy.
     :ivar opened_s: time of its first packet at this entry.
     :ivar seen_s: time of its last packet at this entry.
-    :ivar sent: highest offset of the caller's data seen.
+    :ivar sent: highest offset of the caller's opening or data seen; negative before the first.
     :ivar acknowledged: highest response offset that the caller has acknowledged.
     :ivar waiting_since_s: when the unanswered request was first sent, or ``None``.
     :ivar retransmissions: retransmissions of the unanswered request.
--- a/src/chicoryproxy/forwarding/forwarder.py
+++ b/src/chicoryproxy/forwarding/forwarder.py
@@ -44,6 +44,9 @@
 
 _HALF_SEQUENCE_RANGE = 1 << 31
 _SEQUENCE_MASK = (1 << 32) - 1
+_SAME_FLOW_BYTES = 1 << 24
+"""Both ends number their bytes from a start chosen for each flow. Offsets further apart than this
+belong to different flows; one in 128 pairs of unrelated offsets is nearer."""
 
 Decision = Lifetime | Refusal | Drop
 """Upstream of a packet, or why the packet is not forwarded."""
@@ -179,7 +182,7 @@
         route = self._directory.find_route(packet.route_key)
         if route is None:
             return Refusal.NO_ROUTE
-        flow = self.flows.touch(packet.flow, now)
+        flow = self._touch_opening(packet, now)
         if flow.is_open and flow.upstream is not None:
             if packet.acknowledged:
                 # A late retransmission of the opening, which was answered already.
@@ -188,6 +191,7 @@
         awaited = self._find_awaited(flow, route, now)
         if awaited is not None:
             return awaited
+        flow.sent = packet.sequence
         self._record_retransmission(packet, flow, now)
         avoided = self._pending.list_pending(packet.flow, now)
         upstream = self.policy.choose(Opening(route, packet.flow, flow.tried, avoided), now)
@@ -217,6 +221,12 @@
         is_out = self._directory.is_domain_out(entry.domain)
         return upstream if is_allowed and upstream.can_open and not is_out else None
 
+    def _touch_opening(self, packet: CallerPacket, now: float) -> Flow:
+        flow = self.flows.touch(packet.flow, now)
+        if flow.sent >= 0 and not _is_same_flow(packet.sequence, flow.sent):
+            return self._replace_flow(packet, now)
+        return flow
+
     def _replace_flow(self, packet: CallerPacket, now: float) -> Flow:
         """Replace a flow whose addresses and ports are reused by a new one."""
         self.flows.remove(packet.flow)
@@ -227,7 +237,7 @@
             self._record_failure(flow.tried[-1], now)
 
     def _handle_established(self, packet: CallerPacket, now: float) -> Decision:
-        flow = self.flows.get(packet.flow)
+        flow = self._find_flow(packet)
         upstream = self._find_upstream(packet, flow)
         if upstream is None:
             return Drop.UNKNOWN_MARK if packet.mark else Drop.NO_FLOW
@@ -252,6 +262,20 @@
         self._record_data(packet, flow, upstream, now)
         return upstream
 
+    def _find_flow(self, packet: CallerPacket) -> Flow | None:
+        """Return the record of a packet's flow.
+
+        The record of an older flow with the same addresses and ports is discarded. Its upstream
+        numbered its answers from another start.
+        """
+        flow = self.flows.get(packet.flow)
+        if flow is None or not flow.is_open or not packet.mark:
+            return flow
+        if _is_same_flow(packet.acknowledged, flow.acknowledged):
+            return flow
+        self.flows.remove(packet.flow)
+        return None
+
     def _find_upstream(self, packet: CallerPacket, flow: Flow | None) -> Lifetime | None:
         marked = self._directory.find_by_mark(packet.mark) if packet.mark else None
         if flow is None or flow.upstream is None or not flow.is_open:
@@ -315,6 +339,12 @@
     return offset != other and (offset - other) & _SEQUENCE_MASK < _HALF_SEQUENCE_RANGE
 
 
+def _is_same_flow(offset: int, other: int) -> bool:
+    """Return whether two offsets of one end may belong to the same flow."""
+    distance = (offset - other) & _SEQUENCE_MASK
+    return min(distance, _SEQUENCE_MASK + 1 - distance) < _SAME_FLOW_BYTES
+
+
 def create_forwarder(
     domain: DomainId,
     directory: Directory,
--- a/tests/forwarding/test_answered_openings.py
+++ b/tests/forwarding/test_answered_openings.py
@@ -4,12 +4,14 @@
 resets the caller if a packet of the open flow reaches it.
 """
 
+from chicoryproxy.forwarding.model import Drop
 from chicoryproxy.forwarding.reachability import ProbeResult
 from tests.forwarding.harness import ForwarderHarness, create_packet
 
 PORT = 2048
 CALLER_START = 5_000
 FIRST_START = 1_000_000_000
+SECOND_START = 3_000_000_000
 UPSTREAMS = ("i-1", "i-2", "i-3")
 
 
@@ -108,3 +110,58 @@
     entry.publish_upstream(get_name(first), draining=True)
     entry.now += 0.01
     assert send_opening(entry, copy=1) is not first
+
+
+def test_a_reused_port_follows_the_mark_of_its_new_flow():
+    """The new flow opened at another entry, at an upstream that got a copy of the old opening."""
+    entry = create_entry()
+    first = send_opening(entry)
+    entry.now += 0.2
+    second = send_opening(entry, copy=1)
+    assert send_packet(entry, first, FIRST_START, size=10) is first
+    entry.now += 3.0
+    sequence = CALLER_START + (1 << 30)
+    assert send_packet(entry, second, SECOND_START, sequence, size=10) is second
+    # The record is that of the new flow: its upstream stays when the old mark comes.
+    assert send_packet(entry, second, SECOND_START, sequence + 10, received=99) is second
+
+
+def test_a_packet_of_a_reused_port_with_an_unknown_mark_is_dropped():
+    """The upstream of the old flow would reset the new one."""
+    entry = create_entry()
+    first = send_opening(entry)
+    assert send_packet(entry, first, FIRST_START, size=10) is first
+    packet = create_packet(
+        port=PORT,
+        mark=12345,
+        sequence=CALLER_START + (1 << 30),
+        acknowledged=SECOND_START,
+        size=10,
+    )
+    assert entry.send(packet) is Drop.UNKNOWN_MARK
+
+
+def test_a_copy_of_the_opening_of_a_reused_port_gets_an_upstream_of_its_own():
+    """The original went to another entry; the upstream of the old flow has begun to leave."""
+    entry = create_entry()
+    first = send_opening(entry)
+    assert send_packet(entry, first, FIRST_START, size=10) is first
+    entry.publish_upstream(get_name(first), draining=True)
+    entry.now += 4.0
+    entry.forwarder.pause.tick(True, entry.now)
+    entry.forwarder.pause.tick(True, entry.now)
+    assert send_opening(entry, copy=1, sequence=CALLER_START + (1 << 30)) is not first
+
+
+def test_a_flow_of_many_bytes_keeps_its_upstream_when_its_numbers_wrap():
+    """Sequence numbers start anywhere in 32 bits."""
+    entry = create_entry()
+    start = (1 << 32) - 100
+    first = send_opening(entry)
+    entry.now += 0.2
+    second = send_opening(entry, copy=1)
+    assert send_packet(entry, first, start, size=10) is first
+    packet = create_packet(
+        port=PORT, mark=second.mark, sequence=CALLER_START + 11, acknowledged=900, size=10
+    )
+    assert entry.send(packet) is first
