Hold an open flow at the upstream whose answer this entry saw acknowledged

What callers would see: a slow entry forwards an opening after its copy opened the flow at another upstream through a second entry.

Cause: only marks of the entry's own candidates were ignored; the entry that forwarded the late copy is another.

Evidence: test_an_opening_that_a_slow_entry_forwards_late_does_not_move_the_open_flow failed before.

Fix: the first packet after the opening (its sequence number is the opening's or the next) carries the mark of the acknowledged answer. If this entry forwarded that copy, the flow's upstream is proven and no later mark moves it. Records that began in the middle of a flow stay open to correction, with two more tests.

--- a/src/chicoryproxy/forwarding/flows.py
+++ b/src/chicoryproxy/forwarding/flows.py
@@ -31,6 +31,7 @@
     :ivar waiting_since_s: when the unanswered request was first sent, or ``None``.
     :ivar retransmissions: retransmissions of the unanswered request.
     :ivar is_open: the caller has acknowledged the handshake of ``upstream``.
+    :ivar is_proven: this entry forwarded the copy of the opening whose answer was acknowledged.
     :ivar is_counted: the flow is part of the load of ``upstream``.
     """
 
@@ -45,6 +46,7 @@
         "waiting_since_s",
         "retransmissions",
         "is_open",
+        "is_proven",
         "is_counted",
     )
 
@@ -59,6 +61,7 @@
         self.waiting_since_s: float | None = None
         self.retransmissions = 0
         self.is_open = False
+        self.is_proven = False
         self.is_counted = False
 
 
--- a/src/chicoryproxy/forwarding/forwarder.py
+++ b/src/chicoryproxy/forwarding/forwarder.py
@@ -280,7 +280,7 @@
         marked = self._directory.find_by_mark(packet.mark) if packet.mark else None
         if flow is None or flow.upstream is None or not flow.is_open:
             return marked
-        if marked is None or marked in flow.tried:
+        if marked is None or flow.is_proven or marked in flow.tried:
             # If several upstreams answered the opening, the caller acknowledges the first answer
             # but echoes the mark that arrived last.
             return flow.upstream
@@ -295,6 +295,7 @@
     ) -> None:
         flow = self.flows.touch(packet.flow, now)
         if not flow.is_open or flow.upstream is not upstream:
+            flow.is_proven = upstream in flow.tried and _is_first_packet(packet, flow)
             flow.is_open = True
             flow.acknowledged = packet.acknowledged
             self.flows.assign(flow, upstream)
@@ -345,6 +346,14 @@
     return min(distance, _SEQUENCE_MASK + 1 - distance) < _SAME_FLOW_BYTES
 
 
+def _is_first_packet(packet: CallerPacket, flow: Flow) -> bool:
+    """Return whether a packet directly follows the opening of a flow.
+
+    The mark in it is that of the answer which the caller acknowledges; later ones may differ.
+    """
+    return not flow.is_open and (packet.sequence - flow.sent) & _SEQUENCE_MASK <= 1
+
+
 def create_forwarder(
     domain: DomainId,
     directory: Directory,
--- a/tests/forwarding/test_answered_openings.py
+++ b/tests/forwarding/test_answered_openings.py
@@ -47,6 +47,11 @@
     )
 
 
+def find_other(entry, upstream):
+    """Return an upstream that differs from the given one."""
+    return next(item for item in entry.directory.iterate_present() if item is not upstream)
+
+
 def get_name(upstream):
     """Return the id of an upstream; the entries' lifetimes are different objects."""
     return upstream.entry.id
@@ -112,6 +117,52 @@
     assert send_opening(entry, copy=1) is not first
 
 
+def test_an_opening_that_a_slow_entry_forwards_late_does_not_move_the_open_flow():
+    """Each entry knows one upstream; the caller's echo is the mark of the late, unused one."""
+    slow, entry = create_entry(), create_entry()
+    upstream = send_opening(entry, copy=1)
+    assert send_packet(entry, upstream, SECOND_START, size=10) is upstream
+    slow.now += 0.5
+    late = slow.directory.find_by_mark(find_other(entry, upstream).mark)
+    slow.forwarder.policy.choose = lambda opening, now: late
+    assert send_opening(slow) is late
+    entry.now += 0.5
+    decision = send_packet(entry, late, SECOND_START, CALLER_START + 11, received=300, size=10)
+    assert decision is upstream
+    # The unused upstream repeats its answer while the flow is idle.
+    entry.now += 7.0
+    entry.forwarder.expire(entry.now)
+    decision = send_packet(entry, late, SECOND_START, CALLER_START + 21, received=900, size=10)
+    assert decision is upstream
+
+
+def test_a_flow_that_returns_to_the_entry_of_an_unused_upstream_keeps_its_own():
+    """The flow opened elsewhere; this entry's record names the unused upstream and is not open."""
+    entry = create_entry()
+    unused = send_opening(entry)
+    upstream = find_other(entry, unused)
+    entry.now += 1.0
+    decision = send_packet(entry, upstream, SECOND_START, CALLER_START + 11, received=300, size=10)
+    assert decision is upstream
+    entry.now += 0.2
+    decision = send_packet(entry, unused, SECOND_START, CALLER_START + 21, received=600, size=10)
+    assert decision is upstream
+
+
+def test_a_flow_that_returns_with_the_mark_of_an_unused_upstream_is_corrected_by_its_own():
+    """A packet from the middle of a flow doesn't prove that this entry's candidate was chosen."""
+    entry = create_entry()
+    unused = send_opening(entry)
+    upstream = find_other(entry, unused)
+    entry.now += 1.0
+    send_packet(entry, unused, SECOND_START, CALLER_START + 11, received=300, size=10)
+    entry.now += 0.2
+    decision = send_packet(entry, upstream, SECOND_START, CALLER_START + 11, received=300, size=10)
+    assert decision is upstream
+    decision = send_packet(entry, unused, SECOND_START, CALLER_START + 21, received=600, size=10)
+    assert decision is upstream
+
+
 def test_a_reused_port_follows_the_mark_of_its_new_flow():
     """The new flow opened at another entry, at an upstream that got a copy of the old opening."""
     entry = create_entry()
