--- a/src/chicoryproxy/forwarding/flows.py
+++ b/src/chicoryproxy/forwarding/flows.py
@@ -23,19 +23,22 @@
 
     :ivar upstream: where its packets go; ``None`` before the first is assigned.
     :ivar tried: upstreams that got a copy of its opening.
+    :ivar tried_s: when the last of these upstreams got its first copy.
     :ivar opened_s: time of its first packet at this entry.
     :ivar seen_s: time of its last packet at this entry.
-    :ivar sent: highest offset of the caller's data seen.
+    :ivar sent: highest offset of the caller's opening or data seen; negative before the first.
     :ivar acknowledged: highest response offset that the caller has acknowledged.
     :ivar waiting_since_s: when the unanswered request was first sent, or ``None``.
     :ivar retransmissions: retransmissions of the unanswered request.
     :ivar is_open: the caller has acknowledged the handshake of ``upstream``.
+    :ivar is_proven: this entry forwarded the copy of the opening whose answer was acknowledged.
     :ivar is_counted: the flow is part of the load of ``upstream``.
     """
 
     __slots__ = (
         "upstream",
         "tried",
+        "tried_s",
         "opened_s",
         "seen_s",
         "sent",
@@ -43,12 +46,14 @@
         "waiting_since_s",
         "retransmissions",
         "is_open",
+        "is_proven",
         "is_counted",
     )
 
     def __init__(self, now: float) -> None:
         self.upstream: Lifetime | None = None
         self.tried: list[Lifetime] = []
+        self.tried_s = now
         self.opened_s = now
         self.seen_s = now
         self.sent = -1
@@ -56,6 +61,7 @@
         self.waiting_since_s: float | None = None
         self.retransmissions = 0
         self.is_open = False
+        self.is_proven = False
         self.is_counted = False
 
 
