Split the simulated fleet of the tests by job

They stand now in modules that import in one direction: _fakeplatform, _fakenode, _fakenetwork (latencies, losses, partitions, messages between instances), _fakedataplane (fabric, packet cores, upstreams), _fakecontrolplane (control cores, platform, health readings) and _fakefleet (what operators and callers do). Each class derives from the one below it, so that FakeFleet keeps its attributes, and benchmarks.changes overrides the same methods. Benchmarks and tests import Segment and FakeNode from testing.

--- a/benchmarks/changes.py
+++ b/benchmarks/changes.py
@@ -23,6 +23,7 @@
 from chicoryproxy.states import DomainState
 from chicoryproxy.testing import (
     FakeFleet,
+    FakeNode,
     FlowOutcome,
     change_upstreams,
     create_instances,
@@ -30,7 +31,6 @@
     create_upstream,
     set_domain,
 )
-from chicoryproxy.testing._fakefleet import FakeNode
 
 INSTANCES = 7
 FLOWS = 20_000
--- a/benchmarks/forwarding.py
+++ b/benchmarks/forwarding.py
@@ -35,8 +35,7 @@
 from chicoryproxy.states import MemberState
 from chicoryproxy.telemetry.logs import LogFormat, configure_logs
 from chicoryproxy.telemetry.metrics import create_metrics
-from chicoryproxy.testing import create_tenggara
-from chicoryproxy.testing._fakewire import Segment
+from chicoryproxy.testing import Segment, create_tenggara
 
 HOST = "127.45.1.1"
 FLOW_COUNT = 2000
--- a/src/chicoryproxy/testing/__init__.py
+++ b/src/chicoryproxy/testing/__init__.py
@@ -7,8 +7,10 @@
 the fabric, upstreams and callers on real sockets.
 """
 
-from chicoryproxy.testing._fakefleet import FakeFleet, FakeNode, FakePlatform
+from chicoryproxy.testing._fakefleet import FakeFleet
 from chicoryproxy.testing._fakehosts import FakeFlow, FakeUpstream, FlowOutcome
+from chicoryproxy.testing._fakenode import FakeNode
+from chicoryproxy.testing._fakeplatform import FakePlatform
 from chicoryproxy.testing._fakewire import Schedule, Segment, unpack_segment
 from chicoryproxy.testing.deployments import (
     Deployment,
--- a/tests/test_explanation.py
+++ b/tests/test_explanation.py
@@ -25,8 +25,7 @@
 )
 from chicoryproxy.routing.flowname import FlowName, FlowNameFault, parse_flow
 from chicoryproxy.states import DomainState, DropReason, Protocol, RefusalReason
-from chicoryproxy.testing import change_upstreams, create_upstream, set_domain
-from chicoryproxy.testing._fakewire import Segment
+from chicoryproxy.testing import Segment, change_upstreams, create_upstream, set_domain
 
 START_S = 4.0
 FLOW_COUNT = 100
