Split the benchmark of changes into fleet, cases and results

The fleet is now benchmarks/changefleet.py and the cases are benchmarks/changecases.py; changes.py runs them and prints the table, with run_case and print_rows cut into short functions. The packet core is a parameter of ChangeFleet instead of an attribute of a class that was made at run time, and cases that only called a method of Trial are that method.

--- a/benchmarks/bench.py
+++ b/benchmarks/bench.py
@@ -13,6 +13,8 @@
 import psutil
 
 from benchmarks import changes, flowtable, forwarding, loglines, openings
+from benchmarks.changecases import CASES
+from benchmarks.changefleet import CoreKind
 
 GIB = 1024**3
 SEEDS = (1, 2, 3)
@@ -45,7 +47,7 @@
     print_title("Openings at a cold upstream")
     openings.print_rows(openings.run_all(seeds, flows))
     print_title("Changes under load")
-    rows = changes.run_all(list(changes.CASES), list(changes.CoreKind), seeds, flows)
+    rows = changes.run_all(list(CASES), list(CoreKind), seeds, flows)
     changes.print_rows(rows)
 
 
--- a/benchmarks/openings.py
+++ b/benchmarks/openings.py
@@ -11,7 +11,9 @@
 import msgspec
 from msgspec import Struct
 
-from benchmarks.changes import FLOWS, MAX_PROCESSES, CoreKind, Trial
+from benchmarks.changecases import Trial
+from benchmarks.changefleet import CoreKind
+from benchmarks.changes import FLOWS, MAX_PROCESSES
 from chicoryproxy.model import WarmUp
 from chicoryproxy.testing import FlowOutcome, change_upstreams, create_upstream
 
