Split the model checker from the transition systems that it checks

The checker is spec/modelchecker.py, results with their counterexamples are spec/finding.py, and a system with its checks is spec/specification.py; imports go from these to system.

Behaviour is unchanged.

--- a/spec/__init__.py
+++ b/spec/__init__.py
@@ -1,5 +1,5 @@
 """A small specification of the protocol between entry instances, checked with z3.
 
 Each module models one part of the protocol; R1 to R15 are the rules that
-``docs/design/overview.md`` states. ``spec.system`` is the model checker.
+``docs/design/overview.md`` states. ``spec.modelchecker`` checks them.
 """
--- a/spec/catalog.py
+++ b/spec/catalog.py
@@ -3,7 +3,7 @@
 from functools import cache
 
 from spec import domains, grants, packets, refusals, routing, versions
-from spec.system import Specification
+from spec.specification import Specification
 
 
 @cache
--- a/spec/check.py
+++ b/spec/check.py
@@ -16,8 +16,10 @@
 from msgspec import Struct
 
 from spec.catalog import list_specifications
+from spec.finding import Finding, Verdict
+from spec.modelchecker import check_bounded, check_inductive
 from spec.progress import Progress
-from spec.system import Finding, Mutant, Specification, Verdict, check_bounded, check_inductive
+from spec.specification import Mutant, Specification
 from spec.trace import format_finding
 
 
--- a/spec/packets.py
+++ b/spec/packets.py
@@ -13,15 +13,14 @@
 
 import z3
 
+from spec.specification import Mutant, Specification
 from spec.system import (
     Action,
     Assignment,
     Label,
-    Mutant,
     Property,
     PropertyName,
     Rule,
-    Specification,
     State,
     System,
     Variable,
--- a/spec/refusals.py
+++ b/spec/refusals.py
@@ -13,15 +13,13 @@
 
 import z3
 
+from spec.specification import Assumption, Mutant, Specification
 from spec.system import (
     Action,
-    Assumption,
     Label,
-    Mutant,
     Property,
     PropertyName,
     Rule,
-    Specification,
     State,
     System,
     Variable,
--- a/spec/trace.py
+++ b/spec/trace.py
@@ -1,6 +1,6 @@
 """Formats counterexamples as text."""
 
-from spec.system import Change, Finding, Step
+from spec.finding import Change, Finding, Step
 
 
 def format_finding(finding: Finding) -> str:
--- a/spec/versions.py
+++ b/spec/versions.py
@@ -16,16 +16,14 @@
 
 import z3
 
+from spec.specification import Assumption, Mutant, Specification
 from spec.system import (
     Action,
     Assignment,
-    Assumption,
     Label,
-    Mutant,
     Property,
     PropertyName,
     Rule,
-    Specification,
     State,
     System,
     Variable,
--- a/tests/test_spec.py
+++ b/tests/test_spec.py
@@ -4,7 +4,8 @@
 
 from spec.catalog import list_specifications
 from spec.check import check_assumptions, check_induction, check_mutants, check_properties
-from spec.system import Finding, Specification, Step, Verdict
+from spec.finding import Finding, Step, Verdict
+from spec.specification import Specification
 from spec.trace import format_finding
 from spec.versions import VersionProperty, VersionStep
 
