Create the console of chicory-check and chicory-ctl in one place

Both commands had the same console with the same width for redirected output. It is now created by commands/console.create_console. Behaviour is unchanged. Test: python -m pytest tests/test_check.py tests/test_ctl.py tests/test_trace.py: passes.

--- a/src/chicoryproxy/commands/check.py
+++ b/src/chicoryproxy/commands/check.py
@@ -14,6 +14,7 @@
 
 from chicoryproxy.commands.checkreport import print_comparison, print_effective_values
 from chicoryproxy.commands.comparison import compare
+from chicoryproxy.commands.console import create_console
 from chicoryproxy.configuration.configuration import (
     EffectiveConfiguration,
     EffectiveValue,
@@ -35,7 +36,6 @@
 from chicoryproxy.ids import ServiceId, Version
 
 SCHEMA_DIALECT = "https://json-schema.org/draft/2020-12/schema"
-REDIRECTED_WIDTH_COLUMNS = 240
 FIRST_VERSION = Version(1)
 
 _EXIT_CODES_HELP = "Exit codes: 0 no findings, 1 findings, 2 usage error or unreadable file."
@@ -260,11 +260,7 @@
     :returns: an ``ExitCode``.
     """
     options = cappa.parse(CheckOptions, argv=None if argv is None else list(argv), version=VERSION)
-    console = Console(
-        width=None if sys.stdout.isatty() else REDIRECTED_WIDTH_COLUMNS,
-        highlight=False,
-        markup=False,
-    )
+    console = create_console()
     try:
         options.command.run(console)
     except FindingsError as error:
--- a/src/chicoryproxy/commands/ctl.py
+++ b/src/chicoryproxy/commands/ctl.py
@@ -14,6 +14,7 @@
 from rich.live import Live
 
 from chicoryproxy.address import EndpointProblem, format_endpoint, parse_endpoint
+from chicoryproxy.commands.console import create_console
 from chicoryproxy.commands.ctlreport import build_state
 from chicoryproxy.commands.explanationtext import describe_explanation
 from chicoryproxy.commands.trace import trace_caller, trace_request
@@ -29,7 +30,6 @@
 )
 from chicoryproxy.routing.flowname import FlowName, FlowNameFault, parse_flow
 
-REDIRECTED_WIDTH_COLUMNS = 240
 _EXIT_CODES_HELP = (
     "Exit codes: 0 all processes answered, 1 some process did not answer, "
     "2 usage error, 130 interrupted by Ctrl-C."
@@ -237,11 +237,7 @@
     :returns: an ``ExitCode``.
     """
     options = cappa.parse(CtlOptions, argv=None if argv is None else list(argv), version=VERSION)
-    console = Console(
-        width=None if sys.stdout.isatty() else REDIRECTED_WIDTH_COLUMNS,
-        highlight=False,
-        markup=False,
-    )
+    console = create_console()
     try:
         return asyncio.run(options.command.run(console))
     except ChicoryError as error:
