--- a/spec/routing.py
+++ b/spec/routing.py
@@ -13,17 +13,29 @@
 partitions while a version spreads (``spec.versions`` shows where the property then fails).
 """
 
-from enum import unique
-
 import z3
 
+from spec.routingrules import RoutingProperty, RoutingRule, RoutingStep
+from spec.routingstate import (
+    BITS,
+    ENTRIES,
+    LATER_VERSIONS,
+    NONE,
+    VERSIONS,
+    choose_greater,
+    holds_record,
+    is_clean,
+    is_running,
+    is_up_to_date,
+    select_newest,
+    select_place,
+    select_record,
+)
 from spec.specification import Assumption, Mutant, Specification
 from spec.system import (
     Action,
     Assignment,
-    Label,
     Property,
-    PropertyName,
     Rule,
     State,
     System,
@@ -32,71 +44,6 @@
     index_name,
 )
 
-ENTRIES = range(3)
-VERSIONS = range(1, 4)
-LATER_VERSIONS = range(2, 4)
-BITS = 2
-NONE = 0
-"""No upstream, in a record or as the upstream of the flow; upstreams are 1 to 3."""
-
-
-@unique
-class RoutingRule(Rule):
-    """The rules of the model; each mutant removes one of them."""
-
-    CONTESTED = "an entry decides alone only if the slot has a single candidate (R3)"
-    ONLY_HOME = "in a contested slot only the home decides on unknown flows (R4)"
-    RECORDS = "a home records its decisions (R4)"
-    PEER_RECORDS = "a home asks its peers for records before it uses the base (R4)"
-    BASE = "a flow without any record goes to the oldest candidate (R4)"
-    STALE = "a stale entry does not decide on unknown flows (R7)"
-    TAKE_OVER = "a new home asks its peers for records before it decides (R6)"
-    WAIT = "a version places new flows only once every live peer has it (R8)"
-    HANDOVER = "a leaving home hands its records over to its successor (R6)"
-    IDLE_WAIT = "a home waits for the idle timeout before it releases a slot (R9)"
-    RELEASE_ASKS = "a home releases only if no peer has a record of an older candidate (R9)"
-    GENERATIONS = (
-        "peers must have the generation itself, not just a higher version (found by model checking)"
-    )
-    SETTLED = "a version waits until no earlier opening can be repeated (found by model checking)"
-    YIELD = "an entry that answers a take-over stops being home (found by model checking)"
-    TAKE_RELEASES = "a new home also adopts the releases of its peers (found by model checking)"
-    RELEASE_FORCES = (
-        "a release as of a version puts that version in force (found by model checking)"
-    )
-    RELEASE_ACKED = "a home applies a release once its successor has it (found by model checking)"
-    HANDOVER_RELEASES = "a leaving entry hands over its releases (found by model checking)"
-    PAUSED_HOME = "an entry that was paused is no longer home (R6, R7)"
-
-
-@unique
-class RoutingStep(Label):
-    """Labels of the actions."""
-
-    LEARN = "an entry learns a generation"
-    ENFORCE = "an entry starts to place new flows by a generation"
-    OPENING = "an entry receives an opening packet of the flow"
-    DATA = "an entry receives a later packet of the flow"
-    OPENED = "the opening is complete, and its packets are not repeated"
-    HINT = "an entry receives a hint from another entry"
-    EXPIRE = "the record of the flow expires at an entry"
-    TAKE_OVER = "an entry takes over as home"
-    RELEASE = "a home releases the slot"
-    RELEASED = "an entry receives a release"
-    PAUSE = "an entry pauses"
-    RESUME = "a paused entry resumes"
-    CONFIRM = "a peer answers a stale entry"
-    CRASH = "an entry crashes"
-    LEAVE = "an entry leaves after its handover"
-    JOIN = "a replacement joins"
-
-
-@unique
-class RoutingProperty(PropertyName):
-    """Names of the properties."""
-
-    ONE_UPSTREAM = "all packets of a flow go to one upstream"
-
 
 class RoutingSystem(System):
     """Transition system of three entries that route one flow.
@@ -191,12 +138,12 @@
         result = []
         for v in LATER_VERSIONS:
             learnt = (assign("know", i, v, to=True),)
-            result.append(Action(RoutingStep.LEARN, (i, v), _is_running(state, i), learnt))
+            result.append(Action(RoutingStep.LEARN, (i, v), is_running(state, i), learnt))
             result.append(self._build_enforce(state, i, v))
         return result
 
     def _build_enforce(self, state: State, i: int, v: int) -> Action:
-        guards = [_is_running(state, i), z3.Not(state.get("stale", i))]
+        guards = [is_running(state, i), z3.Not(state.get("stale", i))]
         guards += [state.get("know", i, v), z3.ULT(state.get("force", i), v)]
         if self.has(RoutingRule.WAIT):
             guards += [self._knows_generation(state, j, v) for j in ENTRIES]
@@ -209,7 +156,7 @@
         known = [state.get("know", j, v)]
         if not self.has(RoutingRule.GENERATIONS):
             known += [state.get("know", j, w) for w in LATER_VERSIONS if w > v]
-        is_exempt = z3.Or(z3.Not(_is_running(state, j)), state.get("stale", j))
+        is_exempt = z3.Or(z3.Not(is_running(state, j)), state.get("stale", j))
         return z3.Or(is_exempt, *known)
 
     # Packets.
@@ -217,10 +164,10 @@
     def _build_opening(self, state: State, i: int) -> Action:
         flow, record = state.get("flow"), state.get("record", i)
         alone, as_home = self._decides_alone(state, i), self._decides_as_home(state, i)
-        placed = _select_place(state, state.get("force", i))
-        newest_place = _select_place(state, _select_newest(state, i))
+        placed = select_place(state, state.get("force", i))
+        newest_place = select_place(state, select_newest(state, i))
         decided = z3.If(record != NONE, record, z3.If(alone, newest_place, placed))
-        guards = [z3.Or(flow == NONE, state.get("opening")), _is_running(state, i)]
+        guards = [z3.Or(flow == NONE, state.get("opening")), is_running(state, i)]
         guards.append(z3.Or(record != NONE, alone, as_home))
         is_unrecorded = z3.And(record == NONE, alone)
         unrecorded = z3.If(flow == NONE, is_unrecorded, state.get("unrecorded"))
@@ -234,14 +181,14 @@
     def _build_data(self, state: State, i: int) -> Action:
         record = state.get("record", i)
         alone, as_home = self._decides_alone(state, i), self._decides_as_home(state, i)
-        fallback = _select_place(state, state.get("base", i))
+        fallback = select_place(state, state.get("base", i))
         if not self.has(RoutingRule.BASE):
-            fallback = _select_place(state, _select_newest(state, i))
+            fallback = select_place(state, select_newest(state, i))
         if self.has(RoutingRule.PEER_RECORDS):
-            fallback = _select_first_record(state, [j for j in ENTRIES if j != i], fallback)
-        newest_place = _select_place(state, _select_newest(state, i))
+            fallback = select_record(state, [j for j in ENTRIES if j != i], fallback)
+        newest_place = select_place(state, select_newest(state, i))
         decided = z3.If(record != NONE, record, z3.If(alone, newest_place, fallback))
-        guards = [state.get("flow") != NONE, _is_running(state, i)]
+        guards = [state.get("flow") != NONE, is_running(state, i)]
         guards.append(z3.Or(record != NONE, alone, as_home))
         assignments = self._assign_forward(state, i, decided)
         return Action(RoutingStep.DATA, (i,), z3.And(guards), assignments)
@@ -263,7 +210,7 @@
     def _decides_alone(self, state: State, i: int) -> z3.BoolRef:
         conditions = []
         if self.has(RoutingRule.CONTESTED):
-            conditions.append(_is_clean(state, i))
+            conditions.append(is_clean(state, i))
         if self.has(RoutingRule.STALE):
             conditions.append(z3.Not(state.get("stale", i)))
         return z3.And(conditions)
@@ -288,7 +235,7 @@
             if j == i:
                 continue
             hint = state.get("record", j)
-            guard = z3.And(state.get("alive", j), _is_running(state, i), hint != NONE)
+            guard = z3.And(state.get("alive", j), is_running(state, i), hint != NONE)
             result.append(Action(RoutingStep.HINT, (i, j), guard, (assign("record", i, to=hint),)))
         guards = [state.get("alive", i), self._is_held_elsewhere(state, i)]
         guards.append(z3.Not(state.get("opening")))
@@ -297,24 +244,24 @@
         return result
 
     def _is_held_elsewhere(self, state: State, i: int) -> z3.BoolRef:
-        return z3.Or([_holds_record(state, j) for j in ENTRIES if j != i])
+        return z3.Or([holds_record(state, j) for j in ENTRIES if j != i])
 
     def _build_take_over(self, state: State, i: int) -> Action:
         peers = [j for j in ENTRIES if j != i]
-        guards = [_is_running(state, i), z3.Not(state.get("stale", i))]
+        guards = [is_running(state, i), z3.Not(state.get("stale", i))]
         guards.append(z3.Not(state.get("home", i)))
         assignments = [assign("home", i, to=True)]
         if self.has(RoutingRule.TAKE_OVER):
-            recovered = _select_first_record(state, peers, state.get("record", i))
+            recovered = select_record(state, peers, state.get("record", i))
             assignments.append(assign("record", i, to=recovered))
         if self.has(RoutingRule.TAKE_RELEASES):
             base = state.get("base", i)
             for j in peers:
-                base = z3.If(_is_running(state, j), _max(base, state.get("base", j)), base)
+                base = z3.If(is_running(state, j), choose_greater(base, state.get("base", j)), base)
             assignments += self._assign_release(state, i, base)
         if self.has(RoutingRule.YIELD):
             for j in peers:
-                still_home = z3.And(state.get("home", j), z3.Not(_is_running(state, j)))
+                still_home = z3.And(state.get("home", j), z3.Not(is_running(state, j)))
                 assignments.append(assign("home", j, to=still_home))
         return Action(RoutingStep.TAKE_OVER, (i,), z3.And(guards), tuple(assignments))
 
@@ -324,7 +271,7 @@
         result = []
         for v in LATER_VERSIONS:
             result += [self._build_release(state, i, j, v) for j in ENTRIES if j != i]
-            guards = [_is_running(state, i), state.get("released", v), state.get("know", i, v)]
+            guards = [is_running(state, i), state.get("released", v), state.get("know", i, v)]
             guards.append(z3.ULT(state.get("base", i), v))
             version = z3.BitVecVal(v, BITS)
             adopted = self._assign_release(state, i, version)
@@ -332,15 +279,15 @@
         return result
 
     def _build_release(self, state: State, i: int, j: int, v: int) -> Action:
-        guards = [self._decides_as_home(state, i), _is_running(state, i)]
+        guards = [self._decides_as_home(state, i), is_running(state, i)]
         guards += [
             state.get("know", i, v),
             state.get("force", i) == v,
-            _select_newest(state, i) == v,
+            select_newest(state, i) == v,
         ]
         guards.append(z3.ULT(state.get("base", i), v))
         if self.has(RoutingRule.IDLE_WAIT):
-            holders = [_holds_record(state, j) for j in ENTRIES]
+            holders = [holds_record(state, j) for j in ENTRIES]
             is_new = state.get("flow") == state.get("place", v)
             guards.append(z3.Or(state.get("flow") == NONE, is_new, *holders))
         if self.has(RoutingRule.RELEASE_ASKS):
@@ -348,27 +295,29 @@
         version = z3.BitVecVal(v, BITS)
         assignments = (assign("released", v, to=True), *self._assign_release(state, i, version))
         if self.has(RoutingRule.RELEASE_ACKED):
-            guards += [_is_running(state, j), state.get("know", j, v)]
-            assignments += self._assign_release(state, j, _max(state.get("base", j), version))
+            guards += [is_running(state, j), state.get("know", j, v)]
+            assignments += self._assign_release(
+                state, j, choose_greater(state.get("base", j), version)
+            )
         return Action(RoutingStep.RELEASE, (i, j, v), z3.And(guards), assignments)
 
     def _agrees_to_release(self, state: State, j: int, v: int) -> z3.BoolRef:
         record = state.get("record", j)
-        answers = z3.And(_is_running(state, j), z3.Not(state.get("stale", j)))
+        answers = z3.And(is_running(state, j), z3.Not(state.get("stale", j)))
         free = z3.Or(record == NONE, record == state.get("place", v))
         return z3.Or(z3.Not(state.get("alive", j)), z3.And(answers, free, state.get("know", j, v)))
 
     def _assign_release(self, state: State, i: int, base: z3.BitVecRef) -> tuple[Assignment, ...]:
         adopted: tuple[Assignment, ...] = (assign("base", i, to=base),)
         if self.has(RoutingRule.RELEASE_FORCES):
-            force = _max(state.get("force", i), base)
+            force = choose_greater(state.get("force", i), base)
             adopted += (assign("force", i, to=force),)
         return adopted
 
     # Faults.
 
     def _list_fault_actions(self, state: State, i: int) -> list[Action]:
-        running = _is_running(state, i)
+        running = is_running(state, i)
         may_pause = z3.And(running, self._may_stop(state, i))
         home = z3.And(state.get("home", i), not self.has(RoutingRule.PAUSED_HOME))
         resumed = (
@@ -391,13 +340,13 @@
             return z3.BoolVal(True)
         others = [j for j in ENTRIES if j != i]
         base = state.get("base", i)
-        known = [z3.And(_is_running(state, j), z3.UGE(state.get("base", j), base)) for j in others]
-        all_others_run = z3.And([_is_running(state, j) for j in others])
+        known = [z3.And(is_running(state, j), z3.UGE(state.get("base", j), base)) for j in others]
+        all_others_run = z3.And([is_running(state, j) for j in others])
         recorded = z3.Or(state.get("record", i) == NONE, self._is_held_elsewhere(state, i))
         return z3.And(recorded, z3.Or(all_others_run, base == 1, *known))
 
     def _build_confirm(self, state: State, i: int, j: int) -> Action:
-        guards = [_is_running(state, i), _is_running(state, j), state.get("stale", i)]
+        guards = [is_running(state, i), is_running(state, j), state.get("stale", i)]
         guards.append(z3.Not(state.get("stale", j)))
         assignments = [assign("stale", i, to=False)]
         for v in LATER_VERSIONS:
@@ -423,19 +372,19 @@
         joined += [assign("know", i, v, to=False) for v in LATER_VERSIONS]
         guards = [z3.Not(alive)]
         if self.records_survive:
-            guards += [_is_up_to_date(state, j) for j in ENTRIES]
+            guards += [is_up_to_date(state, j) for j in ENTRIES]
         result.append(Action(RoutingStep.JOIN, (i,), z3.And(guards), tuple(joined)))
         return result
 
     def _build_leave(self, state: State, i: int, j: int, stopped: tuple[Assignment, ...]) -> Action:
-        guard = z3.And(_is_running(state, i), _is_running(state, j))
+        guard = z3.And(is_running(state, i), is_running(state, j))
         given, own = state.get("record", i), state.get("record", j)
         assignments = stopped
         if self.has(RoutingRule.HANDOVER):
             handed_over = z3.If(own == NONE, given, own)
             assignments += (assign("record", j, to=handed_over),)
         if self.has(RoutingRule.HANDOVER_RELEASES):
-            base = _max(state.get("base", i), state.get("base", j))
+            base = choose_greater(state.get("base", i), state.get("base", j))
             assignments += self._assign_release(state, j, base)
         return Action(RoutingStep.LEAVE, (i, j), guard, assignments)
 
@@ -495,57 +444,3 @@
         quick_depth=5,
         full_depth=9,
     )
-
-
-def _is_running(state: State, i: int) -> z3.BoolRef:
-    return z3.And(state.get("alive", i), z3.Not(state.get("paused", i)))
-
-
-def _holds_record(state: State, i: int) -> z3.BoolRef:
-    return z3.And(_is_running(state, i), state.get("record", i) != NONE)
-
-
-def _is_up_to_date(state: State, i: int) -> z3.BoolRef:
-    """Return whether an entry has every release that was sent, unless it is stopped or stale."""
-    is_exempt = z3.Or(z3.Not(_is_running(state, i)), state.get("stale", i))
-    received = [
-        z3.Implies(state.get("released", v), z3.UGE(state.get("base", i), z3.BitVecVal(v, BITS)))
-        for v in LATER_VERSIONS
-    ]
-    return z3.Or(is_exempt, z3.And(received))
-
-
-def _is_clean(state: State, i: int) -> z3.BoolRef:
-    base = state.get("base", i)
-    place = _select_place(state, base)
-    conditions = []
-    for v in LATER_VERSIONS:
-        retained = z3.And(state.get("know", i, v), z3.UGE(z3.BitVecVal(v, BITS), base))
-        conditions.append(z3.Implies(retained, state.get("place", v) == place))
-    return z3.And(conditions)
-
-
-def _select_newest(state: State, i: int) -> z3.BitVecRef:
-    result = z3.BitVecVal(1, BITS)
-    for v in LATER_VERSIONS:
-        result = z3.If(state.get("know", i, v), z3.BitVecVal(v, BITS), result)
-    return result
-
-
-def _select_place(state: State, version: z3.BitVecRef) -> z3.BitVecRef:
-    result = state.get("place", 1)
-    for v in LATER_VERSIONS:
-        result = z3.If(version == v, state.get("place", v), result)
-    return result
-
-
-def _select_first_record(state: State, entries: list[int], default: z3.BitVecRef) -> z3.BitVecRef:
-    result = default
-    for j in entries:
-        found = z3.And(_is_running(state, j), state.get("record", j) != NONE)
-        result = z3.If(found, state.get("record", j), result)
-    return result
-
-
-def _max(left: z3.BitVecRef, right: z3.BitVecRef) -> z3.BitVecRef:
-    return z3.If(z3.UGE(left, right), left, right)
--- a/tests/replay_net.py
+++ b/tests/replay_net.py
@@ -20,7 +20,7 @@
 from chicoryproxy.states import MemberState
 from chicoryproxy.testing import Segment, create_tenggara
 from spec.finding import Finding, Step
-from spec.routing import RoutingStep
+from spec.routingrules import RoutingStep
 
 IDLE_TIMEOUT_S = 60.0
 SPREAD_S = 3.0
--- a/tests/test_replay.py
+++ b/tests/test_replay.py
@@ -5,7 +5,7 @@
 
 from spec.catalog import list_specifications
 from spec.check import find_counterexample
-from spec.routing import RoutingRule
+from spec.routingrules import RoutingRule
 from spec.trace import format_finding
 
 MUTANTS = [
