Split the soak into its deployment, entries, invariants and command

They are now entry.py, soak.py, invariants.py and run.py, with the names and addresses in deployment.py. Callers and servers report to soak.invariants. The additional route is a constant, as its address always was.

--- /dev/null
+++ b/tests/soak/invariants.py
@@ -0,0 +1,85 @@
+"""Invariants of the soak, checked against what callers and servers receive."""
+
+from tests.soak.deployment import get_service
+from tests.soak.traffic import DRAIN_BOUND_S
+
+QUIET_PERIOD_S = 4.5
+CONFIG_BOUND_S = 3.0
+EVACUATION_BOUND_S = 5.0
+
+
+class Invariants:
+    """Checks packets and records violations.
+
+    An invariant with a time bound is checked only if no fault hit the store, the entries or the
+    server during the last ``QUIET_PERIOD_S``.
+
+    :param loop: the event loop, for its clock.
+    :param servers: all servers so far; the soak adds to the list.
+    :ivar violations: violated invariants, each with its time.
+    :ivar domains_out_since_s: time since which each failure domain that is out has been out.
+    :ivar routes_dropped_s: time at which each removed route was removed.
+    """
+
+    def __init__(self, loop, servers):
+        self.violations = []
+        self.domains_out_since_s = {}
+        self.routes_dropped_s = {}
+        self._loop = loop
+        self._servers = servers
+        self._sent = {}
+        self._last_disturbance_s = loop.read_clock()
+
+    def record_disturbance(self):
+        """Suspend checks with a time bound for ``QUIET_PERIOD_S``."""
+        self._last_disturbance_s = self._loop.read_clock()
+
+    def record_sent(self, packet):
+        """Record a packet of a caller, without its mark."""
+        self._sent.setdefault(packet[8:20], set()).add(_remove_mark(packet))
+
+    def record_violation(self, text):
+        """Record a violated invariant with its time."""
+        self.violations.append(f"{self._loop.read_clock():.2f} {text}")
+
+    def check_unchanged(self, packet, server):
+        """Check that the caller sent exactly this packet, apart from its mark."""
+        if _remove_mark(packet) not in self._sent.get(packet[8:20], ()):
+            self.record_violation(
+                f"{server.name} got a packet that differs from all that its caller sent"
+            )
+
+    def check_opening(self, server, host, port):
+        """Check that an opening reached a server of its service that may accept it."""
+        now = self._loop.read_clock()
+        route = (host, port)
+        service = get_service(host)
+        if server.service != service:
+            self.record_violation(f"{server.name} of {server.service} got an opening of {service}")
+        if now - self._last_disturbance_s < QUIET_PERIOD_S:
+            return
+        if server.state == "draining" and now - server.state_changed_s > DRAIN_BOUND_S:
+            self.record_violation(
+                f"{server.name} got an opening {now - server.state_changed_s:.1f} s after draining"
+            )
+        if (
+            server.zone in self.domains_out_since_s
+            and now - self.domains_out_since_s[server.zone] > EVACUATION_BOUND_S
+        ):
+            self.record_violation(f"{server.name} got an opening while {server.zone} was out")
+        if route in self.routes_dropped_s and now - self.routes_dropped_s[route] > CONFIG_BOUND_S:
+            self.record_violation(f"{server.name} got an opening of a removed route")
+
+    def check_reset(self, caller, server_name, state, now):
+        """Check that a reset did not hit an open flow of a running server with a current route."""
+        if state not in ("waiting", "pausing") or server_name is None:
+            return
+        living = [item for item in self._servers if item.name == server_name and item.is_alive]
+        if not living or now - living[-1].state_changed_s < QUIET_PERIOD_S or self.routes_dropped_s:
+            return
+        if now - self._last_disturbance_s > QUIET_PERIOD_S:
+            self.record_violation(f"an open flow of {server_name} was reset")
+
+
+def _remove_mark(packet):
+    return packet[:26] + packet[30:]
--- /dev/null
+++ b/tests/soak/soak.py
@@ -0,0 +1,200 @@
+"""The soak: entries, servers, callers and a store under random faults."""
+
+import itertools
+import random
+
+from chicoryproxy.eventloop.loop import Loop
+from chicoryproxy.forwarding.hosts import format_host
+from tests.node.fakestore import FakeStore, pick_port
+from tests.soak.deployment import (
+    EXTRA_ROUTE,
+    ROUTES,
+    SERVICES,
+    ZONES,
+    get_caller_host,
+    get_server_host,
+    get_service,
+)
+from tests.soak.entry import Entry
+from tests.soak.faults import FaultInjector
+from tests.soak.invariants import Invariants
+from tests.soak.traffic import DRAIN_BOUND_S, Caller, Server
+
+RECOVERY_S = 8.0
+AFTER_RECOVERY_S = 4.0
+MIN_ANSWERED_SHARE = 0.9
+
+
+class Soak:
+    """Runs entries, servers, callers and a store under faults, and checks the invariants."""
+
+    def __init__(self, seed, folder, entries=4, servers=6, callers=24):
+        self.loop = Loop()
+        self.folder = folder
+        self.zones = ZONES
+        self.packet_port, self.ready_port = pick_port(), pick_port()
+        self.peer_port, self.server_port = pick_port(), pick_port()
+        self.store = FakeStore(self.loop)
+        self.attempted = self.answered = self.unanswered = self.refused = 0
+        self.faults = []
+        self._random = random.Random(seed)
+        self._server_numbers = itertools.count(0xA0)
+        self._host_numbers = itertools.count(1)
+        self._servers = []
+        self.invariants = Invariants(self.loop, self._servers)
+        self._version = 0
+        self.routes = list(ROUTES)
+        for number in range(servers):
+            self._add_server(SERVICES[number % 2], ZONES[number // 2 % len(ZONES)])
+        self.change_config(False)
+        self.entries = [Entry(self, number) for number in range(entries)]
+        self._callers = [
+            Caller(self, get_caller_host(number), f"{seed}/{number}") for number in range(callers)
+        ]
+        self._fault_injector = FaultInjector(self, seed)
+
+    def run(self, seconds):
+        """Inject faults for a time, then check that the system recovers."""
+        self._schedule_fault(self.loop.read_clock() + seconds)
+        self.loop.call_later(seconds + RECOVERY_S, self._record_counts_after_faults)
+        self.loop.call_later(seconds + RECOVERY_S + AFTER_RECOVERY_S, self.loop.stop)
+        self.loop.run()
+        self._check_recovery()
+        for entry in self.entries:
+            entry.stop()
+
+    def _check_recovery(self):
+        attempted = self.attempted - self._attempted_before
+        share = (self.answered - self._answered_before) / max(1, attempted)
+        if share < MIN_ANSWERED_SHARE:
+            self.invariants.record_violation(
+                f"only {share:.2f} of {attempted} attempts were answered after the faults"
+            )
+
+    # Called by faults.
+
+    def list_servers(self):
+        """Return the running servers that do not drain."""
+        return [item for item in self._servers if item.is_alive and item.state == "ready"]
+
+    def crash(self, server, reuse=False):
+        """Stop a server abruptly; its store entry expires later, and another server replaces it.
+
+        :param reuse: whether a server of the other service takes over the address.
+        """
+        self.invariants.record_disturbance()
+        server.end()
+        self.loop.call_later(3.6, lambda: self.store.delete(f"servers/{server.name}"))
+        service = SERVICES[server.service == SERVICES[0]] if reuse else server.service
+        host = server.host if reuse else None
+        self.loop.call_later(2.2, lambda: self._add_server(service, server.zone, host))
+        if reuse:
+            self.loop.call_later(2.5, lambda: self._add_server(server.service, server.zone))
+
+    def restart(self, server):
+        """Restart a server under the same id."""
+        self.invariants.record_disturbance()
+        server.end()
+        args = (server.service, server.zone, server.host, server.name)
+        self.loop.call_later(0.5, lambda: self._add_server(*args))
+
+    def drain(self, server):
+        """Replace a server gracefully: start a new one, then drain the old one."""
+        self._add_server(server.service, server.zone)
+        server.set_draining()
+        self.store.put(f"servers/{server.name}", server.describe())
+        self.loop.call_later(DRAIN_BOUND_S + 1.0, lambda: self._leave(server))
+
+    def expire_half_of_servers(self):
+        """Delete the store entries of every other server although the servers run."""
+        for server in self.list_servers()[::2]:
+            self.store.delete(f"servers/{server.name}")
+
+    def publish_servers(self):
+        """Write the store entries of all running servers."""
+        for server in self._servers:
+            if server.is_alive:
+                self.store.put(f"servers/{server.name}", server.describe())
+
+    def change_config(self, toggles_route):
+        """Publish the next configuration version, optionally with a route added or removed."""
+        self._version += self._random.randint(1, 5)
+        if toggles_route:
+            self._toggle_extra_route()
+        self.store.put("op/config", self._build_config())
+
+    def _toggle_extra_route(self):
+        if EXTRA_ROUTE in self.routes:
+            self.routes.remove(EXTRA_ROUTE)
+            self.invariants.routes_dropped_s[EXTRA_ROUTE] = self.loop.read_clock()
+        else:
+            self.routes.append(EXTRA_ROUTE)
+            self.invariants.routes_dropped_s.pop(EXTRA_ROUTE, None)
+
+    def _build_config(self):
+        services = [
+            {"Name": name, "HealthCheckPath": "/health", "MaxConnections": 2000, "ColdPerS": 0.0}
+            for name in SERVICES
+        ]
+        return {
+            "Version": self._version,
+            "Routes": [self._describe_route(*item) for item in enumerate(self.routes)],
+            "Services": services,
+            "Limits": {"IdleTimeoutMs": 15000},
+        }
+
+    def take_out(self, zone):
+        """Take a failure domain out for some seconds, unless one is out already."""
+        if self.invariants.domains_out_since_s:
+            return
+        self.invariants.domains_out_since_s[zone] = self.loop.read_clock()
+        self.store.put(f"op/evacuate/{zone}", {})
+        self.loop.call_later(self._random.uniform(6, 9), lambda: self._bring_back(zone))
+
+    def record_fault(self, name):
+        """Record a fault for the report."""
+        self.faults.append(f"{self.loop.read_clock():.2f} {name}")
+        if "config" not in name and "drain" not in name and "domain" not in name:
+            self.invariants.record_disturbance()
+
+    # Called by callers.
+
+    def choose_entry(self, key):
+        """Return the address of the entry that routers in front choose for a flow by hash."""
+        ready = [entry.host for entry in self.entries if entry.is_ready]
+        hosts = ready if len(ready) * 2 >= len(self.entries) else [e.host for e in self.entries]
+        return hosts[hash(key) % len(hosts)]
+
+    def _describe_route(self, index, route):
+        host, port = route
+        return {
+            "Name": f"r-{index}",
+            "Hostname": format_host(host),
+            "Prefix": f"/{port}/",
+            "Service": get_service(host),
+        }
+
+    def _add_server(self, service, zone, host=None, name=None):
+        host = host or get_server_host(next(self._host_numbers))
+        name = name or f"i-{next(self._server_numbers):04x}"
+        server = Server(self, name, host, self.server_port, service, zone)
+        self._servers.append(server)
+        self.store.put(f"servers/{name}", server.describe())
+
+    def _leave(self, server):
+        if server.is_alive:
+            server.end()
+            self.store.delete(f"servers/{server.name}")
+
+    def _bring_back(self, zone):
+        del self.invariants.domains_out_since_s[zone]
+        self.store.delete(f"op/evacuate/{zone}")
+
+    def _schedule_fault(self, end):
+        if self.loop.read_clock() < end:
+            self._fault_injector.inject()
+            pause = self._random.choice((0.3, 1.0, 2.0, 6.0))
+            self.loop.call_later(pause, lambda: self._schedule_fault(end))
+
+    def _record_counts_after_faults(self):
+        self._attempted_before, self._answered_before = self.attempted, self.answered
--- a/tests/soak/traffic.py
+++ b/tests/soak/traffic.py
@@ -100,10 +100,10 @@
         sequence, _, source, host, port, source_port, size, total, mark, flags = HEADER.unpack_from(
             packet
         )
-        self._soak.check_unchanged(packet, self)
+        self._soak.invariants.check_unchanged(packet, self)
         key = (source, source_port, host, port)
         if flags & FLAG_SYN:
-            self._soak.check_opening(self, host, port)
+            self._soak.invariants.check_opening(self, host, port)
             own = self._flows.setdefault(key, random.getrandbits(31))
             self._reply(key, own, sequence + 1, mark, FLAG_SYN | FLAG_ACK, b"")
         elif key not in self._flows:
@@ -184,7 +184,7 @@
         acknowledged = self._acknowledged if acknowledged is None else acknowledged
         numbers = (self._sequence, acknowledged, self._host, host, port, self._port)
         packet = HEADER.pack(*numbers, len(body), 7, self._mark, flags) + body
-        self._soak.record_sent(packet)
+        self._soak.invariants.record_sent(packet)
         entry = self._soak.choose_entry((self._host, self._port, host, port))
         self._udp.send(packet, (entry, self._soak.packet_port))
 
@@ -194,7 +194,7 @@
             return
         now = self._soak.loop.read_clock()
         if flags & FLAG_RST:
-            self._soak.check_reset(self, self._server, self._state, now)
+            self._soak.invariants.check_reset(self, self._server, self._state, now)
             self._soak.refused += self._state == "opening"
             self._restart()
             return
