Split the simulated upstream from the simulated caller

They are now _fakeupstream.py and _fakeflow.py; the type Connection and the flags SYN_ACK, which both use, stand in _fakewire.py.

--- a/src/chicoryproxy/testing/__init__.py
+++ b/src/chicoryproxy/testing/__init__.py
@@ -8,9 +8,10 @@
 """
 
 from chicoryproxy.testing._fakefleet import FakeFleet
-from chicoryproxy.testing._fakehosts import FakeFlow, FakeUpstream, FlowOutcome
+from chicoryproxy.testing._fakeflow import FakeFlow, FlowOutcome
 from chicoryproxy.testing._fakenode import FakeNode
 from chicoryproxy.testing._fakeplatform import FakePlatform
+from chicoryproxy.testing._fakeupstream import FakeUpstream
 from chicoryproxy.testing._fakewire import Schedule, Segment, unpack_segment
 from chicoryproxy.testing.deployments import (
     Deployment,
--- a/src/chicoryproxy/testing/_fakedataplane.py
+++ b/src/chicoryproxy/testing/_fakedataplane.py
@@ -18,9 +18,10 @@
 )
 from chicoryproxy.protocol.messages import PassedPacket
 from chicoryproxy.states import ReturnPath
-from chicoryproxy.testing._fakehosts import FakeFlow, FakeUpstream
+from chicoryproxy.testing._fakeflow import FakeFlow
 from chicoryproxy.testing._fakenetwork import FakeNetwork
 from chicoryproxy.testing._fakenode import FakeNode
+from chicoryproxy.testing._fakeupstream import FakeUpstream
 from chicoryproxy.testing._fakewire import Segment, unpack_segment
 
 TICK_S = 0.02
--- a/src/chicoryproxy/testing/_fakefleet.py
+++ b/src/chicoryproxy/testing/_fakefleet.py
@@ -7,7 +7,7 @@
 from chicoryproxy.model import Configuration, Instance, Service
 from chicoryproxy.testing._fakecontrolplane import FakeControlPlane
 from chicoryproxy.testing._fakedataplane import TICK_S
-from chicoryproxy.testing._fakehosts import FakeFlow, FlowOutcome
+from chicoryproxy.testing._fakeflow import FakeFlow, FlowOutcome
 from chicoryproxy.testing._fakenode import FakeNode
 from chicoryproxy.testing._fakeplatform import FakePlatform
 
--- a/src/chicoryproxy/testing/_fakewire.py
+++ b/src/chicoryproxy/testing/_fakewire.py
@@ -5,8 +5,14 @@
 import struct
 from collections.abc import Callable
 
+from chicoryproxy.protocol.packet import FLAG_ACK, FLAG_SYN
+
 IP_HEADER = struct.Struct("!BBHHHBBH4s4s")
 TCP_HEADER = struct.Struct("!HHLLBBHHH")
+SYN_ACK = FLAG_SYN | FLAG_ACK
+
+Connection = tuple[bytes, int]
+"""Address and port of a caller."""
 
 
 class Segment:
