Keep the generation of flows without a record through many changes

Cause: at the 17th generation of a service the oldest was dropped, whether its slots were released or not. It is the base of flows that have no record yet. Slots also took the higher oldest version as a release of every slot (`_pruned`), and told new homes so (`SlotFloor`). Change: the oldest and the newest 15 are kept. An instance that skipped versions while generations are at their limit holds all slots, as a dropped one may have contested them.

--- a/src/chicoryproxy/control/versions.py
+++ b/src/chicoryproxy/control/versions.py
@@ -4,18 +4,15 @@
 ``docs/design/versions.md``.
 """
 
-from collections.abc import Collection, Iterable
+from collections.abc import Collection, Iterable, Sequence
 
 from msgspec import Struct
 
 from chicoryproxy.ids import NO_VERSION, DomainId, InstanceId, ServiceId, Version
-from chicoryproxy.model import Configuration, Generation, Service
+from chicoryproxy.model import MAX_GENERATIONS, Configuration, Generation, Service
 from chicoryproxy.protocol.messages import ServiceClean
 from chicoryproxy.states import DomainState
 
-MAX_GENERATIONS = 16
-"""Maximum number of generations retained per service."""
-
 EMPTY_CONFIGURATION = Configuration(NO_VERSION, (), ())
 
 
@@ -233,6 +230,16 @@
             if not kept or generation.members != kept[-1].members:
                 kept.append(generation)
         before = self._generations.get(service)
-        self._generations[service] = tuple(kept[-MAX_GENERATIONS:])
+        self._generations[service] = _limit_generations(kept)
         if before is not None and before != self._generations[service]:
             self.revision += 1
+
+
+def _limit_generations(generations: Sequence[Generation]) -> tuple[Generation, ...]:
+    """Return at most ``MAX_GENERATIONS`` of the given generations.
+
+    The oldest is kept for the flows without a record. Those of the dropped ones have records.
+    """
+    if len(generations) <= MAX_GENERATIONS:
+        return tuple(generations)
+    return (generations[0], *generations[1 - MAX_GENERATIONS :])
--- a/src/chicoryproxy/model.py
+++ b/src/chicoryproxy/model.py
@@ -9,6 +9,9 @@
 from chicoryproxy.ids import DomainId, InstanceId, RegionId, ServiceId, UpstreamId, Version
 from chicoryproxy.states import DomainState, Protocol, ReturnPath, UpstreamState
 
+MAX_GENERATIONS = 16
+"""Maximum number of generations retained per service."""
+
 
 class Endpoint(Struct, frozen=True, order=True):
     """An IP address and a port.
--- a/src/chicoryproxy/routing/slots.py
+++ b/src/chicoryproxy/routing/slots.py
@@ -7,7 +7,7 @@
 from msgspec import Struct
 
 from chicoryproxy.ids import NO_VERSION, Epoch, FlowKey, ServiceId, SlotIndex, UpstreamId, Version
-from chicoryproxy.model import Generation, UpstreamCondition
+from chicoryproxy.model import MAX_GENERATIONS, Generation, UpstreamCondition
 from chicoryproxy.protocol.actions import Forward
 from chicoryproxy.protocol.messages import SlotFloor, SlotName, SlotRelease
 from chicoryproxy.routing.placement import PlacementTable, create_table
@@ -95,6 +95,7 @@
         :returns: slots that were clean before and are contested now.
         """
         known = {item.generation: item for item in self._tables}
+        skipped = bool(known) and sum(item not in known for item in generations) > 1
         oldest = self._tables[0].generation.version if self._tables else None
         self._tables = tuple(
             known.get(generation) or SlotTable(generation, create_table(generation))
@@ -105,6 +106,9 @@
         self._placed = self._choose_placed(placed)
         self._resize(max((item.table.size for item in self._tables), default=1))
         self._index_newest()
+        if skipped and len(self._tables) >= MAX_GENERATIONS:
+            # A slot may have been contested by a generation that is no longer retained.
+            self.hold_all()
         return self._find_changed(now)
 
     def set_placed_version(self, placed: Version) -> None:
--- a/tests/test_slots.py
+++ b/tests/test_slots.py
@@ -4,7 +4,7 @@
 import pytest
 
 from chicoryproxy.ids import Epoch, SlotIndex, UpstreamId, Version
-from chicoryproxy.model import Generation, UpstreamCondition
+from chicoryproxy.model import MAX_GENERATIONS, Generation, UpstreamCondition
 from chicoryproxy.protocol.messages import SlotName, SlotRelease
 from chicoryproxy.routing.egress import create_egress_policy
 from chicoryproxy.routing.slots import create_service_slots
@@ -117,3 +117,13 @@
     slots.set_forwards(lambda _: None)
     assert not slots.apply_release(SlotRelease(name, Version(1), Epoch(0)))
     assert slots.is_held(name.slot)
+
+
+def test_instance_that_skipped_dropped_generations_trusts_no_clean_slot(slots):
+    versions = [Version(number) for number in range(3, 2 + MAX_GENERATIONS)]
+    later = [
+        Generation(SERVICE.id, version, SERVICE.upstreams[version % 2 :]) for version in versions
+    ]
+    contested = replace_generations(slots, FIRST, *later)
+    assert slots.held_count == slots.size
+    assert contested == []
--- a/tests/test_versions.py
+++ b/tests/test_versions.py
@@ -82,6 +82,16 @@
     assert list_versions(store)[-1] == 99
 
 
+def test_the_generation_of_flows_without_a_record_is_kept_through_many_changes(
+    store: VersionStore,
+) -> None:
+    for version in range(2, 100):
+        store.adopt(make_version(version, 1 + version % 2), 1.0)
+    assert list_versions(store)[0] == 1
+    store.prune([ServiceClean(SERVICE, Version(98))])
+    assert list_versions(store) == [98, 99]
+
+
 def test_placed_increases_once_all_peers_have_the_version(store: VersionStore) -> None:
     store.record_peer_version(PEERS[0], Version(1))
     store.advance_placed(PEERS, 3.0, 0.1)
