Keep the entry's generations when its view restarts with less

Cause: an entry took the generations and conditions of whatever view process spoke last. A view that restarts and reaches no peer within 2 s starts with what the platform serves, which may be an older version or lack the older generations. The entry then placed open flows by the older table, or by a later base. Change: a view of an older version changes only members, staleness and newer conditions. Generations that contested slots need stay until the entry itself has reported them clean. Seen by callers: open flows reset by an upstream that doesn't know them, after a restart of chicory-view. Both tests failed before: the packets of open flows went to other upstreams.

--- a/src/chicoryproxy/routing/router.py
+++ b/src/chicoryproxy/routing/router.py
@@ -205,7 +205,7 @@
     def collect_report(self) -> EntryReport:
         """Return the report for the view, and clear the outcomes collected for it."""
         clean = tuple(
-            ServiceClean(slots.service, slots.version)
+            ServiceClean(slots.service, slots.report_clean())
             for slots in self._context.view.built_slots()
             if slots.has_unneeded_generations
         )
--- a/src/chicoryproxy/routing/slots.py
+++ b/src/chicoryproxy/routing/slots.py
@@ -58,6 +58,7 @@
         self._release_requests: dict[int, float] = {}
         self._epochs: dict[UpstreamId, Epoch] = {}
         self._pruned: Version = NO_VERSION
+        self._reported_clean: Version = NO_VERSION
 
     @property
     def version(self) -> Version:
@@ -74,6 +75,17 @@
         """Whether older generations are retained although no slot needs them."""
         return len(self._tables) > 1 and not self._changed
 
+    def report_clean(self) -> Version:
+        """Return the version as of which the view may discard older generations."""
+        self._reported_clean = self.version
+        return self.version
+
+    def list_needed(self, generations: Iterable[Generation]) -> list[Generation]:
+        """Return the generations that count while slots have several candidates."""
+        if not self._changed:
+            return []
+        return [item for item in generations if item.version >= self._reported_clean]
+
     @property
     def held_count(self) -> int:
         """Number of slots that wait for a release by their home."""
--- a/src/chicoryproxy/routing/view.py
+++ b/src/chicoryproxy/routing/view.py
@@ -63,7 +63,10 @@
         return self.is_stale or self.highest > self.version
 
     def update(self, update: ViewUpdate, now: float) -> ViewChange:
-        """Apply a new view."""
+        """Apply a new view.
+
+        The view process may restart with an older version than the entry has.
+        """
         contested = self._update_services(update, now)
         members = self.directory.update(update.members)
         contested += self._update_hidden()
@@ -130,16 +133,18 @@
     def _update_services(self, update: ViewUpdate, now: float) -> list[SlotName]:
         self.highest = max(self.highest, update.highest, update.configuration.version)
         self.is_stale = update.stale
-        self.conditions = {item.upstream: item for item in update.conditions}
+        is_older = update.configuration.version < self.version
+        self._update_conditions(update.conditions, is_older)
         if update.configuration.version > self.version:
             self._apply_configuration(update.configuration)
         placed_increased = update.placed > self.placed
         self.placed = max(self.placed, update.placed)
-        generations = _group_by_service(update.generations)
+        generations = self._generations if is_older else _group_by_service(update.generations)
         contested = []
         for route in self._copy_routes_with_slots():
             slots = self.get_slots(route, now)
-            current = generations.get(route.id, ())
+            current = self._add_needed(slots, generations.get(route.id, ()))
+            generations[route.id] = current
             if current != self._generations.get(route.id, ()):
                 contested += slots.set_generations(current, self.placed, now)
             elif placed_increased:
@@ -148,6 +153,25 @@
         self._generations = generations
         return self._filter_own(contested)
 
+    def _add_needed(
+        self, slots: ServiceSlots, received: tuple[Generation, ...]
+    ) -> tuple[Generation, ...]:
+        """Add the older generations that slots still need, as a restarted view may lack them."""
+        needed = slots.list_needed(self._generations_of(slots.service))
+        oldest = received[0].version if received else self.version + 1
+        return (*(item for item in needed if item.version < oldest), *received)
+
+    def _update_conditions(self, conditions: Iterable[UpstreamCondition], is_older: bool) -> None:
+        """Replace the conditions, or take only the newer ones of an older version."""
+        received = {item.upstream: item for item in conditions}
+        if not is_older:
+            self.conditions = received
+            return
+        self.conditions = {
+            name: received[name] if _is_newer(received.get(name), known) else known
+            for name, known in self.conditions.items()
+        }
+
     def _apply_configuration(self, configuration: Configuration) -> None:
         self.version = configuration.version
         self.fleet = find_limits(configuration, self.directory.own)
@@ -209,6 +233,10 @@
         return permitted if isinstance(permitted, tuple) else None
 
 
+def _is_newer(condition: UpstreamCondition | None, known: UpstreamCondition) -> bool:
+    return condition is not None and condition.epoch > known.epoch
+
+
 def _group_by_service(generations: Iterable[Generation]) -> dict[ServiceId, tuple[Generation, ...]]:
     grouped: dict[ServiceId, list[Generation]] = {}
     for generation in sorted(generations, key=lambda item: item.version):
--- a/tests/test_late_news.py
+++ b/tests/test_late_news.py
@@ -1,17 +1,97 @@
 """Tests of news that arrives late, out of order, or from a sender that lacks part of it."""
 
+from collections.abc import Iterable
+
 import msgspec
 
-from chicoryproxy.model import MAX_GENERATIONS
+from chicoryproxy.control.versions import VersionStore
+from chicoryproxy.ids import UpstreamId
+from chicoryproxy.model import MAX_GENERATIONS, Configuration, Instance
+from chicoryproxy.protocol.actions import Forward
+from chicoryproxy.protocol.messages import (
+    Member,
+    ViewUpdate,
+)
+from chicoryproxy.protocol.packet import FLAG_ACK
+from chicoryproxy.routing.router import PacketCore, create_packet_core
+from chicoryproxy.states import MemberState
 from chicoryproxy.testing import (
     FlowOutcome,
+    Segment,
     change_upstreams,
     create_tenggara,
+    create_upstream,
 )
 
+CALLER = ("10.1.1.1", 0)
+PORTS = range(2000, 2200)
 START_S = 4.0
 
 
+def build_data_packet(port: int) -> bytes:
+    """Build a data packet of an open flow to the service qa-desk."""
+    return Segment(b"\x0a\x01\x01\x01", port, b"\xc6\x33\x64\x01", 443, FLAG_ACK).pack()
+
+
+def build_update(
+    configuration: Configuration, instances: Iterable[Instance], number: int = 1
+) -> ViewUpdate:
+    """Build the view of a process that has started with a configuration."""
+    store = VersionStore()
+    store.adopt(configuration, 0.0)
+    members = tuple(Member(instance, MemberState.ALIVE) for instance in instances)
+    generations = store.list_generations()
+    version = configuration.version
+    return ViewUpdate(number, configuration, generations, members, (), version, version, False)
+
+
+def list_targets(core: PacketCore, now: float) -> list[UpstreamId]:
+    """Return the upstreams that data packets of unknown flows are forwarded to."""
+    actions = [
+        action
+        for port in PORTS
+        for action in core.receive_packet(build_data_packet(port), CALLER, now)
+    ]
+    return [action.upstream for action in actions if isinstance(action, Forward)]
+
+
+def test_view_restarted_with_an_older_version_moves_no_flow() -> None:
+    deployment = create_tenggara()
+    service = deployment.configuration.services[0]
+    added = create_upstream("qa-desk", 1, 7, service.upstreams[0].domain)
+    newer = change_upstreams(deployment.configuration, service.id, (*service.upstreams, added))
+    own = deployment.instances[:1]
+    core = create_packet_core(own[0].id, own[0].domain, own[0].region)
+    core.update_view(build_update(newer, own), 0.0)
+    before = list_targets(core, 0.1)
+    core.update_view(build_update(deployment.configuration, own), 0.2)
+    assert len(before) == len(PORTS)
+    assert list_targets(core, 0.3) == before
+
+
+def test_view_restarted_without_older_generations_moves_no_flow() -> None:
+    deployment = create_tenggara()
+    service = deployment.configuration.services[0]
+    drained = msgspec.structs.replace(service.upstreams[0], draining=True)
+    upstreams = (drained, *service.upstreams[1:])
+    newer = change_upstreams(deployment.configuration, service.id, upstreams)
+    own = deployment.instances[:1]
+    targets = []
+    for restarts in (False, True):
+        core = create_packet_core(own[0].id, own[0].domain, own[0].region)
+        core.update_view(build_update(deployment.configuration, own), 0.0)
+        core.receive_packet(build_data_packet(PORTS[0]), CALLER, 0.1)
+        first = build_update(deployment.configuration, own).generations
+        update = build_update(newer, own)
+        known = msgspec.structs.replace(update, generations=(*first, *update.generations))
+        core.update_view(known, 0.2)
+        if restarts:
+            core.update_view(update, 0.3)
+        targets.append(list_targets(core, 0.4))
+    assert len(targets[0]) == len(PORTS)
+    assert targets[1] == targets[0]
+
+
 def test_idle_flows_stay_on_their_upstream_through_more_changes_than_generations_are_kept() -> None:
     deployment = create_tenggara(idle_timeout_s=300.0)
     service = deployment.configuration.services[0]
