Take only complete answers for the state of peers

Cause: a joining instance, or one that skipped versions, counted any VersionBody as a peer's answer: the empty answer of a peer that joins too, a push of new instances, and an answer from before the skip. It then showed itself as current with one generation, and as a home took the newest table for the base of old flows. A push from the peer that was to be merged after a partition ended that merge. Change: a push is told by its missing sender entry. Empty answers of joining peers don't count among the three; an answer without a version that the peer is known to have doesn't count at all. Seen by callers: open flows sent to other upstreams after several entries were replaced at once. The messages are unchanged.

--- a/src/chicoryproxy/control/catchup.py
+++ b/src/chicoryproxy/control/catchup.py
@@ -15,7 +15,7 @@
 from chicoryproxy.protocol.messages import VersionBody
 
 FETCH_FAN_OUT = 3
-"""Number of peers that are queried, and whose answers end the wait."""
+"""Number of peers that are queried, and whose complete answers end the wait."""
 
 CATCH_UP_TIMEOUT_S = 2.0
 """Maximum wait for answers of peers after a start or a skipped version, in seconds."""
@@ -55,6 +55,7 @@
         self._requested_at = 0.0
         self._requested: set[InstanceId] = set()
         self._answered: set[InstanceId] = set()
+        self._complete: set[InstanceId] = set()
         self._platform_configuration: Configuration | None = None
         self._bodies: dict[InstanceId, VersionBody] = {}
         self._highest_requested_at: float | None = None
@@ -66,7 +67,7 @@
 
     @property
     def is_unanswered(self) -> bool:
-        """True if the last wait timed out without an answer from any listed peer."""
+        """True if the last wait timed out without a complete answer from any listed peer."""
         return self._is_unanswered
 
     def begin(self, have: Version, now: float) -> None:
@@ -78,6 +79,7 @@
         self._is_unanswered = False
         self._state = CatchUpState.FETCHING
         self._answered.clear()
+        self._complete.clear()
         self._requested.clear()
         self._started_at = now
         self._send_requests(now)
@@ -100,9 +102,19 @@
             self._platform_configuration = configuration
 
     def record_answer(self, sender: InstanceId, body: VersionBody) -> None:
-        """Record the answer of a peer; its content is kept only while this instance joins."""
+        """Record the answer of a peer; its content is kept only while this instance joins.
+
+        The answer of a peer that joins as well is not complete, as it has no generations. One
+        that lacks a version which the peer is known to have was sent before this fetch.
+        """
+        known = self._versions.get_peer_version(sender)
+        has_news = body.configuration.version > self._have
+        if not has_news and known > self._have:
+            return
         self._answered.add(sender)
-        if self._state is CatchUpState.JOINING and body.configuration.version > NO_VERSION:
+        if has_news or known > NO_VERSION:
+            self._complete.add(sender)
+        if has_news and self._state is CatchUpState.JOINING:
             self._bodies[sender] = body
 
     def pop_platform_configuration(self) -> Configuration | None:
@@ -126,13 +138,16 @@
             return False
         peers = len(self._membership) - 1
         required = min(FETCH_FAN_OUT, peers) if self._is_list_known else FETCH_FAN_OUT
-        if len(self._answered) < required and now - self._started_at < CATCH_UP_TIMEOUT_S:
+        is_complete = len(self._complete) >= required
+        have_all_answered = self._is_list_known and len(self._answered) >= peers
+        is_over = now - self._started_at >= CATCH_UP_TIMEOUT_S
+        if not (is_complete or have_all_answered or is_over):
             return False
         if self._state is CatchUpState.JOINING and not self._has_configuration():
             return False
         self._state = CatchUpState.CURRENT
-        self._is_unanswered = required > 0 and not self._answered
-        self._outbox.log("version", f"caught up from {len(self._answered)} peers")
+        self._is_unanswered = peers > len(self._answered) and not self._complete
+        self._outbox.log("version", f"caught up from {len(self._complete)} peers")
         return True
 
     def tick(self, now: float) -> None:
@@ -178,7 +193,7 @@
             peer for peer in self._membership.list_reachable() if peer not in self._answered
         ]
         unasked = [peer for peer in unanswered if peer not in self._requested]
-        missing = FETCH_FAN_OUT - len(self._answered)
+        missing = FETCH_FAN_OUT - len(self._complete)
         for peer in self._membership.sample(unasked or unanswered, missing):
             self._requested.add(peer)
             self._outbox.send_fetch(peer, self._have)
--- a/src/chicoryproxy/control/exchange.py
+++ b/src/chicoryproxy/control/exchange.py
@@ -95,19 +95,22 @@
         self._versions.record_peer_version(sender, body.configuration.version)
         learned = self._membership.learn_instances(body.instances, now)
         self._push_instances(learned)
+        is_answer = _is_answer(sender, body)
         if self._catch_up.state is CatchUpState.JOINING:
-            self._catch_up.record_answer(sender, body)
-            self._finish_catch_up(now)
+            if is_answer:
+                self._catch_up.record_answer(sender, body)
+                self._finish_catch_up(now)
             return
-        if sender == self._recovered_peer:
+        if is_answer and sender == self._recovered_peer:
             self._recovered_peer = None
         self._versions.merge_generations(body.generations)
         self._adopt(body.configuration, now)
         self._versions.merge_generations(body.generations)
         if self._conditions.receive(body.conditions, now):
             self._membership.send_probe(sender)
-        self._catch_up.record_answer(sender, body)
-        self._finish_catch_up(now)
+        if is_answer:
+            self._catch_up.record_answer(sender, body)
+            self._finish_catch_up(now)
 
     def receive_version(
         self,
@@ -234,3 +237,8 @@
             instances,
             self._conditions.list_recent(now),
         )
+
+
+def _is_answer(sender: InstanceId, body: VersionBody) -> bool:
+    """Return whether a body answers a fetch; pushed instances don't include their sender."""
+    return any(instance.id == sender for instance in body.instances)
--- a/tests/test_late_news.py
+++ b/tests/test_late_news.py
@@ -3,13 +3,18 @@
 from collections.abc import Iterable
 
 import msgspec
+import pytest
 
-from chicoryproxy.control.versions import VersionStore
-from chicoryproxy.ids import UpstreamId
+from chicoryproxy.control.catchup import CatchUpState
+from chicoryproxy.control.versions import EMPTY_CONFIGURATION, VersionStore
+from chicoryproxy.ids import UpstreamId, Version
 from chicoryproxy.model import MAX_GENERATIONS, Configuration, Instance
 from chicoryproxy.protocol.actions import Forward
 from chicoryproxy.protocol.messages import (
+    Gossip,
     Member,
+    Ping,
+    VersionBody,
     ViewUpdate,
 )
 from chicoryproxy.protocol.packet import FLAG_ACK
@@ -22,6 +27,7 @@
     create_tenggara,
     create_upstream,
 )
+from tests.control_net import DOMAINS, ControlNet, make_configuration, make_instance, make_upstream
 
 CALLER = ("10.1.1.1", 0)
 PORTS = range(2000, 2200)
@@ -92,6 +98,59 @@
     assert targets[1] == targets[0]
 
 
+def make_history(net: ControlNet) -> None:
+    """Publish three versions with different members."""
+    for version, count in [(1, 3), (2, 4), (3, 5)]:
+        upstreams = [make_upstream(index, DOMAINS[index % 3]) for index in range(count)]
+        net.publish(make_configuration(version, upstreams))
+        net.run(2.0)
+
+
+@pytest.mark.parametrize("seed", range(1, 11))
+def test_instances_that_join_together_do_not_take_each_other_for_complete(seed: int) -> None:
+    net = ControlNet(6, seed)
+    make_history(net)
+    newcomers = [make_instance(index) for index in range(20, 32)]
+    net.instances += newcomers
+    net.publish_list(net.instances)
+    for newcomer in newcomers:
+        net.start(newcomer)
+    net.run(2.5)
+    known = {
+        newcomer.id: [entry.version for entry in net.views[newcomer.id].generations]
+        for newcomer in newcomers
+    }
+    assert known == dict.fromkeys(known, [1, 2, 3])
+
+
+def test_answer_from_before_a_skip_is_not_taken_for_the_skipped_versions() -> None:
+    net = ControlNet(4)
+    make_history(net)
+    skipping, *peers = (entry.id for entry in net.instances)
+    net.is_dropped = lambda sender, target: target == skipping
+    net.publish(make_configuration(9))
+    for peer in peers:
+        net.call(skipping, "receive_message", peer, Ping(1, Gossip(Version(8))))
+        body = VersionBody(EMPTY_CONFIGURATION, (), (net.cores[peer].get_instance(peer),), ())
+        net.call(skipping, "receive_message", peer, body)
+    assert net.cores[skipping].describe().catch_up is CatchUpState.FETCHING
+
+
+def test_pushed_instances_are_no_answer_to_a_joining_instance() -> None:
+    net = ControlNet(6)
+    make_history(net)
+    newcomer, other = make_instance(20), make_instance(21)
+    net.instances.append(newcomer)
+    net.publish_list(net.instances)
+    net.is_dropped = lambda sender, target: target == newcomer.id
+    net.start(newcomer)
+    net.run(0.2)
+    push = VersionBody(EMPTY_CONFIGURATION, (), (other,), ())
+    for entry in net.instances[:3]:
+        net.call(newcomer.id, "receive_message", entry.id, push)
+    assert net.cores[newcomer.id].describe().catch_up is CatchUpState.JOINING
+
+
 def test_idle_flows_stay_on_their_upstream_through_more_changes_than_generations_are_kept() -> None:
     deployment = create_tenggara(idle_timeout_s=300.0)
     service = deployment.configuration.services[0]
