Answer queries from records that came before the first packet

Cause: an entry builds the slots of a service at its first packet. Before that, it answered a new home with no records and reported no live flow, although it held those that it got as a successor. A new home and a release took that for the whole truth. Change: a query builds the slots if the entry has any record. Seen by callers: open flows sent to the base of their slot, if the home failed and a further entry became home before the fabric sent its successor a packet of the service. Both tests failed before (no records; live False).

--- a/src/chicoryproxy/routing/peers.py
+++ b/src/chicoryproxy/routing/peers.py
@@ -90,6 +90,7 @@
         records: list[FlowRecord] = []
         floors = []
         for question in message.questions:
+            self._build_slots(question.slot, now)
             limit = MAX_RECORDS_PER_ANSWER - len(records)
             records += self._find_records(question, limit)
             route = self._context.view.find_service(question.slot.service)
@@ -102,6 +103,12 @@
         self._context.take_over.invalidate(question.slot for question in message.questions)
         return [SendToPeer(sender, answer, Priority.SAFETY)]
 
+    def _build_slots(self, slot: SlotName, now: float) -> None:
+        """Build the slots of a service whose records came before its first packet."""
+        route = self._context.view.find_service(slot.service)
+        if route is not None and len(self._context.records):
+            self._context.view.get_slots(route, now)
+
     def _find_records(self, question: SlotQuestion, limit: int) -> list[FlowRecord]:
         """Return the records of a slot.
 
@@ -139,6 +146,8 @@
         return self._releases.apply_releases(released)
 
     def _handle_slot_query(self, sender: InstanceId, message: SlotQuery, now: float) -> Actions:
+        for slot in message.slots:
+            self._build_slots(slot, now)
         activities = tuple(self._describe_activity(slot) for slot in message.slots)
         return [SendToPeer(sender, SlotReport(message.query, activities), Priority.HANDOVER)]
 
--- a/tests/test_late_news.py
+++ b/tests/test_late_news.py
@@ -9,18 +9,27 @@
 from chicoryproxy.control.versions import EMPTY_CONFIGURATION, VersionStore
 from chicoryproxy.ids import UpstreamId, Version
 from chicoryproxy.model import MAX_GENERATIONS, Configuration, Instance
-from chicoryproxy.protocol.actions import Forward
+from chicoryproxy.protocol.actions import Forward, SendToPeer
 from chicoryproxy.protocol.messages import (
+    FlowAnswer,
+    FlowHints,
+    FlowQuery,
+    FlowRecord,
     Gossip,
     Member,
     Ping,
+    SlotName,
+    SlotQuery,
+    SlotQuestion,
+    SlotReport,
     VersionBody,
     ViewUpdate,
 )
-from chicoryproxy.protocol.packet import FLAG_ACK
+from chicoryproxy.protocol.packet import FLAG_ACK, PacketHeader, hash_flow, parse_packet
 from chicoryproxy.routing.router import PacketCore, create_packet_core
 from chicoryproxy.states import MemberState
 from chicoryproxy.testing import (
+    Deployment,
     FlowOutcome,
     Segment,
     change_upstreams,
@@ -51,6 +60,14 @@
     return ViewUpdate(number, configuration, generations, members, (), version, version, False)
 
 
+def create_core(deployment: Deployment, peers: int = 0) -> PacketCore:
+    """Create the core of the deployment's first instance, with a view of some peers."""
+    own = deployment.instances[0]
+    core = create_packet_core(own.id, own.domain, own.region)
+    core.update_view(build_update(deployment.configuration, deployment.instances[: peers + 1]), 0.0)
+    return core
+
+
 def list_targets(core: PacketCore, now: float) -> list[UpstreamId]:
     """Return the upstreams that data packets of unknown flows are forwarded to."""
     actions = [
@@ -98,6 +115,49 @@
     assert targets[1] == targets[0]
 
 
+def find_record(core: PacketCore, deployment: Deployment) -> tuple[SlotName, FlowRecord]:
+    """Return a flow on another upstream than the base of its slot, and the slot."""
+    service = deployment.configuration.services[0]
+    head = parse_packet(build_data_packet(PORTS[0]))
+    assert isinstance(head, PacketHeader)
+    flow = hash_flow(head)
+    reference = create_core(deployment)
+    reference.receive_packet(build_data_packet(PORTS[0]), CALLER, 0.0)
+    slots = reference.built_slots()[0]
+    slot = slots.name(slots.slot_of(flow))
+    other = next(item.id for item in service.upstreams if item.id != slots.base(slot.slot))
+    return slot, FlowRecord(flow, service.id, other)
+
+
+def list_messages(actions: Iterable[object]) -> list[object]:
+    return [action.message for action in actions if isinstance(action, SendToPeer)]
+
+
+def test_successor_without_packets_answers_a_new_home_with_its_records(
+    tenggara: Deployment,
+) -> None:
+    core = create_core(tenggara, peers=2)
+    slot, record = find_record(core, tenggara)
+    home, new_home = (instance.id for instance in tenggara.instances[1:3])
+    core.receive_message(home, FlowHints((record,)), 0.1)
+    query = FlowQuery(1, (SlotQuestion(slot, UpstreamId("")),))
+    (answer,) = list_messages(core.receive_message(new_home, query, 0.2))
+    assert isinstance(answer, FlowAnswer)
+    assert answer.records == (record,)
+
+
+def test_successor_without_packets_reports_its_live_flow_before_a_release(
+    tenggara: Deployment,
+) -> None:
+    core = create_core(tenggara, peers=2)
+    slot, record = find_record(core, tenggara)
+    home, new_home = (instance.id for instance in tenggara.instances[1:3])
+    core.receive_message(home, FlowHints((record,)), 0.1)
+    (report,) = list_messages(core.receive_message(new_home, SlotQuery(1, (slot,)), 0.2))
+    assert isinstance(report, SlotReport)
+    assert [activity.live for activity in report.activities] == [True]
+
+
 def make_history(net: ControlNet) -> None:
     """Publish three versions with different members."""
     for version, count in [(1, 3), (2, 4), (3, 5)]:
