Release no slot that a peer's report leaves out

Cause: any report with the number of the open query counted as the peer's consent to all queried slots. Numbers begin at 1 with each start of an entry, so a report for the process before a restart (a peer that was paused sends it late) released slots that the peer was never asked about. Change: a slot without an activity in a report is not released by that query. Seen by callers: open flows on an older upstream sent to the newest one after a false release. The test failed before (the slot was released).

--- a/src/chicoryproxy/routing/agreement.py
+++ b/src/chicoryproxy/routing/agreement.py
@@ -65,10 +65,14 @@
         return [SendToPeer(peer, query, Priority.HANDOVER) for peer in peers]
 
     def receive_report(self, sender: InstanceId, report: SlotReport) -> None:
-        """Process a peer's report; a report for an earlier query is ignored."""
+        """Process a peer's report; a report for an earlier query is ignored.
+
+        A slot that the report leaves out is not released.
+        """
         if report.query != self._query_number:
             return
         self._pending_peers.discard(sender)
+        self._vetoed.update(self._queried.keys() - {item.slot for item in report.activities})
         for activity in report.activities:
             ready = self._queried.get(activity.slot)
             if ready is None:
--- a/tests/test_late_news.py
+++ b/tests/test_late_news.py
@@ -18,14 +18,18 @@
     Gossip,
     Member,
     Ping,
+    SlotActivity,
     SlotName,
     SlotQuery,
     SlotQuestion,
+    SlotRelease,
     SlotReport,
     VersionBody,
     ViewUpdate,
 )
 from chicoryproxy.protocol.packet import FLAG_ACK, PacketHeader, hash_flow, parse_packet
+from chicoryproxy.routing.agreement import ReleasableSlot, create_release_agreement
+from chicoryproxy.routing.homes import create_home_directory
 from chicoryproxy.routing.router import PacketCore, create_packet_core
 from chicoryproxy.states import MemberState
 from chicoryproxy.testing import (
@@ -158,6 +162,28 @@
     assert [activity.live for activity in report.activities] == [True]
 
 
+@pytest.fixture
+def take_over_question(tenggara: Deployment) -> SlotQuestion:
+    slot = find_record(create_core(tenggara), tenggara)[0]
+    return SlotQuestion(slot, UpstreamId(""))
+
+
+def test_report_that_leaves_a_slot_out_releases_nothing(
+    tenggara: Deployment, take_over_question: SlotQuestion
+) -> None:
+    own, peer = tenggara.instances[:2]
+    directory = create_home_directory(own.id, own.domain, own.region)
+    directory.update([Member(own, MemberState.ALIVE), Member(peer, MemberState.ALIVE)])
+    agreement = create_release_agreement(directory)
+    release = SlotRelease(take_over_question.slot, Version(1), 0)
+    (query,) = list_messages(agreement.start_query([ReleasableSlot(release, 5.0)], 10.0))
+    assert isinstance(query, SlotQuery)
+    other = msgspec.structs.replace(release.slot, slot=release.slot.slot ^ 1)
+    activity = SlotActivity(other, Version(1), False)
+    agreement.receive_report(peer.id, SlotReport(query.query, (activity,)))
+    assert list(agreement.finish_query(12.0)) == []
+
+
 def make_history(net: ControlNet) -> None:
     """Publish three versions with different members."""
     for version, count in [(1, 3), (2, 4), (3, 5)]:
