Number requests to peers above those before a restart

Cause: queries, handovers and grant requests were numbered from 1 at each start of an entry, and the seal binds a message to the receiver's id, not to its process. An answer to the process before a restart (from a peer that was paused) had the number of a new request: a take-over counted as complete without that peer's records, a release as acknowledged, a refused request as a lease. Change: a number is at least the time in milliseconds of the monotonic clock, which goes on through a restart. The messages are unchanged (the fields have 64 bits). Seen by callers: open flows sent to the base of their slot after an entry restarted; a cold upstream above its limit. The three tests failed before; the one of handovers without the time that `add` takes now.

--- a/src/chicoryproxy/routing/agreement.py
+++ b/src/chicoryproxy/routing/agreement.py
@@ -15,6 +15,7 @@
     SlotReport,
 )
 from chicoryproxy.routing.homes import HomeDirectory
+from chicoryproxy.routing.requestnumber import next_request_number
 
 ANSWER_TIMEOUT_S = 1.0
 MAX_SLOTS_PER_QUERY = 32
@@ -58,7 +59,7 @@
         if not self._queried:
             return []
         peers = self._directory.listed_peers()
-        self._query_number += 1
+        self._query_number = next_request_number(self._query_number, now)
         self._pending_peers = set(peers)
         self._deadline_s = now + ANSWER_TIMEOUT_S
         query = SlotQuery(self._query_number, tuple(self._queried))
--- a/src/chicoryproxy/routing/grants.py
+++ b/src/chicoryproxy/routing/grants.py
@@ -5,8 +5,7 @@
 """
 
 from collections import deque
-from collections.abc import Callable, Iterator
-from itertools import count
+from collections.abc import Callable
 from typing import NewType
 
 from msgspec import Struct
@@ -15,6 +14,7 @@
 from chicoryproxy.model import Upstream, UpstreamCondition
 from chicoryproxy.protocol.messages import Grant, GrantRequest, OpeningOutcomes
 from chicoryproxy.routing.ramp import Ramp, create_evidence_ramp
+from chicoryproxy.routing.requestnumber import next_request_number
 from chicoryproxy.states import UpstreamState
 
 WINDOW_S = 1.0
@@ -294,7 +294,7 @@
     def __init__(self, request_timeout_s: float = REQUEST_TIMEOUT_S) -> None:
         self._request_timeout_s = request_timeout_s
         self._held: dict[UpstreamId, _HeldUpstream] = {}
-        self._numbers: Iterator[int] = count(1)
+        self._number = 0
 
     def use_opening(self, upstream: UpstreamId, now: float) -> LeaseNumber | None:
         """Use one opening of an unexpired lease.
@@ -335,7 +335,8 @@
             return None
         held.demand = max(held.attempts, held.demand // 2, 1)
         held.attempts = 0
-        held.pending = GrantRequest(next(self._numbers), upstream, held.demand)
+        self._number = next_request_number(self._number, now)
+        held.pending = GrantRequest(self._number, upstream, held.demand)
         held.requested_at = now
         return held.pending
 
--- a/src/chicoryproxy/routing/handover.py
+++ b/src/chicoryproxy/routing/handover.py
@@ -11,6 +11,7 @@
     Priority,
     SlotRelease,
 )
+from chicoryproxy.routing.requestnumber import next_request_number
 
 RESEND_S = 0.5
 MAX_RECORDS_PER_MESSAGE = 36
@@ -35,6 +36,7 @@
         successor: InstanceId,
         records: Sequence[FlowRecord],
         releases: Sequence[SlotRelease],
+        now: float,
     ) -> list[SendToPeer]:
         """Queue records and releases for a successor.
 
@@ -43,10 +45,10 @@
         actions = []
         for start in range(0, len(records), MAX_RECORDS_PER_MESSAGE):
             record_batch = tuple(records[start : start + MAX_RECORDS_PER_MESSAGE])
-            actions.append(self._enqueue(successor, record_batch, ()))
+            actions.append(self._enqueue(successor, record_batch, (), now))
         for start in range(0, len(releases), MAX_RELEASES_PER_MESSAGE):
             release_batch = tuple(releases[start : start + MAX_RELEASES_PER_MESSAGE])
-            actions.append(self._enqueue(successor, (), release_batch))
+            actions.append(self._enqueue(successor, (), release_batch, now))
         return actions
 
     def acknowledge(self, number: int, sender: InstanceId) -> Sequence[SlotRelease]:
@@ -82,8 +84,9 @@
         successor: InstanceId,
         records: tuple[FlowRecord, ...],
         releases: tuple[SlotRelease, ...],
+        now: float,
     ) -> SendToPeer:
-        self._number += 1
+        self._number = next_request_number(self._number, now)
         message = Handover(self._number, records, releases)
         action = SendToPeer(successor, message, Priority.HANDOVER)
         self._unacknowledged[self._number] = action
@@ -119,6 +122,7 @@
         peers: Iterable[InstanceId],
         records: Mapping[InstanceId, Sequence[FlowRecord]],
         releases: Mapping[InstanceId, Sequence[SlotRelease]],
+        now: float,
     ) -> list[SendToPeer]:
         """Begin the shutdown.
 
@@ -131,7 +135,8 @@
         actions = []
         for successor in sorted({*records, *releases}):
             pending_releases = releases.get(successor, ())
-            actions += self._queue.add(successor, records.get(successor, ()), pending_releases)
+            pending_records = records.get(successor, ())
+            actions += self._queue.add(successor, pending_records, pending_releases, now)
         return actions
 
     def acknowledge_notice(self, peer: InstanceId) -> None:
--- a/src/chicoryproxy/routing/releases.py
+++ b/src/chicoryproxy/routing/releases.py
@@ -62,7 +62,7 @@
             else:
                 actions += self.apply_releases((release,))
         for successor, releases in releases_by_successor.items():
-            actions += self._context.handovers.add(successor, (), releases)
+            actions += self._context.handovers.add(successor, (), releases, now)
         return actions
 
     def apply_releases(self, releases: Sequence[SlotRelease]) -> Actions:
--- a/src/chicoryproxy/routing/router.py
+++ b/src/chicoryproxy/routing/router.py
@@ -175,6 +175,7 @@
             self._context.directory.answering_peers(),
             self._records_by_home(),
             self._releases.releases_by_home(),
+            now,
         )
         self._context.handle_home_change()
         return actions + self._leaving.tick(now)
--- a/src/chicoryproxy/routing/takeover.py
+++ b/src/chicoryproxy/routing/takeover.py
@@ -10,6 +10,7 @@
 from chicoryproxy.ids import InstanceId
 from chicoryproxy.protocol.actions import SendToPeer
 from chicoryproxy.protocol.messages import FlowAnswer, FlowQuery, Priority, SlotName, SlotQuestion
+from chicoryproxy.routing.requestnumber import next_request_number
 from chicoryproxy.routing.route import PacketContext
 
 ANSWER_TIMEOUT_S = 0.05
@@ -100,7 +101,7 @@
         questions = self._collect_questions()
         if not questions:
             return []
-        self._query_number += 1
+        self._query_number = next_request_number(self._query_number, now)
         self._query_count += 1
         self._queried = frozenset(question.slot for question in questions)
         self._pending_peers = set(peers)
--- a/tests/test_late_news.py
+++ b/tests/test_late_news.py
@@ -7,7 +7,7 @@
 
 from chicoryproxy.control.catchup import CatchUpState
 from chicoryproxy.control.versions import EMPTY_CONFIGURATION, VersionStore
-from chicoryproxy.ids import UpstreamId, Version
+from chicoryproxy.ids import InstanceId, UpstreamId, Version
 from chicoryproxy.model import MAX_GENERATIONS, Configuration, Instance
 from chicoryproxy.protocol.actions import Forward, SendToPeer
 from chicoryproxy.protocol.messages import (
@@ -16,6 +16,8 @@
     FlowQuery,
     FlowRecord,
     Gossip,
+    Grant,
+    Handover,
     Member,
     Ping,
     SlotActivity,
@@ -29,8 +31,11 @@
 )
 from chicoryproxy.protocol.packet import FLAG_ACK, PacketHeader, hash_flow, parse_packet
 from chicoryproxy.routing.agreement import ReleasableSlot, create_release_agreement
+from chicoryproxy.routing.grants import GrantHolder
+from chicoryproxy.routing.handover import create_handover_queue
 from chicoryproxy.routing.homes import create_home_directory
 from chicoryproxy.routing.router import PacketCore, create_packet_core
+from chicoryproxy.routing.takeover import create_take_over
 from chicoryproxy.states import MemberState
 from chicoryproxy.testing import (
     Deployment,
@@ -168,6 +173,22 @@
     return SlotQuestion(slot, UpstreamId(""))
 
 
+def test_answer_to_the_process_before_a_restart_completes_no_query(
+    take_over_question: SlotQuestion,
+) -> None:
+    peers = [InstanceId("entry-2")]
+    before, after = create_take_over(), create_take_over()
+    numbers = []
+    for take_over, now in ((before, 10.0), (after, 20.0)):
+        take_over.request_refresh([take_over_question])
+        (query,) = list_messages(take_over.start_query(peers, now))
+        assert isinstance(query, FlowQuery)
+        numbers.append(query.query)
+    after.receive_answer(peers[0], FlowAnswer(numbers[0], ()))
+    after.finish_query(20.01)
+    assert not after.has_all_records(take_over_question.slot)
+
+
 def test_report_that_leaves_a_slot_out_releases_nothing(
     tenggara: Deployment, take_over_question: SlotQuestion
 ) -> None:
@@ -253,3 +274,24 @@
         fleet.run(1.0)
     fleet.run(45.0)
     assert fleet.count(flows) == {FlowOutcome.DONE: len(flows)}
+
+
+def test_grant_to_the_process_before_a_restart_is_no_lease() -> None:
+    upstream = UpstreamId("qa-desk-0")
+    before, after = GrantHolder(), GrantHolder()
+    former = before.next_request(upstream, 10.0)
+    assert former is not None
+    assert after.next_request(upstream, 20.0) is not None
+    assert not after.receive(Grant(former.request, upstream, 5, 1.0), 20.1)
+
+
+def test_acknowledgement_of_the_process_before_a_restart_issues_no_release(
+    take_over_question: SlotQuestion,
+) -> None:
+    peer = InstanceId("entry-2")
+    release = SlotRelease(take_over_question.slot, Version(1), 0)
+    before, after = create_handover_queue(), create_handover_queue()
+    (former,) = list_messages(before.add(peer, (), (release,), 10.0))
+    assert isinstance(former, Handover)
+    after.add(peer, (), (release,), 20.0)
+    assert list(after.acknowledge(former.number, peer)) == []
