Query the other peers of a small region at once when one has nothing

Cause: since a fleet of more than 4 that starts together waited for the next round of requests (0.4 s).

--- a/src/chicoryproxy/control/catchup.py
+++ b/src/chicoryproxy/control/catchup.py
@@ -9,6 +9,7 @@
 
 from chicoryproxy.control.membership import Membership
 from chicoryproxy.control.outbox import Outbox
+from chicoryproxy.control.readers import NOTIFY_ALL_MAX_MEMBERS
 from chicoryproxy.control.versions import VersionStore
 from chicoryproxy.ids import NO_VERSION, InstanceId, Version
 from chicoryproxy.model import Configuration
@@ -101,10 +102,11 @@
         ):
             self._platform_configuration = configuration
 
-    def record_answer(self, sender: InstanceId, body: VersionBody) -> None:
+    def record_answer(self, sender: InstanceId, body: VersionBody, now: float) -> None:
         """Record the answer of a peer; its content is kept only while this instance joins.
 
-        The answer of a peer that joins as well is not complete, as it has no generations. One
+        The answer of a peer that joins as well is not complete, as it has no generations. In a
+        small region the others are queried at once, so that a new fleet doesn't wait. One
         that lacks a version which the peer is known to have was sent before this fetch.
         """
         known = self._versions.get_peer_version(sender)
@@ -114,6 +116,8 @@
         self._answered.add(sender)
         if has_news or known > NO_VERSION:
             self._complete.add(sender)
+        elif len(self._membership) <= NOTIFY_ALL_MAX_MEMBERS:
+            self._send_requests(now, only_unasked=True)
         if has_news and self._state is CatchUpState.JOINING:
             self._bodies[sender] = body
 
@@ -187,13 +191,14 @@
         drawn = self._membership.sample(holders or reachable, 1)
         return drawn[0] if drawn else None
 
-    def _send_requests(self, now: float) -> None:
+    def _send_requests(self, now: float, only_unasked: bool = False) -> None:
         self._requested_at = now
         unanswered = [
             peer for peer in self._membership.list_reachable() if peer not in self._answered
         ]
         unasked = [peer for peer in unanswered if peer not in self._requested]
         missing = FETCH_FAN_OUT - len(self._complete)
-        for peer in self._membership.sample(unasked or unanswered, missing):
+        candidates = unasked if only_unasked else unasked or unanswered
+        for peer in self._membership.sample(candidates, missing):
             self._requested.add(peer)
             self._outbox.send_fetch(peer, self._have)
--- a/src/chicoryproxy/control/exchange.py
+++ b/src/chicoryproxy/control/exchange.py
@@ -98,7 +98,7 @@
         is_answer = _is_answer(sender, body)
         if self._catch_up.state is CatchUpState.JOINING:
             if is_answer:
-                self._catch_up.record_answer(sender, body)
+                self._catch_up.record_answer(sender, body, now)
                 self._finish_catch_up(now)
             return
         if is_answer and sender == self._recovered_peer:
@@ -109,7 +109,7 @@
         if self._conditions.receive(body.conditions, now):
             self._membership.send_probe(sender)
         if is_answer:
-            self._catch_up.record_answer(sender, body)
+            self._catch_up.record_answer(sender, body, now)
             self._finish_catch_up(now)
 
     def receive_version(
