Suspect an instance that answers when a peer calls it gone

Cause: the news that a peer is gone removed it at once, also where it answered. The sender may have been cut off from it while a lagging list lacked it. Until the refutation arrived, its slots had other homes here, and a take-over didn't ask it for its records. Change: such news makes an instance that answers suspected; it is removed if it doesn't refute within the suspicion time, at once if it was hidden here. Seen by callers: after a healed partition, open flows of contested slots sent to other upstreams. The test failed before (peers on its side lacked the instance in 45 of 600 observations).

--- a/src/chicoryproxy/control/membership.py
+++ b/src/chicoryproxy/control/membership.py
@@ -347,6 +347,8 @@
             return
         if update.state is MemberState.HIDDEN:
             self._receive_hidden_update(peer, update, now)
+        elif update.state is MemberState.GONE:
+            self._receive_gone_update(peer, update, now)
         elif self._is_vouched_for(sender, peer, update, now):
             self._mark_alive(peer, False, now)
         else:
@@ -362,6 +364,20 @@
         else:
             self._probe_order.prioritize(peer.instance.id)
 
+    def _receive_gone_update(self, peer: PeerRecord, update: MemberUpdate, now: float) -> None:
+        """Remove a peer that doesn't answer here either; one that answers may refute its removal.
+
+        The sender may have been cut off from the peer while the published list lacked it.
+        """
+        if update.incarnation < peer.incarnation:
+            return
+        peer.incarnation = update.incarnation
+        peer.reported_gone = True
+        if peer.state is MemberState.HIDDEN:
+            self._remove(peer, now)
+        elif peer.state is not MemberState.SUSPECT:
+            self._suspect(peer, True, now)
+
     def _is_vouched_for(
         self, sender: InstanceId, peer: PeerRecord, update: MemberUpdate, now: float
     ) -> bool:
@@ -385,9 +401,7 @@
         if (update.incarnation, _RANKS[state]) <= (peer.incarnation, rank):
             return
         peer.incarnation = update.incarnation
-        if state is MemberState.GONE:
-            self._remove(peer, now)
-        elif state is MemberState.SUSPECT:
+        if state is MemberState.SUSPECT:
             self._suspect(peer, False, now)
         else:
             peer.leaving = state is MemberState.LEAVING
@@ -402,6 +416,7 @@
             self._recovered.append(
                 RecoveredPeer(instance, peer.since, len(self._probe_order.hidden) > 1)
             )
+        peer.reported_gone = False
         self._suspected_at.pop(instance, None)
         self._probe_order.hidden.pop(instance, None)
         self._set_state(peer, MemberState.ALIVE, now, is_gossiped)
@@ -421,7 +436,7 @@
         for instance in ended:
             del self._suspected_at[instance]
             peer = self._peers[instance]
-            if not peer.listed:
+            if not peer.listed or peer.reported_gone:
                 self._remove(peer, now)
                 continue
             self._probe_order.hidden[instance] = None
--- a/src/chicoryproxy/control/membertable.py
+++ b/src/chicoryproxy/control/membertable.py
@@ -17,10 +17,20 @@
 
     :ivar listed: false if the last published list didn't contain the peer.
     :ivar leaving: the peer announced that it is leaving.
+    :ivar reported_gone: a peer has removed it; holds until the instance answers or refutes.
     :ivar seen_alive: the peer answered, or gossip reported it alive; a list alone doesn't count.
     """
 
-    __slots__ = ("instance", "state", "incarnation", "listed", "leaving", "seen_alive", "since")
+    __slots__ = (
+        "instance",
+        "state",
+        "incarnation",
+        "listed",
+        "leaving",
+        "reported_gone",
+        "seen_alive",
+        "since",
+    )
 
     def __init__(self, instance: Instance, now: float) -> None:
         self.instance = instance
@@ -28,6 +38,7 @@
         self.incarnation = Incarnation(0)
         self.listed = True
         self.leaving = False
+        self.reported_gone = False
         self.seen_alive = False
         self.since = now
 
--- a/tests/test_late_news.py
+++ b/tests/test_late_news.py
@@ -10,6 +10,7 @@
 from chicoryproxy.ids import InstanceId, UpstreamId, Version
 from chicoryproxy.model import MAX_GENERATIONS, Configuration, Instance
 from chicoryproxy.protocol.actions import Forward, SendToPeer
+from chicoryproxy.protocol.events import InstancesRead
 from chicoryproxy.protocol.messages import (
     FlowAnswer,
     FlowHints,
@@ -205,6 +206,26 @@
     assert list(agreement.finish_query(12.0)) == []
 
 
+def test_instance_that_answers_is_not_removed_by_the_news_of_a_healed_partition() -> None:
+    net = ControlNet(12)
+    net.run(5.0)
+    left = {entry.id for entry in net.instances[::3]}
+    newest = net.instances[0]
+    peers = sorted(left - {newest.id})
+    net.is_dropped = lambda sender, target: (sender in left) != (target in left)
+    net.run(10.0)
+    for id_ in sorted(net.watching - left):
+        net.call(id_, "receive_reading", InstancesRead(tuple(net.instances[1:])))
+    net.run(5.0)
+    net.is_dropped = lambda sender, target: False
+    missed = 0
+    for _ in range(200):
+        net.run(0.1)
+        missed += sum(net.get_state(id_, newest.id) is None for id_ in peers)
+    assert missed == 0
+    assert all(net.get_state(id_, newest.id) is MemberState.ALIVE for id_ in net.cores)
+
+
 def make_history(net: ControlNet) -> None:
     """Publish three versions with different members."""
     for version, count in [(1, 3), (2, 4), (3, 5)]:
