Let only the home refuse a flow whose upstream is no longer listed

Cause: an entry whose view is behind names the upstream at a reused address by its predecessor's id. It recorded flows that the new upstream had answered under the old id, and reset them at the next version. Change: an entry that is not the home of the slot discards such a record and passes the packet. Seen by callers: an open flow of a sound upstream reset after its address had changed owners. Flows of upstreams that are gone take one more hop before their reset. `chicory-ctl explain` says so. The test in test_late_news failed before (reset instead of a pass).

--- a/src/chicoryproxy/routing/decision.py
+++ b/src/chicoryproxy/routing/decision.py
@@ -66,6 +66,19 @@
         self._update_record(packet, target.upstream, now)
         return self._forward(packet, target.upstream, RouteReason.KNOWN_FLOW)
 
+    def discard_gone_record(self, packet: PacketContext) -> None:
+        """Discard the record of a flow whose upstream is no longer listed.
+
+        An older view may have named the upstream at a reused address by its predecessor's id, so
+        that only the home refuses the flow.
+        """
+        target = self._context.records.find(packet.flow)
+        policy = self._context.view.egress_policy
+        if target is None or policy is None or target.service != packet.route.id:
+            return
+        if policy.check(target.service, target.upstream) is DropReason.NOT_LISTED:
+            self._context.records.table.remove(packet.flow)
+
     def decide_as_home(self, packet: PacketContext, now: float) -> Actions:
         """Decide on a packet as the home of its slot."""
         if packet.head.flags & FLAG_RST:
--- a/src/chicoryproxy/routing/explanation.py
+++ b/src/chicoryproxy/routing/explanation.py
@@ -338,10 +338,18 @@
         if self._record is None:
             return None
         is_closing = self._context.records.has_flag(self._flow_key, FlowFlag.CLOSING)
-        if packet is PacketKind.OPENING and is_closing:
+        if (packet is PacketKind.OPENING and is_closing) or self._is_discarded(self._record):
             return None
         return self._predict_forward(packet, self._record.upstream, RouteReason.KNOWN_FLOW)
 
+    def _is_discarded(self, record: RecordTarget) -> bool:
+        """Return whether only the home may refuse the flow of a record."""
+        is_home = self._context.directory.is_home(self._slot_name)
+        policy = self._context.view.egress_policy
+        if is_home or policy is None:
+            return False
+        return policy.check(record.service, record.upstream) is DropReason.NOT_LISTED
+
     def _predict_at_home(self, packet: PacketKind) -> OutcomeStep:
         newest = self._slots.newest(self._slot)
         if self._slots.is_clean(self._slot) and newest is not None:
--- a/src/chicoryproxy/routing/router.py
+++ b/src/chicoryproxy/routing/router.py
@@ -251,6 +251,8 @@
             records.table.touch(flow, now)
 
     def _route_contested(self, packet: PacketContext, now: float) -> Sequence[PacketAction]:
+        if not self._context.directory.is_home(packet.slot):
+            self._decider.discard_gone_record(packet)
         forwarded = self._decider.forward_by_record(packet, now)
         if forwarded is not None:
             return forwarded
--- a/tests/test_explanation.py
+++ b/tests/test_explanation.py
@@ -140,6 +140,20 @@
     assert seen[OutcomeKind.REFUSE] > 0
 
 
+def test_predicts_packets_of_flows_on_an_upstream_that_is_removed(fleet, service, get_explanation):
+    drained = msgspec.structs.replace(service.upstreams[0], draining=True)
+    upstreams = (drained, *service.upstreams[1:])
+    fleet.publish(change_upstreams(fleet.platform.served, service.id, upstreams))
+    fleet.run(2.0)
+    check_predictions(fleet, get_explanation, NEW_PORTS)
+    fleet.run(2.0)
+    fleet.publish(change_upstreams(fleet.platform.served, service.id, service.upstreams[1:]))
+    fleet.run(1.0)
+    seen = check_predictions(fleet, get_explanation, NEW_PORTS)
+    assert seen[OutcomeKind.PASS] > 0
+    assert seen[OutcomeKind.REFUSE] > 0
+
+
 def test_lists_the_candidates_of_a_contested_slot(fleet, service, get_explanation):
     drained = msgspec.structs.replace(service.upstreams[0], draining=True)
     upstreams = (drained, *service.upstreams[1:])
--- a/tests/test_late_news.py
+++ b/tests/test_late_news.py
@@ -9,7 +9,7 @@
 from chicoryproxy.control.versions import EMPTY_CONFIGURATION, VersionStore
 from chicoryproxy.ids import InstanceId, UpstreamId, Version
 from chicoryproxy.model import MAX_GENERATIONS, Configuration, Instance
-from chicoryproxy.protocol.actions import Forward, SendToPeer
+from chicoryproxy.protocol.actions import Forward, ReturnPacket, SendToPeer
 from chicoryproxy.protocol.events import InstancesRead
 from chicoryproxy.protocol.messages import (
     FlowAnswer,
@@ -20,6 +20,7 @@
     Grant,
     Handover,
     Member,
+    PassedPacket,
     Ping,
     SlotActivity,
     SlotName,
@@ -30,7 +31,7 @@
     VersionBody,
     ViewUpdate,
 )
-from chicoryproxy.protocol.packet import FLAG_ACK, PacketHeader, hash_flow, parse_packet
+from chicoryproxy.protocol.packet import FLAG_ACK, FLAG_SYN, PacketHeader, hash_flow, parse_packet
 from chicoryproxy.routing.agreement import ReleasableSlot, create_release_agreement
 from chicoryproxy.routing.grants import GrantHolder
 from chicoryproxy.routing.handover import create_handover_queue
@@ -316,3 +317,37 @@
     assert isinstance(former, Handover)
     after.add(peer, (), (release,), 20.0)
     assert list(after.acknowledge(former.number, peer)) == []
+
+
+def is_passed(actions: Iterable[object]) -> bool:
+    """Return whether a packet was passed to the home of its slot."""
+    return any(isinstance(message, PassedPacket) for message in list_messages(actions))
+
+
+def build_syn_ack(port: int) -> bytes:
+    """Build the answer of an upstream to an opening from a port."""
+    flags = FLAG_SYN | FLAG_ACK
+    return Segment(b"\xc6\x33\x64\x01", 443, b"\x0a\x01\x01\x01", port, flags, 1, 1).pack()
+
+
+def test_flow_answered_from_a_reused_address_is_not_reset_after_the_next_version() -> None:
+    deployment = create_tenggara()
+    service = deployment.configuration.services[0]
+    replaced = service.upstreams[0]
+    renamed = msgspec.structs.replace(replaced, id=UpstreamId("qa-desk-9"))
+    upstreams = (*service.upstreams[1:], renamed)
+    newer = change_upstreams(deployment.configuration, service.id, upstreams)
+    core = create_core(deployment, peers=2)
+    source = (replaced.address.host, replaced.address.port)
+    ports = [
+        port
+        for port in PORTS
+        if is_passed(core.receive_packet(build_data_packet(port), CALLER, 0.1))
+    ]
+    for port in ports:
+        core.receive_packet(build_syn_ack(port), source, 0.2)
+    core.update_view(build_update(newer, deployment.instances[:3]), 0.3)
+    actions = [core.receive_packet(build_data_packet(port), CALLER, 0.4) for port in ports]
+    assert actions
+    assert all(is_passed(item) for item in actions)
+    assert not any(isinstance(action, ReturnPacket) for item in actions for action in item)
