Show that a reused port follows the record of its former flow

A caller that uses a port again within the idle timeout of a contested slot meets entries that saw no FIN of its former flow and still have that flow's record.

--- a/tests/test_late_news.py
+++ b/tests/test_late_news.py
@@ -351,3 +351,21 @@
     assert actions
     assert all(is_passed(item) for item in actions)
     assert not any(isinstance(action, ReturnPacket) for item in actions for action in item)
+
+
+def test_flow_that_reuses_a_port_is_not_sent_to_the_upstream_of_the_former_flow() -> None:
+    deployment = create_tenggara(idle_timeout_s=60.0)
+    service = deployment.configuration.services[0]
+    fleet = deployment.create_fleet()
+    fleet.run(START_S)
+    upstreams = list(service.upstreams)
+    outcomes = []
+    for draining in (2, 3):
+        upstreams[draining] = msgspec.structs.replace(upstreams[draining], draining=True)
+        fleet.publish(change_upstreams(fleet.platform.served, service.id, upstreams))
+        fleet.run(4.0)
+        fleet._next_flow_number = 0
+        flows = fleet.open_flows(service, 800, 4.0, rounds=2, interval_s=0.5)
+        fleet.run(9.0 if draining == 2 else 30.0)
+        outcomes.append(fleet.count(flows))
+    assert outcomes == [{FlowOutcome.DONE: 800}, {FlowOutcome.DONE: 800}]
