--- a/tests/test_late_news.py
+++ b/tests/test_late_news.py
@@ -1,15 +1,19 @@
 """Tests of news that arrives late, out of order, or from a sender that lacks part of it."""
 
+import itertools
 from collections.abc import Iterable
 
 import msgspec
 import pytest
 
 from chicoryproxy.control.catchup import CatchUpState
-from chicoryproxy.control.versions import EMPTY_CONFIGURATION, VersionStore
+from chicoryproxy.control.conditions import ConditionStore
+from chicoryproxy.control.outbox import Outbox
+from chicoryproxy.control.versions import EMPTY_CONFIGURATION, VersionChange, VersionStore
 from chicoryproxy.ids import InstanceId, UpstreamId, Version
-from chicoryproxy.model import MAX_GENERATIONS, Configuration, Instance
+from chicoryproxy.model import MAX_GENERATIONS, Configuration, Instance, UpstreamCondition
 from chicoryproxy.protocol.actions import Forward, ReturnPacket, SendToPeer
+from chicoryproxy.protocol.budget import ControlBudget
 from chicoryproxy.protocol.events import InstancesRead
 from chicoryproxy.protocol.messages import (
     FlowAnswer,
@@ -38,7 +42,7 @@
 from chicoryproxy.routing.homes import create_home_directory
 from chicoryproxy.routing.router import PacketCore, create_packet_core
 from chicoryproxy.routing.takeover import create_take_over
-from chicoryproxy.states import MemberState
+from chicoryproxy.states import MemberState, UpstreamState
 from chicoryproxy.testing import (
     Deployment,
     FlowOutcome,
@@ -369,3 +373,42 @@
         fleet.run(9.0 if draining == 2 else 30.0)
         outcomes.append(fleet.count(flows))
     assert outcomes == [{FlowOutcome.DONE: 800}, {FlowOutcome.DONE: 800}]
+
+
+@pytest.mark.parametrize("is_listed_first", [True, False])
+@pytest.mark.parametrize("is_reversed", [True, False])
+def test_conditions_end_equal_in_whatever_order_they_arrive(
+    is_listed_first: bool, is_reversed: bool
+) -> None:
+    upstream = make_upstream(0, DOMAINS[0])
+    news = [
+        UpstreamCondition(upstream.id, UpstreamState.READY, 1),
+        UpstreamCondition(upstream.id, UpstreamState.COLD, 3),
+        UpstreamCondition(upstream.id, UpstreamState.WARMING, 3),
+        UpstreamCondition(upstream.id, UpstreamState.SHEDDING, 2),
+    ]
+    store = ConditionStore(Outbox(ControlBudget(4096.0)))
+    change = VersionChange(EMPTY_CONFIGURATION, make_configuration(1, [upstream]))
+    if is_listed_first:
+        store.apply_change(change, 0.0)
+    for condition in reversed(news) if is_reversed else news:
+        store.receive((condition,), 1.0)
+    if not is_listed_first:
+        store.apply_change(change, 2.0)
+    known = store.get(upstream.id)
+    assert known is not None
+    assert (known.state, known.epoch) == (UpstreamState.COLD, 3)
+
+
+def test_condition_from_before_an_upstream_was_removed_does_not_return_with_it() -> None:
+    upstream = make_upstream(0, DOMAINS[0])
+    store = ConditionStore(Outbox(ControlBudget(4096.0)))
+    versions = [EMPTY_CONFIGURATION, make_configuration(1, [upstream])]
+    versions += [make_configuration(2, []), make_configuration(3, [upstream])]
+    late = UpstreamCondition(upstream.id, UpstreamState.READY, 9)
+    for previous, current in itertools.pairwise(versions):
+        store.apply_change(VersionChange(previous, current), float(current.version))
+        store.receive((late,), float(current.version))
+    known = store.get(upstream.id)
+    assert known is not None
+    assert known.state is UpstreamState.COLD
