--- a/src/chicoryproxy/routing/agreement.py
+++ b/src/chicoryproxy/routing/agreement.py
@@ -15,6 +15,7 @@
     SlotReport,
 )
 from chicoryproxy.routing.homes import HomeDirectory
+from chicoryproxy.routing.requestnumber import next_request_number
 
 ANSWER_TIMEOUT_S = 1.0
 MAX_SLOTS_PER_QUERY = 32
@@ -58,17 +59,21 @@
         if not self._queried:
             return []
         peers = self._directory.listed_peers()
-        self._query_number += 1
+        self._query_number = next_request_number(self._query_number, now)
         self._pending_peers = set(peers)
         self._deadline_s = now + ANSWER_TIMEOUT_S
         query = SlotQuery(self._query_number, tuple(self._queried))
         return [SendToPeer(peer, query, Priority.HANDOVER) for peer in peers]
 
     def receive_report(self, sender: InstanceId, report: SlotReport) -> None:
-        """Process a peer's report; a report for an earlier query is ignored."""
+        """Process a peer's report; a report for an earlier query is ignored.
+
+        A slot that the report leaves out is not released.
+        """
         if report.query != self._query_number:
             return
         self._pending_peers.discard(sender)
+        self._vetoed.update(self._queried.keys() - {item.slot for item in report.activities})
         for activity in report.activities:
             ready = self._queried.get(activity.slot)
             if ready is None:
--- a/src/chicoryproxy/routing/router.py
+++ b/src/chicoryproxy/routing/router.py
@@ -175,6 +175,7 @@
             self._context.directory.answering_peers(),
             self._records_by_home(),
             self._releases.releases_by_home(),
+            now,
         )
         self._context.handle_home_change()
         return actions + self._leaving.tick(now)
@@ -205,7 +206,7 @@
     def collect_report(self) -> EntryReport:
         """Return the report for the view, and clear the outcomes collected for it."""
         clean = tuple(
-            ServiceClean(slots.service, slots.version)
+            ServiceClean(slots.service, slots.report_clean())
             for slots in self._context.view.built_slots()
             if slots.has_unneeded_generations
         )
@@ -250,6 +251,8 @@
             records.table.touch(flow, now)
 
     def _route_contested(self, packet: PacketContext, now: float) -> Sequence[PacketAction]:
+        if not self._context.directory.is_home(packet.slot):
+            self._decider.discard_gone_record(packet)
         forwarded = self._decider.forward_by_record(packet, now)
         if forwarded is not None:
             return forwarded
--- a/src/chicoryproxy/routing/slots.py
+++ b/src/chicoryproxy/routing/slots.py
@@ -7,7 +7,7 @@
 from msgspec import Struct
 
 from chicoryproxy.ids import NO_VERSION, Epoch, FlowKey, ServiceId, SlotIndex, UpstreamId, Version
-from chicoryproxy.model import Generation, UpstreamCondition
+from chicoryproxy.model import MAX_GENERATIONS, Generation, UpstreamCondition
 from chicoryproxy.protocol.actions import Forward
 from chicoryproxy.protocol.messages import SlotFloor, SlotName, SlotRelease
 from chicoryproxy.routing.placement import PlacementTable, create_table
@@ -58,6 +58,7 @@
         self._release_requests: dict[int, float] = {}
         self._epochs: dict[UpstreamId, Epoch] = {}
         self._pruned: Version = NO_VERSION
+        self._reported_clean: Version = NO_VERSION
 
     @property
     def version(self) -> Version:
@@ -74,6 +75,17 @@
         """Whether older generations are retained although no slot needs them."""
         return len(self._tables) > 1 and not self._changed
 
+    def report_clean(self) -> Version:
+        """Return the version as of which the view may discard older generations."""
+        self._reported_clean = self.version
+        return self.version
+
+    def list_needed(self, generations: Iterable[Generation]) -> list[Generation]:
+        """Return the generations that count while slots have several candidates."""
+        if not self._changed:
+            return []
+        return [item for item in generations if item.version >= self._reported_clean]
+
     @property
     def held_count(self) -> int:
         """Number of slots that wait for a release by their home."""
@@ -95,6 +107,7 @@
         :returns: slots that were clean before and are contested now.
         """
         known = {item.generation: item for item in self._tables}
+        skipped = bool(known) and sum(item not in known for item in generations) > 1
         oldest = self._tables[0].generation.version if self._tables else None
         self._tables = tuple(
             known.get(generation) or SlotTable(generation, create_table(generation))
@@ -105,6 +118,9 @@
         self._placed = self._choose_placed(placed)
         self._resize(max((item.table.size for item in self._tables), default=1))
         self._index_newest()
+        if skipped and len(self._tables) >= MAX_GENERATIONS:
+            # A slot may have been contested by a generation that is no longer retained.
+            self.hold_all()
         return self._find_changed(now)
 
     def set_placed_version(self, placed: Version) -> None:
