Let an entry read the store if peers leave it behind

A calm entry learned at 17.97 s of a drain from 14.21 s: from 15.5 s on it knew that peers had a newer revision, but asked only slow ones, which did not answer (peer_silent, six times), while heartbeats kept its view confirmed, so that it did not ask the store either.

An entry that lacks a revision for 0.8 s, although it asked for it, reads the store.

test_an_entry_that_peers_leave_behind_reads_the_store failed before.

--- a/src/chicoryproxy/forwarding/readerpolicy.py
+++ b/src/chicoryproxy/forwarding/readerpolicy.py
@@ -1,9 +1,11 @@
 """Decides which entries read the platform's store.
 
 One reader per failure domain watches the store; the others learn of changes from heartbeats. An
-entry whose view was not confirmed for some time reads the store itself.
+entry whose view was not confirmed for some time, or that does not get a change that its peers have,
+reads the store itself.
 """
 
+from chicoryproxy.forwarding.model import NO_REVISION, Revision
 from chicoryproxy.forwarding.peering import PeerGroup
 
 READERS_PER_DOMAIN = 1
@@ -21,6 +23,10 @@
 PEER_SILENCE_S = 1.5
 """An entry that got no heartbeat for this long reads the store itself."""
 
+MAX_BEHIND_S = 0.8
+"""An entry that lacks a change for this long, although it asked peers for it, reads the store.
+Slow peers may announce a change and be too slow to pass it on."""
+
 
 class ReaderPolicy:
     """Decides whether this entry reads the store.
@@ -33,6 +39,9 @@
         self._peers = peers
         self.set_config_apply_s(config_apply_s)
         self._last_heard_s = started_s
+        self._synced = NO_REVISION
+        self._missing = NO_REVISION
+        self._missing_since_s = started_s
 
     def set_config_apply_s(self, config_apply_s: float) -> None:
         """Set the time limit for applying a configuration change, in seconds."""
@@ -47,6 +56,16 @@
         """Record that a heartbeat arrived."""
         self._last_heard_s = now
 
+    def record_progress(self, synced: Revision, newest: Revision, now: float) -> None:
+        """Record up to which revision this entry knows all changes.
+
+        :param newest: newest revision that a peer reports.
+        """
+        self._synced = synced
+        if synced >= self._missing:
+            self._missing = newest
+            self._missing_since_s = now
+
     def should_read(self, now: float) -> bool:
         """Return whether this entry should read the store now."""
         if self._hears_no_peer(now):
@@ -56,11 +75,14 @@
             and self._peers.get_reader_rank(now) < READERS_PER_DOMAIN
         ):
             return True
-        return self.is_overdue(now)
+        return self.is_overdue(now) or self._is_behind(now)
 
     def get_max_wait_s(self, now: float) -> float:
         """Return the maximum wait of a watch, in seconds."""
         return NO_PEER_WAIT_S if self._hears_no_peer(now) else self._wait_s
 
+    def _is_behind(self, now: float) -> bool:
+        return self._synced < self._missing and now - self._missing_since_s > MAX_BEHIND_S
+
     def _hears_no_peer(self, now: float) -> bool:
         return now - self._last_heard_s > PEER_SILENCE_S
--- a/src/chicoryproxy/node/view.py
+++ b/src/chicoryproxy/node/view.py
@@ -182,6 +182,7 @@
                 self._report_view_changes(self.directory.apply(change, now))
         has_more = revision > self.replica.synced
         self.replica.advance_synced(revision, since)
+        self._reader_policy.record_progress(self.replica.synced, self.replica.synced, now)
         if has_more:
             self._announce_revision()
 
@@ -225,6 +226,7 @@
         now = self._loop.read_clock()
         self.peers.handle_heartbeat(heartbeat, self.replica.synced, now)
         self._reader_policy.record_heartbeat(now)
+        self._reader_policy.record_progress(self.replica.synced, heartbeat.synced, now)
         self._traffic.suspect_upstreams(heartbeat.unreachable)
         if heartbeat.synced > self.replica.synced:
             self._catch_up(now)
--- a/tests/forwarding/test_peering.py
+++ b/tests/forwarding/test_peering.py
@@ -7,7 +7,7 @@
 from chicoryproxy.forwarding.model import Mark, Revision
 from chicoryproxy.forwarding.peering import ALIVE_TIMEOUT_S, DISCOVERY_S, FANOUT, PeerGroup
 from chicoryproxy.forwarding.peermessages import LoadReport, PeerAddress, encode_message
-from chicoryproxy.forwarding.readerpolicy import PEER_SILENCE_S, ReaderPolicy
+from chicoryproxy.forwarding.readerpolicy import MAX_BEHIND_S, PEER_SILENCE_S, ReaderPolicy
 
 DOMAINS = 3
 INTERVAL_S = 0.4
@@ -150,6 +150,26 @@
         assert now - fleet.now < 2.5
 
 
+def test_an_entry_that_peers_leave_behind_reads_the_store():
+    """Slow peers announce a drain and are too slow to pass it on; openings went on for 3 s."""
+    fleet = Fleet(9)
+    fleet.run(4.0)
+    readers = 0
+    for group in fleet.groups.values():
+        policy = ReaderPolicy(group, 3.0, fleet.now)
+        policy.record_heartbeat(fleet.now)
+        group.record_confirmation(fleet.now)
+        readers += policy.should_read(fleet.now)
+        policy.record_progress(Revision(48), Revision(49), fleet.now)
+        later = fleet.now + MAX_BEHIND_S + 0.1
+        policy.record_heartbeat(later)
+        policy.record_progress(Revision(48), Revision(50), later)
+        assert policy.should_read(later)
+        policy.record_progress(Revision(49), Revision(50), later)
+        readers -= policy.should_read(later)
+    assert readers == 0
+
+
 def test_a_heartbeat_confirms_the_view_only_if_its_revision_is_known():
     fleet = Fleet(2)
     fleet.run(1.0)
