--- a/src/chicoryproxy/forwarding/forwarder.py
+++ b/src/chicoryproxy/forwarding/forwarder.py
@@ -17,7 +17,7 @@
 from chicoryproxy.forwarding.failuredetector import FailureDetector
 from chicoryproxy.forwarding.flows import Flow, FlowTable
 from chicoryproxy.forwarding.isolation import RecentOpenings
-from chicoryproxy.forwarding.model import Drop, FlowId, Mark, Refusal, UpstreamPhase
+from chicoryproxy.forwarding.model import Drop, FlowId, Mark, Refusal, Route, UpstreamPhase
 from chicoryproxy.forwarding.packet import CallerPacket
 from chicoryproxy.forwarding.pause import PauseDetector
 from chicoryproxy.forwarding.pending import PendingResponses
@@ -38,8 +38,15 @@
 """Where health checks may fail falsely, an upstream counts as unreachable only if it has also
 answered no caller for this long."""
 
+ANSWER_TIMEOUT_S = 0.1
+"""An upstream that got an opening less than this ago may still answer it. Callers send the first
+copy after twice this time; copies that arrive sooner waited in the queue of this entry."""
+
 _HALF_SEQUENCE_RANGE = 1 << 31
 _SEQUENCE_MASK = (1 << 32) - 1
+_SAME_FLOW_BYTES = 1 << 24
+"""Both ends number their bytes from a start chosen for each flow. Offsets further apart than this
+belong to different flows; one in 128 pairs of unrelated offsets is nearer."""
 
 Decision = Lifetime | Refusal | Drop
 """Upstream of a packet, or why the packet is not forwarded."""
@@ -120,19 +127,35 @@
         :returns: the flows to reset. Idle flows are included, so that their callers learn of the
             failure before they send a request that may not be retried.
         """
-        has_changed = self.reachability.handle_result(upstream, result, now)
-        if result is ProbeResult.TIMEOUT and not upstream.is_unreachable:
+        was_unreachable = upstream.is_unreachable
+        is_decided = self.reachability.handle_result(upstream, result, now)
+        if result is ProbeResult.TIMEOUT and self.reachability.needs_control(upstream):
             control = self._control.choose(upstream, now)
             if control is not None:
-                self.reachability.check(control, now)
-        if not has_changed or not upstream.is_unreachable:
+                self.reachability.check(control, now, is_control=True)
+        if not is_decided or not upstream.is_unreachable:
             return []
-        if result is ProbeResult.TIMEOUT:
+        if result is ProbeResult.TIMEOUT and not was_unreachable:
             # A network partition would also affect the other upstreams of the failure domain.
             present = self._directory.iterate_present()
             self.reachability.suspect_domain(upstream.entry.domain, present, now)
         return self.break_flows(upstream)
 
+    def handle_phase_change(self, upstream: Lifetime, now: float) -> list[BrokenFlow]:
+        """Process a change of an upstream's phase.
+
+        An upstream that is missing or gone may still serve its flows; it is probed.
+
+        :returns: the flows to reset.
+        """
+        if upstream.is_unreachable:
+            if self.reachability.is_confirmed_unreachable(upstream, now):
+                return self.break_flows(upstream)
+            self.reachability.check(upstream, now)
+        elif upstream.phase in (UpstreamPhase.MISSING, UpstreamPhase.GONE):
+            self.suspect_if_used(upstream, now)
+        return []
+
     def suspect_marks(self, marks: Iterable[Mark], now: float) -> None:
         """Request probes of upstreams that a peer can't reach."""
         for mark in marks:
@@ -179,12 +202,16 @@
         route = self._directory.find_route(packet.route_key)
         if route is None:
             return Refusal.NO_ROUTE
-        flow = self.flows.touch(packet.flow, now)
+        flow = self._touch_opening(packet, now)
         if flow.is_open and flow.upstream is not None:
             if packet.acknowledged:
                 # A late retransmission of the opening, which was answered already.
                 return flow.upstream
             flow = self._replace_flow(packet, now)
+        awaited = self._find_awaited(flow, route, now)
+        if awaited is not None:
+            return awaited
+        flow.sent = packet.sequence
         self._record_retransmission(packet, flow, now)
         avoided = self._pending.list_pending(packet.flow, now)
         upstream = self.policy.choose(Opening(route, packet.flow, flow.tried, avoided), now)
@@ -194,12 +221,32 @@
             return Refusal.NO_UPSTREAM
         if upstream not in flow.tried:
             flow.tried.append(upstream)
+            flow.tried_s = now
         if upstream.is_cold(now):
             self.cold_budget.record_opening(upstream, now)
         self.flows.assign(flow, upstream)
         self._pending.add_opening(packet.flow, flow, upstream, now)
         return upstream
 
+    def _find_awaited(self, flow: Flow, route: Route, now: float) -> Lifetime | None:
+        """Return the upstream that has not yet had time to answer an earlier copy, if any.
+
+        If another upstream got this copy, both would answer.
+        """
+        if not flow.tried or now - flow.tried_s >= ANSWER_TIMEOUT_S:
+            return None
+        upstream = flow.tried[-1]
+        entry = upstream.entry
+        is_allowed = any(target.service == entry.service for target in route.targets)
+        is_out = self._directory.is_domain_out(entry.domain)
+        return upstream if is_allowed and upstream.can_open and not is_out else None
+
+    def _touch_opening(self, packet: CallerPacket, now: float) -> Flow:
+        flow = self.flows.touch(packet.flow, now)
+        if flow.sent >= 0 and not _is_same_flow(packet.sequence, flow.sent):
+            return self._replace_flow(packet, now)
+        return flow
+
     def _replace_flow(self, packet: CallerPacket, now: float) -> Flow:
         """Replace a flow whose addresses and ports are reused by a new one."""
         self.flows.remove(packet.flow)
@@ -210,7 +257,7 @@
             self._record_failure(flow.tried[-1], now)
 
     def _handle_established(self, packet: CallerPacket, now: float) -> Decision:
-        flow = self.flows.get(packet.flow)
+        flow = self._find_flow(packet)
         upstream = self._find_upstream(packet, flow)
         if upstream is None:
             return Drop.UNKNOWN_MARK if packet.mark else Drop.NO_FLOW
@@ -235,11 +282,25 @@
         self._record_data(packet, flow, upstream, now)
         return upstream
 
+    def _find_flow(self, packet: CallerPacket) -> Flow | None:
+        """Return the record of a packet's flow.
+
+        The record of an older flow with the same addresses and ports is discarded. Its upstream
+        numbered its answers from another start.
+        """
+        flow = self.flows.get(packet.flow)
+        if flow is None or not flow.is_open or not packet.mark:
+            return flow
+        if _is_same_flow(packet.acknowledged, flow.acknowledged):
+            return flow
+        self.flows.remove(packet.flow)
+        return None
+
     def _find_upstream(self, packet: CallerPacket, flow: Flow | None) -> Lifetime | None:
         marked = self._directory.find_by_mark(packet.mark) if packet.mark else None
         if flow is None or flow.upstream is None or not flow.is_open:
             return marked
-        if marked is None or marked in flow.tried:
+        if marked is None or flow.is_proven or marked in flow.tried:
             # If several upstreams answered the opening, the caller acknowledges the first answer
             # but echoes the mark that arrived last.
             return flow.upstream
@@ -256,6 +317,7 @@
         if not flow.is_open or flow.upstream is not upstream:
             if flow.is_open and flow.upstream is not None:
                 self.observer.record_upstream_change(packet.flow, flow.upstream, upstream)
+            flow.is_proven = upstream in flow.tried and _is_first_packet(packet, flow)
             flow.is_open = True
             flow.acknowledged = packet.acknowledged
             self.flows.assign(flow, upstream)
@@ -300,6 +362,20 @@
     return offset != other and (offset - other) & _SEQUENCE_MASK < _HALF_SEQUENCE_RANGE
 
 
+def _is_same_flow(offset: int, other: int) -> bool:
+    """Return whether two offsets of one end may belong to the same flow."""
+    distance = (offset - other) & _SEQUENCE_MASK
+    return min(distance, _SEQUENCE_MASK + 1 - distance) < _SAME_FLOW_BYTES
+
+
+def _is_first_packet(packet: CallerPacket, flow: Flow) -> bool:
+    """Return whether a packet directly follows the opening of a flow.
+
+    The mark in it is that of the answer which the caller acknowledges; later ones may differ.
+    """
+    return not flow.is_open and (packet.sequence - flow.sent) & _SEQUENCE_MASK <= 1
+
+
 def create_forwarder(
     domain: DomainId,
     directory: Directory,
--- a/src/chicoryproxy/node/probe.py
+++ b/src/chicoryproxy/node/probe.py
@@ -2,7 +2,13 @@
 
 from collections.abc import Callable
 
-from chicoryproxy.eventloop.http import HttpClient, HttpResponse, HttpResult, HttpTimeout
+from chicoryproxy.eventloop.http import (
+    HttpClient,
+    HttpFailure,
+    HttpResponse,
+    HttpResult,
+    HttpTimeout,
+)
 from chicoryproxy.eventloop.loop import Loop
 from chicoryproxy.eventloop.stream import Stream, StreamHandler, open_stream
 from chicoryproxy.forwarding.reachability import ProbeResult
@@ -33,9 +39,7 @@
 
     def handle_connected(self) -> None:
         """Report success; the kernel of the upstream's host completed the handshake."""
-        duration_s = self._loop.read_clock() - self._due_s + CONNECT_TIMEOUT_S
-        is_slow = duration_s > SLOW_CONNECT_S
-        self._finish(ProbeResult.CONNECTED_SLOWLY if is_slow else ProbeResult.CONNECTED)
+        self._finish(_classify_duration(self._loop.read_clock() - self._due_s + CONNECT_TIMEOUT_S))
 
     def handle_data(self, data: bytes) -> None:
         """Do nothing; no request is sent, so that no response is expected."""
@@ -71,20 +75,38 @@
     :param on_result: called once with the result.
     """
     client = HttpClient(loop, address)
+    started_s = loop.read_clock()
 
     def handle_result(result: HttpResult) -> None:
         client.close()
         if isinstance(result, HttpResponse):
-            is_same = read_identity(result.headers) == upstream
-            on_result(ProbeResult.CONNECTED if is_same else ProbeResult.OTHER_SERVER)
-        elif isinstance(result, HttpTimeout):
-            on_result(_classify_timeout(result.late_s))
-        else:
+            duration_s = loop.read_clock() - started_s
+            on_result(_classify_identity(read_identity(result.headers), upstream, duration_s))
+        elif isinstance(result, HttpTimeout) and result.late_s > MAX_TIMER_DELAY_S:
+            on_result(ProbeResult.DISCARDED)
+        elif client.was_connected:
+            on_result(ProbeResult.SILENT)
+        elif isinstance(result, HttpFailure):
             on_result(_classify_error(result.error))
+        else:
+            on_result(ProbeResult.TIMEOUT)
 
     client.get(path, IDENTITY_TIMEOUT_S, handle_result)
 
 
+def _classify_identity(
+    identity: UpstreamId, expected: UpstreamId, duration_s: float
+) -> ProbeResult:
+    if not identity:
+        return ProbeResult.SILENT
+    return _classify_duration(duration_s) if identity == expected else ProbeResult.OTHER_SERVER
+
+
+def _classify_duration(duration_s: float) -> ProbeResult:
+    is_slow = duration_s > SLOW_CONNECT_S
+    return ProbeResult.CONNECTED_SLOWLY if is_slow else ProbeResult.CONNECTED
+
+
 def _classify_error(error: OSError | None) -> ProbeResult:
     if isinstance(error, ConnectionRefusedError):
         return ProbeResult.REFUSED
