Take no refused connection for an end while the view lacks a change

A refusal proves the end of a process unless it is leaving, and whether it is leaving is known only with a current view. Of a crashed upstream callers wait longer only if a change is on its way.

test_a_refusal_resets_no_flow_while_the_view_lacks_a_change failed before; the other one guards that flows of a crashed upstream are reset once the view has caught up.

--- a/src/chicoryproxy/forwarding/reachability.py
+++ b/src/chicoryproxy/forwarding/reachability.py
@@ -125,9 +125,12 @@
 
     :param quiet_s: a failed probe is ignored if the upstream answered a caller after the start of
         the probe or at most this long before it.
+
+    :ivar is_view_behind: peers have changes that this entry lacks; any upstream may be draining.
     """
 
     def __init__(self, quiet_s: float = 0.0) -> None:
+        self.is_view_behind = False
         self._quiet_s = quiet_s
         self._controls_s: deque[float] = deque(maxlen=MAX_CONTROLS)
         self._states: dict[Lifetime, _ProbeState] = {}
@@ -294,8 +297,8 @@
         if upstream.phase is UpstreamPhase.GONE:
             return now - upstream.phase_since_s < REMOVED_FINISHING_S
         # The registration of a draining upstream may also lapse while the store is unavailable.
-        is_draining = upstream.entry.is_draining
-        return is_draining and now - state.refused_since_s < DRAIN_FINISHING_S
+        may_be_leaving = upstream.entry.is_draining or self.is_view_behind
+        return may_be_leaving and now - state.refused_since_s < DRAIN_FINISHING_S
 
     def _is_done(self, upstream: Lifetime, state: _ProbeState, now: float) -> bool:
         if state.is_probing:
--- a/src/chicoryproxy/forwarding/readerpolicy.py
+++ b/src/chicoryproxy/forwarding/readerpolicy.py
@@ -48,6 +48,11 @@
         self._wait_s = config_apply_s * WAIT_SHARE
         self._max_age_s = config_apply_s * AGE_SHARE
 
+    @property
+    def is_behind(self) -> bool:
+        """True if a peer reports a newer revision than this entry knows."""
+        return self._synced < self._missing
+
     def is_overdue(self, now: float) -> bool:
         """Return whether the view was not confirmed for longer than the readers should take."""
         return self._peers.get_age(now) > self._max_age_s
@@ -75,14 +80,14 @@
             and self._peers.get_reader_rank(now) < READERS_PER_DOMAIN
         ):
             return True
-        return self.is_overdue(now) or self._is_behind(now)
+        return self.is_overdue(now) or self._lags(now)
 
     def get_max_wait_s(self, now: float) -> float:
         """Return the maximum wait of a watch, in seconds."""
         return NO_PEER_WAIT_S if self._hears_no_peer(now) else self._wait_s
 
-    def _is_behind(self, now: float) -> bool:
-        return self._synced < self._missing and now - self._missing_since_s > MAX_BEHIND_S
+    def _lags(self, now: float) -> bool:
+        return self.is_behind and now - self._missing_since_s > MAX_BEHIND_S
 
     def _hears_no_peer(self, now: float) -> bool:
         return now - self._last_heard_s > PEER_SILENCE_S
--- a/src/chicoryproxy/node/entry.py
+++ b/src/chicoryproxy/node/entry.py
@@ -154,6 +154,7 @@
         self._handle_pause(now)
         self._update_phase()
         self._update_isolation(now)
+        self._data_plane.forwarder.reachability.is_view_behind = self._view.is_behind
         self._data_plane.forwarder.cold_budget.share = self._view.peers.compute_share(now)
         self._view.expire(now)
         self._data_plane.tick(now)
--- a/src/chicoryproxy/node/view.py
+++ b/src/chicoryproxy/node/view.py
@@ -98,6 +98,11 @@
         """True if the view is current and includes a configuration."""
         return self.directory.routing is not None and self.is_confirmed
 
+    @property
+    def is_behind(self) -> bool:
+        """True if peers have changes that this entry lacks."""
+        return self._reader_policy.is_behind
+
     def start(self) -> None:
         """Start reading the store and sending heartbeats."""
         self._watch.start()
--- a/tests/forwarding/test_proofs.py
+++ b/tests/forwarding/test_proofs.py
@@ -12,7 +12,11 @@
 
 from chicoryproxy.forwarding.directory import RETURN_GRACE_S
 from chicoryproxy.forwarding.model import Refusal, UpstreamPhase
-from chicoryproxy.forwarding.reachability import DRAIN_FINISHING_S, ProbeResult
+from chicoryproxy.forwarding.reachability import (
+    DRAIN_FINISHING_S,
+    FINISHING_RECHECK_S,
+    ProbeResult,
+)
 from chicoryproxy.node.probe import CONNECT_TIMEOUT_S, IDENTITY_TIMEOUT_S, SLOW_CONNECT_S
 from tests.forwarding.harness import OTHER_DOMAIN, create_packet
 
@@ -265,6 +269,38 @@
     assert len(network.broken) == 1
 
 
+# Release: slow peers have announced a change, which this entry doesn't have yet, the drain.
+def test_a_refusal_resets_no_flow_while_the_view_lacks_a_change(harness, network):
+    upstream = harness.publish_upstream("i-1")
+    harness.open_flow()
+    reachability = harness.forwarder.reachability
+    reachability.is_view_behind = True
+    network.refusing.add("i-1")
+    suspect(harness, upstream)
+    network.run(0.5)
+    assert network.broken == []
+    harness.publish_upstream("i-1", draining=True)
+    reachability.is_view_behind = False
+    network.run(0.5)
+    assert network.broken == []
+    network.run(DRAIN_FINISHING_S)
+    assert len(network.broken) == 1
+
+
+# Crash: the change that this entry lacked was none of this upstream.
+def test_a_refusal_resets_the_flows_once_the_view_has_caught_up(harness, network):
+    upstream = harness.publish_upstream("i-1")
+    harness.open_flow()
+    reachability = harness.forwarder.reachability
+    reachability.is_view_behind = True
+    network.refusing.add("i-1")
+    suspect(harness, upstream)
+    network.run(0.2)
+    reachability.is_view_behind = False
+    network.run(FINISHING_RECHECK_S + TICK_S)
+    assert len(network.broken) == 1
+
+
 # Release beside a store outage: the registration lapses while the server finishes its requests.
 def test_a_leaving_upstream_whose_registration_lapsed_keeps_its_flows(harness, network):
     upstream = harness.publish_upstream("i-1")
