Let a registration of an unknown service or without a start end no upstream

Callers could see all flows of a living upstream reset if another writer leaves a registration with its address in the store: the later revision owned the address, whatever the service, and a missing start agreed with any order. PROTOCOL.md says that such an entry names no server to use; the others hold.

Now a lifetime whose service no known configuration names ends none at its address, and one without a start is not later than one that has it; the log has `address_conflict`. A version that names the service comes after its registrations in a peer's reply, so the addresses are claimed again then.

The first two tests of test_review.py failed before; the third guards the deferred claim. tests/forwarding, tests/node and tests/adapter pass.

--- a/src/chicoryproxy/forwarding/directory.py
+++ b/src/chicoryproxy/forwarding/directory.py
@@ -247,7 +247,7 @@
             )
             return [subject, *self._apply_unlisted(fact.id, change.revision, now)]
         if isinstance(fact, RoutingPublished):
-            return [self._apply_routing(fact.routing, change.revision)]
+            return self._apply_routing(fact.routing, change.revision, now)
         if isinstance(fact, RoutingUnreadable):
             return [
                 DirectoryEvent(
@@ -306,20 +306,27 @@
             return [self._end(known, "registration removed after the drain", revision, now)]
         return [self._set_phase(known, UpstreamPhase.MISSING, "entry vanished", revision, now)]
 
-    def _apply_routing(self, routing: RoutingVersion, revision: int) -> DirectoryEvent:
+    def _apply_routing(
+        self, routing: RoutingVersion, revision: Revision, now: float
+    ) -> list[DirectoryEvent]:
         if routing.version <= self.version:
             detail = f"version {self.version} remains current"
-            return DirectoryEvent(
-                DirectoryEventKind.VERSION_OLDER, str(routing.version), detail, revision
-            )
-        self.history.record_version(self.routing, routing, Revision(revision))
+            kind = DirectoryEventKind.VERSION_OLDER
+            return [DirectoryEvent(kind, str(routing.version), detail, revision)]
+        self.history.record_version(self.routing, routing, revision)
         self.routing = routing
         before = self._routes.keys()
         self._routes = {route.key: route for route in routing.routes}
         self._removed_routes = (self._removed_routes | before) - self._routes.keys()
+        known_services = self._limits.keys()
         self._limits = {limits.service: limits for limits in routing.services}
         detail = f"{len(routing.routes)} routes, {len(routing.services)} services"
-        return DirectoryEvent(DirectoryEventKind.VERSION, str(routing.version), detail, revision)
+        events = [
+            DirectoryEvent(DirectoryEventKind.VERSION, str(routing.version), detail, revision)
+        ]
+        for service in self._limits.keys() - known_services:
+            events.extend(self._claim_addresses(service, revision, now))
+        return events
 
     def _apply_domain(
         self, fact: DomainOut | DomainBack, revision: int, now: float
@@ -379,10 +386,21 @@
             DirectoryEvent(DirectoryEventKind.MARK_COLLISION, greater.entry.id, detail, revision)
         ]
 
+    def _claim_addresses(
+        self, service: ServiceId, revision: int, now: float
+    ) -> list[DirectoryEvent]:
+        """Claim the addresses of the lifetimes of a service that a configuration names now."""
+        events: list[DirectoryEvent] = []
+        for lifetime in list(self.iterate_service(service)):
+            if lifetime.phase is not UpstreamPhase.GONE:
+                events.extend(self._claim_address(lifetime, revision, now))
+        return events
+
     def _claim_address(self, lifetime: Lifetime, revision: int, now: float) -> list[DirectoryEvent]:
         """End the earlier one of a new lifetime and another one with the same address.
 
-        Registrations arrive in any order, so that the new one may be the earlier one.
+        Registrations arrive in any order, so that the new one may be the earlier one. One of a
+        service that no configuration names may be another writer's and ends nothing.
         """
         address = lifetime.entry.address
         owner = self._current.get(self._addresses.get(address, lifetime.entry.id))
@@ -390,7 +408,7 @@
             self._addresses[address] = lifetime.entry.id
             return []
         later = _find_later(owner, lifetime)
-        if later is None:
+        if later is None or later.entry.service not in self._limits:
             detail = f"address of {owner.entry.id} too, and it is unclear which one is later"
             kind = DirectoryEventKind.ADDRESS_CONFLICT
             return [DirectoryEvent(kind, lifetime.entry.id, detail, revision)]
@@ -442,10 +460,11 @@
     """Return which of two lifetimes that had the same address began later.
 
     The registration of an ended lifetime may be written late, and the clocks of the upstreams may
-    differ; therefore both the revision and the start have to say so.
+    differ; therefore both the revision and the start have to say so. A registration without a start
+    may be another writer's, and is not later than one that has it.
 
     :returns: ``None`` if they contradict each other.
     """
     earlier, later = sorted((first, second), key=lambda item: item.revision)
     starts = (earlier.entry.started_ms, later.entry.started_ms)
-    return None if all(starts) and starts[0] > starts[1] else later
+    return None if starts[0] > starts[1] else later
--- a/tests/forwarding/harness.py
+++ b/tests/forwarding/harness.py
@@ -86,15 +86,14 @@
         self.events = self.directory.apply(Change(key, revision, fact), self.now)
         return self.events
 
-    def publish_routing(self, version, routes=None, cold_per_s=0.0):
+    def publish_routing(self, version, routes=None, cold_per_s=0.0, services=(SERVICE, ARCHIVE)):
         """Publish a configuration with the two standard routes or the given ones."""
         routes = routes or (
             create_route("desk", ROUTE, (WeightedService(SERVICE, 1.0),)),
             create_route("archive", ARCHIVE_ROUTE, (WeightedService(ARCHIVE, 1.0),)),
         )
         limits = tuple(
-            ServiceLimits(service, "/health", 2000, 2.0, cold_per_s)
-            for service in (SERVICE, ARCHIVE)
+            ServiceLimits(service, "/health", 2000, 2.0, cold_per_s) for service in services
         )
         routing = RoutingVersion(Version(version), tuple(routes), limits, 15.0)
         return self.apply(ROUTING_KEY, RoutingPublished(routing))
--- /dev/null
+++ b/tests/forwarding/test_review.py
@@ -0,0 +1,42 @@
+"""Orders of registrations, removals and replies that the review of issue 17 tried."""
+
+from chicoryproxy.forwarding.model import UpstreamPhase
+from chicoryproxy.ids import ServiceId
+from chicoryproxy.model import Endpoint
+from tests.forwarding.harness import ARCHIVE, SERVICE, create_packet
+
+ADDRESS = Endpoint("10.1.0.9", 8000)
+FOREIGN = ServiceId("of-another-writer")
+
+
+def register(harness, name, started_ms, revision, **values):
+    """Publish a registration at the common address."""
+    return harness.publish_upstream(
+        name, started_ms=started_ms, address=ADDRESS, revision=revision, **values
+    )
+
+
+# Another writer leaves a registration of a service that no configuration names.
+def test_a_registration_of_an_unknown_service_ends_no_living_upstream(harness):
+    upstream = register(harness, "i-1", 5, 10)
+    _, port = harness.open_flow()
+    register(harness, "i-2", 0, 11, service=FOREIGN)
+    packet = create_packet(port=port, mark=upstream.mark, acknowledged=1, size=10)
+    assert harness.send(packet) is upstream
+    assert upstream.phase is UpstreamPhase.SERVING
+
+
+# Another writer's registration without a start names a known service and the same address.
+def test_a_registration_without_a_start_ends_no_living_upstream(harness):
+    upstream = register(harness, "i-1", 5, 10)
+    register(harness, "i-2", 0, 11)
+    assert upstream.phase is UpstreamPhase.SERVING
+
+
+# A peer's reply is sorted by revision: the version that names the service comes last.
+def test_an_address_is_claimed_when_a_configuration_names_the_service(harness):
+    former = register(harness, "i-1", 5, 10)
+    later = register(harness, "i-2", 9, 11, service=FOREIGN)
+    harness.publish_routing(2, services=(SERVICE, ARCHIVE, FOREIGN))
+    assert list(harness.directory.iterate_present()) == [later]
+    assert former.phase is UpstreamPhase.GONE
