Compare all lifetimes with one address, also after a conflict or a change of address

Callers' flows and openings could go to a dead upstream until its registration was removed: after a conflict (`address_conflict`) the lifetime that stayed beside the owner never became the owner. The next server at the address ended only the owner, and a probe of the dead one's address, which now is another server's, succeeds. Nor was a conflict decided when the living lifetime wrote again.

Cause: the directory kept one owner for each address, and compared only a new lifetime with it. Now it keeps the present lifetimes of each address, and compares a registration, new or changed, with all others. An address that nobody has is forgotten.

--- a/src/chicoryproxy/forwarding/directory.py
+++ b/src/chicoryproxy/forwarding/directory.py
@@ -178,7 +178,7 @@
         self._current: dict[UpstreamId, Lifetime] = {}
         self._services: dict[ServiceId, dict[UpstreamId, Lifetime]] = {}
         self._marks: dict[Mark, Lifetime] = {}
-        self._addresses: dict[Endpoint, UpstreamId] = {}
+        self._addresses: dict[Endpoint, tuple[Lifetime, ...]] = {}
         self._missing: dict[UpstreamId, Lifetime] = {}
         self._ended: dict[str, Lifetime] = {}
         self._domains_out: set[DomainId] = set()
@@ -287,10 +287,13 @@
             known = self._restore_ended(identity) or Lifetime(entry, identity, revision, now)
             known.update(entry, revision, now)
             events.extend(self._add(known, revision, now))
-            if known.phase is UpstreamPhase.GONE:
-                return events
         else:
+            self._leave_address(known)
             known.update(entry, revision, now)
+            self._occupy_address(known)
+            events.extend(self._claim_address(known, revision, now))
+        if known.phase is UpstreamPhase.GONE:
+            return events
         phase = UpstreamPhase.DRAINING if entry.is_draining else UpstreamPhase.SERVING
         if known.phase is not phase:
             events.append(self._set_phase(known, phase, "published", revision, now))
@@ -363,6 +366,7 @@
         entry = lifetime.entry
         self._current[entry.id] = lifetime
         self._services.setdefault(entry.service, {})[entry.id] = lifetime
+        self._occupy_address(lifetime)
         lifetime.phase_since_s = now
         detail = f"{entry.service} at {entry.address.host}:{entry.address.port}"
         return [
@@ -397,26 +401,40 @@
         return events
 
     def _claim_address(self, lifetime: Lifetime, revision: int, now: float) -> list[DirectoryEvent]:
-        """End the earlier one of a new lifetime and another one with the same address.
+        """End the earlier one of a lifetime and each other one with the same address.
 
-        Registrations arrive in any order, so that the new one may be the earlier one. One of a
+        Registrations arrive in any order, so that a new one may be the earlier one. One of a
         service that no configuration names may be another writer's and ends nothing.
         """
+        events: list[DirectoryEvent] = []
+        for other in self._addresses[lifetime.entry.address]:
+            if other is lifetime:
+                continue
+            later = _find_later(other, lifetime)
+            if later is None or later.entry.service not in self._limits:
+                detail = f"address of {other.entry.id} too, and it is unclear which one is later"
+                kind = DirectoryEventKind.ADDRESS_CONFLICT
+                events.append(DirectoryEvent(kind, lifetime.entry.id, detail, revision))
+                continue
+            earlier = other if later is lifetime else lifetime
+            earlier.mark_unreachable(UnreachableCause.ADDRESS_REASSIGNED, now)
+            reason = f"its address belongs to {later.entry.id} since revision {later.revision}"
+            events.append(self._end(earlier, reason, revision, now))
+            if earlier is lifetime:
+                break
+        return events
+
+    def _occupy_address(self, lifetime: Lifetime) -> None:
         address = lifetime.entry.address
-        owner = self._current.get(self._addresses.get(address, lifetime.entry.id))
-        if owner is None or owner is lifetime or owner.entry.address != address:
-            self._addresses[address] = lifetime.entry.id
-            return []
-        later = _find_later(owner, lifetime)
-        if later is None or later.entry.service not in self._limits:
-            detail = f"address of {owner.entry.id} too, and it is unclear which one is later"
-            kind = DirectoryEventKind.ADDRESS_CONFLICT
-            return [DirectoryEvent(kind, lifetime.entry.id, detail, revision)]
-        self._addresses[address] = later.entry.id
-        earlier = owner if later is lifetime else lifetime
-        earlier.mark_unreachable(UnreachableCause.ADDRESS_REASSIGNED, now)
-        reason = f"its address belongs to {later.entry.id} since revision {later.revision}"
-        return [self._end(earlier, reason, revision, now)]
+        self._addresses[address] = (*self._addresses.get(address, ()), lifetime)
+
+    def _leave_address(self, lifetime: Lifetime) -> None:
+        address = lifetime.entry.address
+        others = tuple(item for item in self._addresses[address] if item is not lifetime)
+        if others:
+            self._addresses[address] = others
+        else:
+            del self._addresses[address]
 
     def _restore_ended(self, identity: str) -> Lifetime | None:
         lifetime = self._ended.pop(identity, None)
@@ -429,6 +447,7 @@
         entry = lifetime.entry
         del self._current[entry.id]
         del self._services[entry.service][entry.id]
+        self._leave_address(lifetime)
         self._ended[lifetime.identity] = lifetime
         self._pass_on_mark(lifetime)
         return self._set_phase(lifetime, UpstreamPhase.GONE, reason, revision, now)
--- a/tests/forwarding/test_review.py
+++ b/tests/forwarding/test_review.py
@@ -1,5 +1,8 @@
 """Orders of registrations, removals and replies that the review of issue 17 tried."""
 
+import pytest
+
+from chicoryproxy.forwarding.directory import RETURN_GRACE_S
 from chicoryproxy.forwarding.model import UpstreamPhase
 from chicoryproxy.ids import ServiceId
 from chicoryproxy.model import Endpoint
@@ -40,3 +43,33 @@
     harness.publish_routing(2, services=(SERVICE, ARCHIVE, FOREIGN))
     assert list(harness.directory.iterate_present()) == [later]
     assert former.phase is UpstreamPhase.GONE
+
+
+# The first of two with unclear order ends; the other one's address is given away later.
+def test_a_lifetime_left_by_a_conflict_is_ended_by_the_next_owner_of_its_address(harness):
+    register(harness, "i-1", 9, 10)
+    second = register(harness, "i-2", 5, 11)
+    harness.remove_upstream("i-1")
+    harness.now += RETURN_GRACE_S
+    harness.directory.expire(harness.now)
+    register(harness, "i-3", 20, 30)
+    assert second.phase is UpstreamPhase.GONE
+
+
+# The registration of a dead upstream was written late; then the living one writes again.
+@pytest.mark.parametrize("order", [("dead", "living"), ("living", "dead")])
+def test_a_conflict_is_decided_when_the_living_lifetime_writes_again(harness, order):
+    starts, revisions = {"dead": 5, "living": 9}, {"dead": 12, "living": 11}
+    for name in order:
+        register(harness, name, starts[name], revisions[name])
+    register(harness, "living", 9, 13)
+    assert harness.find_upstream("dead") is None
+    assert harness.find_upstream("living").phase is UpstreamPhase.SERVING
+
+
+# Three lifetimes at one address, the middle one unclear against the first.
+def test_the_latest_of_three_lifetimes_ends_both_others(harness):
+    register(harness, "i-1", 9, 10)
+    register(harness, "i-2", 5, 11)
+    latest = register(harness, "i-3", 20, 12)
+    assert list(harness.directory.iterate_present()) == [latest]
