End the flows of a gone upstream when its address is given away

Callers waited until their deadline: the registration of a dead upstream was removed before the next server got its address, so that nothing compared the two. A probe of a gone upstream only connects, the next server accepts, and packets with the dead one's number are ignored there.

Now the directory keeps the address of a gone lifetime until it is discarded. A later registration, by revision and start, ends its flows; a gone lifetime ends no other one.

test_a_flow_of_a_gone_upstream_is_reset_when_its_address_is_reused failed before; the other test guards the return of a gone lifetime and that ended ones are discarded. tests/forwarding/test_{directory,proofs, replica,catchup,forwarder}.py pass; no play was run.

--- a/src/chicoryproxy/forwarding/directory.py
+++ b/src/chicoryproxy/forwarding/directory.py
@@ -269,6 +269,8 @@
             if now - lifetime.phase_since_s < GONE_RETENTION_S:
                 break
             del self._ended[identity]
+            if not lifetime.is_replaced:
+                self._leave_address(lifetime)
             if self._marks.get(lifetime.mark) is lifetime:
                 del self._marks[lifetime.mark]
         return events
@@ -403,6 +405,7 @@
     def _claim_address(self, lifetime: Lifetime, revision: int, now: float) -> list[DirectoryEvent]:
         """End the earlier one of a lifetime and each other one with the same address.
 
+        One that is gone already may have open flows; they have ended, too.
         Registrations arrive in any order, so that a new one may be the earlier one. One of a
         service that no configuration names may be another writer's and ends nothing.
         """
@@ -411,6 +414,8 @@
             if other is lifetime:
                 continue
             later = _find_later(other, lifetime)
+            if other.phase is UpstreamPhase.GONE and later is not lifetime:
+                continue
             if later is None or later.entry.service not in self._limits:
                 detail = f"address of {other.entry.id} too, and it is unclear which one is later"
                 kind = DirectoryEventKind.ADDRESS_CONFLICT
@@ -419,7 +424,11 @@
             earlier = other if later is lifetime else lifetime
             earlier.mark_unreachable(UnreachableCause.ADDRESS_REASSIGNED, now)
             reason = f"its address belongs to {later.entry.id} since revision {later.revision}"
-            events.append(self._end(earlier, reason, revision, now))
+            if earlier.phase is UpstreamPhase.GONE:
+                self._leave_address(earlier)
+                events.append(_create_phase_event(earlier, reason, revision))
+            else:
+                events.append(self._end(earlier, reason, revision, now))
             if earlier is lifetime:
                 break
         return events
@@ -439,6 +448,8 @@
     def _restore_ended(self, identity: str) -> Lifetime | None:
         lifetime = self._ended.pop(identity, None)
         if lifetime is not None:
+            if not lifetime.is_replaced:
+                self._leave_address(lifetime)
             lifetime.phase = UpstreamPhase.SERVING
             lifetime.is_unreachable = False
         return lifetime
@@ -447,7 +458,8 @@
         entry = lifetime.entry
         del self._current[entry.id]
         del self._services[entry.service][entry.id]
-        self._leave_address(lifetime)
+        if lifetime.is_replaced:
+            self._leave_address(lifetime)
         self._ended[lifetime.identity] = lifetime
         self._pass_on_mark(lifetime)
         return self._set_phase(lifetime, UpstreamPhase.GONE, reason, revision, now)
@@ -469,10 +481,14 @@
             self._missing[lifetime.entry.id] = lifetime
         else:
             self._missing.pop(lifetime.entry.id, None)
-        detail = f"{phase.value}: {reason}"
-        return DirectoryEvent(
-            DirectoryEventKind.UPSTREAM_PHASE, lifetime.entry.id, detail, revision, lifetime
-        )
+        return _create_phase_event(lifetime, reason, revision)
+
+
+def _create_phase_event(lifetime: Lifetime, reason: str, revision: int) -> DirectoryEvent:
+    detail = f"{lifetime.phase.value}: {reason}"
+    return DirectoryEvent(
+        DirectoryEventKind.UPSTREAM_PHASE, lifetime.entry.id, detail, revision, lifetime
+    )
 
 
 def _find_later(first: Lifetime, second: Lifetime) -> Lifetime | None:
--- a/tests/forwarding/test_review.py
+++ b/tests/forwarding/test_review.py
@@ -3,7 +3,7 @@
 import pytest
 
 from chicoryproxy.forwarding.directory import RETURN_GRACE_S
-from chicoryproxy.forwarding.model import UpstreamPhase
+from chicoryproxy.forwarding.model import Refusal, UpstreamPhase
 from chicoryproxy.ids import ServiceId
 from chicoryproxy.model import Endpoint
 from tests.forwarding.harness import ARCHIVE, SERVICE, create_packet
@@ -73,3 +73,36 @@
     register(harness, "i-2", 5, 11)
     latest = register(harness, "i-3", 20, 12)
     assert list(harness.directory.iterate_present()) == [latest]
+
+
+# A registration was removed before the address went to another server.
+def test_a_flow_of_a_gone_upstream_is_reset_when_its_address_is_reused(harness):
+    upstream = register(harness, "i-1", 5, 10)
+    _, port = harness.open_flow()
+    harness.remove_upstream("i-1")
+    harness.now += RETURN_GRACE_S
+    harness.directory.expire(harness.now)
+    register(harness, "i-2", 20, 30)
+    assert [event.lifetime for event in harness.events if event.lifetime] == [upstream]
+    assert len(harness.forwarder.handle_phase_change(upstream, harness.now)) == 1
+    packet = create_packet(port=port, mark=upstream.mark, acknowledged=1, size=10)
+    assert harness.send(packet) is Refusal.UPSTREAM_UNREACHABLE
+
+
+# The entry of a gone upstream comes back, although a later one had its address.
+def test_a_gone_upstream_ends_no_later_one_at_its_address(harness):
+    upstream = register(harness, "i-1", 5, 10)
+    harness.remove_upstream("i-1")
+    harness.now += RETURN_GRACE_S
+    harness.directory.expire(harness.now)
+    later = register(harness, "i-2", 20, 30)
+    register(harness, "i-1", 5, 31)
+    assert later.phase is UpstreamPhase.SERVING
+    harness.now += 200.0
+    harness.remove_upstream("i-1")
+    harness.remove_upstream("i-2")
+    for _ in range(2):
+        harness.now += 200.0
+        harness.directory.expire(harness.now)
+    assert harness.directory.find_by_mark(upstream.mark) is None
+    assert harness.directory.find_by_mark(later.mark) is None
