Let a lifetime that returns own its mark if nobody else does

An upstream got no openings any more, from entries where its registration had lapsed and come back: it had shared its mark with another lifetime (one clash among 24,000 upstreams in about 15 fleets, by arithmetic), which had ended meanwhile. The mark became its own, but the note that another one owns it stayed.

A restored lifetime now claims its mark as a new one does. The test failed before.

--- a/src/chicoryproxy/forwarding/directory.py
+++ b/src/chicoryproxy/forwarding/directory.py
@@ -452,6 +452,7 @@
                 self._leave_address(lifetime)
             lifetime.phase = UpstreamPhase.SERVING
             lifetime.is_unreachable = False
+            lifetime.is_mark_taken = False
         return lifetime
 
     def _end(self, lifetime: Lifetime, reason: str, revision: int, now: float) -> DirectoryEvent:
--- a/tests/forwarding/test_review.py
+++ b/tests/forwarding/test_review.py
@@ -3,7 +3,8 @@
 import pytest
 
 from chicoryproxy.forwarding.directory import RETURN_GRACE_S
-from chicoryproxy.forwarding.model import Refusal, UpstreamPhase
+from chicoryproxy.forwarding.marks import compute_mark
+from chicoryproxy.forwarding.model import Mark, Refusal, UpstreamPhase
 from chicoryproxy.ids import ServiceId
 from chicoryproxy.model import Endpoint
 from tests.forwarding.harness import ARCHIVE, SERVICE, create_packet
@@ -106,3 +107,18 @@
         harness.directory.expire(harness.now)
     assert harness.directory.find_by_mark(upstream.mark) is None
     assert harness.directory.find_by_mark(later.mark) is None
+
+
+# The owner of a shared mark ends while the other lifetime is gone, too.
+def test_a_lifetime_that_returns_after_the_owner_of_its_mark_ended_owns_it(harness, monkeypatch):
+    module = "chicoryproxy.forwarding.directory.compute_mark"
+    monkeypatch.setattr(module, lambda identity: Mark(compute_mark("same")))
+    harness.publish_upstream("i-1")
+    other = harness.publish_upstream("i-2")
+    assert other.is_mark_taken
+    for name in ("i-2", "i-1"):
+        harness.remove_upstream(name)
+        harness.now += RETURN_GRACE_S
+        harness.directory.expire(harness.now)
+    assert harness.publish_upstream("i-2") is other
+    assert not other.is_mark_taken
