Claim no removals that were evicted while a reply was merged

A dead upstream could stay registered for ever at an entry that is further behind than the removals another one keeps (20,000): those evicted while a reply or watch was merged were counted as evicted, and the revision from which the reply was complete then overwrote that.

The newest evicted revision is now a lower bound of `complete_since`. The test failed before.

--- a/src/chicoryproxy/forwarding/replica.py
+++ b/src/chicoryproxy/forwarding/replica.py
@@ -49,6 +49,7 @@
         self.complete_since = NO_REVISION
         self._changes: dict[str, Change] = {}
         self._tombstones = 0
+        self._evicted = NO_REVISION
 
     def __len__(self) -> int:
         return len(self._changes)
@@ -82,6 +83,7 @@
             self.complete_since = since
         elif revision >= self.complete_since:
             self.complete_since = min(self.complete_since, since)
+        self.complete_since = max(self.complete_since, self._evicted)
         self.synced = max(self.synced, revision)
 
     def infer_removals(self, listed: Iterable[Change], revision: Revision) -> list[Change]:
@@ -121,6 +123,7 @@
         for key, change in self._changes.items():
             if isinstance(change.fact, UpstreamUnlisted):
                 del self._changes[key]
-                self.complete_since = max(self.complete_since, change.revision)
+                self._evicted = max(self._evicted, change.revision)
+                self.complete_since = max(self.complete_since, self._evicted)
                 self._tombstones -= 1
                 return
--- a/tests/forwarding/test_review.py
+++ b/tests/forwarding/test_review.py
@@ -2,12 +2,15 @@
 
 import pytest
 
+from chicoryproxy.forwarding import replica as replica_module
 from chicoryproxy.forwarding.directory import RETURN_GRACE_S
 from chicoryproxy.forwarding.marks import compute_mark
-from chicoryproxy.forwarding.model import Mark, Refusal, UpstreamPhase
+from chicoryproxy.forwarding.model import Mark, Refusal, Revision, UpstreamPhase
+from chicoryproxy.forwarding.replica import Replica
 from chicoryproxy.ids import ServiceId
 from chicoryproxy.model import Endpoint
 from tests.forwarding.harness import ARCHIVE, SERVICE, create_packet
+from tests.forwarding.test_catchup import remove
 
 ADDRESS = Endpoint("10.1.0.9", 8000)
 FOREIGN = ServiceId("of-another-writer")
@@ -122,3 +125,13 @@
         harness.directory.expire(harness.now)
     assert harness.publish_upstream("i-2") is other
     assert not other.is_mark_taken
+
+
+# More removals than are kept arrive in one reply.
+def test_removals_evicted_while_a_reply_is_merged_are_not_claimed(monkeypatch):
+    monkeypatch.setattr(replica_module, "MAX_TOMBSTONES", 1)
+    replica = Replica()
+    for change in (remove("i-1", 11), remove("i-2", 12)):
+        replica.merge(change)
+    replica.advance_synced(Revision(12), Revision(10))
+    assert replica.complete_since >= 11
