Let a newer listing teach a key that was missed

Since the removals are known by revision, an unknown key of an older revision than one's own was refused from a listing of the store too, even if the listing was newer. An entry that missed a key for any reason (no way to that is known) would never have learned it, not after lost history either, and would have told others that it was removed.

Now the keys of a whole listing of a later revision are taken; those of older ones and of replies as before.

--- a/src/chicoryproxy/forwarding/replica.py
+++ b/src/chicoryproxy/forwarding/replica.py
@@ -54,15 +54,17 @@
     def __len__(self) -> int:
         return len(self._changes)
 
-    def merge(self, change: Change) -> bool:
+    def merge(self, change: Change, is_newer_whole: bool = False) -> bool:
         """Add a change unless the same or a newer one of its key is known.
 
+        :param is_newer_whole: it is from a whole listing of a later revision than ``synced``, so
+            that its key exists whatever is known here.
         :returns: True if the change was added.
         """
         known = self._changes.get(change.key)
         if known is not None and known.revision >= change.revision:
             return False
-        if known is None and self._was_removed(change):
+        if known is None and not is_newer_whole and self._was_removed(change):
             return False
         # Reinserting the key keeps the dict ordered by last change.
         self._changes.pop(change.key, None)
--- a/src/chicoryproxy/node/view.py
+++ b/src/chicoryproxy/node/view.py
@@ -177,8 +177,9 @@
             # unavailable, although this entry didn't read it. Upstreams that vanish now may still
             # run: their records may have lapsed.
             self.directory.record_store_failure(now)
+        is_newer_whole = since > self.replica.synced
         for change in changes:
-            if self.replica.merge(change):
+            if self.replica.merge(change, is_newer_whole):
                 self._report_view_changes(self.directory.apply(change, now))
         has_more = revision > self.replica.synced
         self.replica.advance_synced(revision, since)
--- a/tests/forwarding/replicanode.py
+++ b/tests/forwarding/replicanode.py
@@ -17,8 +17,9 @@
 
     def merge_changes(self, changes, revision, since):
         """Merge changes that are complete after one revision and up to another one."""
+        is_newer_whole = Revision(since) > self.replica.synced
         for change in changes:
-            if self.replica.merge(change):
+            if self.replica.merge(change, is_newer_whole):
                 self.directory.apply(change, 1.0)
         self.replica.advance_synced(Revision(revision), Revision(since))
 
--- a/tests/forwarding/test_review.py
+++ b/tests/forwarding/test_review.py
@@ -10,7 +10,8 @@
 from chicoryproxy.ids import ServiceId
 from chicoryproxy.model import Endpoint
 from tests.forwarding.harness import ARCHIVE, SERVICE, create_packet
-from tests.forwarding.test_catchup import remove
+from tests.forwarding.replicanode import ReplicaNode
+from tests.forwarding.test_catchup import add, list_present, remove
 
 ADDRESS = Endpoint("10.1.0.9", 8000)
 FOREIGN = ServiceId("of-another-writer")
@@ -135,3 +136,11 @@
         replica.merge(change)
     replica.advance_synced(Revision(12), Revision(10))
     assert replica.complete_since >= 11
+
+
+# An entry that lacks a key for any reason lists the store again (410).
+def test_a_newer_listing_teaches_a_key_that_was_missed():
+    node = ReplicaNode()
+    node.list_store([add("i-2", 6)], 15)
+    node.list_store([add("i-1", 5), add("i-2", 6)], 18)
+    assert list_present(node) == {"i-1", "i-2"}
