--- a/tests/forwarding/test_review.py
+++ b/tests/forwarding/test_review.py
@@ -12,7 +12,7 @@
 from chicoryproxy.forwarding.replica import Replica, get_upstream_key
 from chicoryproxy.ids import ServiceId
 from chicoryproxy.model import Endpoint
-from tests.forwarding.harness import ARCHIVE, SERVICE, create_packet
+from tests.forwarding.harness import ARCHIVE, OTHER_DOMAIN, SERVICE, create_packet
 from tests.forwarding.replicanode import ReplicaNode
 from tests.forwarding.test_catchup import NAMES, FakeStore, add, list_present, remove
 
@@ -229,3 +229,10 @@
             else:
                 network.ask(kind, entry, peer, prng.randrange(5))
             assert network.list_wrong() == [], f"seed {seed}"
+
+
+# An entry was cut off while a domain was out; the catch-up holds only the last change.
+def test_upstreams_are_cold_after_an_evacuation_that_this_entry_did_not_see(harness):
+    upstream = harness.publish_upstream("i-1", domain=OTHER_DOMAIN)
+    harness.bring_domain_back(OTHER_DOMAIN)
+    assert upstream.is_cold(harness.now)
