Take no upstream as a control that itself times out

Callers waited until their deadline if two upstreams died together while the living ones answered no caller of this entry: the control is the upstream that answered last, so that the dead ones were each other's control and nothing was proved in 15 s.

Now an upstream whose last probe timed out is a control only if there is no other, and after a control failed one of another domain is preferred.

--- a/src/chicoryproxy/forwarding/forwarder.py
+++ b/src/chicoryproxy/forwarding/forwarder.py
@@ -93,7 +93,7 @@
         domain: DomainId,
         now: float,
     ) -> None:
-        self._control = ControlProbeSelector(directory, domain)
+        self._control = ControlProbeSelector(directory, domain, reachability.is_failing)
         self.flows = flows
         self.observer = observer
         self.failure_detector = failure_detector
--- a/src/chicoryproxy/forwarding/probecontrol.py
+++ b/src/chicoryproxy/forwarding/probecontrol.py
@@ -5,12 +5,17 @@
 whole fleet each time.
 """
 
+from collections.abc import Callable
+
 from chicoryproxy.forwarding.directory import Directory, Lifetime
 from chicoryproxy.ids import DomainId
 
 MIN_SEARCH_INTERVAL_S = 0.25
 """Minimum interval between searches over all upstreams while the last control is usable."""
 
+MIN_FAILED_SEARCH_INTERVAL_S = 0.05
+"""Minimum interval between these searches while the last control itself times out."""
+
 RECENT_ANSWER_S = 1.0
 """A control that answered a caller this recently is kept."""
 
@@ -19,11 +24,18 @@
     """Selects upstreams that are probably reachable.
 
     :param domain: failure domain of this entry.
+    :param is_failing: returns whether the last probe of an upstream timed out.
     """
 
-    def __init__(self, directory: Directory, domain: DomainId) -> None:
+    def __init__(
+        self,
+        directory: Directory,
+        domain: DomainId,
+        is_failing: Callable[[Lifetime], bool] = lambda upstream: False,
+    ) -> None:
         self._directory = directory
         self._domain = domain
+        self._is_failing = is_failing
         self._last: Lifetime | None = None
         self._searched_s = float("-inf")
 
@@ -50,6 +62,8 @@
         return domain == self._domain or domain != suspected.entry.domain
 
     def _is_reusable(self, upstream: Lifetime, now: float) -> bool:
+        if self._is_failing(upstream):
+            return now - self._searched_s < MIN_FAILED_SEARCH_INTERVAL_S
         return (
             now - upstream.answered_s < RECENT_ANSWER_S
             or now - self._searched_s < MIN_SEARCH_INTERVAL_S
@@ -61,6 +75,12 @@
             for upstream in self._directory.iterate_present()
             if upstream.can_open and upstream is not suspected
         ]
+        # Upstreams that died together have answered last, and would be each other's control.
+        candidates = [item for item in candidates if not self._is_failing(item)] or candidates
+        if self._last is not None and self._is_failing(self._last):
+            failed = self._last.entry.domain
+            elsewhere = [item for item in candidates if item.entry.domain != failed]
+            candidates = elsewhere or candidates
         # A network partition may affect the whole domain of the suspected one; the own is nearest.
         near = [item for item in candidates if item.entry.domain == self._domain]
         best = near or [item for item in candidates if self._is_independent(item, suspected)]
--- a/src/chicoryproxy/forwarding/reachability.py
+++ b/src/chicoryproxy/forwarding/reachability.py
@@ -224,6 +224,11 @@
         state = self._states.get(upstream)
         return not upstream.is_unreachable or (state is not None and state.is_awaited)
 
+    def is_failing(self, upstream: Lifetime) -> bool:
+        """Return whether the last probe of an upstream timed out."""
+        state = self._states.get(upstream)
+        return state is not None and state.failed_probes > 0
+
     def check(self, upstream: Lifetime, now: float, is_control: bool = False) -> None:
         """Request a probe of an unsuspected upstream.
 
--- a/tests/forwarding/test_proofs.py
+++ b/tests/forwarding/test_proofs.py
@@ -14,7 +14,7 @@
 from chicoryproxy.forwarding.model import Refusal, UpstreamPhase
 from chicoryproxy.forwarding.reachability import DRAIN_FINISHING_S, ProbeResult
 from chicoryproxy.node.probe import CONNECT_TIMEOUT_S, IDENTITY_TIMEOUT_S, SLOW_CONNECT_S
-from tests.forwarding.harness import OTHER_DOMAIN, create_packet
+from tests.forwarding.harness import OTHER_DOMAIN, OWN_DOMAIN, create_packet
 
 TICK_S = 0.05
 NEVER_S = math.inf
@@ -349,3 +349,26 @@
         suspect(harness, upstream)
     network.run(1.5)
     assert all(upstream.is_unreachable for upstream in far)
+
+
+# Machines lose their power together, and the living upstreams serve callers of other entries.
+@pytest.mark.parametrize(
+    ("dead", "living_domain"),
+    [(2, OWN_DOMAIN), (2, OTHER_DOMAIN), (20, OWN_DOMAIN), (40, OTHER_DOMAIN)],
+)
+def test_upstreams_that_died_together_are_not_each_others_control(
+    harness, network, dead, living_domain
+):
+    upstreams = [harness.publish_upstream(f"i-{number}") for number in range(dead)]
+    for number in range(5):
+        harness.publish_upstream(f"idle-{number}", domain=living_domain)
+    for port, upstream in enumerate(upstreams, 1024):
+        send_data(harness, upstream, port)
+        send_data(harness, upstream, port, acknowledged=900, sequence=900)
+        network.delays_s[upstream.entry.id] = NEVER_S
+    for _ in range(10):
+        for port, upstream in enumerate(upstreams, 1024):
+            send_data(harness, upstream, port, acknowledged=900, sequence=900)
+        network.run(0.2)
+    assert all(upstream.is_unreachable for upstream in upstreams)
+    assert len(network.broken) == dead
