--- a/src/chicoryproxy/forwarding/directory.py
+++ b/src/chicoryproxy/forwarding/directory.py
@@ -178,7 +178,7 @@
         self._current: dict[UpstreamId, Lifetime] = {}
         self._services: dict[ServiceId, dict[UpstreamId, Lifetime]] = {}
         self._marks: dict[Mark, Lifetime] = {}
-        self._addresses: dict[Endpoint, UpstreamId] = {}
+        self._addresses: dict[Endpoint, tuple[Lifetime, ...]] = {}
         self._missing: dict[UpstreamId, Lifetime] = {}
         self._ended: dict[str, Lifetime] = {}
         self._domains_out: set[DomainId] = set()
@@ -247,7 +247,7 @@
             )
             return [subject, *self._apply_unlisted(fact.id, change.revision, now)]
         if isinstance(fact, RoutingPublished):
-            return [self._apply_routing(fact.routing, change.revision)]
+            return self._apply_routing(fact.routing, change.revision, now)
         if isinstance(fact, RoutingUnreadable):
             return [
                 DirectoryEvent(
@@ -269,6 +269,8 @@
             if now - lifetime.phase_since_s < GONE_RETENTION_S:
                 break
             del self._ended[identity]
+            if not lifetime.is_replaced:
+                self._leave_address(lifetime)
             if self._marks.get(lifetime.mark) is lifetime:
                 del self._marks[lifetime.mark]
         return events
@@ -287,10 +289,13 @@
             known = self._restore_ended(identity) or Lifetime(entry, identity, revision, now)
             known.update(entry, revision, now)
             events.extend(self._add(known, revision, now))
-            if known.phase is UpstreamPhase.GONE:
-                return events
         else:
+            self._leave_address(known)
             known.update(entry, revision, now)
+            self._occupy_address(known)
+            events.extend(self._claim_address(known, revision, now))
+        if known.phase is UpstreamPhase.GONE:
+            return events
         phase = UpstreamPhase.DRAINING if entry.is_draining else UpstreamPhase.SERVING
         if known.phase is not phase:
             events.append(self._set_phase(known, phase, "published", revision, now))
@@ -306,20 +311,27 @@
             return [self._end(known, "registration removed after the drain", revision, now)]
         return [self._set_phase(known, UpstreamPhase.MISSING, "entry vanished", revision, now)]
 
-    def _apply_routing(self, routing: RoutingVersion, revision: int) -> DirectoryEvent:
+    def _apply_routing(
+        self, routing: RoutingVersion, revision: Revision, now: float
+    ) -> list[DirectoryEvent]:
         if routing.version <= self.version:
             detail = f"version {self.version} remains current"
-            return DirectoryEvent(
-                DirectoryEventKind.VERSION_OLDER, str(routing.version), detail, revision
-            )
-        self.history.record_version(self.routing, routing, Revision(revision))
+            kind = DirectoryEventKind.VERSION_OLDER
+            return [DirectoryEvent(kind, str(routing.version), detail, revision)]
+        self.history.record_version(self.routing, routing, revision)
         self.routing = routing
         before = self._routes.keys()
         self._routes = {route.key: route for route in routing.routes}
         self._removed_routes = (self._removed_routes | before) - self._routes.keys()
+        known_services = self._limits.keys()
         self._limits = {limits.service: limits for limits in routing.services}
         detail = f"{len(routing.routes)} routes, {len(routing.services)} services"
-        return DirectoryEvent(DirectoryEventKind.VERSION, str(routing.version), detail, revision)
+        events = [
+            DirectoryEvent(DirectoryEventKind.VERSION, str(routing.version), detail, revision)
+        ]
+        for service in self._limits.keys() - known_services:
+            events.extend(self._claim_addresses(service, revision, now))
+        return events
 
     def _apply_domain(
         self, fact: DomainOut | DomainBack, revision: int, now: float
@@ -356,6 +368,7 @@
         entry = lifetime.entry
         self._current[entry.id] = lifetime
         self._services.setdefault(entry.service, {})[entry.id] = lifetime
+        self._occupy_address(lifetime)
         lifetime.phase_since_s = now
         detail = f"{entry.service} at {entry.address.host}:{entry.address.port}"
         return [
@@ -379,38 +392,75 @@
             DirectoryEvent(DirectoryEventKind.MARK_COLLISION, greater.entry.id, detail, revision)
         ]
 
+    def _claim_addresses(
+        self, service: ServiceId, revision: int, now: float
+    ) -> list[DirectoryEvent]:
+        """Claim the addresses of the lifetimes of a service that a configuration names now."""
+        events: list[DirectoryEvent] = []
+        for lifetime in list(self.iterate_service(service)):
+            if lifetime.phase is not UpstreamPhase.GONE:
+                events.extend(self._claim_address(lifetime, revision, now))
+        return events
+
     def _claim_address(self, lifetime: Lifetime, revision: int, now: float) -> list[DirectoryEvent]:
-        """End the earlier one of a new lifetime and another one with the same address.
+        """End the earlier one of a lifetime and each other one with the same address.
 
-        Registrations arrive in any order, so that the new one may be the earlier one.
+        One that is gone already may have open flows; they have ended, too.
+        Registrations arrive in any order, so that a new one may be the earlier one. One of a
+        service that no configuration names may be another writer's and ends nothing.
         """
+        events: list[DirectoryEvent] = []
+        for other in self._addresses[lifetime.entry.address]:
+            if other is lifetime:
+                continue
+            later = _find_later(other, lifetime)
+            if other.phase is UpstreamPhase.GONE and later is not lifetime:
+                continue
+            if later is None or later.entry.service not in self._limits:
+                detail = f"address of {other.entry.id} too, and it is unclear which one is later"
+                kind = DirectoryEventKind.ADDRESS_CONFLICT
+                events.append(DirectoryEvent(kind, lifetime.entry.id, detail, revision))
+                continue
+            earlier = other if later is lifetime else lifetime
+            earlier.mark_unreachable(UnreachableCause.ADDRESS_REASSIGNED, now)
+            reason = f"its address belongs to {later.entry.id} since revision {later.revision}"
+            if earlier.phase is UpstreamPhase.GONE:
+                self._leave_address(earlier)
+                events.append(_create_phase_event(earlier, reason, revision))
+            else:
+                events.append(self._end(earlier, reason, revision, now))
+            if earlier is lifetime:
+                break
+        return events
+
+    def _occupy_address(self, lifetime: Lifetime) -> None:
         address = lifetime.entry.address
-        owner = self._current.get(self._addresses.get(address, lifetime.entry.id))
-        if owner is None or owner is lifetime or owner.entry.address != address:
-            self._addresses[address] = lifetime.entry.id
-            return []
-        later = _find_later(owner, lifetime)
-        if later is None:
-            detail = f"address of {owner.entry.id} too, and it is unclear which one is later"
-            kind = DirectoryEventKind.ADDRESS_CONFLICT
-            return [DirectoryEvent(kind, lifetime.entry.id, detail, revision)]
-        self._addresses[address] = later.entry.id
-        earlier = owner if later is lifetime else lifetime
-        earlier.mark_unreachable(UnreachableCause.ADDRESS_REASSIGNED, now)
-        reason = f"its address belongs to {later.entry.id} since revision {later.revision}"
-        return [self._end(earlier, reason, revision, now)]
+        self._addresses[address] = (*self._addresses.get(address, ()), lifetime)
+
+    def _leave_address(self, lifetime: Lifetime) -> None:
+        address = lifetime.entry.address
+        others = tuple(item for item in self._addresses[address] if item is not lifetime)
+        if others:
+            self._addresses[address] = others
+        else:
+            del self._addresses[address]
 
     def _restore_ended(self, identity: str) -> Lifetime | None:
         lifetime = self._ended.pop(identity, None)
         if lifetime is not None:
+            if not lifetime.is_replaced:
+                self._leave_address(lifetime)
             lifetime.phase = UpstreamPhase.SERVING
             lifetime.is_unreachable = False
+            lifetime.is_mark_taken = False
         return lifetime
 
     def _end(self, lifetime: Lifetime, reason: str, revision: int, now: float) -> DirectoryEvent:
         entry = lifetime.entry
         del self._current[entry.id]
         del self._services[entry.service][entry.id]
+        if lifetime.is_replaced:
+            self._leave_address(lifetime)
         self._ended[lifetime.identity] = lifetime
         self._pass_on_mark(lifetime)
         return self._set_phase(lifetime, UpstreamPhase.GONE, reason, revision, now)
@@ -432,20 +482,25 @@
             self._missing[lifetime.entry.id] = lifetime
         else:
             self._missing.pop(lifetime.entry.id, None)
-        detail = f"{phase.value}: {reason}"
-        return DirectoryEvent(
-            DirectoryEventKind.UPSTREAM_PHASE, lifetime.entry.id, detail, revision, lifetime
-        )
+        return _create_phase_event(lifetime, reason, revision)
+
+
+def _create_phase_event(lifetime: Lifetime, reason: str, revision: int) -> DirectoryEvent:
+    detail = f"{lifetime.phase.value}: {reason}"
+    return DirectoryEvent(
+        DirectoryEventKind.UPSTREAM_PHASE, lifetime.entry.id, detail, revision, lifetime
+    )
 
 
 def _find_later(first: Lifetime, second: Lifetime) -> Lifetime | None:
     """Return which of two lifetimes that had the same address began later.
 
     The registration of an ended lifetime may be written late, and the clocks of the upstreams may
-    differ; therefore both the revision and the start have to say so.
+    differ; therefore both the revision and the start have to say so. A registration without a start
+    may be another writer's, and is not later than one that has it.
 
     :returns: ``None`` if they contradict each other.
     """
     earlier, later = sorted((first, second), key=lambda item: item.revision)
     starts = (earlier.entry.started_ms, later.entry.started_ms)
-    return None if all(starts) and starts[0] > starts[1] else later
+    return None if starts[0] > starts[1] else later
--- a/src/chicoryproxy/forwarding/replica.py
+++ b/src/chicoryproxy/forwarding/replica.py
@@ -49,19 +49,23 @@
         self.complete_since = NO_REVISION
         self._changes: dict[str, Change] = {}
         self._tombstones = 0
+        self._evicted = NO_REVISION
 
     def __len__(self) -> int:
         return len(self._changes)
 
-    def merge(self, change: Change) -> bool:
+    def merge(self, change: Change, is_newer_whole: bool = False) -> bool:
         """Add a change unless the same or a newer one of its key is known.
 
+        :param is_newer_whole: it is from a whole listing of a later revision than ``synced``, so
+            that its key exists whatever is known here.
         :returns: True if the change was added.
         """
         known = self._changes.get(change.key)
         if known is not None and known.revision >= change.revision:
             return False
-        if known is None and self._was_removed(change):
+        is_absent = known is None or _is_removal(known)
+        if is_absent and not is_newer_whole and self._was_removed(change):
             return False
         # Reinserting the key keeps the dict ordered by last change.
         self._changes.pop(change.key, None)
@@ -82,6 +86,7 @@
             self.complete_since = since
         elif revision >= self.complete_since:
             self.complete_since = min(self.complete_since, since)
+        self.complete_since = max(self.complete_since, self._evicted)
         self.synced = max(self.synced, revision)
 
     def infer_removals(self, listed: Iterable[Change], revision: Revision) -> list[Change]:
@@ -111,9 +116,8 @@
         return changes
 
     def _was_removed(self, change: Change) -> bool:
-        """Return whether an unknown key existed only before ``synced``."""
-        is_removal = isinstance(change.fact, UpstreamUnlisted | DomainBack)
-        return change.revision <= self.synced and not is_removal
+        """Return whether a key that is absent here existed only before ``synced``."""
+        return change.revision <= self.synced and not _is_removal(change)
 
     def _evict_oldest_tombstone(self) -> None:
         if self._tombstones <= MAX_TOMBSTONES:
@@ -121,6 +125,11 @@
         for key, change in self._changes.items():
             if isinstance(change.fact, UpstreamUnlisted):
                 del self._changes[key]
-                self.complete_since = max(self.complete_since, change.revision)
+                self._evicted = max(self._evicted, change.revision)
+                self.complete_since = max(self.complete_since, self._evicted)
                 self._tombstones -= 1
                 return
+
+
+def _is_removal(change: Change) -> bool:
+    return isinstance(change.fact, UpstreamUnlisted | DomainBack)
