Let no outdated registration of its id end a living upstream

Any registration of another start or service under an id counted as its newer lifetime. A write of the former lifetime that the store completes late, or an entry of another writer without a start, ended the living upstream: its flows were reset.

Now a registration that began no later than the known lifetime is logged (`upstream_outdated`) and changes nothing, except that the upstream stays cold as long as it says; the living upstream's next heartbeat corrects the store. The three cases of the test failed before.

--- a/src/chicoryproxy/forwarding/directory.py
+++ b/src/chicoryproxy/forwarding/directory.py
@@ -113,6 +113,10 @@
         self.entry = entry
         self.revision = revision
         self.target = (entry.address.host, entry.address.port)
+        self.keep_cold(entry, now)
+
+    def keep_cold(self, entry: UpstreamEntry, now: float) -> None:
+        """Treat the upstream as cold for at least as long as a registration says."""
         self.cold_until_s = max(self.cold_until_s, now + entry.cold_remaining_s)
 
     @property
@@ -135,6 +139,7 @@
     UPSTREAM_NEW = "upstream_new"
     UPSTREAM_PHASE = "upstream_phase"
     UPSTREAM_UNREADABLE = "upstream_unreadable"
+    UPSTREAM_OUTDATED = "upstream_outdated"
     MARK_COLLISION = "mark_clash"
     ADDRESS_CONFLICT = "address_conflict"
     VERSION = "version"
@@ -281,6 +286,11 @@
         identity = get_identity(entry)
         known = self._current.get(entry.id)
         events: list[DirectoryEvent] = []
+        if known is not None and _is_outdated(entry, known):
+            known.keep_cold(entry, now)
+            detail = f"registration began no later than {known.entry.started_ms}"
+            kind = DirectoryEventKind.UPSTREAM_OUTDATED
+            return [DirectoryEvent(kind, entry.id, detail, revision)]
         if known is not None and known.identity != identity:
             known.mark_unreachable(UnreachableCause.NEWER_LIFETIME, now)
             events.append(self._end(known, "replaced by a newer lifetime", revision, now))
@@ -492,6 +502,15 @@
     )
 
 
+def _is_outdated(entry: UpstreamEntry, known: Lifetime) -> bool:
+    """Return whether a registration of another lifetime of the same id began no later.
+
+    It was written late, or by another writer, and proves no end of the known lifetime.
+    """
+    is_other = get_identity(entry) != known.identity
+    return is_other and 0 < known.entry.started_ms >= entry.started_ms
+
+
 def _find_later(first: Lifetime, second: Lifetime) -> Lifetime | None:
     """Return which of two lifetimes that had the same address began later.
 
--- a/tests/forwarding/test_registration_order.py
+++ b/tests/forwarding/test_registration_order.py
@@ -48,6 +48,18 @@
     assert upstream.phase is UpstreamPhase.SERVING
 
 
+# The store completes a write of the former lifetime late, or another writer uses the key.
+@pytest.mark.parametrize(("started_ms", "service"), [(4, SERVICE), (0, SERVICE), (5, ARCHIVE)])
+def test_an_outdated_registration_of_its_id_ends_no_living_upstream(harness, started_ms, service):
+    upstream = register(harness, "i-1", 5, 10)
+    _, port = harness.open_flow()
+    register(harness, "i-1", started_ms, 11, service=service)
+    assert harness.find_upstream("i-1") is upstream
+    packet = create_packet(port=port, mark=upstream.mark, acknowledged=1, size=10)
+    assert harness.send(packet) is upstream
+    assert upstream.can_open
+
+
 # A peer's reply is sorted by revision: the version that names the service comes last.
 def test_an_address_is_claimed_when_a_configuration_names_the_service(harness):
     former = register(harness, "i-1", 5, 10)
