Split lifetimes and events off the directory

No change of behaviour; tests/forwarding, tests/node, tests/adapter, linter, types and import contracts green.

--- a/src/chicoryproxy/forwarding/flows.py
+++ b/src/chicoryproxy/forwarding/flows.py
@@ -8,7 +8,7 @@
 from collections import OrderedDict
 from collections.abc import Iterator
 
-from chicoryproxy.forwarding.directory import Lifetime
+from chicoryproxy.forwarding.lifetime import Lifetime
 from chicoryproxy.forwarding.model import FlowId
 from chicoryproxy.forwarding.peerloads import PeerLoads
 from chicoryproxy.forwarding.peermessages import LoadReport
--- a/src/chicoryproxy/forwarding/forwarder.py
+++ b/src/chicoryproxy/forwarding/forwarder.py
@@ -13,10 +13,11 @@
 from msgspec import Struct
 
 from chicoryproxy.forwarding.coldstart import ColdBudget
-from chicoryproxy.forwarding.directory import Directory, Lifetime
+from chicoryproxy.forwarding.directory import Directory
 from chicoryproxy.forwarding.failuredetector import FailureDetector
 from chicoryproxy.forwarding.flows import Flow, FlowTable
 from chicoryproxy.forwarding.isolation import RecentOpenings
+from chicoryproxy.forwarding.lifetime import Lifetime
 from chicoryproxy.forwarding.model import Drop, FlowId, Mark, Refusal, Route, UpstreamPhase
 from chicoryproxy.forwarding.packet import CallerPacket
 from chicoryproxy.forwarding.pause import PauseDetector
--- a/src/chicoryproxy/forwarding/pending.py
+++ b/src/chicoryproxy/forwarding/pending.py
@@ -10,8 +10,8 @@
 
 from msgspec import Struct
 
-from chicoryproxy.forwarding.directory import Lifetime
 from chicoryproxy.forwarding.flows import Flow
+from chicoryproxy.forwarding.lifetime import Lifetime
 from chicoryproxy.forwarding.model import FlowId
 
 OPENING_OVERDUE_S = 0.03
--- a/src/chicoryproxy/forwarding/placement.py
+++ b/src/chicoryproxy/forwarding/placement.py
@@ -14,9 +14,10 @@
 from msgspec import Struct
 
 from chicoryproxy.forwarding.coldstart import ColdBudget
-from chicoryproxy.forwarding.directory import Directory, Lifetime
+from chicoryproxy.forwarding.directory import Directory
 from chicoryproxy.forwarding.failuredetector import FailureDetector
 from chicoryproxy.forwarding.flows import FlowTable
+from chicoryproxy.forwarding.lifetime import Lifetime
 from chicoryproxy.forwarding.model import (
     FlowId,
     Route,
--- a/src/chicoryproxy/forwarding/probecontrol.py
+++ b/src/chicoryproxy/forwarding/probecontrol.py
@@ -7,7 +7,8 @@
 
 from collections.abc import Callable
 
-from chicoryproxy.forwarding.directory import Directory, Lifetime
+from chicoryproxy.forwarding.directory import Directory
+from chicoryproxy.forwarding.lifetime import Lifetime
 from chicoryproxy.ids import DomainId
 
 MIN_SEARCH_INTERVAL_S = 0.25
--- a/src/chicoryproxy/forwarding/reachability.py
+++ b/src/chicoryproxy/forwarding/reachability.py
@@ -15,7 +15,7 @@
 from collections.abc import Iterable
 from enum import Enum, unique
 
-from chicoryproxy.forwarding.directory import Lifetime
+from chicoryproxy.forwarding.lifetime import Lifetime
 from chicoryproxy.forwarding.model import UnreachableCause, UpstreamPhase
 from chicoryproxy.ids import DomainId
 
--- a/src/chicoryproxy/node/dataplane.py
+++ b/src/chicoryproxy/node/dataplane.py
@@ -6,13 +6,10 @@
 
 from chicoryproxy.eventloop.loop import Loop
 from chicoryproxy.eventloop.packetsocket import PacketSocket
-from chicoryproxy.forwarding.directory import (
-    Directory,
-    DirectoryEvent,
-    DirectoryEventKind,
-    Lifetime,
-)
+from chicoryproxy.forwarding.directory import Directory
+from chicoryproxy.forwarding.directoryevent import DirectoryEvent, DirectoryEventKind
 from chicoryproxy.forwarding.forwarder import BrokenFlow, TrafficObserver, create_forwarder
+from chicoryproxy.forwarding.lifetime import Lifetime
 from chicoryproxy.forwarding.model import (
     Drop,
     EntrySettings,
--- a/src/chicoryproxy/node/entry.py
+++ b/src/chicoryproxy/node/entry.py
@@ -5,7 +5,7 @@
 
 from chicoryproxy.eventloop.http import HttpServer, ServerResponse
 from chicoryproxy.eventloop.loop import Loop
-from chicoryproxy.forwarding.directory import DirectoryEvent
+from chicoryproxy.forwarding.directoryevent import DirectoryEvent
 from chicoryproxy.forwarding.isolation import IsolationDetector
 from chicoryproxy.forwarding.model import EntrySettings, Mark
 from chicoryproxy.forwarding.pause import PauseEvent
--- a/src/chicoryproxy/node/view.py
+++ b/src/chicoryproxy/node/view.py
@@ -5,7 +5,8 @@
 
 from chicoryproxy.eventloop.loop import Loop
 from chicoryproxy.forwarding.catchup import CatchUp
-from chicoryproxy.forwarding.directory import Directory, DirectoryEvent
+from chicoryproxy.forwarding.directory import Directory
+from chicoryproxy.forwarding.directoryevent import DirectoryEvent
 from chicoryproxy.forwarding.hosts import format_host, parse_host
 from chicoryproxy.forwarding.model import Change, EntrySettings, Mark, Revision
 from chicoryproxy.forwarding.peering import PeerGroup
--- a/tests/forwarding/harness.py
+++ b/tests/forwarding/harness.py
@@ -3,8 +3,10 @@
 import itertools
 
 from chicoryproxy.forwarding.coldstart import DomainShare
-from chicoryproxy.forwarding.directory import Directory, DirectoryEvent, Lifetime
+from chicoryproxy.forwarding.directory import Directory
+from chicoryproxy.forwarding.directoryevent import DirectoryEvent
 from chicoryproxy.forwarding.forwarder import Forwarder, TrafficObserver, create_forwarder
+from chicoryproxy.forwarding.lifetime import Lifetime
 from chicoryproxy.forwarding.model import (
     NO_REVISION,
     Bounds,
--- a/tests/forwarding/test_coldstart.py
+++ b/tests/forwarding/test_coldstart.py
@@ -3,7 +3,7 @@
 import pytest
 
 from chicoryproxy.forwarding.coldstart import DomainShare
-from chicoryproxy.forwarding.directory import Lifetime
+from chicoryproxy.forwarding.lifetime import Lifetime
 from chicoryproxy.forwarding.model import Bounds, Refusal
 from tests.forwarding.harness import OTHER_DOMAIN, OWN_DOMAIN, ForwarderHarness
 
--- a/tests/forwarding/test_directory.py
+++ b/tests/forwarding/test_directory.py
@@ -4,8 +4,9 @@
 
 import pytest
 
-from chicoryproxy.forwarding import directory as directory_module
-from chicoryproxy.forwarding.directory import RETURN_GRACE_S, DirectoryEventKind
+from chicoryproxy.forwarding import lifetime as lifetime_module
+from chicoryproxy.forwarding.directory import RETURN_GRACE_S
+from chicoryproxy.forwarding.directoryevent import DirectoryEventKind
 from chicoryproxy.forwarding.marks import compute_mark
 from chicoryproxy.forwarding.model import Mark, UpstreamPhase, UpstreamUnreadable
 from chicoryproxy.forwarding.replica import get_upstream_key
@@ -114,7 +115,7 @@
 
 def test_of_two_lifetimes_with_one_mark_only_one_gets_openings(harness, monkeypatch):
     """Hash collision in 32 bits: at every entry the lesser identity owns the mark."""
-    monkeypatch.setattr(directory_module, "compute_mark", lambda identity: Mark(5))
+    monkeypatch.setattr(lifetime_module, "compute_mark", lambda identity: Mark(5))
     harness.publish_upstream("i-2")
     harness.publish_upstream("i-1")
     for _ in range(10):
@@ -125,7 +126,7 @@
 
 
 def test_a_mark_passes_to_the_other_lifetime_when_its_owner_ends(harness, monkeypatch):
-    monkeypatch.setattr(directory_module, "compute_mark", lambda identity: Mark(5))
+    monkeypatch.setattr(lifetime_module, "compute_mark", lambda identity: Mark(5))
     harness.publish_upstream("i-1")
     other = harness.publish_upstream("i-2")
     harness.publish_upstream("i-1", draining=True)
--- a/tests/forwarding/test_registration_order.py
+++ b/tests/forwarding/test_registration_order.py
@@ -134,7 +134,7 @@
 
 # The owner of a shared mark ends while the other lifetime is gone, too.
 def test_a_lifetime_that_returns_after_the_owner_of_its_mark_ended_owns_it(harness, monkeypatch):
-    module = "chicoryproxy.forwarding.directory.compute_mark"
+    module = "chicoryproxy.forwarding.lifetime.compute_mark"
     monkeypatch.setattr(module, lambda identity: Mark(compute_mark("same")))
     harness.publish_upstream("i-1")
     other = harness.publish_upstream("i-2")
