--- a/tests/forwarding/test_registration_order.py
+++ b/tests/forwarding/test_registration_order.py
@@ -1,18 +1,26 @@
 """Registrations, removals and replies of peers in orders that are rare but possible."""
 
+import itertools
 import random
 
 import pytest
 
 from chicoryproxy.forwarding import replica as replica_module
 from chicoryproxy.forwarding.directory import RETURN_GRACE_S
+from chicoryproxy.forwarding.lifetime import find_later
 from chicoryproxy.forwarding.marks import compute_mark
 from chicoryproxy.forwarding.model import Mark, Refusal, Revision, UpstreamPhase
 from chicoryproxy.forwarding.peermessages import encode_message
 from chicoryproxy.forwarding.replica import Replica, get_upstream_key
 from chicoryproxy.ids import ServiceId
 from chicoryproxy.model import Endpoint
-from tests.forwarding.harness import ARCHIVE, OTHER_DOMAIN, SERVICE, create_packet
+from tests.forwarding.harness import (
+    ARCHIVE,
+    OTHER_DOMAIN,
+    SERVICE,
+    ForwarderHarness,
+    create_packet,
+)
 from tests.forwarding.replicanode import ReplicaNode
 from tests.forwarding.test_catchup import NAMES, FakeStore, add, list_present, remove
 
@@ -243,6 +251,47 @@
             assert network.list_wrong() == [], f"seed {seed}"
 
 
+def take_random_step(harness, prng, revision):
+    """Register, change or remove an upstream, publish a version, or let time pass."""
+    kind = prng.choice(("register", "register", "late", "remove", "expire", "version"))
+    if kind in ("register", "late"):
+        harness.publish_upstream(
+            prng.choice(NAMES),
+            service=prng.choice((SERVICE, ARCHIVE, FOREIGN)),
+            address=prng.choice((ADDRESS, Endpoint("10.1.0.9", 8001))),
+            started_ms=prng.choice((0, 1, 2, 3, 5, 8)),
+            revision=revision if kind == "register" else prng.randrange(5, revision),
+        )
+    elif kind == "remove":
+        harness.remove_upstream(prng.choice(NAMES))
+    elif kind == "version":
+        services = (SERVICE, ARCHIVE, FOREIGN)[: prng.randint(1, 3)]
+        harness.publish_routing(revision, services=services)
+    else:
+        harness.now += prng.choice((0.5, 3.0, 100.0))
+        harness.directory.expire(harness.now)
+
+
+def shares_address(first, second):
+    """Return whether two lifetimes have one address, and it is clear which one is later."""
+    return first.entry.address == second.entry.address and find_later(first, second) is not None
+
+
+# A dead and a living server at one address: the earlier one must not stay present.
+def test_no_present_lifetime_has_the_address_of_a_later_one():
+    for seed in range(100):
+        prng, harness = random.Random(seed), ForwarderHarness()
+        for revision in range(10, 70):
+            take_random_step(harness, prng, revision)
+            named = [
+                item
+                for item in harness.directory.iterate_present()
+                if harness.directory.get_limits(item.entry.service)
+            ]
+            pairs = itertools.combinations(named, 2)
+            assert not any(shares_address(*pair) for pair in pairs), f"seed {seed}"
+
+
 # An entry was cut off while a domain was out; the catch-up holds only the last change.
 def test_upstreams_are_cold_after_an_evacuation_that_this_entry_did_not_see(harness):
     upstream = harness.publish_upstream("i-1", domain=OTHER_DOMAIN)
