--- a/src/chicoryproxy/eventloop/http.py
+++ b/src/chicoryproxy/eventloop/http.py
@@ -101,7 +101,7 @@
             self._stream.close()
 
     def handle_connected(self) -> None:
-        """Note it; the stream sends the buffered request."""
+        """Record it; the stream sends the buffered request by itself."""
         self.was_connected = True
 
     def handle_data(self, data: bytes) -> None:
--- a/src/chicoryproxy/forwarding/directoryevent.py
+++ b/src/chicoryproxy/forwarding/directoryevent.py
@@ -40,6 +40,7 @@
 
 
 def create_phase_event(lifetime: Lifetime, reason: str, revision: int) -> DirectoryEvent:
+    """Create the event of a lifetime that is in a new phase, or whose end has a new reason."""
     detail = f"{lifetime.phase.value}: {reason}"
     return DirectoryEvent(
         DirectoryEventKind.UPSTREAM_PHASE, lifetime.entry.id, detail, revision, lifetime
--- a/src/chicoryproxy/forwarding/reachability.py
+++ b/src/chicoryproxy/forwarding/reachability.py
@@ -119,6 +119,14 @@
         self.recheck_interval_s = RECHECK_MIN_S
         self.refused_since_s: float | None = None
 
+    def record_success(self) -> None:
+        """Forget the failures before a successful probe."""
+        self.failed_probes = 0
+        self.proved_s = float("-inf")
+        self.is_awaited = False
+        self.refused_since_s = None
+        self.recheck_interval_s = RECHECK_MIN_S
+
 
 class ReachabilityMonitor:
     """Schedules probes and determines from their results which upstreams are unreachable.
@@ -180,29 +188,9 @@
         if result is ProbeResult.CONNECTED:
             self._controls_s.append(state.probed_s)
         if result in (ProbeResult.CONNECTED, ProbeResult.CONNECTED_SLOWLY):
-            state.failed_probes = 0
-            state.proved_s = float("-inf")
-            state.is_awaited = False
-            state.refused_since_s = None
-            state.recheck_interval_s = RECHECK_MIN_S
+            state.record_success()
             return self._set_reachable(upstream)
-        if upstream.answered_s > state.probed_s - self._quiet_s:
-            state.failed_probes = 0
-            state.next_s = now + self._quiet_s
-            return False
-        if result is ProbeResult.REFUSED and self._may_be_finishing(upstream, state, now):
-            state.next_s = now + FINISHING_RECHECK_S
-            return False
-        if result is ProbeResult.SILENT:
-            state.failed_probes = 0
-            self._schedule_recheck(upstream, state, now)
-            return False
-        if result is ProbeResult.TIMEOUT and not self._is_proved_by_timeout(upstream, state, now):
-            return False
-        state.proved_s = now
-        self._schedule_recheck(upstream, state, now)
-        was_awaited, state.is_awaited = state.is_awaited, False
-        return self._set_unreachable(upstream, _CAUSES[result], now) or was_awaited
+        return self._handle_failure(upstream, state, result, now)
 
     def list_unreachable(self) -> list[Lifetime]:
         """Return the unreachable upstreams that have not ended."""
@@ -217,9 +205,9 @@
 
         A registration that has lapsed adds nothing to an old failed probe.
         """
-        state = self._states.get(upstream)
         if upstream.is_replaced:
             return True
+        state = self._states.get(upstream)
         return state is not None and now - state.proved_s < FAILURE_VALID_S
 
     def needs_control(self, upstream: Lifetime) -> bool:
@@ -259,6 +247,28 @@
             if upstream.entry.domain == domain:
                 self.suspect(upstream, now)
 
+    def _handle_failure(
+        self, upstream: Lifetime, state: _ProbeState, result: ProbeResult, now: float
+    ) -> bool:
+        """Decide whether a failed probe proves that the upstream is unreachable."""
+        if upstream.answered_s > state.probed_s - self._quiet_s:
+            state.failed_probes = 0
+            state.next_s = now + self._quiet_s
+            return False
+        if result is ProbeResult.REFUSED and self._may_be_finishing(upstream, state, now):
+            state.next_s = now + FINISHING_RECHECK_S
+            return False
+        if result is ProbeResult.SILENT:
+            state.failed_probes = 0
+            self._schedule_recheck(upstream, state, now)
+            return False
+        if result is ProbeResult.TIMEOUT and not self._is_proved_by_timeout(upstream, state, now):
+            return False
+        state.proved_s = now
+        self._schedule_recheck(upstream, state, now)
+        was_awaited, state.is_awaited = state.is_awaited, False
+        return self._set_unreachable(upstream, _CAUSES[result], now) or was_awaited
+
     def _get_state(self, upstream: Lifetime) -> _ProbeState:
         state = self._states.get(upstream)
         if state is None:
