Take the upstreams of a domain for cold if its evacuation was missed

Cause: a removed evacuation was ignored unless the domain was known to be out. An entry that was cut off during the evacuation gets only the last change of the key, and sent openings without a limit. The return now counts if it is newer than the view that this entry had. Returns from before the first view still do not count; a second test keeps that.

Ruled out: marking every return cold, since replies of peers hold returns from long ago.

--- a/src/chicoryproxy/forwarding/directory.py
+++ b/src/chicoryproxy/forwarding/directory.py
@@ -16,6 +16,7 @@
 from chicoryproxy.forwarding.lifetime import Lifetime, find_later, is_outdated
 from chicoryproxy.forwarding.marks import get_identity
 from chicoryproxy.forwarding.model import (
+    NO_REVISION,
     Bounds,
     Change,
     DomainBack,
@@ -57,12 +58,15 @@
 
     :ivar routing: current version of the configuration; ``None`` before the first.
     :ivar history: patches between the last versions.
+    :ivar known_revision: all changes up to this revision were applied; ``NO_REVISION`` before the
+        first complete view.
     """
 
     def __init__(self, bounds: Bounds) -> None:
         self.bounds = bounds
         self.routing: RoutingVersion | None = None
         self.history = RoutingHistory()
+        self.known_revision = NO_REVISION
         self._routes: dict[RouteKey, Route] = {}
         self._removed_routes: set[RouteKey] = set()
         self._limits: dict[ServiceId, ServiceLimits] = {}
@@ -239,7 +243,7 @@
                     DirectoryEventKind.DOMAIN_OUT, fact.domain, "gets no openings", revision
                 )
             ]
-        if fact.domain not in self._domains_out:
+        if fact.domain not in self._domains_out and not self._was_out_unseen(revision):
             return []
         self._domains_out.discard(fact.domain)
         # The upstreams of the domain may have lost their caches while it was out of service.
@@ -252,6 +256,14 @@
             )
         ]
 
+    def _was_out_unseen(self, revision: int) -> bool:
+        """Return whether a domain that is back was out between the last view and a change.
+
+        Only the last change of a key is passed on. Nothing is known of the time before the first
+        view.
+        """
+        return NO_REVISION < self.known_revision < revision
+
     def _mark_cold(self, lifetime: Lifetime, now: float) -> None:
         limits = self._limits.get(lifetime.entry.service)
         if limits is not None:
--- a/src/chicoryproxy/node/view.py
+++ b/src/chicoryproxy/node/view.py
@@ -189,6 +189,7 @@
                 self._report_view_changes(self.directory.apply(change, now))
         has_more = revision > self.replica.synced
         self.replica.advance_synced(revision, since)
+        self.directory.known_revision = self.replica.synced
         self._reader_policy.record_progress(self.replica.synced, self.replica.synced, now)
         if has_more:
             self._announce_revision()
--- a/tests/forwarding/harness.py
+++ b/tests/forwarding/harness.py
@@ -86,6 +86,7 @@
         """Apply a fact with the given or the next revision; return the directory events."""
         revision = Revision(revision or next(self._revisions))
         self.events = self.directory.apply(Change(key, revision, fact), self.now)
+        self.directory.known_revision = max(self.directory.known_revision, revision)
         return self.events
 
     def publish_routing(self, version, routes=None, cold_per_s=0.0, services=(SERVICE, ARCHIVE)):
--- a/tests/forwarding/test_registration_order.py
+++ b/tests/forwarding/test_registration_order.py
@@ -9,7 +9,7 @@
 from chicoryproxy.forwarding.directory import RETURN_GRACE_S
 from chicoryproxy.forwarding.lifetime import find_later
 from chicoryproxy.forwarding.marks import compute_mark
-from chicoryproxy.forwarding.model import Mark, Refusal, Revision, UpstreamPhase
+from chicoryproxy.forwarding.model import NO_REVISION, Mark, Refusal, Revision, UpstreamPhase
 from chicoryproxy.forwarding.peermessages import encode_message
 from chicoryproxy.forwarding.replica import Replica, get_upstream_key
 from chicoryproxy.ids import ServiceId
@@ -297,3 +297,11 @@
     upstream = harness.publish_upstream("i-1", domain=OTHER_DOMAIN)
     harness.bring_domain_back(OTHER_DOMAIN)
     assert upstream.is_cold(harness.now)
+
+
+# The first view of an entry may hold the return of a domain from long ago.
+def test_upstreams_are_warm_after_an_evacuation_before_the_first_view(harness):
+    upstream = harness.publish_upstream("i-1", domain=OTHER_DOMAIN)
+    harness.directory.known_revision = NO_REVISION
+    harness.bring_domain_back(OTHER_DOMAIN)
+    assert not upstream.is_cold(harness.now)
