Split the follow-up of failed upstreams off the forwarder

The forwarder decides on packets; UpstreamFailures decides which flows to reset after probes and changes of upstreams. The forwarder takes its components by name in one structure. No change of behaviour; tests/forwarding and tests/node pass.

--- a/src/chicoryproxy/forwarding/forwarder.py
+++ b/src/chicoryproxy/forwarding/forwarder.py
@@ -8,7 +8,6 @@
 
 from abc import ABC, abstractmethod
 from collections import Counter
-from collections.abc import Iterable
 
 from msgspec import Struct
 
@@ -18,7 +17,7 @@
 from chicoryproxy.forwarding.flows import Flow, FlowTable
 from chicoryproxy.forwarding.isolation import RecentOpenings
 from chicoryproxy.forwarding.lifetime import Lifetime
-from chicoryproxy.forwarding.model import Drop, FlowId, Mark, Refusal, Route, UpstreamPhase
+from chicoryproxy.forwarding.model import Drop, FlowId, Refusal, Route
 from chicoryproxy.forwarding.packet import CallerPacket
 from chicoryproxy.forwarding.pause import PauseDetector
 from chicoryproxy.forwarding.pending import PendingResponses
@@ -29,7 +28,8 @@
     create_opening_policy,
 )
 from chicoryproxy.forwarding.probecontrol import ControlProbeSelector
-from chicoryproxy.forwarding.reachability import ProbeResult, ReachabilityMonitor
+from chicoryproxy.forwarding.reachability import ReachabilityMonitor
+from chicoryproxy.forwarding.upstreamfailures import UpstreamFailures
 from chicoryproxy.ids import DomainId
 
 FAILURE_RETRANSMISSIONS = 2
@@ -73,46 +73,41 @@
         """Record that the packets of an open flow go to another upstream than before."""
 
 
-class BrokenFlow(Struct, frozen=True):
-    """Flow to reset without waiting for its next packet.
+class ForwarderParts(Struct, frozen=True):
+    """The components of a forwarder.
 
-    :param acknowledged: response offset that the caller has acknowledged.
+    :param directory: shared with the component that applies changes of the store.
     """
 
-    flow: FlowId
-    acknowledged: int
+    directory: Directory
+    flows: FlowTable
+    failure_detector: FailureDetector
+    cold_budget: ColdBudget
+    policy: OpeningPolicy
+    reachability: ReachabilityMonitor
+    failures: UpstreamFailures
+    observer: TrafficObserver
 
 
 class Forwarder:
     """Packet core of an entry, with flow affinity that needs no state shared between entries.
 
-    :param directory: shared with the component that applies changes of the store.
+    :param now: time of the start, in seconds.
     """
 
-    def __init__(
-        self,
-        directory: Directory,
-        flows: FlowTable,
-        failure_detector: FailureDetector,
-        cold_budget: ColdBudget,
-        policy: OpeningPolicy,
-        reachability: ReachabilityMonitor,
-        observer: TrafficObserver,
-        domain: DomainId,
-        now: float,
-    ) -> None:
-        self._control = ControlProbeSelector(directory, domain, reachability.is_failing)
-        self.flows = flows
-        self.observer = observer
-        self.failure_detector = failure_detector
-        self.cold_budget = cold_budget
-        self.reachability = reachability
+    def __init__(self, parts: ForwarderParts, now: float) -> None:
+        self.flows = parts.flows
+        self.observer = parts.observer
+        self.failure_detector = parts.failure_detector
+        self.cold_budget = parts.cold_budget
+        self.reachability = parts.reachability
+        self.failures = parts.failures
         self.recent_openings = RecentOpenings()
         self._pending = PendingResponses()
         self.pause = PauseDetector(now)
         self.is_synced = False
-        self._directory = directory
-        self.policy = policy
+        self._directory = parts.directory
+        self.policy = parts.policy
 
     def handle(self, packet: CallerPacket, now: float) -> Decision:
         """Choose the upstream of one packet, or why it is not forwarded."""
@@ -120,69 +115,6 @@
             return self._handle_opening(packet, now)
         return self._handle_established(packet, now)
 
-    def handle_probe_result(
-        self, upstream: Lifetime, result: ProbeResult, now: float
-    ) -> list[BrokenFlow]:
-        """Process the result of a probe.
-
-        :returns: the flows to reset. Idle flows are included, so that their callers learn of the
-            failure before they send a request that may not be retried.
-        """
-        was_unreachable = upstream.is_unreachable
-        is_decided = self.reachability.handle_result(upstream, result, now)
-        if result is ProbeResult.TIMEOUT and self.reachability.needs_control(upstream):
-            control = self._control.choose(upstream, now)
-            if control is not None:
-                self.reachability.check(control, now, is_control=True)
-        if not is_decided or not upstream.is_unreachable:
-            return []
-        if result is ProbeResult.TIMEOUT and not was_unreachable:
-            # A network partition would also affect the other upstreams of the failure domain.
-            present = self._directory.iterate_present()
-            self.reachability.suspect_domain(upstream.entry.domain, present, now)
-        return self.break_flows(upstream)
-
-    def handle_phase_change(self, upstream: Lifetime, now: float) -> list[BrokenFlow]:
-        """Process a change of an upstream's phase.
-
-        An upstream that is missing or gone may still serve its flows; it is probed.
-
-        :returns: the flows to reset.
-        """
-        if upstream.is_unreachable:
-            if self.reachability.is_confirmed_unreachable(upstream, now):
-                return self.break_flows(upstream)
-            self.reachability.check(upstream, now)
-        elif upstream.phase in (UpstreamPhase.MISSING, UpstreamPhase.GONE):
-            self.suspect_if_used(upstream, now)
-        return []
-
-    def suspect_marks(self, marks: Iterable[Mark], now: float) -> None:
-        """Request probes of upstreams that a peer can't reach."""
-        for mark in marks:
-            upstream = self._directory.find_by_mark(mark)
-            if upstream is not None and upstream.phase is not UpstreamPhase.GONE:
-                self.suspect_if_used(upstream, now)
-
-    def suspect_if_used(self, upstream: Lifetime, now: float) -> None:
-        """Request a probe of an upstream if this entry has flows to it.
-
-        In a large fleet most entries have none, and the probes of the others suffice.
-        """
-        if any(True for _ in self.flows.iterate_upstream(upstream)):
-            self.reachability.suspect(upstream, now)
-
-    def break_flows(self, upstream: Lifetime) -> list[BrokenFlow]:
-        """Remove the open flows of an unreachable upstream from the flow table and return them."""
-        broken = [
-            BrokenFlow(flow_id, flow.acknowledged)
-            for flow_id, flow in self.flows.iterate_upstream(upstream)
-            if flow.is_open
-        ]
-        for item in broken:
-            self.flows.remove(item.flow)
-        return broken
-
     def count_exclusions(self, packet: CallerPacket, now: float) -> Counter[Exclusion]:
         """Count the upstreams of a packet's route that can't accept an opening, by reason."""
         route = self._directory.find_route(packet.route_key)
@@ -396,6 +328,16 @@
     cold_budget = ColdBudget(directory)
     policy = create_opening_policy(domain, directory, flows, failure_detector, cold_budget)
     reachability = ReachabilityMonitor(FALSE_HEALTH_QUIET_S if has_false_health else 0.0)
-    return Forwarder(
-        directory, flows, failure_detector, cold_budget, policy, reachability, observer, domain, now
+    control = ControlProbeSelector(directory, domain, reachability.is_failing)
+    failures = UpstreamFailures(directory, flows, reachability, control)
+    parts = ForwarderParts(
+        directory,
+        flows,
+        failure_detector,
+        cold_budget,
+        policy,
+        reachability,
+        failures,
+        observer,
     )
+    return Forwarder(parts, now)
--- /dev/null
+++ b/src/chicoryproxy/forwarding/upstreamfailures.py
@@ -0,0 +1,104 @@
+"""Decides which flows to reset when an upstream fails, and which upstreams to probe for that."""
+
+from collections.abc import Iterable
+
+from msgspec import Struct
+
+from chicoryproxy.forwarding.directory import Directory
+from chicoryproxy.forwarding.flows import FlowTable
+from chicoryproxy.forwarding.lifetime import Lifetime
+from chicoryproxy.forwarding.model import FlowId, Mark, UpstreamPhase
+from chicoryproxy.forwarding.probecontrol import ControlProbeSelector
+from chicoryproxy.forwarding.reachability import ProbeResult, ReachabilityMonitor
+
+
+class BrokenFlow(Struct, frozen=True):
+    """Flow to reset without waiting for its next packet.
+
+    :param acknowledged: response offset that the caller has acknowledged.
+    """
+
+    flow: FlowId
+    acknowledged: int
+
+
+class UpstreamFailures:
+    """Follows up probes and changes of upstreams.
+
+    :param control: selects the upstreams whose probes show whether connections work at all.
+    """
+
+    def __init__(
+        self,
+        directory: Directory,
+        flows: FlowTable,
+        reachability: ReachabilityMonitor,
+        control: ControlProbeSelector,
+    ) -> None:
+        self._directory = directory
+        self._flows = flows
+        self._reachability = reachability
+        self._control = control
+
+    def handle_probe_result(
+        self, upstream: Lifetime, result: ProbeResult, now: float
+    ) -> list[BrokenFlow]:
+        """Process the result of a probe.
+
+        :returns: the flows to reset. Idle flows are included, so that their callers learn of the
+            failure before they send a request that may not be retried.
+        """
+        was_unreachable = upstream.is_unreachable
+        is_decided = self._reachability.handle_result(upstream, result, now)
+        if result is ProbeResult.TIMEOUT and self._reachability.needs_control(upstream):
+            control = self._control.choose(upstream, now)
+            if control is not None:
+                self._reachability.check(control, now, is_control=True)
+        if not is_decided or not upstream.is_unreachable:
+            return []
+        if result is ProbeResult.TIMEOUT and not was_unreachable:
+            # A network partition would also affect the other upstreams of the failure domain.
+            present = self._directory.iterate_present()
+            self._reachability.suspect_domain(upstream.entry.domain, present, now)
+        return self.break_flows(upstream)
+
+    def handle_phase_change(self, upstream: Lifetime, now: float) -> list[BrokenFlow]:
+        """Process a change of an upstream's phase.
+
+        An upstream that is missing or gone may still serve its flows; it is probed.
+
+        :returns: the flows to reset.
+        """
+        if upstream.is_unreachable:
+            if self._reachability.is_confirmed_unreachable(upstream, now):
+                return self.break_flows(upstream)
+            self._reachability.check(upstream, now)
+        elif upstream.phase in (UpstreamPhase.MISSING, UpstreamPhase.GONE):
+            self.suspect_if_used(upstream, now)
+        return []
+
+    def suspect_marks(self, marks: Iterable[Mark], now: float) -> None:
+        """Request probes of upstreams that a peer can't reach."""
+        for mark in marks:
+            upstream = self._directory.find_by_mark(mark)
+            if upstream is not None and upstream.phase is not UpstreamPhase.GONE:
+                self.suspect_if_used(upstream, now)
+
+    def suspect_if_used(self, upstream: Lifetime, now: float) -> None:
+        """Request a probe of an upstream if this entry has flows to it.
+
+        In a large fleet most entries have none, and the probes of the others suffice.
+        """
+        if any(True for _ in self._flows.iterate_upstream(upstream)):
+            self._reachability.suspect(upstream, now)
+
+    def break_flows(self, upstream: Lifetime) -> list[BrokenFlow]:
+        """Remove the open flows of an unreachable upstream from the flow table and return them."""
+        broken = [
+            BrokenFlow(flow_id, flow.acknowledged)
+            for flow_id, flow in self._flows.iterate_upstream(upstream)
+            if flow.is_open
+        ]
+        for item in broken:
+            self._flows.remove(item.flow)
+        return broken
--- a/src/chicoryproxy/node/dataplane.py
+++ b/src/chicoryproxy/node/dataplane.py
@@ -8,7 +8,7 @@
 from chicoryproxy.eventloop.packetsocket import PacketSocket
 from chicoryproxy.forwarding.directory import Directory
 from chicoryproxy.forwarding.directoryevent import DirectoryEvent, DirectoryEventKind
-from chicoryproxy.forwarding.forwarder import BrokenFlow, TrafficObserver, create_forwarder
+from chicoryproxy.forwarding.forwarder import TrafficObserver, create_forwarder
 from chicoryproxy.forwarding.lifetime import Lifetime
 from chicoryproxy.forwarding.model import (
     Drop,
@@ -18,6 +18,7 @@
 )
 from chicoryproxy.forwarding.packet import CallerPacket
 from chicoryproxy.forwarding.reachability import ProbeResult
+from chicoryproxy.forwarding.upstreamfailures import BrokenFlow
 from chicoryproxy.node.entrymetrics import EntryMetrics
 from chicoryproxy.node.journal import Journal
 from chicoryproxy.node.probe import probe_connection, probe_identity
@@ -79,7 +80,7 @@
         upstream = belief.lifetime
         if belief.kind is not DirectoryEventKind.UPSTREAM_PHASE or upstream is None:
             return
-        broken = self.forwarder.handle_phase_change(upstream, self._loop.read_clock())
+        broken = self.forwarder.failures.handle_phase_change(upstream, self._loop.read_clock())
         self._reset_flows(broken, upstream)
 
     def update_metrics(self) -> None:
@@ -175,7 +176,9 @@
     def _handle_probe_result(self, upstream: Lifetime, result: ProbeResult) -> None:
         self._metrics.probes[result] += 1
         was_unreachable = upstream.is_unreachable
-        broken = self.forwarder.handle_probe_result(upstream, result, self._loop.read_clock())
+        broken = self.forwarder.failures.handle_probe_result(
+            upstream, result, self._loop.read_clock()
+        )
         if upstream.is_unreachable is not was_unreachable:
             self._journal.write(
                 "reachability",
--- a/src/chicoryproxy/node/entry.py
+++ b/src/chicoryproxy/node/entry.py
@@ -118,7 +118,7 @@
 
     def suspect_upstreams(self, marks: tuple[Mark, ...]) -> None:
         """Suspect the upstreams that a peer reports as unreachable."""
-        self._data_plane.forwarder.suspect_marks(marks, self._loop.read_clock())
+        self._data_plane.forwarder.failures.suspect_marks(marks, self._loop.read_clock())
 
     def _answer_readiness(self, path: str) -> ServerResponse:
         is_ready = self._phase is EntryPhase.SERVING and not self._isolation.is_isolated
--- a/tests/forwarding/test_answered_openings.py
+++ b/tests/forwarding/test_answered_openings.py
@@ -104,7 +104,7 @@
     first = send_opening(entry)
     entry.forwarder.reachability.suspect(first, entry.now)
     entry.forwarder.reachability.pop_due(entry.now)
-    entry.forwarder.handle_probe_result(first, ProbeResult.REFUSED, entry.now)
+    entry.forwarder.failures.handle_probe_result(first, ProbeResult.REFUSED, entry.now)
     entry.now += 0.01
     assert send_opening(entry, copy=1) is not first
 
--- a/tests/forwarding/test_forwarder.py
+++ b/tests/forwarding/test_forwarder.py
@@ -131,11 +131,15 @@
 def test_all_flows_of_an_upstream_that_refuses_connections_are_reset(harness):
     harness.publish_upstream("i-1")
     upstream, port = harness.open_flow()
-    broken = harness.forwarder.handle_probe_result(upstream, ProbeResult.REFUSED, harness.now)
+    broken = harness.forwarder.failures.handle_probe_result(
+        upstream, ProbeResult.REFUSED, harness.now
+    )
     assert not broken
     harness.forwarder.reachability.suspect(upstream, harness.now)
     harness.forwarder.reachability.pop_due(harness.now)
-    broken = harness.forwarder.handle_probe_result(upstream, ProbeResult.REFUSED, harness.now)
+    broken = harness.forwarder.failures.handle_probe_result(
+        upstream, ProbeResult.REFUSED, harness.now
+    )
     assert [item.flow for item in broken] == [create_packet(port=port).flow]
     assert send_in_flow(harness, upstream, port, size=10) is Refusal.UPSTREAM_UNREACHABLE
 
@@ -146,7 +150,7 @@
     _, port = harness.open_flow()
     harness.forwarder.reachability.suspect(upstream, harness.now)
     harness.forwarder.reachability.pop_due(harness.now)
-    harness.forwarder.handle_probe_result(upstream, ProbeResult.REFUSED, harness.now)
+    harness.forwarder.failures.handle_probe_result(upstream, ProbeResult.REFUSED, harness.now)
     assert send_in_flow(harness, upstream, port, size=10) is Refusal.UPSTREAM_UNREACHABLE
     harness.advance(2.0)
     assert send_in_flow(harness, upstream, port, size=10) is upstream
@@ -162,7 +166,10 @@
     harness.now += 0.01
     send_in_flow(harness, upstream, port, size=10)
     harness.send(create_packet(port=port, mark=upstream.mark, acknowledged=900))
-    assert harness.forwarder.handle_probe_result(upstream, ProbeResult.REFUSED, harness.now) == []
+    assert (
+        harness.forwarder.failures.handle_probe_result(upstream, ProbeResult.REFUSED, harness.now)
+        == []
+    )
     assert not upstream.is_unreachable
 
 
--- a/tests/forwarding/test_proofs.py
+++ b/tests/forwarding/test_proofs.py
@@ -56,7 +56,9 @@
         while min(self._next_tick_s, self._next_result_s) <= end_s:
             if self._next_result_s <= self._next_tick_s:
                 harness.now, _, upstream, result = heapq.heappop(self._results)
-                self.broken += harness.forwarder.handle_probe_result(upstream, result, harness.now)
+                self.broken += harness.forwarder.failures.handle_probe_result(
+                    upstream, result, harness.now
+                )
                 continue
             harness.now = self._next_tick_s
             harness.forwarder.pause.tick(True, harness.now)
@@ -225,7 +227,7 @@
         harness.publish_upstream("i-1", draining=True)
     else:
         harness.remove_upstream("i-1")
-    network.broken += harness.forwarder.handle_phase_change(upstream, harness.now)
+    network.broken += harness.forwarder.failures.handle_phase_change(upstream, harness.now)
     network.run(0.2)
     assert network.broken == []
 
@@ -238,7 +240,7 @@
     harness.now += OLD_PROOF_S
     send_data(harness, upstream, 1024)
     harness.publish_upstream("i-1", started_ms=2)
-    network.broken += harness.forwarder.handle_phase_change(upstream, harness.now)
+    network.broken += harness.forwarder.failures.handle_phase_change(upstream, harness.now)
     network.run(0.2)
     assert len(network.broken) == 1
     assert send_data(harness, upstream, 1024) is Refusal.UPSTREAM_UNREACHABLE
--- a/tests/forwarding/test_reachability.py
+++ b/tests/forwarding/test_reachability.py
@@ -90,7 +90,7 @@
     for _ in range(3):
         for item in reachability.pop_due(harness.now):
             result = ProbeResult.CONNECTED if item is near else ProbeResult.TIMEOUT
-            harness.forwarder.handle_probe_result(item, result, harness.now)
+            harness.forwarder.failures.handle_probe_result(item, result, harness.now)
         harness.now += 0.12
     assert far[0].is_unreachable
     due = reachability.pop_due(harness.now)
@@ -103,7 +103,7 @@
         "i-2", domain=OTHER_DOMAIN
     )
     harness.open_flow()
-    harness.forwarder.suspect_marks((used.mark, unused.mark), harness.now)
+    harness.forwarder.failures.suspect_marks((used.mark, unused.mark), harness.now)
     assert harness.forwarder.reachability.pop_due(harness.now) == [used]
 
 
@@ -116,7 +116,7 @@
     reachability.suspect(upstream, harness.now)
     for _ in range(6):
         for item in reachability.pop_due(harness.now):
-            harness.forwarder.handle_probe_result(item, ProbeResult.TIMEOUT, harness.now)
+            harness.forwarder.failures.handle_probe_result(item, ProbeResult.TIMEOUT, harness.now)
         harness.now += 0.12
     assert not upstream.is_unreachable
 
@@ -130,7 +130,7 @@
         for item in reachability.pop_due(harness.now):
             is_first = item is upstream
             result = ProbeResult.TIMEOUT if is_first else ProbeResult.CONNECTED_SLOWLY
-            harness.forwarder.handle_probe_result(item, result, harness.now)
+            harness.forwarder.failures.handle_probe_result(item, result, harness.now)
         harness.now += 0.12
     assert not upstream.is_unreachable
 
@@ -143,7 +143,7 @@
     for _ in range(3):
         for item in reachability.pop_due(harness.now):
             result = ProbeResult.TIMEOUT if item is upstream else ProbeResult.CONNECTED
-            harness.forwarder.handle_probe_result(item, result, harness.now)
+            harness.forwarder.failures.handle_probe_result(item, result, harness.now)
         harness.now += 0.12
     assert upstream.is_unreachable
 
@@ -156,16 +156,25 @@
     reachability = harness.forwarder.reachability
     reachability.suspect(upstream, harness.now)
     reachability.pop_due(harness.now)
-    assert not harness.forwarder.handle_probe_result(upstream, ProbeResult.REFUSED, harness.now)
+    assert not harness.forwarder.failures.handle_probe_result(
+        upstream, ProbeResult.REFUSED, harness.now
+    )
     assert not upstream.is_unreachable
     harness.now += 0.3
     harness.remove_upstream("i-1")
     assert reachability.pop_due(harness.now) == [upstream]
-    assert not harness.forwarder.handle_probe_result(upstream, ProbeResult.REFUSED, harness.now)
+    assert not harness.forwarder.failures.handle_probe_result(
+        upstream, ProbeResult.REFUSED, harness.now
+    )
     harness.now += 0.3
     assert reachability.pop_due(harness.now) == [upstream]
     assert (
-        len(harness.forwarder.handle_probe_result(upstream, ProbeResult.REFUSED, harness.now)) == 1
+        len(
+            harness.forwarder.failures.handle_probe_result(
+                upstream, ProbeResult.REFUSED, harness.now
+            )
+        )
+        == 1
     )
     assert upstream.is_unreachable
 
--- a/tests/forwarding/test_registration_order.py
+++ b/tests/forwarding/test_registration_order.py
@@ -116,7 +116,7 @@
     harness.directory.expire(harness.now)
     register(harness, "i-2", 20, 30)
     assert [event.lifetime for event in harness.events if event.lifetime] == [upstream]
-    assert len(harness.forwarder.handle_phase_change(upstream, harness.now)) == 1
+    assert len(harness.forwarder.failures.handle_phase_change(upstream, harness.now)) == 1
     packet = create_packet(port=port, mark=upstream.mark, acknowledged=1, size=10)
     assert harness.send(packet) is Refusal.UPSTREAM_UNREACHABLE
 
