Detect a partitioned domain by a sample of its upstreams

Cause: after one upstream had timed out, an entry probed all upstreams of its failure domain. With 16 probes at a time it also took 2 s until a whole domain was known to be out of reach.

Now a timeout leads to probes of three more upstreams of the domain. If three are proved unreachable and none has answered since, openings avoid the domain, and only the upstreams with flows here are probed.

Ruled out: copies of openings (161 flows of 15,062 went to a second upstream) and callers who come again as the cause of the connections.

Tests, failing before: tests/forwarding/test_domainreachability.py (241 probes for one dead upstream of 400, now at most 9; openings still went to the partitioned domain after 0.5 s). test_all_upstreams_of_a_partitioned_domain asserted which probes are due at one moment; it now asserts that all three upstreams are found out.

--- a/src/chicoryproxy/forwarding/forwarder.py
+++ b/src/chicoryproxy/forwarding/forwarder.py
@@ -13,6 +13,7 @@
 
 from chicoryproxy.forwarding.coldstart import ColdBudget
 from chicoryproxy.forwarding.directory import Directory
+from chicoryproxy.forwarding.domainreachability import DomainReachability
 from chicoryproxy.forwarding.failuredetector import FailureDetector
 from chicoryproxy.forwarding.flows import Flow, FlowTable
 from chicoryproxy.forwarding.isolation import RecentOpenings
@@ -85,6 +86,7 @@
     cold_budget: ColdBudget
     policy: OpeningPolicy
     reachability: ReachabilityMonitor
+    domains: DomainReachability
     failures: UpstreamFailures
     observer: TrafficObserver
 
@@ -102,6 +104,7 @@
         self.cold_budget = parts.cold_budget
         self.reachability = parts.reachability
         self.failures = parts.failures
+        self._domains = parts.domains
         self.recent_openings = RecentOpenings()
         self._pending = PendingResponses()
         self.pause = PauseDetector(now)
@@ -124,6 +127,7 @@
         """Discard expired state, and suspect upstreams with overdue responses."""
         for upstream in self._pending.pop_overdue(now):
             self.reachability.suspect(upstream, now)
+        self.failures.sample_unreachable_domains(now)
         self._pending.expire(now)
         self.flows.expire(now, self._directory.idle_timeout_s)
         self.failure_detector.expire(now)
@@ -288,6 +292,7 @@
     def _record_answer(self, upstream: Lifetime, now: float) -> None:
         upstream.answered_s = now
         self.failure_detector.record_answer(upstream)
+        self._domains.record_success(upstream.entry.domain)
 
 
 def _is_sequence_after(offset: int, other: int) -> bool:
@@ -315,6 +320,7 @@
     now: float,
     observer: TrafficObserver,
     has_false_health: bool = False,
+    seed: int = 0,
 ) -> Forwarder:
     """Create the packet core of an entry.
 
@@ -322,14 +328,16 @@
     :param now: time of the start, in seconds.
     :param observer: receives measurements and events.
     :param has_false_health: connections may fail although an upstream works.
+    :param seed: seed of the pseudo-random choices.
     """
     flows = FlowTable()
     failure_detector = FailureDetector()
     cold_budget = ColdBudget(directory)
-    policy = create_opening_policy(domain, directory, flows, failure_detector, cold_budget)
+    domains = DomainReachability(directory, seed)
+    policy = create_opening_policy(domain, directory, flows, failure_detector, cold_budget, domains)
     reachability = ReachabilityMonitor(FALSE_HEALTH_QUIET_S if has_false_health else 0.0)
     control = ControlProbeSelector(directory, domain, reachability.is_failing)
-    failures = UpstreamFailures(directory, flows, reachability, control)
+    failures = UpstreamFailures(directory, flows, reachability, domains, control)
     parts = ForwarderParts(
         directory,
         flows,
@@ -337,6 +345,7 @@
         cold_budget,
         policy,
         reachability,
+        domains,
         failures,
         observer,
     )
--- a/src/chicoryproxy/forwarding/placement.py
+++ b/src/chicoryproxy/forwarding/placement.py
@@ -15,6 +15,7 @@
 
 from chicoryproxy.forwarding.coldstart import ColdBudget
 from chicoryproxy.forwarding.directory import Directory
+from chicoryproxy.forwarding.domainreachability import DomainReachability
 from chicoryproxy.forwarding.failuredetector import FailureDetector
 from chicoryproxy.forwarding.flows import FlowTable
 from chicoryproxy.forwarding.lifetime import Lifetime
@@ -83,6 +84,10 @@
     def can_serve(self, route: Route, now: float) -> bool:
         """Return whether some upstream of a route can accept an opening."""
 
+    @abstractmethod
+    def is_domain_avoided(self, domain: DomainId) -> bool:
+        """Return whether openings avoid a failure domain because it is unreachable."""
+
     @abstractmethod
     def count_exclusions(self, route: Route, now: float) -> Counter[Exclusion]:
         """Count the upstreams of a route that can't accept an opening, by reason."""
@@ -101,12 +106,14 @@
         flows: FlowTable,
         failure_detector: FailureDetector,
         cold_budget: ColdBudget,
+        domains: DomainReachability,
     ) -> None:
         self._domain = domain
         self._directory = directory
         self._flows = flows
         self._failure_detector = failure_detector
         self._cold_budget = cold_budget
+        self._domains = domains
 
     def choose(self, opening: Opening, now: float) -> Lifetime | None:
         """Select the least loaded upstream of the best non-empty class."""
@@ -120,10 +127,15 @@
         """Return whether some upstream of a route can accept an opening."""
         return any(
             self._find_exclusion(upstream, now) is None
+            and not self.is_domain_avoided(upstream.entry.domain)
             for target in route.targets
             for upstream in self._directory.iterate_service(target.service)
         )
 
+    def is_domain_avoided(self, domain: DomainId) -> bool:
+        """Return whether openings avoid a failure domain because it is unreachable."""
+        return self._domains.is_unreachable(domain)
+
     def count_exclusions(self, route: Route, now: float) -> Counter[Exclusion]:
         """Count the upstreams of a route that can't accept an opening, by reason."""
         reasons: Counter[Exclusion] = Counter()
@@ -165,7 +177,7 @@
                 continue
             elif upstream.is_cold(now):
                 cold.append(upstream)
-            elif upstream in opening.tried or self._failure_detector.is_suspected(upstream, now):
+            elif upstream in opening.tried or self._is_suspected(upstream, now):
                 suspected.append(upstream)
             else:
                 usable.append(upstream)
@@ -191,6 +203,11 @@
             return Exclusion.COLD
         return None
 
+    def _is_suspected(self, upstream: Lifetime, now: float) -> bool:
+        """Return whether openings should go to other upstreams while there are any."""
+        is_avoided = self.is_domain_avoided(upstream.entry.domain)
+        return is_avoided or self._failure_detector.is_suspected(upstream, now)
+
     def _is_full(self, upstream: Lifetime) -> bool:
         limits = self._directory.get_limits(upstream.entry.service)
         if limits is None or limits.max_connections <= 0:
@@ -238,6 +255,7 @@
     flows: FlowTable,
     failure_detector: FailureDetector,
     cold_budget: ColdBudget,
+    domains: DomainReachability,
 ) -> OpeningPolicy:
     """Create the policy of an entry."""
-    return LeastLoadPolicy(domain, directory, flows, failure_detector, cold_budget)
+    return LeastLoadPolicy(domain, directory, flows, failure_detector, cold_budget, domains)
--- a/src/chicoryproxy/forwarding/reachability.py
+++ b/src/chicoryproxy/forwarding/reachability.py
@@ -12,12 +12,10 @@
 """
 
 from collections import deque
-from collections.abc import Iterable
 from enum import Enum, unique
 
 from chicoryproxy.forwarding.lifetime import Lifetime
 from chicoryproxy.forwarding.model import UnreachableCause, UpstreamPhase
-from chicoryproxy.ids import DomainId
 
 TIMEOUTS_TO_CONFIRM = 2
 MAX_CONTROLS = 64
@@ -51,9 +49,6 @@
 
 MAX_CONCURRENT_PROBES = 16
 
-MIN_DOMAIN_PROBE_INTERVAL_S = 1.0
-"""Minimum interval between probes of a whole failure domain."""
-
 
 @unique
 class ProbeResult(Enum):
@@ -143,7 +138,6 @@
         self._controls_s: deque[float] = deque(maxlen=MAX_CONTROLS)
         self._states: dict[Lifetime, _ProbeState] = {}
         self._active_probes = 0
-        self._domain_probed_s: dict[DomainId, float] = {}
 
     def suspect(self, upstream: Lifetime, now: float) -> None:
         """Request a probe of an upstream, unless a recent one succeeded."""
@@ -235,18 +229,6 @@
             state.checked_s = min(state.checked_s, now - SUCCESS_VALID_S)
             state.next_s = now
 
-    def suspect_domain(self, domain: DomainId, present: Iterable[Lifetime], now: float) -> None:
-        """Request probes of a whole failure domain after one of its upstreams became unreachable.
-
-        :param present: the upstreams of all failure domains.
-        """
-        if now - self._domain_probed_s.get(domain, float("-inf")) < MIN_DOMAIN_PROBE_INTERVAL_S:
-            return
-        self._domain_probed_s[domain] = now
-        for upstream in present:
-            if upstream.entry.domain == domain:
-                self.suspect(upstream, now)
-
     def _handle_failure(
         self, upstream: Lifetime, state: _ProbeState, result: ProbeResult, now: float
     ) -> bool:
--- a/src/chicoryproxy/forwarding/upstreamfailures.py
+++ b/src/chicoryproxy/forwarding/upstreamfailures.py
@@ -5,11 +5,13 @@
 from msgspec import Struct
 
 from chicoryproxy.forwarding.directory import Directory
+from chicoryproxy.forwarding.domainreachability import DomainReachability
 from chicoryproxy.forwarding.flows import FlowTable
 from chicoryproxy.forwarding.lifetime import Lifetime
 from chicoryproxy.forwarding.model import FlowId, Mark, UpstreamPhase
 from chicoryproxy.forwarding.probecontrol import ControlProbeSelector
 from chicoryproxy.forwarding.reachability import ProbeResult, ReachabilityMonitor
+from chicoryproxy.ids import DomainId
 
 
 class BrokenFlow(Struct, frozen=True):
@@ -25,6 +27,7 @@
 class UpstreamFailures:
     """Follows up probes and changes of upstreams.
 
+    :param domains: failure domains whose upstreams have become unreachable together.
     :param control: selects the upstreams whose probes show whether connections work at all.
     """
 
@@ -33,11 +36,13 @@
         directory: Directory,
         flows: FlowTable,
         reachability: ReachabilityMonitor,
+        domains: DomainReachability,
         control: ControlProbeSelector,
     ) -> None:
         self._directory = directory
         self._flows = flows
         self._reachability = reachability
+        self._domains = domains
         self._control = control
 
     def handle_probe_result(
@@ -48,18 +53,18 @@
         :returns: the flows to reset. Idle flows are included, so that their callers learn of the
             failure before they send a request that may not be retried.
         """
+        domain = upstream.entry.domain
         was_unreachable = upstream.is_unreachable
         is_decided = self._reachability.handle_result(upstream, result, now)
-        if result is ProbeResult.TIMEOUT and self._reachability.needs_control(upstream):
-            control = self._control.choose(upstream, now)
-            if control is not None:
-                self._reachability.check(control, now, is_control=True)
+        if result in (ProbeResult.CONNECTED, ProbeResult.CONNECTED_SLOWLY):
+            self._domains.record_success(domain)
+        if result is ProbeResult.TIMEOUT:
+            self._check_surroundings(upstream, was_unreachable, now)
         if not is_decided or not upstream.is_unreachable:
             return []
-        if result is ProbeResult.TIMEOUT and not was_unreachable:
-            # A network partition would also affect the other upstreams of the failure domain.
-            present = self._directory.iterate_present()
-            self._reachability.suspect_domain(upstream.entry.domain, present, now)
+        is_new_timeout = result is ProbeResult.TIMEOUT and not was_unreachable
+        if is_new_timeout and self._domains.record_timeout(upstream):
+            self._suspect_used_upstreams(domain, now)
         return self.break_flows(upstream)
 
     def handle_phase_change(self, upstream: Lifetime, now: float) -> list[BrokenFlow]:
@@ -92,6 +97,11 @@
         if any(True for _ in self._flows.iterate_upstream(upstream)):
             self._reachability.suspect(upstream, now)
 
+    def sample_unreachable_domains(self, now: float) -> None:
+        """Request probes that show whether unreachable failure domains can be reached again."""
+        for domain in self._domains.list_unreachable():
+            self._sample_domain(domain, now)
+
     def break_flows(self, upstream: Lifetime) -> list[BrokenFlow]:
         """Remove the open flows of an unreachable upstream from the flow table and return them."""
         broken = [
@@ -102,3 +112,22 @@
         for item in broken:
             self._flows.remove(item.flow)
         return broken
+
+    def _check_surroundings(self, upstream: Lifetime, was_unreachable: bool, now: float) -> None:
+        """Request the probes that show whether a timeout concerns more than one upstream."""
+        if self._reachability.needs_control(upstream):
+            control = self._control.choose(upstream, now)
+            if control is not None:
+                self._reachability.check(control, now, is_control=True)
+        if not was_unreachable:
+            self._sample_domain(upstream.entry.domain, now)
+
+    def _sample_domain(self, domain: DomainId, now: float) -> None:
+        for upstream in self._domains.draw_sample(domain, now):
+            self._reachability.suspect(upstream, now)
+
+    def _suspect_used_upstreams(self, domain: DomainId, now: float) -> None:
+        """Request probes of the upstreams of a domain whose flows here may have to be reset."""
+        for upstream in self._directory.iterate_present():
+            if upstream.entry.domain == domain:
+                self.suspect_if_used(upstream, now)
--- a/src/chicoryproxy/node/dataplane.py
+++ b/src/chicoryproxy/node/dataplane.py
@@ -35,6 +35,7 @@
 class DataPlane(TrafficObserver):
     """Receives packets, sends them as the forwarding core decides, and probes upstreams.
 
+    :param seed: seed of the pseudo-random choices.
     :param packets: the socket for callers' packets, if it is already bound.
     """
 
@@ -45,6 +46,7 @@
         directory: Directory,
         journal: Journal,
         metrics: EntryMetrics,
+        seed: int,
         packets: socket.socket | None = None,
     ) -> None:
         self._loop = loop
@@ -55,6 +57,7 @@
             loop.read_clock(),
             self,
             settings.has_false_health,
+            seed,
         )
         self._caller_port = settings.packets.port
         self._directory = directory
--- a/src/chicoryproxy/node/entry.py
+++ b/src/chicoryproxy/node/entry.py
@@ -62,7 +62,7 @@
         self._view = View(loop, settings, journal, self._on_view_change, self, seed)
         self._metrics = EntryMetrics()
         self._data_plane = DataPlane(
-            loop, settings, self._view.directory, journal, self._metrics, packets
+            loop, settings, self._view.directory, journal, self._metrics, seed, packets
         )
         self._data_plane.forwarder.flows.peer_loads = self._view.peers.loads
         self._isolation = IsolationDetector(
--- a/tests/forwarding/conftest.py
+++ b/tests/forwarding/conftest.py
@@ -3,6 +3,7 @@
 import pytest
 
 from tests.forwarding.harness import ForwarderHarness
+from tests.forwarding.probenetwork import Network
 
 
 @pytest.fixture
@@ -11,3 +12,9 @@
     harness = ForwarderHarness()
     harness.publish_routing(1)
     return harness
+
+
+@pytest.fixture
+def network(harness):
+    """A network in which all connections succeed at once."""
+    return Network(harness)
