Let the entries of a cut-off domain agree that it can't serve

One had restarted during the cut; it had never heard another domain, so it took itself for connected and reported ready. The routers use all entries of a domain while one is ready, so 1,489 of 2,200 requests of that domain failed for six seconds.

- Heartbeats carry what an entry has found out itself.
An entry that has just started, or gets few openings, believes its peers unless it hears another domain or sees openings answered.
What is only believed is not passed on.
- No refused opening is needed any more: the routes of recent openings are looked up once the domain is partitioned.
An entry of a large fleet gets one opening in several seconds.
- A partition leads to samples of all other domains at once.
- While the routers move the callers, openings are dropped and not reset, so that their retransmissions reach entries that can serve them.

Ruled out: the entries' upstreams (all were out or out of reach at each of the 27), the routers' interval (1 s of the 2.6).

--- a/src/chicoryproxy/forwarding/forwarder.py
+++ b/src/chicoryproxy/forwarding/forwarder.py
@@ -95,6 +95,10 @@
     """Packet core of an entry, with flow affinity that needs no state shared between entries.
 
     :param now: time of the start, in seconds.
+
+    :ivar is_synced: the view of the platform is complete; until then no flow is opened.
+    :ivar is_rerouting: openings without an upstream are dropped, because the retransmissions of
+        their callers will reach entries that can serve them.
     """
 
     def __init__(self, parts: ForwarderParts, now: float) -> None:
@@ -109,6 +113,7 @@
         self._pending = PendingResponses()
         self.pause = PauseDetector(now)
         self.is_synced = False
+        self.is_rerouting = False
         self._directory = parts.directory
         self.policy = parts.policy
 
@@ -139,6 +144,7 @@
         route = self._directory.find_route(packet.route_key)
         if route is None:
             return Refusal.NO_ROUTE
+        self.recent_openings.record(packet.route_key, now)
         flow = self._touch_opening(packet, now)
         if flow.is_open and flow.upstream is not None:
             if packet.acknowledged:
@@ -152,10 +158,9 @@
         self._record_retransmission(packet, flow, now)
         avoided = self._pending.list_pending(packet.flow, now)
         upstream = self.policy.choose(Opening(route, packet.flow, flow.tried, avoided), now)
-        self.recent_openings.record(packet.route_key, upstream is None, now)
         if upstream is None:
             self.flows.remove(packet.flow)
-            return Refusal.NO_UPSTREAM
+            return Drop.REROUTING if self.is_rerouting else Refusal.NO_UPSTREAM
         if upstream not in flow.tried:
             flow.tried.append(upstream)
             flow.tried_s = now
@@ -259,6 +264,7 @@
             flow.acknowledged = packet.acknowledged
             self.flows.assign(flow, upstream)
             self.observer.record_handshake(now - flow.opened_s)
+            self.recent_openings.record_answer(now)
             self._record_answer(upstream, now)
         elif _is_sequence_after(packet.acknowledged, flow.acknowledged):
             flow.acknowledged = packet.acknowledged
@@ -337,7 +343,7 @@
     policy = create_opening_policy(domain, directory, flows, failure_detector, cold_budget, domains)
     reachability = ReachabilityMonitor(FALSE_HEALTH_QUIET_S if has_false_health else 0.0)
     control = ControlProbeSelector(directory, domain, reachability.is_failing)
-    failures = UpstreamFailures(directory, flows, reachability, domains, control)
+    failures = UpstreamFailures(domain, directory, flows, reachability, domains, control)
     parts = ForwarderParts(
         directory,
         flows,
--- a/src/chicoryproxy/forwarding/model.py
+++ b/src/chicoryproxy/forwarding/model.py
@@ -247,12 +247,16 @@
 
 @unique
 class Drop(Enum):
-    """Why a packet was dropped without an answer."""
+    """Why a packet was dropped without an answer.
+
+    ``REROUTING`` means that the caller's retransmission will reach another failure domain.
+    """
 
     MALFORMED = "malformed"
     NOT_SYNCED = "not_synced"
     UNKNOWN_MARK = "unknown_mark"
     NO_FLOW = "no_flow"
+    REROUTING = "rerouting"
 
 
 @unique
--- a/src/chicoryproxy/forwarding/peering.py
+++ b/src/chicoryproxy/forwarding/peering.py
@@ -33,6 +33,9 @@
 PARTITION_TIMEOUT_S = 0.6
 """Time without a heartbeat from other failure domains after which a partition is assumed."""
 
+ISOLATION_REPORT_VALID_S = 1.5
+"""Time after which the report of a peer that the own failure domain is isolated is outdated."""
+
 PEER_RETENTION_S = 20.0
 PEERS_IN_HEARTBEAT = 12
 LOWEST_RANKS_IN_HEARTBEAT = 5
@@ -82,6 +85,7 @@
         self._peers: dict[int, _Peer] = {}
         self._confirmed_s = float("-inf")
         self._other_domain_seen_s: float | None = None
+        self._isolation_reported_s = float("-inf")
         self._round = 0
 
     def set_seeds(self, seeds: Iterable[int]) -> None:
@@ -111,6 +115,8 @@
         peer = self._update_peer(heartbeat.sender, now)
         if heartbeat.sender.domain != self.own.domain:
             self._other_domain_seen_s = now
+        elif heartbeat.is_isolated:
+            self._isolation_reported_s = now
         peer.address = heartbeat.sender
         peer.synced = heartbeat.synced
         self.loads.handle_heartbeat(heartbeat, now)
@@ -146,6 +152,7 @@
         loads: Iterable[LoadReport],
         unreachable: tuple[Mark, ...],
         now: float,
+        is_isolated: bool = False,
     ) -> Heartbeat:
         """Create the heartbeat of this entry."""
         heaviest = sorted(loads, key=lambda load: load.flows + load.waiting, reverse=True)
@@ -157,11 +164,14 @@
             tuple(heaviest[:LOADS_IN_HEARTBEAT]),
             unreachable[:LOADS_IN_HEARTBEAT],
             self._list_peers(PEERS_IN_HEARTBEAT, now),
+            is_isolated,
         )
 
-    def create_discovery_reply(self, synced: Revision, now: float) -> Heartbeat:
+    def create_discovery_reply(
+        self, synced: Revision, now: float, is_isolated: bool = False
+    ) -> Heartbeat:
         """Create the reply to a heartbeat of an entry that knows no peer yet."""
-        heartbeat = self.create_heartbeat(synced, False, (), (), now)
+        heartbeat = self.create_heartbeat(synced, False, (), (), now, is_isolated)
         return structs.replace(heartbeat, peers=self._list_peers(PEERS_IN_DISCOVERY_REPLY, now))
 
     def find_newer(self, synced: Revision, now: float) -> PeerAddress | None:
@@ -181,6 +191,14 @@
         heard_s = self._other_domain_seen_s
         return heard_s is not None and now - heard_s > PARTITION_TIMEOUT_S
 
+    def has_heard_other_domain(self) -> bool:
+        """Return whether a heartbeat from another failure domain has ever arrived."""
+        return self._other_domain_seen_s is not None
+
+    def is_isolation_reported(self, now: float) -> bool:
+        """Return whether a peer has reported that the own failure domain is isolated."""
+        return now - self._isolation_reported_s < ISOLATION_REPORT_VALID_S
+
     def compute_share(self, now: float) -> DomainShare | None:
         """Compute the rank of this entry among the live ones of its failure domain.
 
--- a/src/chicoryproxy/forwarding/peermessages.py
+++ b/src/chicoryproxy/forwarding/peermessages.py
@@ -62,6 +62,8 @@
     :param loads: load of the sender at the upstreams.
     :param unreachable: upstreams that the sender can't reach.
     :param peers: some live peers, so that not every entry needs heartbeats from each of them.
+    :param is_isolated: the sender has found that its failure domain is partitioned and can't serve
+        its callers. Older entries leave it out.
     """
 
     sender: PeerAddress
@@ -71,6 +73,7 @@
     loads: tuple[LoadReport, ...]
     unreachable: tuple[Mark, ...]
     peers: tuple[PeerStatus, ...]
+    is_isolated: bool = False
 
 
 class ChangesRequest(Struct, frozen=True, array_like=True, tag="request"):
--- a/src/chicoryproxy/forwarding/upstreamfailures.py
+++ b/src/chicoryproxy/forwarding/upstreamfailures.py
@@ -27,18 +27,21 @@
 class UpstreamFailures:
     """Follows up probes and changes of upstreams.
 
+    :param domain: failure domain of this entry.
     :param domains: failure domains whose upstreams have become unreachable together.
     :param control: selects the upstreams whose probes show whether connections work at all.
     """
 
     def __init__(
         self,
+        domain: DomainId,
         directory: Directory,
         flows: FlowTable,
         reachability: ReachabilityMonitor,
         domains: DomainReachability,
         control: ControlProbeSelector,
     ) -> None:
+        self._domain = domain
         self._directory = directory
         self._flows = flows
         self._reachability = reachability
@@ -102,6 +105,15 @@
         for domain in self._domains.list_unreachable():
             self._sample_domain(domain, now)
 
+    def sample_other_domains(self, domains: Iterable[DomainId], now: float) -> None:
+        """Request probes of a few upstreams of each other failure domain after a partition.
+
+        :param domains: all failure domains.
+        """
+        for domain in domains:
+            if domain != self._domain:
+                self._sample_domain(domain, now)
+
     def break_flows(self, upstream: Lifetime) -> list[BrokenFlow]:
         """Remove the open flows of an unreachable upstream from the flow table and return them."""
         broken = [
--- a/src/chicoryproxy/node/entry.py
+++ b/src/chicoryproxy/node/entry.py
@@ -111,6 +111,10 @@
         """Return the load of this entry at each upstream."""
         return self._data_plane.forwarder.flows.report_loads()
 
+    def has_isolation_evidence(self) -> bool:
+        """Return whether this entry has found that its failure domain is isolated."""
+        return self._isolation.has_evidence
+
     def list_unreachable(self) -> tuple[Mark, ...]:
         """Return the marks of the upstreams that this entry can't reach."""
         upstreams = self._data_plane.forwarder.reachability.list_unreachable()
@@ -142,18 +146,25 @@
             self._journal.write("ready", revision=self._view.replica.synced)
 
     def _update_isolation(self, now: float) -> None:
-        if self._isolation.tick(now):
+        forwarder = self._data_plane.forwarder
+        if self._view.peers.is_partitioned(now):
+            forwarder.failures.sample_other_domains(self._settings.domains, now)
+        has_changed = self._isolation.tick(now)
+        forwarder.is_rerouting = self._isolation.is_rerouting(now)
+        if has_changed:
             self._journal.write(
                 "isolation",
                 isolated=self._isolation.is_isolated,
+                own_evidence=self._isolation.has_evidence,
                 age_s=round(self._view.peers.get_age(now), 3),
             )
 
     def _tick(self) -> None:
         now = self._loop.read_clock()
         self._handle_pause(now)
-        self._update_phase()
+        # Before the phase: an entry that starts in an isolated domain must not report ready.
         self._update_isolation(now)
+        self._update_phase()
         self._data_plane.forwarder.reachability.is_view_behind = self._view.is_behind
         self._data_plane.forwarder.cold_budget.share = self._view.peers.compute_share(now)
         self._view.expire(now)
--- a/src/chicoryproxy/node/view.py
+++ b/src/chicoryproxy/node/view.py
@@ -45,6 +45,10 @@
     def list_unreachable(self) -> tuple[Mark, ...]:
         """Return the marks of the upstreams that this entry can't reach."""
 
+    @abstractmethod
+    def has_isolation_evidence(self) -> bool:
+        """Return whether this entry has found that its failure domain is isolated."""
+
     @abstractmethod
     def suspect_upstreams(self, marks: tuple[Mark, ...]) -> None:
         """Suspect the upstreams that a peer reports as unreachable."""
@@ -219,6 +223,7 @@
             self._traffic.list_upstream_loads(),
             self._traffic.list_unreachable(),
             now,
+            self._traffic.has_isolation_evidence(),
         )
         port = self._settings.peers.port
         targets = [Endpoint(format_host(host), port) for host in self.peers.choose_targets(now)]
@@ -239,9 +244,11 @@
         if heartbeat.synced > self.replica.synced:
             self._catch_up(now)
         if not heartbeat.peers and not self.is_leaving:
-            welcome = self.peers.create_discovery_reply(self.replica.synced, now)
+            reply = self.peers.create_discovery_reply(
+                self.replica.synced, now, self._traffic.has_isolation_evidence()
+            )
             sender = format_host(heartbeat.sender.host)
-            self._socket.send(welcome, [Endpoint(sender, self._settings.peers.port)])
+            self._socket.send(reply, [Endpoint(sender, self._settings.peers.port)])
 
     def _catch_up(self, now: float) -> None:
         """Request the missing changes from the peer with the highest revision, if any is newer."""
--- a/tests/node/test_view.py
+++ b/tests/node/test_view.py
@@ -31,6 +31,10 @@
         """Return no upstreams."""
         return ()
 
+    def has_isolation_evidence(self):
+        """Return False."""
+        return False
+
     def suspect_upstreams(self, marks):
         """Do nothing."""
 
