Reset no flow that its caller has ended

Cause: a flow stayed open in the table after the caller's FIN, until the idle timeout. The port may be in use again by then, through another entry. A finished flow also made an upstream count as used, so that many entries probed it. And whether an upstream is used was found by going through all flows, for each upstream that a peer reports.

Flows that have ended are no longer reset or counted as use; one whose request is still unanswered stays open. The number of flows that have not ended is kept for each upstream.

Tests, failing before: test_a_finished_flow_is_not_reset_when_its_upstream_fails, two in tests/forwarding/test_flows.py.

--- a/src/chicoryproxy/forwarding/flows.py
+++ b/src/chicoryproxy/forwarding/flows.py
@@ -33,6 +33,7 @@
     :ivar is_open: the caller has acknowledged the handshake of ``upstream``.
     :ivar is_proven: this entry forwarded the copy of the opening whose answer was acknowledged.
     :ivar is_counted: the flow is part of the load of ``upstream``.
+    :ivar has_ended: the caller has ended it, and awaits no response.
     """
 
     __slots__ = (
@@ -48,6 +49,7 @@
         "is_open",
         "is_proven",
         "is_counted",
+        "has_ended",
     )
 
     def __init__(self, now: float) -> None:
@@ -63,16 +65,23 @@
         self.is_open = False
         self.is_proven = False
         self.is_counted = False
+        self.has_ended = False
 
 
 class Load:
-    """Number of flows and unanswered requests of this entry at one upstream."""
+    """Load of this entry at one upstream.
 
-    __slots__ = ("flows", "waiting")
+    :ivar flows: flows with recent packets.
+    :ivar waiting: unanswered requests.
+    :ivar unended: flows that have not ended, with or without recent packets.
+    """
+
+    __slots__ = ("flows", "waiting", "unended")
 
     def __init__(self) -> None:
         self.flows = 0
         self.waiting = 0
+        self.unended = 0
 
 
 class FlowTable:
@@ -97,11 +106,16 @@
         """Return a flow, ``None`` if it is unknown."""
         return self._flows.get(flow_id) or self._idle.get(flow_id)
 
+    def has_flows(self, upstream: Lifetime) -> bool:
+        """Return whether an upstream has flows that have not ended."""
+        load = self._loads.get(upstream)
+        return load is not None and load.unended > 0
+
     def iterate_upstream(self, upstream: Lifetime) -> Iterator[tuple[FlowId, Flow]]:
-        """Iterate over the flows assigned to an upstream."""
+        """Iterate over the flows of an upstream that have not ended."""
         for flows in (self._flows, self._idle):
             for flow_id, flow in flows.items():
-                if flow.upstream is upstream:
+                if flow.upstream is upstream and not flow.has_ended:
                     yield flow_id, flow
 
     def touch(self, flow_id: FlowId, now: float) -> Flow:
@@ -124,12 +138,15 @@
         if flow.upstream is upstream and flow.is_counted:
             return
         self.release(flow)
+        self._leave_upstream(flow)
         flow.upstream = upstream
         flow.is_counted = True
+        flow.has_ended = False
         load = self._loads.get(upstream)
         if load is None:
             load = self._loads[upstream] = Load()
         load.flows += 1
+        load.unended += 1
 
     def release(self, flow: Flow) -> None:
         """Stop counting a flow as load; its upstream stays assigned."""
@@ -137,10 +154,18 @@
             return
         self.end_wait(flow)
         flow.is_counted = False
-        load = self._loads[flow.upstream]
-        load.flows -= 1
-        if not load.flows:
-            del self._loads[flow.upstream]
+        self._loads[flow.upstream].flows -= 1
+
+    def end(self, flow: Flow) -> None:
+        """Record that the caller has ended a flow.
+
+        A flow whose request is still unanswered stays open, since its caller may await the
+        response.
+        """
+        is_answered = flow.waiting_since_s is None
+        self.release(flow)
+        if is_answered:
+            self._leave_upstream(flow)
 
     def start_wait(self, flow: Flow, now: float) -> bool:
         """Record that a request was sent.
@@ -166,6 +191,7 @@
         flow = self._flows.pop(flow_id, None) or self._idle.pop(flow_id, None)
         if flow is not None:
             self.release(flow)
+            self._leave_upstream(flow)
 
     def expire(self, now: float, idle_timeout_s: float) -> None:
         """Stop counting idle flows as load, and remove them after the idle timeout.
@@ -182,15 +208,26 @@
             flow_id, flow = next(iter(self._idle.items()))
             if now - flow.seen_s < idle_timeout_s:
                 break
-            del self._idle[flow_id]
+            self.remove(flow_id)
 
     def report_loads(self) -> tuple[LoadReport, ...]:
         """Return the load of this entry at each upstream."""
         return tuple(
             LoadReport(upstream.mark, load.flows, load.waiting)
             for upstream, load in self._loads.items()
+            if load.flows
         )
 
+    def _leave_upstream(self, flow: Flow) -> None:
+        """Mark a flow as ended at its upstream."""
+        if flow.upstream is None or flow.has_ended:
+            return
+        flow.has_ended = True
+        load = self._loads[flow.upstream]
+        load.unended -= 1
+        if not load.unended:
+            del self._loads[flow.upstream]
+
     def _evict_if_full(self) -> None:
         if len(self) >= self._capacity:
             self.remove(next(iter(self._idle or self._flows)))
--- a/src/chicoryproxy/forwarding/forwarder.py
+++ b/src/chicoryproxy/forwarding/forwarder.py
@@ -212,7 +212,7 @@
             self.reachability.check(upstream, now)
         if packet.is_end or packet.is_reset:
             if flow is not None:
-                self.flows.release(flow)
+                self.flows.end(flow)
             return upstream
         if flow is None:
             flow = self.flows.touch(packet.flow, now)
--- a/src/chicoryproxy/forwarding/upstreamfailures.py
+++ b/src/chicoryproxy/forwarding/upstreamfailures.py
@@ -97,7 +97,7 @@
 
         In a large fleet most entries have none, and the probes of the others suffice.
         """
-        if any(True for _ in self._flows.iterate_upstream(upstream)):
+        if self._flows.has_flows(upstream):
             self._reachability.suspect(upstream, now)
 
     def sample_unreachable_domains(self, now: float) -> None:
--- a/tests/forwarding/test_flows.py
+++ b/tests/forwarding/test_flows.py
@@ -27,3 +27,29 @@
         flows.assign(flows.touch(FlowId(bytes([number])), 1.0 + number), upstream)
     assert flows.get(FlowId(b"\0")) is None
     assert flows.get_load(upstream).flows == 2
+
+
+def test_an_upstream_is_used_until_its_last_flow_has_ended(harness):
+    flows, upstream = FlowTable(), harness.publish_upstream("i-1")
+    ids = [FlowId(bytes([number])) for number in range(3)]
+    first, second, third = (flows.touch(item, 1.0) for item in ids)
+    for flow in (first, second, third):
+        flows.assign(flow, upstream)
+    flows.end(first)
+    flows.remove(ids[1])
+    assert [item for item, _ in flows.iterate_upstream(upstream)] == [ids[2]]
+    flows.expire(1.0 + LOAD_IDLE_S, 60.0)
+    assert flows.has_flows(upstream)
+    assert flows.report_loads() == ()
+    flows.expire(61.1, 60.0)
+    assert not flows.has_flows(upstream)
+
+
+def test_a_flow_that_awaits_a_response_has_not_ended(harness):
+    flows, upstream = FlowTable(), harness.publish_upstream("i-1")
+    flow = flows.touch(FLOW, 1.0)
+    flows.assign(flow, upstream)
+    flows.start_wait(flow, 1.0)
+    flows.end(flow)
+    assert flows.get_load(upstream).flows == 0
+    assert flows.has_flows(upstream)
--- a/tests/forwarding/test_forwarder.py
+++ b/tests/forwarding/test_forwarder.py
@@ -243,3 +243,17 @@
     assert harness.forwarder.failure_detector.get_failures(upstream) == 0
     send_in_flow(harness, upstream, port, size=10)
     assert harness.forwarder.failure_detector.get_failures(upstream) == 1
+
+
+# The caller may have opened another flow from the same port through another entry.
+def test_a_finished_flow_is_not_reset_when_its_upstream_fails(harness):
+    harness.publish_upstream("i-1")
+    upstream, port = harness.open_flow()
+    harness.send(create_packet(port=port, mark=upstream.mark, acknowledged=1, is_end=True))
+    harness.forwarder.reachability.suspect(upstream, harness.now)
+    assert harness.forwarder.reachability.pop_due(harness.now) == [upstream]
+    broken = harness.forwarder.failures.handle_probe_result(
+        upstream, ProbeResult.REFUSED, harness.now
+    )
+    assert upstream.is_unreachable
+    assert broken == []
