Count a flow as load again after a pause of its caller

Cause: a flow without packets for 5 s is no longer counted as load, and was never counted again: its later requests were neither load nor awaited, so that an unanswered one was noticed only by its retransmissions.

Test, failing before: test_a_flow_counts_again_after_a_pause.

--- a/src/chicoryproxy/forwarding/flows.py
+++ b/src/chicoryproxy/forwarding/flows.py
@@ -131,6 +131,8 @@
             flow = Flow(now)
         flow.seen_s = now
         self._flows[flow_id] = flow
+        if flow.upstream is not None and not flow.has_ended:
+            self.assign(flow, flow.upstream)
         return flow
 
     def assign(self, flow: Flow, upstream: Lifetime) -> None:
--- a/tests/forwarding/test_flows.py
+++ b/tests/forwarding/test_flows.py
@@ -29,6 +29,16 @@
     assert flows.get_load(upstream).flows == 2
 
 
+# A caller pauses for longer than its flow counts as load, and then sends the next request.
+def test_a_flow_counts_again_after_a_pause(harness):
+    flows, upstream = FlowTable(), harness.publish_upstream("i-1")
+    flows.assign(flows.touch(FLOW, 1.0), upstream)
+    flows.expire(1.0 + LOAD_IDLE_S, 60.0)
+    flow = flows.touch(FLOW, 2.0 + LOAD_IDLE_S)
+    assert flows.get_load(upstream).flows == 1
+    assert flows.start_wait(flow, 2.0 + LOAD_IDLE_S)
+
+
 def test_an_upstream_is_used_until_its_last_flow_has_ended(harness):
     flows, upstream = FlowTable(), harness.publish_upstream("i-1")
     ids = [FlowId(bytes([number])) for number in range(3)]
