--- a/tests/node/conftest.py
+++ b/tests/node/conftest.py
@@ -7,7 +7,7 @@
 from chicoryproxy.eventloop.loop import Loop
 from tests.adapter.test_settings import create_node
 from tests.node.entryprocess import EntryProcess
-from tests.node.fakestore import HOST, FakeStore, pick_port
+from tests.node.fakestore import HOST, FakeStore, pick_ports
 
 
 @pytest.fixture
@@ -27,7 +27,7 @@
 @pytest.fixture
 def node_file(tmp_path):
     """The settings file of an entry; nothing listens at the address of its store."""
-    packets, readiness, internal = (pick_port() for _ in range(3))
+    packets, readiness, internal = pick_ports(3)
     fields = create_node(
         IpAddress=HOST,
         ListenAddrs={"DatagramAddr": f"{HOST}:{packets}", "Ready": f"{HOST}:{readiness}"},
--- a/tests/node/fakestore.py
+++ b/tests/node/fakestore.py
@@ -1,6 +1,7 @@
 """A fake of the platform's store, and helpers to run parts of an entry on one event loop."""
 
 import base64
+import contextlib
 import json
 import os
 import socket
@@ -36,11 +37,18 @@
     assert is_met, "the condition did not hold before the deadline"
 
 
+def pick_ports(count):
+    """Return different TCP ports that were free a moment ago, probably for UDP as well."""
+    with contextlib.ExitStack() as stack:
+        sockets = [stack.enter_context(socket.socket()) for _ in range(count)]
+        for sock in sockets:
+            sock.bind((HOST, 0))
+        return [sock.getsockname()[1] for sock in sockets]
+
+
 def pick_port():
-    """Return a TCP port that was free a moment ago; it is likely to be free for UDP as well."""
-    with socket.socket() as sock:
-        sock.bind((HOST, 0))
-        return sock.getsockname()[1]
+    """Return one of these ports; calls one after the other may return the same."""
+    return pick_ports(1)[0]
 
 
 class _Connection(StreamHandler):
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -5,7 +5,7 @@
 
 from chicoryproxy.eventloop.loop import Loop
 from chicoryproxy.forwarding.hosts import format_host
-from tests.node.fakestore import FakeStore, pick_port
+from tests.node.fakestore import FakeStore, pick_ports
 from tests.soak.deployment import (
     EXTRA_ROUTE,
     ROUTES,
@@ -39,8 +39,7 @@
         self.loop = Loop()
         self.folder = folder
         self.zones = ZONES
-        self.packet_port, self.ready_port = pick_port(), pick_port()
-        self.peer_port, self.server_port = pick_port(), pick_port()
+        self.packet_port, self.ready_port, self.peer_port, self.server_port = pick_ports(4)
         self.store = FakeStore(self.loop)
         self.attempted = self.answered = self.unanswered = self.refused = 0
         self.faults = []
