Probe other domains and ended upstreams only with a reason

With a fixed fan-out an entry of a large fleet hears another domain about three times a second, so such gaps are usual. Other domains are now sampled only if one has been found unreachable.

Tests, failing before: two in tests/forwarding/test_domainreachability.py.

--- a/src/chicoryproxy/forwarding/upstreamfailures.py
+++ b/src/chicoryproxy/forwarding/upstreamfailures.py
@@ -80,7 +80,8 @@
         if upstream.is_unreachable:
             if self._reachability.is_confirmed_unreachable(upstream, now):
                 return self.break_flows(upstream)
-            self._reachability.check(upstream, now)
+            if upstream.phase is UpstreamPhase.SERVING or self._flows.has_flows(upstream):
+                self._reachability.check(upstream, now)
         elif upstream.phase in (UpstreamPhase.MISSING, UpstreamPhase.GONE):
             self.suspect_if_used(upstream, now)
         return []
@@ -106,10 +107,14 @@
             self._sample_domain(domain, now)
 
     def sample_other_domains(self, domains: Iterable[DomainId], now: float) -> None:
-        """Request probes of a few upstreams of each other failure domain after a partition.
+        """Request probes of a few upstreams of each other failure domain if one is unreachable.
+
+        Callers would otherwise have to find out one domain after the other.
 
         :param domains: all failure domains.
         """
+        if not self._domains.list_unreachable():
+            return
         for domain in domains:
             if domain != self._domain:
                 self._sample_domain(domain, now)
--- a/tests/forwarding/test_domainreachability.py
+++ b/tests/forwarding/test_domainreachability.py
@@ -8,7 +8,7 @@
 
 from chicoryproxy.forwarding.domainreachability import MIN_SAMPLE_INTERVAL_S, SAMPLE_SIZE
 from chicoryproxy.forwarding.model import Refusal
-from chicoryproxy.forwarding.reachability import TIMEOUTS_TO_CONFIRM
+from chicoryproxy.forwarding.reachability import RECHECK_MAX_S, TIMEOUTS_TO_CONFIRM
 from chicoryproxy.node.probe import CONNECT_TIMEOUT_S
 from tests.forwarding.harness import OTHER_DOMAIN, OWN_DOMAIN, create_packet
 from tests.forwarding.probenetwork import NEVER_S, TICK_S
@@ -105,3 +105,26 @@
     suspect(harness, far[0])
     network.run(DETECTION_S)
     assert harness.send_opening()[0] is not Refusal.NO_UPSTREAM
+
+
+# Heartbeats of other domains are rare in a large fleet, and a gap looks like a partition.
+def test_other_domains_are_sampled_only_if_one_is_unreachable(harness, network, far):
+    harness.forwarder.failures.sample_other_domains((OTHER_DOMAIN, THIRD_DOMAIN), harness.now)
+    network.run(MIN_SAMPLE_INTERVAL_S)
+    assert network.probes == 0
+
+
+# Hundreds of entries know of a dead upstream; its registration changes several times as it goes.
+def test_the_end_of_an_unused_upstream_leads_to_no_probe(harness, network, far):
+    cut_off(network, far[:1])
+    suspect(harness, far[0])
+    network.run(4 * RECHECK_MAX_S)
+    before = network.probes
+    while network.probes == before:
+        network.run(TICK_S)
+    network.run(RECHECK_MAX_S / 2)
+    before = network.probes
+    harness.remove_upstream(far[0].entry.id)
+    assert harness.forwarder.failures.handle_phase_change(far[0], harness.now) == []
+    network.run(RECHECK_MAX_S / 4)
+    assert network.probes == before
