Shorten the start of an entry by a tenth of its processor time

On 0.163 cores the start takes 0.6 s of each outage, nearly all of it imports.

- The garbage collector is off until packets are received; what was loaded by then is frozen.
- Endpoint has a module of its own, so that the entry no longer loads the configuration types of the product's own interface.
- Compiled files are not compared with their sources at each start.

--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -13,4 +13,5 @@
 while read -r part; do
     cp -R "src/chicoryproxy/$part" "$deps/chicoryproxy/"
 done < deploy/parts.txt
-python3 -m compileall -q "$deps/chicoryproxy"
+# The compiled files are not compared with their sources at each start.
+python3 -m compileall -q --invalidation-mode unchecked-hash "$deps/chicoryproxy"
--- a/src/chicoryproxy/eventloop/http.py
+++ b/src/chicoryproxy/eventloop/http.py
@@ -6,9 +6,9 @@
 import httptools
 from msgspec import Struct
 
+from chicoryproxy.endpoint import Endpoint
 from chicoryproxy.eventloop.loop import Loop, Timer
 from chicoryproxy.eventloop.stream import Listener, Stream, StreamHandler, open_stream
-from chicoryproxy.model import Endpoint
 
 REASON_PHRASES = {200: "OK", 404: "Not Found", 503: "Service Unavailable"}
 
--- a/src/chicoryproxy/eventloop/packetsocket.py
+++ b/src/chicoryproxy/eventloop/packetsocket.py
@@ -3,9 +3,9 @@
 import socket
 from collections.abc import Callable
 
+from chicoryproxy.endpoint import Endpoint
 from chicoryproxy.eventloop.datagram import open_datagram_socket
 from chicoryproxy.eventloop.loop import Loop
-from chicoryproxy.model import Endpoint
 
 MAX_DATAGRAM_BYTES = 2048
 MAX_BATCH_PACKETS = 64
--- a/src/chicoryproxy/eventloop/stream.py
+++ b/src/chicoryproxy/eventloop/stream.py
@@ -5,8 +5,8 @@
 from abc import ABC, abstractmethod
 from collections.abc import Callable
 
+from chicoryproxy.endpoint import Endpoint
 from chicoryproxy.eventloop.loop import Loop
-from chicoryproxy.model import Endpoint
 
 READ_BYTES = 256 * 1024
 LISTEN_BACKLOG = 64
--- a/src/chicoryproxy/forwarding/directory.py
+++ b/src/chicoryproxy/forwarding/directory.py
@@ -8,6 +8,7 @@
 
 from collections.abc import Iterator
 
+from chicoryproxy.endpoint import Endpoint
 from chicoryproxy.forwarding.directoryevent import (
     DirectoryEvent,
     DirectoryEventKind,
@@ -38,7 +39,6 @@
 )
 from chicoryproxy.forwarding.routingpatch import RoutingHistory
 from chicoryproxy.ids import NO_VERSION, DomainId, ServiceId, UpstreamId, Version
-from chicoryproxy.model import Endpoint
 
 RETURN_GRACE_S = 2.5
 """Registrations that expired during an outage of the store return within two seconds after it."""
--- a/src/chicoryproxy/forwarding/model.py
+++ b/src/chicoryproxy/forwarding/model.py
@@ -8,8 +8,8 @@
 
 from msgspec import Struct
 
+from chicoryproxy.endpoint import Endpoint
 from chicoryproxy.ids import DomainId, InstanceId, RegionId, ServiceId, UpstreamId, Version
-from chicoryproxy.model import Endpoint
 
 Revision = NewType("Revision", int)
 """Revision of the platform's store; increases with each change of any key."""
--- a/src/chicoryproxy/model.py
+++ b/src/chicoryproxy/model.py
@@ -6,6 +6,7 @@
 
 from msgspec import Struct
 
+from chicoryproxy.endpoint import Endpoint as Endpoint
 from chicoryproxy.ids import DomainId, InstanceId, RegionId, ServiceId, UpstreamId, Version
 from chicoryproxy.states import DomainState, Protocol, ReturnPath, UpstreamState
 
@@ -13,17 +14,6 @@
 """Maximum number of generations retained per service."""
 
 
-class Endpoint(Struct, frozen=True, order=True):
-    """An IP address and a port.
-
-    :param host: IPv4 or IPv6 address in text form.
-    :param port: UDP or TCP port.
-    """
-
-    host: str
-    port: int
-
-
 class Capacity(Struct, frozen=True):
     """Load limits of a warm upstream.
 
--- a/src/chicoryproxy/node/entry.py
+++ b/src/chicoryproxy/node/entry.py
@@ -1,5 +1,6 @@
 """The entry: its data plane, its view of the platform and its life cycle."""
 
+import gc
 import socket
 from enum import Enum, unique
 
@@ -78,7 +79,7 @@
     def start(self) -> None:
         """Start the view; packets are received once it is complete or the hold time has passed."""
         self._view.start()
-        self._loop.call_later(MAX_START_HOLD_S, self._data_plane.start_reading)
+        self._loop.call_later(MAX_START_HOLD_S, self._end_start)
         self._tick()
 
     def apply_settings(self, settings: EntrySettings) -> None:
@@ -104,6 +105,13 @@
         self._journal.flush()
         self._loop.stop()
 
+    def _end_start(self) -> None:
+        """Receive packets from now on; what was loaded so far is never garbage."""
+        self._data_plane.start_reading()
+        if not gc.isenabled():
+            gc.freeze()
+            gc.enable()
+
     def _on_view_change(self, belief: DirectoryEvent) -> None:
         self._data_plane.handle_view_change(belief)
 
@@ -142,7 +150,7 @@
         if self._phase is EntryPhase.STARTING and self._view.is_complete:
             self._phase = EntryPhase.SERVING
             self._data_plane.forwarder.is_synced = True
-            self._data_plane.start_reading()
+            self._end_start()
             self._journal.write("ready", revision=self._view.replica.synced)
 
     def _update_isolation(self, now: float) -> None:
--- a/src/chicoryproxy/node/main.py
+++ b/src/chicoryproxy/node/main.py
@@ -1,10 +1,14 @@
 """Main module of the entry process on the platform."""
 
+import gc
 import signal
 
 # Until its handler is installed, a SIGHUP during the imports must not terminate the process.
 signal.signal(signal.SIGHUP, signal.SIG_IGN)
 
+# During the imports a collection finds nothing; ``Entry`` enables it again.
+gc.disable()
+
 import sys  # noqa: E402
 
 from chicoryproxy.node.early import bind_packet_socket  # noqa: E402
--- a/src/chicoryproxy/node/peers.py
+++ b/src/chicoryproxy/node/peers.py
@@ -4,6 +4,7 @@
 import struct
 from collections.abc import Callable, Iterable
 
+from chicoryproxy.endpoint import Endpoint
 from chicoryproxy.eventloop.loop import Loop
 from chicoryproxy.eventloop.packetsocket import PacketSocket
 from chicoryproxy.eventloop.stream import Listener, Stream, StreamHandler, open_stream
@@ -16,7 +17,6 @@
     decode_message,
     encode_message,
 )
-from chicoryproxy.model import Endpoint
 
 CHANGES_TIMEOUT_S = 1.0
 _LENGTH = struct.Struct("!I")
--- a/src/chicoryproxy/node/probe.py
+++ b/src/chicoryproxy/node/probe.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 
+from chicoryproxy.endpoint import Endpoint
 from chicoryproxy.eventloop.http import (
     HttpClient,
     HttpFailure,
@@ -13,7 +14,6 @@
 from chicoryproxy.eventloop.stream import Stream, StreamHandler, open_stream
 from chicoryproxy.forwarding.reachability import ProbeResult
 from chicoryproxy.ids import UpstreamId
-from chicoryproxy.model import Endpoint
 from chicoryproxy.platform.health import read_identity
 
 CONNECT_TIMEOUT_S = 0.12
--- a/src/chicoryproxy/node/view.py
+++ b/src/chicoryproxy/node/view.py
@@ -3,6 +3,7 @@
 from abc import ABC, abstractmethod
 from collections.abc import Callable, Iterable
 
+from chicoryproxy.endpoint import Endpoint
 from chicoryproxy.eventloop.loop import Loop
 from chicoryproxy.forwarding.catchup import CatchUp
 from chicoryproxy.forwarding.directory import Directory
@@ -19,7 +20,6 @@
 )
 from chicoryproxy.forwarding.readerpolicy import ReaderPolicy
 from chicoryproxy.forwarding.replica import Replica
-from chicoryproxy.model import Endpoint
 from chicoryproxy.node.entrymetrics import EntryMetrics
 from chicoryproxy.node.journal import Journal
 from chicoryproxy.node.peers import ChangesClient, ChangesServer, HeartbeatSocket
--- a/src/chicoryproxy/platform/records.py
+++ b/src/chicoryproxy/platform/records.py
@@ -6,6 +6,7 @@
 import msgspec
 from msgspec import Meta, Struct, field
 
+from chicoryproxy.endpoint import Endpoint
 from chicoryproxy.forwarding.hosts import parse_host
 from chicoryproxy.forwarding.model import (
     Change,
@@ -27,7 +28,6 @@
 )
 from chicoryproxy.forwarding.replica import ROUTING_KEY, get_domain_key, get_upstream_key
 from chicoryproxy.ids import DomainId, ServiceId, UpstreamId, Version
-from chicoryproxy.model import Endpoint
 
 SERVERS_PREFIX = "servers/"
 CONFIG_KEY = "op/config"
--- a/src/chicoryproxy/platform/settings.py
+++ b/src/chicoryproxy/platform/settings.py
@@ -5,11 +5,11 @@
 import msgspec
 from msgspec import Struct, field
 
+from chicoryproxy.endpoint import Endpoint
 from chicoryproxy.errors import SettingsError
 from chicoryproxy.finding import FindingList, Place
 from chicoryproxy.forwarding.model import Bounds, EntrySettings
 from chicoryproxy.ids import DomainId, InstanceId, RegionId
-from chicoryproxy.model import Endpoint
 from chicoryproxy.platform.packetaddress import LISTEN_KEY, PACKETS_KEY, SETTINGS_VARIABLE
 from chicoryproxy.platform.records import parse_endpoint
 
--- a/src/chicoryproxy/platform/store.py
+++ b/src/chicoryproxy/platform/store.py
@@ -13,11 +13,11 @@
 import msgspec
 from msgspec import Struct, field
 
+from chicoryproxy.endpoint import Endpoint
 from chicoryproxy.eventloop.http import HttpClient, HttpFailure, HttpResult, HttpTimeout
 from chicoryproxy.eventloop.loop import Loop
 from chicoryproxy.forwarding.model import NO_REVISION, Change, Revision
 from chicoryproxy.ids import DomainId
-from chicoryproxy.model import Endpoint
 from chicoryproxy.platform.records import decode_item
 
 LIST_TIMEOUT_S = 2.0
--- a/src/chicoryproxy/rendezvous.py
+++ b/src/chicoryproxy/rendezvous.py
@@ -9,9 +9,10 @@
 import xxhash
 
 from chicoryproxy.ids import InstanceId, UpstreamId
-from chicoryproxy.model import Instance
 
 if TYPE_CHECKING:
+    # The entry on the platform uses this module without these.
+    from chicoryproxy.model import Instance
     from chicoryproxy.protocol.messages import SlotName
 
 
@@ -40,7 +41,7 @@
     return rank_instances(f"slot/{slot.service}/{slot.size}/{slot.slot}", candidates, 2)
 
 
-def choose_owner(upstream: UpstreamId, domain_members: Iterable[Instance]) -> InstanceId | None:
+def choose_owner(upstream: UpstreamId, domain_members: Iterable["Instance"]) -> InstanceId | None:
     """Return the owner of an upstream, one of the live instances of the upstream's domain.
 
     :returns: ``None`` if the domain has no live instance.
