Pass reports on unreachable upstreams on to the whole fleet

Cause: a heartbeat told four peers of 195 which upstreams its sender could not reach, and nobody passed that on.

If there are more unreachable upstreams than fit into a heartbeat, each heartbeat has others of them; before, the same 28 were repeated.

--- a/src/chicoryproxy/forwarding/forwarder.py
+++ b/src/chicoryproxy/forwarding/forwarder.py
@@ -30,6 +30,7 @@
 )
 from chicoryproxy.forwarding.probecontrol import ControlProbeSelector
 from chicoryproxy.forwarding.reachability import ReachabilityMonitor
+from chicoryproxy.forwarding.unreachablereports import UnreachableReports
 from chicoryproxy.forwarding.upstreamfailures import UpstreamFailures
 from chicoryproxy.ids import DomainId
 
@@ -133,6 +134,7 @@
         for upstream in self._pending.pop_overdue(now):
             self.reachability.suspect(upstream, now)
         self.failures.sample_unreachable_domains(now)
+        self.failures.expire(now)
         self._pending.expire(now)
         self.flows.expire(now, self._directory.idle_timeout_s)
         self.failure_detector.expire(now)
@@ -340,10 +342,13 @@
     failure_detector = FailureDetector()
     cold_budget = ColdBudget(directory)
     domains = DomainReachability(directory, seed)
-    policy = create_opening_policy(domain, directory, flows, failure_detector, cold_budget, domains)
+    reports = UnreachableReports()
+    policy = create_opening_policy(
+        domain, directory, flows, failure_detector, cold_budget, domains, reports
+    )
     reachability = ReachabilityMonitor(FALSE_HEALTH_QUIET_S if has_false_health else 0.0)
     control = ControlProbeSelector(directory, domain, reachability.is_failing)
-    failures = UpstreamFailures(domain, directory, flows, reachability, domains, control)
+    failures = UpstreamFailures(domain, directory, flows, reachability, domains, reports, control)
     parts = ForwarderParts(
         directory,
         flows,
--- a/src/chicoryproxy/forwarding/peering.py
+++ b/src/chicoryproxy/forwarding/peering.py
@@ -49,6 +49,9 @@
 LOADS_IN_HEARTBEAT = 28
 """If there are more loads, the heaviest ones are reported."""
 
+UNREACHABLE_IN_HEARTBEAT = 28
+"""If there are more unreachable upstreams, each heartbeat has others of them."""
+
 UNKNOWN_AGE_S = -1.0
 
 
@@ -162,7 +165,7 @@
             self.report_age(now),
             is_leaving,
             tuple(heaviest[:LOADS_IN_HEARTBEAT]),
-            unreachable[:LOADS_IN_HEARTBEAT],
+            self._select_unreachable(unreachable),
             self._list_peers(PEERS_IN_HEARTBEAT, now),
             is_isolated,
         )
@@ -231,6 +234,13 @@
         peer.last_seen_s = max(peer.last_seen_s, last_seen_s)
         return peer
 
+    def _select_unreachable(self, marks: tuple[Mark, ...]) -> tuple[Mark, ...]:
+        """Return as many marks as fit into a heartbeat, others in each round."""
+        if len(marks) <= UNREACHABLE_IN_HEARTBEAT:
+            return marks
+        start = self._round * UNREACHABLE_IN_HEARTBEAT % len(marks)
+        return (marks[start:] + marks[:start])[:UNREACHABLE_IN_HEARTBEAT]
+
     def _list_peers(self, count: int, now: float) -> tuple[PeerStatus, ...]:
         alive = sorted(self._iterate_alive(now), key=lambda peer: peer.last_seen_s, reverse=True)
         # Peers seen long ago may be gone, and are of little use to others.
--- a/src/chicoryproxy/forwarding/peermessages.py
+++ b/src/chicoryproxy/forwarding/peermessages.py
@@ -60,7 +60,7 @@
     :param age_s: time since the sender was last known to be up to date; negative if never.
     :param is_leaving: the sender is about to stop.
     :param loads: load of the sender at the upstreams.
-    :param unreachable: upstreams that the sender can't reach.
+    :param unreachable: upstreams that the sender or one of its peers can't reach.
     :param peers: some live peers, so that not every entry needs heartbeats from each of them.
     :param is_isolated: the sender has found that its failure domain is partitioned and can't serve
         its callers. Older entries leave it out.
--- a/src/chicoryproxy/forwarding/placement.py
+++ b/src/chicoryproxy/forwarding/placement.py
@@ -24,6 +24,7 @@
     Route,
     UpstreamPhase,
 )
+from chicoryproxy.forwarding.unreachablereports import UnreachableReports
 from chicoryproxy.ids import DomainId, ServiceId
 
 REMOTE_COST = 0.6
@@ -107,6 +108,7 @@
         failure_detector: FailureDetector,
         cold_budget: ColdBudget,
         domains: DomainReachability,
+        reports: UnreachableReports,
     ) -> None:
         self._domain = domain
         self._directory = directory
@@ -114,6 +116,7 @@
         self._failure_detector = failure_detector
         self._cold_budget = cold_budget
         self._domains = domains
+        self._reports = reports
 
     def choose(self, opening: Opening, now: float) -> Lifetime | None:
         """Select the least loaded upstream of the best non-empty class."""
@@ -205,8 +208,11 @@
 
     def _is_suspected(self, upstream: Lifetime, now: float) -> bool:
         """Return whether openings should go to other upstreams while there are any."""
-        is_avoided = self.is_domain_avoided(upstream.entry.domain)
-        return is_avoided or self._failure_detector.is_suspected(upstream, now)
+        return (
+            self.is_domain_avoided(upstream.entry.domain)
+            or self._failure_detector.is_suspected(upstream, now)
+            or self._reports.is_avoided(upstream, now)
+        )
 
     def _is_full(self, upstream: Lifetime) -> bool:
         limits = self._directory.get_limits(upstream.entry.service)
@@ -256,6 +262,9 @@
     failure_detector: FailureDetector,
     cold_budget: ColdBudget,
     domains: DomainReachability,
+    reports: UnreachableReports,
 ) -> OpeningPolicy:
     """Create the policy of an entry."""
-    return LeastLoadPolicy(domain, directory, flows, failure_detector, cold_budget, domains)
+    return LeastLoadPolicy(
+        domain, directory, flows, failure_detector, cold_budget, domains, reports
+    )
--- a/src/chicoryproxy/forwarding/upstreamfailures.py
+++ b/src/chicoryproxy/forwarding/upstreamfailures.py
@@ -11,6 +11,7 @@
 from chicoryproxy.forwarding.model import FlowId, Mark, UpstreamPhase
 from chicoryproxy.forwarding.probecontrol import ControlProbeSelector
 from chicoryproxy.forwarding.reachability import ProbeResult, ReachabilityMonitor
+from chicoryproxy.forwarding.unreachablereports import UnreachableReports
 from chicoryproxy.ids import DomainId
 
 
@@ -29,6 +30,7 @@
 
     :param domain: failure domain of this entry.
     :param domains: failure domains whose upstreams have become unreachable together.
+    :param reports: reports of peers.
     :param control: selects the upstreams whose probes show whether connections work at all.
     """
 
@@ -39,6 +41,7 @@
         flows: FlowTable,
         reachability: ReachabilityMonitor,
         domains: DomainReachability,
+        reports: UnreachableReports,
         control: ControlProbeSelector,
     ) -> None:
         self._domain = domain
@@ -46,6 +49,7 @@
         self._flows = flows
         self._reachability = reachability
         self._domains = domains
+        self._reports = reports
         self._control = control
 
     def handle_probe_result(
@@ -86,12 +90,26 @@
             self.suspect_if_used(upstream, now)
         return []
 
-    def suspect_marks(self, marks: Iterable[Mark], now: float) -> None:
-        """Request probes of upstreams that a peer can't reach."""
-        for mark in marks:
+    def handle_reports(self, marks: Iterable[Mark], now: float) -> bool:
+        """Record the upstreams that a peer can't reach; probe those that are new and used here.
+
+        :returns: True if there is a new one, which is to be passed on at once.
+        """
+        new = [mark for mark in marks if self._reports.record(mark, now)]
+        for mark in new:
             upstream = self._directory.find_by_mark(mark)
             if upstream is not None and upstream.phase is not UpstreamPhase.GONE:
                 self.suspect_if_used(upstream, now)
+        return bool(new)
+
+    def list_reported(self, now: float) -> list[Mark]:
+        """Return the upstreams to report to peers: those found here, then those of other peers."""
+        own = [upstream.mark for upstream in self._reachability.list_unreachable()]
+        return list(dict.fromkeys((*own, *self._reports.list_forwarded(now))))
+
+    def expire(self, now: float) -> None:
+        """Forget old reports."""
+        self._reports.expire(now)
 
     def suspect_if_used(self, upstream: Lifetime, now: float) -> None:
         """Request a probe of an upstream if this entry has flows to it.
--- a/src/chicoryproxy/node/dataplane.py
+++ b/src/chicoryproxy/node/dataplane.py
@@ -1,7 +1,7 @@
 """Data plane of the entry: connects the forwarding core to its packet socket and probes."""
 
 import socket
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from typing import Any
 
 from chicoryproxy.eventloop.loop import Loop
@@ -36,6 +36,7 @@
     """Receives packets, sends them as the forwarding core decides, and probes upstreams.
 
     :param seed: seed of the pseudo-random choices.
+    :param announce: called when an upstream has become unreachable, to tell the peers.
     :param packets: the socket for callers' packets, if it is already bound.
     """
 
@@ -47,10 +48,12 @@
         journal: Journal,
         metrics: EntryMetrics,
         seed: int,
+        announce: Callable[[], None],
         packets: socket.socket | None = None,
     ) -> None:
         self._loop = loop
         self._metrics = metrics
+        self._announce = announce
         self.forwarder = create_forwarder(
             settings.domain,
             directory,
@@ -190,6 +193,8 @@
                 unreachable=upstream.is_unreachable,
                 broken_flows=len(broken),
             )
+            if upstream.is_unreachable:
+                self._announce()
         elif result not in (ProbeResult.CONNECTED, ProbeResult.CONNECTED_SLOWLY):
             self._journal.write_rate_limited(
                 "probe", upstream=upstream.entry.id, result=result.value
--- a/src/chicoryproxy/node/entry.py
+++ b/src/chicoryproxy/node/entry.py
@@ -63,7 +63,14 @@
         self._view = View(loop, settings, journal, self._on_view_change, self, seed)
         self._metrics = EntryMetrics()
         self._data_plane = DataPlane(
-            loop, settings, self._view.directory, journal, self._metrics, seed, packets
+            loop,
+            settings,
+            self._view.directory,
+            journal,
+            self._metrics,
+            seed,
+            self._view.announce,
+            packets,
         )
         self._data_plane.forwarder.flows.peer_loads = self._view.peers.loads
         self._isolation = IsolationDetector(
@@ -124,13 +131,13 @@
         return self._isolation.has_evidence
 
     def list_unreachable(self) -> tuple[Mark, ...]:
-        """Return the marks of the upstreams that this entry can't reach."""
-        upstreams = self._data_plane.forwarder.reachability.list_unreachable()
-        return tuple(upstream.mark for upstream in upstreams)
+        """Return the marks of the upstreams that this entry or its peers can't reach."""
+        return tuple(self._data_plane.forwarder.failures.list_reported(self._loop.read_clock()))
 
-    def suspect_upstreams(self, marks: tuple[Mark, ...]) -> None:
-        """Suspect the upstreams that a peer reports as unreachable."""
-        self._data_plane.forwarder.failures.suspect_marks(marks, self._loop.read_clock())
+    def handle_unreachable(self, marks: tuple[Mark, ...]) -> bool:
+        """Handle a peer's report on upstreams that it can't reach; return whether it has news."""
+        failures = self._data_plane.forwarder.failures
+        return failures.handle_reports(marks, self._loop.read_clock())
 
     def _answer_readiness(self, path: str) -> ServerResponse:
         is_ready = self._phase is EntryPhase.SERVING and not self._isolation.is_isolated
--- a/src/chicoryproxy/node/view.py
+++ b/src/chicoryproxy/node/view.py
@@ -28,7 +28,7 @@
 
 HEARTBEAT_INTERVAL_S = 0.4
 ANNOUNCE_INTERVAL_S = 0.1
-"""Minimum time since the last heartbeat before new changes trigger another one."""
+"""Minimum time since the last heartbeat before news triggers another one."""
 
 CATCH_UP_INTERVAL_S = 0.3
 """Minimum interval between requests for changes to peers."""
@@ -43,15 +43,15 @@
 
     @abstractmethod
     def list_unreachable(self) -> tuple[Mark, ...]:
-        """Return the marks of the upstreams that this entry can't reach."""
+        """Return the marks of the upstreams that this entry or its peers can't reach."""
 
     @abstractmethod
     def has_isolation_evidence(self) -> bool:
         """Return whether this entry has found that its failure domain is isolated."""
 
     @abstractmethod
-    def suspect_upstreams(self, marks: tuple[Mark, ...]) -> None:
-        """Suspect the upstreams that a peer reports as unreachable."""
+    def handle_unreachable(self, marks: tuple[Mark, ...]) -> bool:
+        """Handle a peer's report on upstreams that it can't reach; return whether it has news."""
 
 
 class View(StoreListener):
@@ -196,7 +196,7 @@
         self.directory.known_revision = self.replica.synced
         self._reader_policy.record_progress(self.replica.synced, self.replica.synced, now)
         if has_more:
-            self._announce_revision()
+            self.announce()
 
     def _report_view_changes(self, beliefs: Iterable[DirectoryEvent]) -> None:
         for belief in beliefs:
@@ -230,8 +230,8 @@
         self._socket.send(heartbeat, targets)
         self._catch_up(now)
 
-    def _announce_revision(self) -> None:
-        """Send a heartbeat with the new revision immediately, but not too often."""
+    def announce(self) -> None:
+        """Send a heartbeat with news immediately, but not too often."""
         if self._loop.read_clock() - self._last_heartbeat_s > ANNOUNCE_INTERVAL_S:
             self._send_heartbeat()
 
@@ -240,7 +240,8 @@
         self.peers.handle_heartbeat(heartbeat, self.replica.synced, now)
         self._reader_policy.record_heartbeat(now)
         self._reader_policy.record_progress(self.replica.synced, heartbeat.synced, now)
-        self._traffic.suspect_upstreams(heartbeat.unreachable)
+        if self._traffic.handle_unreachable(heartbeat.unreachable):
+            self.announce()
         if heartbeat.synced > self.replica.synced:
             self._catch_up(now)
         if not heartbeat.peers and not self.is_leaving:
--- a/tests/forwarding/test_reachability.py
+++ b/tests/forwarding/test_reachability.py
@@ -101,7 +101,7 @@
         "i-2", domain=OTHER_DOMAIN
     )
     harness.open_flow()
-    harness.forwarder.failures.suspect_marks((used.mark, unused.mark), harness.now)
+    harness.forwarder.failures.handle_reports((used.mark, unused.mark), harness.now)
     assert harness.forwarder.reachability.pop_due(harness.now) == [used]
 
 
--- a/tests/node/test_view.py
+++ b/tests/node/test_view.py
@@ -35,8 +35,9 @@
         """Return False."""
         return False
 
-    def suspect_upstreams(self, marks):
-        """Do nothing."""
+    def handle_unreachable(self, marks):
+        """Return that there is no news."""
+        return False
 
 
 @pytest.fixture
