Recheck an unreachable domain with one probe a second

One answer is enough to show that the domain can be reached again.

tests/forwarding/test_domainreachability.py passes.

--- a/src/chicoryproxy/forwarding/domainreachability.py
+++ b/src/chicoryproxy/forwarding/domainreachability.py
@@ -18,6 +18,9 @@
 MIN_SAMPLE_INTERVAL_S = 1.0
 """Minimum interval between samples of a failure domain."""
 
+RECHECK_SIZE = 1
+"""Size of a sample that shows whether an unreachable failure domain can be reached again."""
+
 
 class DomainReachability:
     """Failure domains that are probably unreachable.
@@ -68,7 +71,8 @@
             return []
         self._sampled_s[domain] = now
         candidates = [item for item in self._iterate_domain(domain) if not item.is_unreachable]
-        return self._prng.draw_sample(candidates, SAMPLE_SIZE)
+        size = RECHECK_SIZE if domain in self._unreachable else SAMPLE_SIZE
+        return self._prng.draw_sample(candidates, size)
 
     def _iterate_domain(self, domain: DomainId) -> list[Lifetime]:
         present = self._directory.iterate_present()
