Count heartbeats of other domains that peers got

Cause: an entry took a gap of 0.6 s in its own heartbeats from other domains for a partition.

What peers report counts now, with its age, and each heartbeat lists the peer of another domain that was seen last.

Tests: test_gaps_between_heartbeats_are_not_taken_for_a_partition (failing before), test_all_entries_of_a_partitioned_domain_notice_it. test_all_entries_discover_each_other_from_a_few_seeds asserted that all 30 count as alive at one moment.

--- a/src/chicoryproxy/forwarding/peering.py
+++ b/src/chicoryproxy/forwarding/peering.py
@@ -7,6 +7,7 @@
 """
 
 import heapq
+import itertools
 from collections.abc import Iterable, Iterator
 
 from msgspec import structs
@@ -31,13 +32,14 @@
 """Time after the start in which an entry discovers its peers."""
 
 PARTITION_TIMEOUT_S = 0.6
-"""Time without a heartbeat from other failure domains after which a partition is assumed."""
+"""Time without a heartbeat from other failure domains, here or at a peer, after which a partition
+is assumed."""
 
 ISOLATION_REPORT_VALID_S = 1.5
 """Time after which the report of a peer that the own failure domain is isolated is outdated."""
 
 PEER_RETENTION_S = 20.0
-PEERS_IN_HEARTBEAT = 12
+PEERS_IN_HEARTBEAT = 13
 LOWEST_RANKS_IN_HEARTBEAT = 5
 READERS_IN_HEARTBEAT = 2
 """In a large failure domain an entry knows only some of the others. The lowest ranks and the
@@ -116,9 +118,7 @@
         if heartbeat.sender.host == self.own.host:
             return
         peer = self._update_peer(heartbeat.sender, now)
-        if heartbeat.sender.domain != self.own.domain:
-            self._other_domain_seen_s = now
-        elif heartbeat.is_isolated:
+        if heartbeat.sender.domain == self.own.domain and heartbeat.is_isolated:
             self._isolation_reported_s = now
         peer.address = heartbeat.sender
         peer.synced = heartbeat.synced
@@ -190,12 +190,15 @@
         return now - self._started_s < DISCOVERY_S
 
     def is_partitioned(self, now: float) -> bool:
-        """Return whether heartbeats from other failure domains arrived once but no longer do."""
+        """Return whether heartbeats from other failure domains arrived once but no longer do.
+
+        In a large fleet an entry gets few of them itself; those that its peers got count too.
+        """
         heard_s = self._other_domain_seen_s
         return heard_s is not None and now - heard_s > PARTITION_TIMEOUT_S
 
     def has_heard_other_domain(self) -> bool:
-        """Return whether a heartbeat from another failure domain has ever arrived."""
+        """Return whether an entry of another failure domain is or was known."""
         return self._other_domain_seen_s is not None
 
     def is_isolation_reported(self, now: float) -> bool:
@@ -232,6 +235,8 @@
         if peer is None:
             peer = self._peers[address.host] = _Peer(address, last_seen_s)
         peer.last_seen_s = max(peer.last_seen_s, last_seen_s)
+        if address.domain != self.own.domain:
+            self._other_domain_seen_s = max(self._other_domain_seen_s or 0.0, last_seen_s)
         return peer
 
     def _select_unreachable(self, marks: tuple[Mark, ...]) -> tuple[Mark, ...]:
@@ -246,6 +251,9 @@
         # Peers seen long ago may be gone, and are of little use to others.
         fresh = alive[: max(count, len(alive) // 2)]
         chosen = self._list_ranking_peers(now)
+        # Shows the receivers that the own domain is not partitioned.
+        remote = (peer for peer in fresh if peer.address.domain != self.own.domain)
+        chosen.extend(itertools.islice(remote, 1))
         others = [peer for peer in fresh if peer not in chosen]
         chosen.extend(self._prng.draw_sample(others, count - len(chosen)))
         return tuple(
