--- a/src/chicoryproxy/forwarding/forwarder.py
+++ b/src/chicoryproxy/forwarding/forwarder.py
@@ -11,6 +11,7 @@
 
 from msgspec import Struct
 
+from chicoryproxy.forwarding.admission import AdmissionControl, UnlimitedAdmission
 from chicoryproxy.forwarding.coldstart import ColdBudget
 from chicoryproxy.forwarding.directory import Directory
 from chicoryproxy.forwarding.domainreachability import DomainReachability
@@ -30,6 +31,7 @@
 )
 from chicoryproxy.forwarding.probecontrol import ControlProbeSelector
 from chicoryproxy.forwarding.reachability import ReachabilityMonitor
+from chicoryproxy.forwarding.slowstart import SlowStart, create_slow_start
 from chicoryproxy.forwarding.unreachablereports import UnreachableReports
 from chicoryproxy.forwarding.upstreamfailures import UpstreamFailures
 from chicoryproxy.ids import DomainId
@@ -89,6 +91,8 @@
     reachability: ReachabilityMonitor
     domains: DomainReachability
     failures: UpstreamFailures
+    slow_start: SlowStart
+    admission: AdmissionControl
     observer: TrafficObserver
 
 
@@ -109,6 +113,8 @@
         self.cold_budget = parts.cold_budget
         self.reachability = parts.reachability
         self.failures = parts.failures
+        self.slow_start = parts.slow_start
+        self._admission = parts.admission
         self._domains = parts.domains
         self.recent_openings = RecentOpenings()
         self._pending = PendingResponses()
@@ -139,6 +145,7 @@
         self.flows.expire(now, self._directory.idle_timeout_s)
         self.failure_detector.expire(now)
         self.cold_budget.expire(now)
+        self.slow_start.expire(now)
 
     def _handle_opening(self, packet: CallerPacket, now: float) -> Decision:
         if not self.is_synced or self.pause.is_unconfirmed or self.pause.is_late(now):
@@ -156,6 +163,10 @@
         awaited = self._find_awaited(flow, route, now)
         if awaited is not None:
             return awaited
+        is_new = not packet.acknowledged and not flow.tried
+        if is_new and not self._admission.admits(route, packet.flow, now):
+            self.flows.remove(packet.flow)
+            return Refusal.OVERLOADED
         flow.sent = packet.sequence
         self._record_retransmission(packet, flow, now)
         avoided = self._pending.list_pending(packet.flow, now)
@@ -271,7 +282,9 @@
         elif _is_sequence_after(packet.acknowledged, flow.acknowledged):
             flow.acknowledged = packet.acknowledged
             if flow.waiting_since_s is not None:
-                self.observer.record_response(now - flow.waiting_since_s)
+                duration_s = now - flow.waiting_since_s
+                self.observer.record_response(duration_s)
+                self.slow_start.record_response(upstream, duration_s, now)
             self.flows.end_wait(flow)
             self._record_answer(upstream, now)
 
@@ -294,6 +307,7 @@
 
     def _record_failure(self, upstream: Lifetime, now: float) -> None:
         self.reachability.suspect(upstream, now)
+        self.slow_start.record_failure(upstream, now)
         if self.failure_detector.record_failure(upstream, now):
             self.observer.record_suspicion(upstream, self.failure_detector.get_failures(upstream))
 
@@ -343,8 +357,9 @@
     cold_budget = ColdBudget(directory)
     domains = DomainReachability(directory, seed)
     reports = UnreachableReports()
+    slow_start = create_slow_start(has_false_health)
     policy = create_opening_policy(
-        domain, directory, flows, failure_detector, cold_budget, domains, reports
+        domain, directory, flows, failure_detector, cold_budget, domains, reports, slow_start
     )
     reachability = ReachabilityMonitor(FALSE_HEALTH_QUIET_S if has_false_health else 0.0)
     control = ControlProbeSelector(directory, domain, reachability.is_failing)
@@ -358,6 +373,8 @@
         reachability,
         domains,
         failures,
+        slow_start,
+        UnlimitedAdmission(),
         observer,
     )
     return Forwarder(parts, now)
--- a/src/chicoryproxy/forwarding/model.py
+++ b/src/chicoryproxy/forwarding/model.py
@@ -48,11 +48,16 @@
     """Services that openings to one destination are distributed to.
 
     :param targets: at least one service.
+    :param priority: zero is the highest; lower priorities are refused first under overload.
+    :param latency_target_s: time within which callers want their responses, in seconds; zero if
+        none is published.
     """
 
     name: str
     key: RouteKey
     targets: tuple[WeightedService, ...]
+    priority: int = 0
+    latency_target_s: float = 0.0
 
 
 class ServiceLimits(Struct, frozen=True, array_like=True):
@@ -267,3 +272,4 @@
     ROUTE_REMOVED = "route_removed"
     NO_UPSTREAM = "no_upstream"
     UPSTREAM_UNREACHABLE = "upstream_unreachable"
+    OVERLOADED = "overloaded"
--- a/src/chicoryproxy/forwarding/peering.py
+++ b/src/chicoryproxy/forwarding/peering.py
@@ -15,7 +15,13 @@
 from chicoryproxy.forwarding.coldstart import MAX_FULLY_KNOWN_MEMBERS, DomainShare
 from chicoryproxy.forwarding.model import NO_REVISION, Mark, Revision
 from chicoryproxy.forwarding.peerloads import PeerLoads
-from chicoryproxy.forwarding.peermessages import Heartbeat, LoadReport, PeerAddress, PeerStatus
+from chicoryproxy.forwarding.peermessages import (
+    Heartbeat,
+    LoadReport,
+    PeerAddress,
+    PeerStatus,
+    RampReport,
+)
 from chicoryproxy.prng import Prng
 from chicoryproxy.rendezvous import score
 
@@ -159,6 +165,7 @@
         unreachable: tuple[Mark, ...],
         now: float,
         is_isolated: bool = False,
+        ramps: tuple[RampReport, ...] = (),
     ) -> Heartbeat:
         """Create the heartbeat of this entry."""
         heaviest = sorted(loads, key=lambda load: load.flows + load.waiting, reverse=True)
@@ -171,6 +178,7 @@
             self._select_unreachable(unreachable),
             self._list_peers(PEERS_IN_HEARTBEAT, now),
             is_isolated,
+            ramps,
         )
 
     def create_discovery_reply(
@@ -223,6 +231,10 @@
         """Return the number of live entries, including this one."""
         return 1 + sum(1 for _ in self._iterate_alive(now))
 
+    def count_own_domain(self, now: float) -> int:
+        """Return the number of live peers in the own failure domain, without this entry."""
+        return sum(1 for _ in self._iterate_own_domain(now))
+
     def get_reader_rank(self, now: float) -> int:
         """Return the rank of this entry among the readers of its failure domain.
 
--- a/src/chicoryproxy/forwarding/peermessages.py
+++ b/src/chicoryproxy/forwarding/peermessages.py
@@ -53,6 +53,20 @@
     waiting: int
 
 
+class RampReport(Struct, frozen=True, array_like=True):
+    """Answers of one upstream that is ramping up, as counted by one entry since its ramp began.
+
+    The counts only grow during a ramp, so that a lost heartbeat loses no evidence.
+
+    :param on_time: responses that took no longer than usual for the service.
+    :param late: responses that took longer, and requests and openings without an answer.
+    """
+
+    mark: Mark
+    on_time: int
+    late: int
+
+
 class Heartbeat(Struct, frozen=True, array_like=True, tag="heartbeat"):
     """State of an entry, sent several times per second.
 
@@ -64,6 +78,7 @@
     :param peers: some live peers, so that not every entry needs heartbeats from each of them.
     :param is_isolated: the sender has found that its failure domain is partitioned and can't serve
         its callers. Older entries leave it out.
+    :param ramps: answers of upstreams that are ramping up. Older entries leave it out.
     """
 
     sender: PeerAddress
@@ -74,6 +89,7 @@
     unreachable: tuple[Mark, ...]
     peers: tuple[PeerStatus, ...]
     is_isolated: bool = False
+    ramps: tuple[RampReport, ...] = ()
 
 
 class ChangesRequest(Struct, frozen=True, array_like=True, tag="request"):
--- a/src/chicoryproxy/forwarding/placement.py
+++ b/src/chicoryproxy/forwarding/placement.py
@@ -24,6 +24,7 @@
     Route,
     UpstreamPhase,
 )
+from chicoryproxy.forwarding.slowstart import SlowStart
 from chicoryproxy.forwarding.unreachablereports import UnreachableReports
 from chicoryproxy.ids import DomainId, ServiceId
 
@@ -109,6 +110,7 @@
         cold_budget: ColdBudget,
         domains: DomainReachability,
         reports: UnreachableReports,
+        slow_start: SlowStart,
     ) -> None:
         self._domain = domain
         self._directory = directory
@@ -117,6 +119,7 @@
         self._cold_budget = cold_budget
         self._domains = domains
         self._reports = reports
+        self._slow_start = slow_start
 
     def choose(self, opening: Opening, now: float) -> Lifetime | None:
         """Select the least loaded upstream of the best non-empty class."""
@@ -263,8 +266,9 @@
     cold_budget: ColdBudget,
     domains: DomainReachability,
     reports: UnreachableReports,
+    slow_start: SlowStart,
 ) -> OpeningPolicy:
     """Create the policy of an entry."""
     return LeastLoadPolicy(
-        domain, directory, flows, failure_detector, cold_budget, domains, reports
+        domain, directory, flows, failure_detector, cold_budget, domains, reports, slow_start
     )
--- a/src/chicoryproxy/node/entry.py
+++ b/src/chicoryproxy/node/entry.py
@@ -10,7 +10,7 @@
 from chicoryproxy.forwarding.isolation import IsolationDetector
 from chicoryproxy.forwarding.model import EntrySettings, Mark
 from chicoryproxy.forwarding.pause import PauseEvent
-from chicoryproxy.forwarding.peermessages import LoadReport
+from chicoryproxy.forwarding.peermessages import Heartbeat, LoadReport, RampReport
 from chicoryproxy.node.dataplane import DataPlane
 from chicoryproxy.node.entrymetrics import EntryMetrics
 from chicoryproxy.node.journal import Journal
@@ -126,6 +126,16 @@
         """Return the load of this entry at each upstream."""
         return self._data_plane.forwarder.flows.report_loads()
 
+    def list_ramps(self) -> tuple[RampReport, ...]:
+        """Return what this entry has counted of the upstreams that are ramping up."""
+        return self._data_plane.forwarder.slow_start.list_reports()
+
+    def handle_ramps(self, heartbeat: Heartbeat) -> None:
+        """Take over what a peer has counted of the upstreams that are ramping up."""
+        now = self._loop.read_clock()
+        peers = self._view.peers.count_own_domain(now)
+        self._data_plane.forwarder.slow_start.handle_heartbeat(heartbeat, peers, now)
+
     def has_isolation_evidence(self) -> bool:
         """Return whether this entry has found that its failure domain is isolated."""
         return self._isolation.has_evidence
--- a/src/chicoryproxy/node/view.py
+++ b/src/chicoryproxy/node/view.py
@@ -17,6 +17,7 @@
     Heartbeat,
     LoadReport,
     PeerAddress,
+    RampReport,
 )
 from chicoryproxy.forwarding.readerpolicy import ReaderPolicy
 from chicoryproxy.forwarding.replica import Replica
@@ -41,6 +42,14 @@
     def list_upstream_loads(self) -> tuple[LoadReport, ...]:
         """Return the load of this entry at each upstream."""
 
+    @abstractmethod
+    def list_ramps(self) -> tuple[RampReport, ...]:
+        """Return what this entry has counted of the upstreams that are ramping up."""
+
+    @abstractmethod
+    def handle_ramps(self, heartbeat: Heartbeat) -> None:
+        """Take over what a peer has counted of the upstreams that are ramping up."""
+
     @abstractmethod
     def list_unreachable(self) -> tuple[Mark, ...]:
         """Return the marks of the upstreams that this entry or its peers can't reach."""
@@ -224,6 +233,7 @@
             self._traffic.list_unreachable(),
             now,
             self._traffic.has_isolation_evidence(),
+            self._traffic.list_ramps(),
         )
         port = self._settings.peers.port
         targets = [Endpoint(format_host(host), port) for host in self.peers.choose_targets(now)]
@@ -240,6 +250,7 @@
         self.peers.handle_heartbeat(heartbeat, self.replica.synced, now)
         self._reader_policy.record_heartbeat(now)
         self._reader_policy.record_progress(self.replica.synced, heartbeat.synced, now)
+        self._traffic.handle_ramps(heartbeat)
         if self._traffic.handle_unreachable(heartbeat.unreachable):
             self.announce()
         if heartbeat.synced > self.replica.synced:
--- a/tests/node/test_view.py
+++ b/tests/node/test_view.py
@@ -27,6 +27,12 @@
         """Return no loads."""
         return ()
 
+    def list_ramps(self):
+        return ()
+
+    def handle_ramps(self, heartbeat):
+        pass
+
     def list_unreachable(self):
         """Return no upstreams."""
         return ()
