Let an unexpected error end one event and not the process

Cause: an exception in any handler of a socket, timer or signal left Loop.run and ended the entry with all its connections; a timer that schedules itself would have stopped for good if only the loop had gone on. The loop now reports the error to the entry, which logs it with its place and counts it. Ticks, heartbeats and the check of the settings file are repeated whatever the last call did; the reader of the store schedules its next read before it merges; a connection whose handler failed is closed, since its place in the stream is lost.

--- a/src/chicoryproxy/eventloop/loop.py
+++ b/src/chicoryproxy/eventloop/loop.py
@@ -15,6 +15,7 @@
 from collections.abc import Callable
 
 Callback = Callable[[], None]
+ErrorHandler = Callable[[Exception], None]
 
 
 def _ignore() -> None:
@@ -52,9 +53,14 @@
 
 
 class Loop:
-    """Dispatches socket, timer and signal events to callbacks until it is stopped."""
+    """Dispatches socket, timer and signal events to callbacks until it is stopped.
+
+    :ivar on_error: called with each exception that a callback raises, after which the loop goes on;
+        ``None`` to let it end ``run``.
+    """
 
     def __init__(self) -> None:
+        self.on_error: ErrorHandler | None = None
         self._selector = selectors.DefaultSelector()
         self._timers: list[tuple[float, int, Timer]] = []
         self._timer_numbers = itertools.count()
@@ -75,6 +81,20 @@
         heapq.heappush(self._timers, (read_clock() + delay_s, next(self._timer_numbers), timer))
         return timer
 
+    def call_repeatedly(self, get_interval_s: Callable[[], float], callback: Callback) -> None:
+        """Call a callback now and then repeatedly, also if it raises an exception.
+
+        :param get_interval_s: returns the delay after each call, in seconds.
+        """
+
+        def call() -> None:
+            try:
+                callback()
+            finally:
+                self.call_later(get_interval_s(), call)
+
+        self._call(call)
+
     def watch(
         self,
         sock: socket.socket,
@@ -132,15 +152,23 @@
     def _handle_ready(self, key: selectors.SelectorKey, events: int) -> None:
         handlers: _Handlers = key.data
         if events & selectors.EVENT_WRITE and handlers.on_writable:
-            handlers.on_writable()
+            self._call(handlers.on_writable)
         if events & selectors.EVENT_READ and handlers.on_readable:
-            handlers.on_readable()
+            self._call(handlers.on_readable)
 
     def _run_timers(self, limit_s: float) -> None:
         while self._timers and self._timers[0][0] <= limit_s:
             _, _, timer = heapq.heappop(self._timers)
-            timer.callback()
+            self._call(timer.callback)
 
     def _handle_wakeup(self) -> None:
         for number in self._wakeup_reader.recv(64):
-            self._signals.get(number, _ignore)()
+            self._call(self._signals.get(number, _ignore))
+
+    def _call(self, callback: Callback) -> None:
+        try:
+            callback()
+        except Exception as error:
+            if self.on_error is None:
+                raise
+            self.on_error(error)
--- a/src/chicoryproxy/eventloop/stream.py
+++ b/src/chicoryproxy/eventloop/stream.py
@@ -118,10 +118,18 @@
             self._fail(error)
             return
         if data:
-            self._handler.handle_data(data)
+            self._handle_data(data)
         else:
             self._fail(None)
 
+    def _handle_data(self, data: bytes) -> None:
+        try:
+            self._handler.handle_data(data)
+        except Exception:
+            # The handler may have lost its place in the byte stream.
+            self.close()
+            raise
+
     def _fail(self, error: OSError | None) -> None:
         if not self.is_closed:
             self.close()
--- a/src/chicoryproxy/node/entry.py
+++ b/src/chicoryproxy/node/entry.py
@@ -1,6 +1,7 @@
 """The entry: its data plane, its view of the platform and its life cycle."""
 
 import gc
+import os
 import socket
 from enum import Enum, unique
 
@@ -87,7 +88,12 @@
         """Start the view; packets are received once it is complete or the hold time has passed."""
         self._view.start()
         self._loop.call_later(MAX_START_HOLD_S, self._end_start)
-        self._tick()
+        self._loop.call_repeatedly(self._get_tick_interval, self._tick)
+
+    def handle_error(self, error: Exception) -> None:
+        """Log and count an unexpected error of a callback, which ends only that callback."""
+        self._metrics.unexpected_errors += 1
+        self._journal.write_rate_limited("error", error=repr(error), place=_find_place(error))
 
     def apply_settings(self, settings: EntrySettings) -> None:
         """Apply the changed settings that don't need a restart."""
@@ -195,10 +201,10 @@
         self._view.expire(now)
         self._data_plane.tick(now)
         self._journal.flush()
+
+    def _get_tick_interval(self) -> float:
         is_starting = self._phase is EntryPhase.STARTING
-        self._loop.call_later(
-            STARTING_TICK_INTERVAL_S if is_starting else TICK_INTERVAL_S, self._tick
-        )
+        return STARTING_TICK_INTERVAL_S if is_starting else TICK_INTERVAL_S
 
     def _handle_pause(self, now: float) -> None:
         event = self._data_plane.forwarder.pause.tick(self._view.is_confirmed, now)
@@ -207,3 +213,17 @@
         if event is not PauseEvent.NONE:
             age_s = round(self._view.peers.get_age(now), 3)
             self._journal.write("pause", state=event.value, age_s=age_s)
+
+
+def _find_place(error: Exception) -> str:
+    """Return the file, line and function in which an error was raised.
+
+    The ``traceback`` module is not imported, since that would delay the start of the process.
+    """
+    trace = error.__traceback__
+    while trace is not None and trace.tb_next is not None:
+        trace = trace.tb_next
+    if trace is None:
+        return ""
+    code = trace.tb_frame.f_code
+    return f"{os.path.basename(code.co_filename)}:{trace.tb_lineno} in {code.co_name}"
--- a/src/chicoryproxy/node/entrymetrics.py
+++ b/src/chicoryproxy/node/entrymetrics.py
@@ -29,6 +29,7 @@
         self.refusals: Counter[Refusal] = Counter()
         self.drops: Counter[Drop] = Counter()
         self.broken_flows = 0
+        self.unexpected_errors = 0
         self.moved_flows = 0
         self.probes: Counter[ProbeResult] = Counter()
         self.store_calls = 0
@@ -65,6 +66,10 @@
             "store_failures_total": ("failed calls to the store", self.store_failures),
             "heartbeat_bytes_total": ("bytes of heartbeats sent", self.heartbeat_bytes),
             "unsent_packets_total": ("packets that the socket refused", self.unsent),
+            "unexpected_errors_total": (
+                "callbacks that an unexpected error ended",
+                self.unexpected_errors,
+            ),
             "log_lost_total": ("log lines that found the output full", self.log_lost),
             "log_skipped_total": ("log lines over the budget", self.log_skipped),
         }
--- a/src/chicoryproxy/node/process.py
+++ b/src/chicoryproxy/node/process.py
@@ -34,6 +34,7 @@
     reloader = SettingsReloader(loop, journal, path, settings, entry.apply_settings)
     loop.add_signal_handler(signal.SIGTERM, entry.leave)
     loop.add_signal_handler(signal.SIGHUP, reloader.reload)
+    loop.on_error = entry.handle_error
     entry.start()
     reloader.start()
     loop.run()
--- a/src/chicoryproxy/node/reload.py
+++ b/src/chicoryproxy/node/reload.py
@@ -40,7 +40,7 @@
 
     def start(self) -> None:
         """Start polling the file."""
-        self._loop.call_later(CHECK_INTERVAL_S, self._check)
+        self._loop.call_repeatedly(lambda: CHECK_INTERVAL_S, self._check)
 
     def reload(self) -> None:
         """Read the file now; invalid settings are logged and not applied."""
@@ -59,7 +59,6 @@
     def _check(self) -> None:
         if _read_file_state(self._path) != self._file_state:
             self.reload()
-        self._loop.call_later(CHECK_INTERVAL_S, self._check)
 
 
 def _read_file_state(path: str) -> tuple[int, int] | None:
--- a/src/chicoryproxy/node/storewatch.py
+++ b/src/chicoryproxy/node/storewatch.py
@@ -88,11 +88,13 @@
         if isinstance(result, ReadFailure):
             self._handle_failure(result)
             return
+        # If the listener raises an exception, the store is listed again after the delay.
+        self._schedule(self._retry_s)
+        self._listener.handle_listing(result)
         self._needs_listing = False
         self._needs_confirmation = True
         self._retry_s = RETRY_MIN_S
-        self._listener.handle_listing(result)
-        self._read_next()
+        self._schedule(0.0)
 
     def _handle_changes(self, result: WatchResult | ReadFailure) -> None:
         if isinstance(result, ReadFailure):
@@ -100,9 +102,9 @@
             return
         self._needs_confirmation = False
         self._retry_s = RETRY_MIN_S
-        self._listener.handle_changes(result.changes, result.revision)
         # Changes often come in quick succession; a short delay lets one request return several.
         self._schedule(BATCH_DELAY_S if result.changes else 0.0)
+        self._listener.handle_changes(result.changes, result.revision)
 
     def _handle_failure(self, failure: ReadFailure) -> None:
         self._listener.handle_failure(failure)
--- a/src/chicoryproxy/node/view.py
+++ b/src/chicoryproxy/node/view.py
@@ -120,7 +120,7 @@
     def start(self) -> None:
         """Start reading the store and sending heartbeats."""
         self._watch.start()
-        self._repeat_heartbeat()
+        self._loop.call_repeatedly(lambda: HEARTBEAT_INTERVAL_S, self._send_heartbeat)
 
     def stop(self) -> None:
         """Close the connection to the store and the sockets for peers."""
@@ -219,10 +219,6 @@
             )
             self._on_view_change(belief)
 
-    def _repeat_heartbeat(self) -> None:
-        self._send_heartbeat()
-        self._loop.call_later(HEARTBEAT_INTERVAL_S, self._repeat_heartbeat)
-
     def _send_heartbeat(self) -> None:
         now = self._loop.read_clock()
         self._last_heartbeat_s = now
--- a/tests/node/test_loop.py
+++ b/tests/node/test_loop.py
@@ -1,8 +1,13 @@
-"""Order of the events of sockets and timers."""
+"""Order of the events of sockets and timers, and errors of their handlers."""
 
+import signal
 import socket
 import time
 
+import pytest
+
+from chicoryproxy.eventloop.stream import Stream, StreamHandler
+
 
 def test_an_event_before_the_deadline_of_a_timer_comes_before_the_timer(loop):
     """Busy loop: the event arrives while another one is handled, and so does the deadline."""
@@ -49,3 +54,80 @@
     loop.call_later(0.03, loop.stop)
     loop.run()
     assert loop.read_clock() - started_s >= 0.03
+
+
+def fail():
+    """Raise an error, as a handler with a fault does."""
+    raise LookupError("fault")
+
+
+def test_an_error_in_a_handler_of_each_kind_ends_neither_the_loop_nor_other_handlers(loop):
+    """A malformed message meets a fault in a timer, a socket's handler or a signal's handler."""
+    errors = []
+    loop.on_error = errors.append
+    reader, writer = socket.socketpair()
+
+    def fail_to_read():
+        reader.recv(1)
+        fail()
+
+    loop.add_signal_handler(signal.SIGUSR1, fail)
+    with reader, writer:
+        loop.watch(reader, on_readable=fail_to_read)
+        writer.send(b"x")
+        loop.call_later(0.0, fail)
+        loop.call_later(0.01, lambda: signal.raise_signal(signal.SIGUSR1))
+        loop.call_later(0.05, loop.stop)
+        loop.run()
+    assert [type(error) for error in errors] == [LookupError] * 3
+
+
+def test_a_repeated_callback_goes_on_after_an_error(loop):
+    """The heartbeats of an entry must not stop for good because one could not be sent."""
+    calls = []
+    loop.on_error = lambda error: None
+
+    def fail_once():
+        calls.append(loop.read_clock())
+        if len(calls) == 1:
+            fail()
+        if len(calls) == 3:
+            loop.stop()
+
+    loop.call_repeatedly(lambda: 0.005, fail_once)
+    loop.run()
+    assert len(calls) == 3
+
+
+def test_without_an_error_handler_an_error_ends_the_loop(loop):
+    loop.call_later(0.0, fail)
+    with pytest.raises(LookupError):
+        loop.run()
+
+
+def test_a_connection_whose_handler_fails_is_closed(loop):
+    """The rest of a byte stream means nothing after a message that could not be handled."""
+
+    class FailingHandler(StreamHandler):
+        def handle_connected(self):
+            """Do nothing."""
+
+        def handle_data(self, data):
+            """Fail."""
+            fail()
+
+        def handle_closed(self, error):
+            """Do nothing."""
+
+    errors = []
+    loop.on_error = errors.append
+    reader, writer = socket.socketpair()
+    reader.setblocking(False)
+    with writer:
+        stream = Stream(loop, reader, FailingHandler())
+        stream.accept()
+        writer.send(b"x")
+        loop.call_later(0.03, loop.stop)
+        loop.run()
+    assert stream.is_closed
+    assert len(errors) == 1
