Don't take a reset connection for a timeout, and weigh timeouts by load

The probe reported every error but a refusal as a timeout, so two resets 50 ms apart (12.511 s, 12.563 s: reachability timeout, 17 flows) beside a control that connected ended the open flows of a living upstream. With error numbers logged: from 9.5 s to 10.3 s 76 of 79 failed probes were ECONNRESET, 3 ran out of time.

--- a/src/chicoryproxy/forwarding/forwarder.py
+++ b/src/chicoryproxy/forwarding/forwarder.py
@@ -20,6 +20,7 @@
 from chicoryproxy.forwarding.isolation import RecentOpenings
 from chicoryproxy.forwarding.lifetime import Lifetime
 from chicoryproxy.forwarding.model import Drop, FlowId, Refusal, Route
+from chicoryproxy.forwarding.overload import OverloadDetector, create_overload_detector
 from chicoryproxy.forwarding.packet import CallerPacket
 from chicoryproxy.forwarding.pause import PauseDetector
 from chicoryproxy.forwarding.pending import PendingResponses
@@ -91,6 +92,7 @@
     reachability: ReachabilityMonitor
     domains: DomainReachability
     failures: UpstreamFailures
+    overload: OverloadDetector
     slow_start: SlowStart
     admission: AdmissionControl
     observer: TrafficObserver
@@ -114,6 +116,7 @@
         self.reachability = parts.reachability
         self.failures = parts.failures
         self.slow_start = parts.slow_start
+        self._overload = parts.overload
         self._admission = parts.admission
         self._domains = parts.domains
         self.recent_openings = RecentOpenings()
@@ -284,6 +287,7 @@
             if flow.waiting_since_s is not None:
                 duration_s = now - flow.waiting_since_s
                 self.observer.record_response(duration_s)
+                self._overload.record_response(duration_s, now)
                 self.slow_start.record_response(upstream, duration_s, now)
             self.flows.end_wait(flow)
             self._record_answer(upstream, now)
@@ -361,7 +365,9 @@
     policy = create_opening_policy(
         domain, directory, flows, failure_detector, cold_budget, domains, reports, slow_start
     )
-    reachability = ReachabilityMonitor(FALSE_HEALTH_QUIET_S if has_false_health else 0.0)
+    overload = create_overload_detector(has_false_health)
+    quiet_s = FALSE_HEALTH_QUIET_S if has_false_health else 0.0
+    reachability = ReachabilityMonitor(quiet_s, overload)
     control = ControlProbeSelector(directory, domain, reachability.is_failing)
     failures = UpstreamFailures(domain, directory, flows, reachability, domains, reports, control)
     parts = ForwarderParts(
@@ -373,6 +379,7 @@
         reachability,
         domains,
         failures,
+        overload,
         slow_start,
         UnlimitedAdmission(),
         observer,
--- /dev/null
+++ b/src/chicoryproxy/forwarding/overload.py
@@ -0,0 +1,79 @@
+"""Detects from the times of responses that the upstreams are overloaded.
+
+While queues are full, an upstream that works may accept no connection in time, so that timeouts say
+less about it. Only responses that arrived are counted: an upstream that is down gives none, and
+never makes the others look overloaded.
+"""
+
+from abc import ABC, abstractmethod
+
+LATE_RESPONSE_S = 0.15
+"""A response that takes longer has probably waited for a slot."""
+
+LATE_SHARE = 0.1
+"""Share of late responses from which the upstreams count as overloaded. Overloaded upstreams reject
+most requests at once, so that the late ones are a minority."""
+
+HALF_LIFE_S = 1.0
+"""Responses count half after this long; an overload is noticed and forgotten in about as long."""
+
+MIN_RESPONSES = 3.0
+"""With fewer recent responses than this, one slow request would look like an overload."""
+
+
+class OverloadDetector(ABC):
+    """Tells whether the upstreams that this entry uses are overloaded."""
+
+    @abstractmethod
+    def record_response(self, duration_s: float, now: float) -> None:
+        """Record the time from a request to the first acknowledged byte of its response."""
+
+    @abstractmethod
+    def is_overloaded(self, now: float) -> bool:
+        """Return whether many responses have been late recently."""
+
+
+class NoOverloadDetector(OverloadDetector):
+    """Never detects an overload; for deployments where connections don't fail falsely."""
+
+    def record_response(self, duration_s: float, now: float) -> None:
+        """Do nothing."""
+
+    def is_overloaded(self, now: float) -> bool:
+        """Return False."""
+        return False
+
+
+class LateResponses(OverloadDetector):
+    """Decayed counts of the responses and of the late ones."""
+
+    def __init__(self) -> None:
+        self._responses = 0.0
+        self._late = 0.0
+        self._updated_s = 0.0
+
+    def record_response(self, duration_s: float, now: float) -> None:
+        """Record the time from a request to the first acknowledged byte of its response."""
+        self._decay(now)
+        self._responses += 1.0
+        if duration_s > LATE_RESPONSE_S:
+            self._late += 1.0
+
+    def is_overloaded(self, now: float) -> bool:
+        """Return whether many responses have been late recently."""
+        self._decay(now)
+        return self._responses >= MIN_RESPONSES and self._late >= LATE_SHARE * self._responses
+
+    def _decay(self, now: float) -> None:
+        factor = 0.5 ** (max(0.0, now - self._updated_s) / HALF_LIFE_S)
+        self._responses *= factor
+        self._late *= factor
+        self._updated_s = now
+
+
+def create_overload_detector(is_enabled: bool) -> OverloadDetector:
+    """Create the overload detector of an entry.
+
+    :param is_enabled: connections may fail although an upstream works.
+    """
+    return LateResponses() if is_enabled else NoOverloadDetector()
--- a/src/chicoryproxy/forwarding/reachability.py
+++ b/src/chicoryproxy/forwarding/reachability.py
@@ -9,6 +9,9 @@
 together with the last. The flows of the upstream are reset only then. A congested link or a slow
 entry delays all connections alike and proves nothing, nor does a connection that succeeds when it
 is over.
+
+Overload never counts as death. A connection that the upstream itself resets shows that it is alive
+and full. While responses are late, timeouts have to go on for longer, and probes are rarer.
 """
 
 from collections import deque
@@ -16,6 +19,7 @@
 
 from chicoryproxy.forwarding.lifetime import Lifetime
 from chicoryproxy.forwarding.model import UnreachableCause, UpstreamPhase
+from chicoryproxy.forwarding.overload import NoOverloadDetector, OverloadDetector
 
 TIMEOUTS_TO_CONFIRM = 2
 MAX_CONTROLS = 64
@@ -35,6 +39,18 @@
 """Timeouts prove nothing about an upstream that a caller acknowledged within this time: its packets
 may wait that long at a full link, and those of a new connection with them."""
 
+OVERLOAD_CONFIRMATION_S = 2.0
+"""Under overload an upstream has to time out and to answer nobody here for this long. A full queue
+of connections drops opening segments until the upstream accepts the next one; a machine that is
+down stays silent, and callers wait longer than this for their responses."""
+
+OVERLOAD_RETRY_S = 0.25
+"""Under overload the next probe comes this long after a timeout, since probes fill queues too."""
+
+OVERLOAD_SUCCESS_VALID_S = 1.0
+"""Replaces ``SUCCESS_VALID_S`` under overload: most requests are late then, and each of them would
+cause a probe. It delays the proof of a death by this at most."""
+
 DRAIN_FINISHING_S = 2.0
 """A draining upstream that refuses connections for this long and answers no caller of this entry
 has ended, although its registration is still there."""
@@ -55,12 +71,14 @@
     """Outcome of a connection to an upstream.
 
     ``SILENT``: a server accepted the connection, but did not say which one it is; it may be busy.
+    ``RESET``: a server reset the connection at once; it is alive, but has no room for another one.
     """
 
     CONNECTED = "connected"
     CONNECTED_SLOWLY = "connected_slowly"
     OTHER_SERVER = "other_server"
     SILENT = "silent"
+    RESET = "reset"
     REFUSED = "refused"
     TIMEOUT = "timeout"
     DISCARDED = "discarded"
@@ -79,6 +97,7 @@
     :ivar is_awaited: flows of the unreachable upstream wait for a new proof.
     :ivar is_control: the next probe is started beyond the limit of concurrent ones.
     :ivar failed_probes: timeouts since the last success or request of a new proof.
+    :ivar failing_since_s: start of the first of them.
     :ivar checked_s: time of the last result.
     :ivar proved_s: time of the last result that proved the upstream unreachable.
     :ivar probed_s: start of the last probe.
@@ -92,6 +111,7 @@
         "is_awaited",
         "is_control",
         "failed_probes",
+        "failing_since_s",
         "checked_s",
         "proved_s",
         "probed_s",
@@ -106,6 +126,7 @@
         self.is_awaited = False
         self.is_control = False
         self.failed_probes = 0
+        self.failing_since_s = float("-inf")
         self.checked_s = float("-inf")
         self.proved_s = float("-inf")
         self.probed_s = float("-inf")
@@ -128,13 +149,15 @@
 
     :param quiet_s: a failed probe is ignored if the upstream answered a caller after the start of
         the probe or at most this long before it.
+    :param overload: tells whether timeouts may be caused by overload.
 
     :ivar is_view_behind: peers have changes that this entry lacks; any upstream may be draining.
     """
 
-    def __init__(self, quiet_s: float = 0.0) -> None:
+    def __init__(self, quiet_s: float = 0.0, overload: OverloadDetector | None = None) -> None:
         self.is_view_behind = False
         self._quiet_s = quiet_s
+        self._overload = overload or NoOverloadDetector()
         self._controls_s: deque[float] = deque(maxlen=MAX_CONTROLS)
         self._states: dict[Lifetime, _ProbeState] = {}
         self._active_probes = 0
@@ -142,9 +165,15 @@
     def suspect(self, upstream: Lifetime, now: float) -> None:
         """Request a probe of an upstream, unless a recent one succeeded."""
         state = self._get_state(upstream)
-        if state.is_probing or upstream.is_unreachable or now - state.checked_s < SUCCESS_VALID_S:
+        if state.is_probing or upstream.is_unreachable:
             return
-        state.next_s = now
+        if state.next_s > now:
+            # A timeout has already scheduled the next probe.
+            return
+        is_overloaded = self._overload.is_overloaded(now)
+        valid_s = OVERLOAD_SUCCESS_VALID_S if is_overloaded else SUCCESS_VALID_S
+        if now - state.checked_s >= valid_s:
+            state.next_s = now
 
     def pop_due(self, now: float) -> list[Lifetime]:
         """Return the upstreams to probe now; each needs a call of ``handle_result``."""
@@ -179,7 +208,7 @@
             state.next_s = now
             return False
         state.checked_s = now
-        if result is ProbeResult.CONNECTED:
+        if result in (ProbeResult.CONNECTED, ProbeResult.RESET):
             self._controls_s.append(state.probed_s)
         if result in (ProbeResult.CONNECTED, ProbeResult.CONNECTED_SLOWLY):
             state.record_success()
@@ -240,9 +269,10 @@
         if result is ProbeResult.REFUSED and self._may_be_finishing(upstream, state, now):
             state.next_s = now + FINISHING_RECHECK_S
             return False
-        if result is ProbeResult.SILENT:
+        if result in (ProbeResult.SILENT, ProbeResult.RESET):
             state.failed_probes = 0
-            self._schedule_recheck(upstream, state, now)
+            if upstream.is_unreachable:
+                self._schedule_recheck(upstream, state, now)
             return False
         if result is ProbeResult.TIMEOUT and not self._is_proved_by_timeout(upstream, state, now):
             return False
@@ -269,20 +299,25 @@
         An upstream that answers callers all the same isn't unreachable.
         If not, the next probe is scheduled.
         """
+        if not state.failed_probes:
+            state.failing_since_s = state.probed_s
         state.failed_probes += 1
-        is_answering = now - upstream.answered_s < ANSWER_VALID_S
+        is_overloaded = self._overload.is_overloaded(now)
+        confirmation_s = OVERLOAD_CONFIRMATION_S if is_overloaded else 0.0
+        has_lasted = now - state.failing_since_s >= confirmation_s
+        is_answering = now - upstream.answered_s < max(ANSWER_VALID_S, confirmation_s)
         is_network_working = any(
             state.last_timeout_s <= started_s <= state.probed_s for started_s in self._controls_s
         )
         is_repeated = state.failed_probes >= TIMEOUTS_TO_CONFIRM
-        is_confirmed = is_repeated and is_network_working and not is_answering
+        is_confirmed = is_repeated and has_lasted and is_network_working and not is_answering
         state.last_timeout_s = state.probed_s
         if upstream.is_unreachable and not state.is_awaited:
             self._schedule_recheck(upstream, state, now)
             return False
         if not is_confirmed:
             state.checked_s = float("-inf")
-            state.next_s = now
+            state.next_s = now + OVERLOAD_RETRY_S if is_overloaded else now
         return is_confirmed
 
     def _may_be_finishing(self, upstream: Lifetime, state: _ProbeState, now: float) -> bool:
@@ -302,7 +337,8 @@
             return False
         if upstream.phase is UpstreamPhase.GONE and upstream.is_unreachable:
             return upstream.is_replaced or now - upstream.phase_since_s > MAX_FLOW_S
-        return not upstream.is_unreachable and state.next_s <= state.checked_s < now - RECHECK_MIN_S
+        is_outdated = state.checked_s < now - OVERLOAD_SUCCESS_VALID_S
+        return not upstream.is_unreachable and state.next_s <= state.checked_s and is_outdated
 
     def _set_reachable(self, upstream: Lifetime) -> bool:
         has_changed = upstream.is_unreachable
--- a/src/chicoryproxy/forwarding/upstreamfailures.py
+++ b/src/chicoryproxy/forwarding/upstreamfailures.py
@@ -14,6 +14,9 @@
 from chicoryproxy.forwarding.unreachablereports import UnreachableReports
 from chicoryproxy.ids import DomainId
 
+_REACHED = (ProbeResult.CONNECTED, ProbeResult.CONNECTED_SLOWLY, ProbeResult.RESET)
+"""Results that show that the failure domain of an upstream can be reached."""
+
 
 class BrokenFlow(Struct, frozen=True):
     """Flow to reset without waiting for its next packet.
@@ -63,7 +66,7 @@
         domain = upstream.entry.domain
         was_unreachable = upstream.is_unreachable
         is_decided = self._reachability.handle_result(upstream, result, now)
-        if result in (ProbeResult.CONNECTED, ProbeResult.CONNECTED_SLOWLY):
+        if result in _REACHED:
             self._domains.record_success(domain)
         if result is ProbeResult.TIMEOUT:
             self._check_surroundings(upstream, was_unreachable, now)
--- a/src/chicoryproxy/node/probe.py
+++ b/src/chicoryproxy/node/probe.py
@@ -46,7 +46,8 @@
 
     def handle_closed(self, error: OSError | None) -> None:
         """Report a refused connection or another failure."""
-        self._finish(_classify_error(error))
+        duration_s = self._loop.read_clock() - self._due_s + CONNECT_TIMEOUT_S
+        self._finish(_classify_error(error, duration_s))
 
     def _expire(self) -> None:
         self._finish(_classify_timeout(self._loop.read_clock() - self._due_s))
@@ -79,15 +80,15 @@
 
     def handle_result(result: HttpResult) -> None:
         client.close()
+        duration_s = loop.read_clock() - started_s
         if isinstance(result, HttpResponse):
-            duration_s = loop.read_clock() - started_s
             on_result(_classify_identity(read_identity(result.headers), upstream, duration_s))
         elif isinstance(result, HttpTimeout) and result.late_s > MAX_TIMER_DELAY_S:
             on_result(ProbeResult.DISCARDED)
         elif client.was_connected:
             on_result(ProbeResult.SILENT)
         elif isinstance(result, HttpFailure):
-            on_result(_classify_error(result.error))
+            on_result(_classify_error(result.error, duration_s))
         else:
             on_result(ProbeResult.TIMEOUT)
 
@@ -107,9 +108,12 @@
     return ProbeResult.CONNECTED_SLOWLY if is_slow else ProbeResult.CONNECTED
 
 
-def _classify_error(error: OSError | None) -> ProbeResult:
+def _classify_error(error: OSError | None, duration_s: float) -> ProbeResult:
     if isinstance(error, ConnectionRefusedError):
         return ProbeResult.REFUSED
+    if isinstance(error, ConnectionResetError):
+        is_slow = duration_s > SLOW_CONNECT_S
+        return ProbeResult.SILENT if is_slow else ProbeResult.RESET
     return ProbeResult.TIMEOUT
 
 
--- /dev/null
+++ b/tests/forwarding/test_overload.py
@@ -0,0 +1,185 @@
+"""Overload never counts as death: upstreams that are late, silent or full keep their flows."""
+
+import pytest
+
+from chicoryproxy.forwarding.overload import LATE_RESPONSE_S, LateResponses
+from chicoryproxy.forwarding.reachability import (
+    OVERLOAD_CONFIRMATION_S,
+    OVERLOAD_RETRY_S,
+    OVERLOAD_SUCCESS_VALID_S,
+)
+from chicoryproxy.node.probe import CONNECT_TIMEOUT_S
+from tests.forwarding.harness import OTHER_DOMAIN, ForwarderHarness, create_packet
+from tests.forwarding.probenetwork import NEVER_S, TICK_S, Network
+
+BURST_S = 9.0
+LATE_S = LATE_RESPONSE_S + 0.05
+RETRANSMISSION_S = 0.2
+STEP_S = 0.1
+PROOF_S = OVERLOAD_CONFIRMATION_S + OVERLOAD_RETRY_S + 2 * CONNECT_TIMEOUT_S + 3 * TICK_S
+
+
+@pytest.fixture
+def harness():
+    """A forwarding core of a large fleet, where health checks may be false."""
+    harness = ForwarderHarness(has_false_health=True)
+    harness.publish_routing(1)
+    return harness
+
+
+@pytest.fixture
+def network(harness):
+    """A network in which all connections succeed at once."""
+    return Network(harness)
+
+
+def use(harness, upstream, port, answer):
+    """Send a request in a flow that another entry has opened, or acknowledge a response."""
+    harness.send(
+        create_packet(
+            port=port,
+            mark=upstream.mark,
+            sequence=10 * answer,
+            acknowledged=10 * answer,
+            size=10,
+        )
+    )
+
+
+def run_burst(harness, network, upstreams, seconds, retransmitting=()):
+    """Let upstreams answer late, and callers send again to those that don't answer at all."""
+    end_s = harness.now + seconds
+    while harness.now < end_s - TICK_S / 2:
+        answer = round(harness.now / TICK_S)
+        for port, upstream in enumerate(upstreams, 2000):
+            use(harness, upstream, port, answer)
+        for port, upstream in enumerate(retransmitting, 1024):
+            use(harness, upstream, port, 1)
+        network.run(LATE_S)
+
+
+def suspect(harness, upstream):
+    """Request a probe, as a repeated packet does."""
+    harness.forwarder.reachability.suspect(upstream, harness.now)
+
+
+# A burst: full upstreams reset the connections of probes, and answer other entries only.
+@pytest.mark.parametrize("is_control_full", [True, False])
+def test_a_full_upstream_that_resets_connections_keeps_its_flows(harness, network, is_control_full):
+    upstream, other = harness.publish_upstream("i-1"), harness.publish_upstream("i-2")
+    network.resetting = {"i-1", "i-2"} if is_control_full else {"i-1"}
+    use(harness, upstream, 1024, 1)
+    use(harness, other, 1025, 1)
+    for _ in range(round(BURST_S / RETRANSMISSION_S)):
+        suspect(harness, upstream)
+        network.run(RETRANSMISSION_S)
+    assert network.broken == []
+    assert not upstream.is_unreachable
+
+
+# A burst, and a machine loses its power: the living upstreams only reset connections.
+def test_a_dead_upstream_is_found_while_all_others_are_full(harness, network):
+    upstream = harness.publish_upstream("i-1")
+    harness.publish_upstream("i-2")
+    network.resetting.add("i-2")
+    use(harness, upstream, 1024, 1)
+    network.delays_s["i-1"] = NEVER_S
+    suspect(harness, upstream)
+    network.run(2 * CONNECT_TIMEOUT_S + 2 * TICK_S)
+    assert upstream.is_unreachable
+    assert len(network.broken) == 1
+
+
+# An upstream was unreachable, its address may have another owner now, and the server there is full.
+def test_a_reset_does_not_bring_an_unreachable_upstream_back(harness, network):
+    upstream = harness.publish_upstream("i-1")
+    network.refusing.add("i-1")
+    suspect(harness, upstream)
+    network.run(STEP_S)
+    network.refusing.clear()
+    network.resetting.add("i-1")
+    network.run(BURST_S)
+    assert upstream.is_unreachable
+
+
+# A cut failure domain can be reached again, and its upstreams are full at once.
+def test_a_reset_shows_that_a_failure_domain_can_be_reached(harness, network):
+    harness.publish_upstream("near")
+    far = [harness.publish_upstream(f"i-{number}", domain=OTHER_DOMAIN) for number in range(4)]
+    network.delays_s = dict.fromkeys(("i-0", "i-1", "i-2", "i-3"), NEVER_S)
+    suspect(harness, far[0])
+    network.run(1.0)
+    policy = harness.forwarder.policy
+    assert policy.is_domain_avoided(OTHER_DOMAIN)
+    network.delays_s.clear()
+    harness.publish_upstream("i-4", domain=OTHER_DOMAIN)
+    network.resetting.add("i-4")
+    network.run(3.0)
+    assert not policy.is_domain_avoided(OTHER_DOMAIN)
+
+
+# A burst: the queue of connections is full for a while, and this entry sees none of the answers.
+def test_a_silent_upstream_keeps_its_flows_while_the_others_answer_late(harness, network):
+    upstream, other = harness.publish_upstream("i-1"), harness.publish_upstream("i-2")
+    run_burst(harness, network, [upstream, other], 1.0)
+    network.delays_s["i-1"] = NEVER_S
+    run_burst(harness, network, [other], OVERLOAD_CONFIRMATION_S - LATE_S, [upstream])
+    assert network.broken == []
+    assert not upstream.is_unreachable
+
+
+# A burst, in which the machine of a busy upstream loses its power.
+def test_a_busy_upstream_that_died_is_found_within_a_bound(harness, network):
+    upstream, other = harness.publish_upstream("i-1"), harness.publish_upstream("i-2")
+    run_burst(harness, network, [upstream, other], 1.0)
+    network.delays_s["i-1"] = NEVER_S
+    run_burst(harness, network, [other], PROOF_S + LATE_S, [upstream])
+    assert upstream.is_unreachable
+    assert len(network.broken) >= 1
+
+
+# A burst, in which the process of a busy upstream ends.
+def test_a_refused_connection_is_a_proof_under_overload_too(harness, network):
+    upstream, other = harness.publish_upstream("i-1"), harness.publish_upstream("i-2")
+    run_burst(harness, network, [upstream, other], 1.0)
+    network.refusing.add("i-1")
+    run_burst(harness, network, [other], OVERLOAD_SUCCESS_VALID_S + 2 * LATE_S, [upstream])
+    assert upstream.is_unreachable
+
+
+# A burst: nearly all requests are late; a probe for each of them would fill the upstreams further.
+def test_late_responses_cause_few_probes(harness, network):
+    upstreams = [harness.publish_upstream(f"i-{number}") for number in range(10)]
+    run_burst(harness, network, upstreams, 1.0)
+    network.probes = 0
+    run_burst(harness, network, upstreams, BURST_S)
+    assert network.probes <= len(upstreams) * (BURST_S / OVERLOAD_SUCCESS_VALID_S + 1)
+
+
+def record(responses, durations_s, now=1.0):
+    """Record responses that come together; return whether there is an overload."""
+    for duration_s in durations_s:
+        responses.record_response(duration_s, now)
+    return responses.is_overloaded(now)
+
+
+# Overloaded upstreams reject most requests at once, so that few responses are late.
+def test_one_late_response_in_five_is_an_overload():
+    assert record(LateResponses(), ([0.01] * 4 + [0.3]) * 10)
+
+
+# An ordinary day: one request in fifty takes much longer than the others.
+def test_a_long_tail_is_no_overload():
+    assert not record(LateResponses(), ([0.01] * 49 + [0.3]) * 4)
+
+
+# An entry with hardly any traffic: one request that was slow says nothing.
+def test_a_single_late_response_is_no_overload():
+    assert not record(LateResponses(), [0.3])
+
+
+# The burst is over: the next timeouts prove a death as quickly as before.
+def test_an_overload_is_forgotten():
+    responses = LateResponses()
+    assert record(responses, [0.3] * 50)
+    assert not record(responses, [0.01] * 20, 6.0)
--- a/tests/node/test_probe.py
+++ b/tests/node/test_probe.py
@@ -1,6 +1,7 @@
 """Probe results for servers that respond, are gone, are silent or have another id."""
 
 import socket
+import struct
 import threading
 import time
 
@@ -115,6 +116,47 @@
         assert probe_both(loop, address) == [ProbeResult.TIMEOUT, ProbeResult.TIMEOUT]
 
 
+def probe_resetting_server(loop, probe, delay_s):
+    """Let a server reset a connection at once; this process looks only after a delay."""
+    results = []
+    reader, writer = socket.socketpair()
+    with socket.socket() as listener, reader, writer:
+        listener.bind((HOST, 0))
+        listener.listen()
+
+        def start():
+            loop.unwatch(reader)
+            probe(Endpoint(*listener.getsockname()), results.append)
+            connection, _ = listener.accept()
+            connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            connection.close()
+            time.sleep(delay_s)
+
+        loop.watch(reader, on_readable=start)
+        writer.send(b"x")
+        run_until(loop, lambda: results)
+    return results
+
+
+def test_a_server_that_resets_connections_does_not_time_out(loop):
+    """Burst: a full server resets the connections beyond its limit, and serves its flows."""
+
+    def probe(address, done):
+        probe_connection(loop, address, done)
+
+    assert probe_resetting_server(loop, probe, 0.0) == [ProbeResult.RESET]
+    assert probe_resetting_server(loop, probe, SLOW_CONNECT_S + 0.02) == [ProbeResult.SILENT]
+
+
+def test_a_server_that_resets_health_checks_does_not_time_out(loop):
+    """Burst: the upstream was unreachable before, and is probed by its health check."""
+
+    def probe(address, done):
+        probe_identity(loop, address, "/health", UpstreamId("i-7"), done)
+
+    assert probe_resetting_server(loop, probe, 0.0) == [ProbeResult.RESET]
+
+
 @pytest.mark.parametrize("answer", [b"", b"HTTP/1.1 302 X\r\nContent-Length: 0\r\n\r\n"])
 def test_a_server_that_does_not_say_its_id_is_silent(loop, answer):
     """Full server: it closes the connection, or answers without its id."""
