Refuse openings of low priority while a service is overloaded

Entries estimate the outstanding requests of the fleet per slot from their own and their peers' load reports, and refuse first copies of openings above two requests per slot, by the pressure of their own and higher priorities.

On where has_false_health is set and at least two priorities are in use at a service.

--- a/src/chicoryproxy/forwarding/admission.py
+++ b/src/chicoryproxy/forwarding/admission.py
@@ -7,7 +7,43 @@
 
 from abc import ABC, abstractmethod
 
+import xxhash
+from msgspec import Struct
+
+from chicoryproxy.forwarding.directory import Directory
+from chicoryproxy.forwarding.domainreachability import DomainReachability
+from chicoryproxy.forwarding.flows import FlowTable
 from chicoryproxy.forwarding.model import FlowId, Route
+from chicoryproxy.forwarding.pressure import PressureEstimator
+from chicoryproxy.forwarding.priorityshares import PriorityShares
+from chicoryproxy.forwarding.trafficsplit import order_services
+from chicoryproxy.ids import ServiceId
+
+PRESSURE_LIMIT = 2.0
+"""Requests per slot above which openings are refused: one in work and one waiting keep a slot
+busy."""
+
+PRESSURE_RANGE = 1.0
+"""Requests per slot from no refusals to the most refusals."""
+
+FLOOR_SHARE = 0.1
+"""Share of the openings of each priority that is always admitted, so that none starves."""
+
+_ADMISSION_SEED = 1
+"""Keeps the choice independent of that of the service, which hashes the flow without a seed."""
+
+
+class AdmissionInputs(Struct, frozen=True):
+    """What the admission of an opening is decided by.
+
+    :param service: service that the opening is meant for.
+    :param priority: priority of its route.
+    :param pressure: outstanding requests of this priority and higher ones per slot of the service.
+    """
+
+    service: ServiceId
+    priority: int
+    pressure: float
 
 
 class AdmissionControl(ABC):
@@ -17,6 +53,24 @@
     def admits(self, route: Route, flow: FlowId, now: float) -> bool:
         """Return whether an opening may be forwarded."""
 
+    @abstractmethod
+    def record_response(
+        self, route: Route, service: ServiceId, duration_s: float, now: float
+    ) -> None:
+        """Record the time from a request on a route to its response."""
+
+    @abstractmethod
+    def find_inputs(self, route: Route, flow: FlowId, now: float) -> AdmissionInputs | None:
+        """Return what decides on an opening; ``None`` if its route is never refused."""
+
+    @abstractmethod
+    def get_highest_pressure(self) -> float:
+        """Return the highest pressure of the services with recent openings."""
+
+    @abstractmethod
+    def expire(self, now: float) -> None:
+        """Discard outdated state."""
+
 
 class UnlimitedAdmission(AdmissionControl):
     """Admits every opening; for deployments whose settings don't ask for admission control."""
@@ -24,3 +78,87 @@
     def admits(self, route: Route, flow: FlowId, now: float) -> bool:
         """Return True."""
         return True
+
+    def record_response(
+        self, route: Route, service: ServiceId, duration_s: float, now: float
+    ) -> None:
+        """Do nothing."""
+
+    def find_inputs(self, route: Route, flow: FlowId, now: float) -> AdmissionInputs | None:
+        """Return nothing."""
+        return None
+
+    def get_highest_pressure(self) -> float:
+        """Return zero."""
+        return 0.0
+
+    def expire(self, now: float) -> None:
+        """Do nothing."""
+
+
+class PriorityAdmission(AdmissionControl):
+    """Refuses openings by the pressure of their own priority and higher ones.
+
+    Requests of lower priority don't count, so that those on flows which are already open can't push
+    out the openings of higher priority. The highest priority in use is never refused.
+    """
+
+    def __init__(self, pressure: PressureEstimator) -> None:
+        self._pressure = pressure
+        self._shares = PriorityShares()
+
+    def admits(self, route: Route, flow: FlowId, now: float) -> bool:
+        """Return whether an opening may be forwarded.
+
+        The hash of the flow decides, so that the entries don't refuse in step.
+        """
+        inputs = self.find_inputs(route, flow, now)
+        if inputs is None:
+            return True
+        point = xxhash.xxh3_64_intdigest(flow, seed=_ADMISSION_SEED) * 2.0**-64
+        return point >= compute_refused_share(inputs.pressure)
+
+    def record_response(
+        self, route: Route, service: ServiceId, duration_s: float, now: float
+    ) -> None:
+        """Record the time from a request on a route to its response."""
+        self._shares.record_response(service, route.priority, duration_s, now)
+
+    def find_inputs(self, route: Route, flow: FlowId, now: float) -> AdmissionInputs | None:
+        """Return what decides on an opening; ``None`` if its route is never refused."""
+        service = order_services(route, flow)[0]
+        share = self._shares.compute_share(service, route.priority, now)
+        if share is None:
+            return None
+        pressure = share * self._pressure.get(service, now)
+        return AdmissionInputs(service, route.priority, pressure)
+
+    def get_highest_pressure(self) -> float:
+        """Return the highest pressure of the services with recent openings."""
+        return self._pressure.get_highest()
+
+    def expire(self, now: float) -> None:
+        """Discard outdated state."""
+        self._pressure.expire(now)
+        self._shares.expire(now)
+
+
+def compute_refused_share(pressure: float) -> float:
+    """Return the share of the openings to refuse; it rises linearly above the limit.
+
+    :param pressure: outstanding requests per slot.
+    """
+    excess = (pressure - PRESSURE_LIMIT) / PRESSURE_RANGE
+    return min(max(excess, 0.0), 1.0) * (1.0 - FLOOR_SHARE)
+
+
+def create_admission_control(
+    is_enabled: bool, directory: Directory, flows: FlowTable, domains: DomainReachability
+) -> AdmissionControl:
+    """Create the admission control of an entry.
+
+    :param is_enabled: the settings of the deployment ask for it.
+    """
+    if not is_enabled:
+        return UnlimitedAdmission()
+    return PriorityAdmission(PressureEstimator(directory, flows, domains))
--- a/src/chicoryproxy/forwarding/forwarder.py
+++ b/src/chicoryproxy/forwarding/forwarder.py
@@ -11,7 +11,11 @@
 
 from msgspec import Struct
 
-from chicoryproxy.forwarding.admission import AdmissionControl, UnlimitedAdmission
+from chicoryproxy.forwarding.admission import (
+    AdmissionControl,
+    AdmissionInputs,
+    create_admission_control,
+)
 from chicoryproxy.forwarding.coldstart import ColdBudget
 from chicoryproxy.forwarding.directory import Directory
 from chicoryproxy.forwarding.domainreachability import DomainReachability
@@ -114,7 +118,7 @@
         self.reachability = parts.reachability
         self.failures = parts.failures
         self.slow_start = parts.slow_start
-        self._admission = parts.admission
+        self.admission = parts.admission
         self._domains = parts.domains
         self.recent_openings = RecentOpenings()
         self._pending = PendingResponses()
@@ -135,6 +139,11 @@
         route = self._directory.find_route(packet.route_key)
         return self.policy.count_exclusions(route, now) if route else Counter()
 
+    def find_admission_inputs(self, packet: CallerPacket, now: float) -> AdmissionInputs | None:
+        """Return what decides on the admission of an opening, if anything does."""
+        route = self._directory.find_route(packet.route_key)
+        return self.admission.find_inputs(route, packet.flow, now) if route else None
+
     def expire(self, now: float) -> None:
         """Discard expired state, and suspect upstreams with overdue responses."""
         for upstream in self._pending.pop_overdue(now):
@@ -146,6 +155,7 @@
         self.failure_detector.expire(now)
         self.cold_budget.expire(now)
         self.slow_start.expire(now)
+        self.admission.expire(now)
 
     def _handle_opening(self, packet: CallerPacket, now: float) -> Decision:
         if not self.is_synced or self.pause.is_unconfirmed or self.pause.is_late(now):
@@ -164,7 +174,7 @@
         if awaited is not None:
             return awaited
         is_new = not packet.acknowledged and not flow.tried
-        if is_new and not self._admission.admits(route, packet.flow, now):
+        if is_new and not self.admission.admits(route, packet.flow, now):
             self.flows.remove(packet.flow)
             return Refusal.OVERLOADED
         flow.sent = packet.sequence
@@ -282,9 +292,7 @@
         elif _is_sequence_after(packet.acknowledged, flow.acknowledged):
             flow.acknowledged = packet.acknowledged
             if flow.waiting_since_s is not None:
-                duration_s = now - flow.waiting_since_s
-                self.observer.record_response(duration_s)
-                self.slow_start.record_response(upstream, duration_s, now)
+                self._record_response(packet, upstream, now - flow.waiting_since_s, now)
             self.flows.end_wait(flow)
             self._record_answer(upstream, now)
 
@@ -311,6 +319,15 @@
         if self.failure_detector.record_failure(upstream, now):
             self.observer.record_suspicion(upstream, self.failure_detector.get_failures(upstream))
 
+    def _record_response(
+        self, packet: CallerPacket, upstream: Lifetime, duration_s: float, now: float
+    ) -> None:
+        self.observer.record_response(duration_s)
+        self.slow_start.record_response(upstream, duration_s, now)
+        route = self._directory.find_route(packet.route_key)
+        if route is not None:
+            self.admission.record_response(route, upstream.entry.service, duration_s, now)
+
     def _record_answer(self, upstream: Lifetime, now: float) -> None:
         upstream.answered_s = now
         self.failure_detector.record_answer(upstream)
@@ -349,7 +366,8 @@
     :param domain: failure domain of the entry.
     :param now: time of the start, in seconds.
     :param observer: receives measurements and events.
-    :param has_false_health: connections may fail although an upstream works.
+    :param has_false_health: connections may fail although an upstream works; the
+        answers to callers then decide, also on slow start and admission.
     :param seed: seed of the pseudo-random choices.
     """
     flows = FlowTable()
@@ -374,7 +392,7 @@
         domains,
         failures,
         slow_start,
-        UnlimitedAdmission(),
+        create_admission_control(has_false_health, directory, flows, domains),
         observer,
     )
     return Forwarder(parts, now)
--- a/src/chicoryproxy/forwarding/peering.py
+++ b/src/chicoryproxy/forwarding/peering.py
@@ -147,6 +147,7 @@
         self._expire(now)
         self.loads.expire(now)
         alive = {peer.address.host: peer.address.domain for peer in self._iterate_alive(now)}
+        self.loads.live_peers = len(alive)
         near = [host for host, domain in alive.items() if domain == self.own.domain]
         targets = self._prng.draw_sample(near, OWN_DOMAIN_FANOUT)
         others = [host for host in alive if host not in targets]
--- a/src/chicoryproxy/forwarding/peerloads.py
+++ b/src/chicoryproxy/forwarding/peerloads.py
@@ -18,9 +18,13 @@
 
 
 class PeerLoads:
-    """Total load of all peers at each upstream."""
+    """Total load of all peers at each upstream.
+
+    :ivar live_peers: number of live peers, most of which report to other entries in a large fleet.
+    """
 
     def __init__(self) -> None:
+        self.live_peers = 0
         # Ordered by arrival, oldest first.
         self._reports: dict[int, _Report] = {}
         self._totals: dict[Mark, LoadReport] = {}
@@ -43,6 +47,14 @@
         """Return the total load of all peers at an upstream, ``None`` if there is none."""
         return self._totals.get(mark)
 
+    def compute_fleet_scale(self) -> float:
+        """Return the estimated load of the whole fleet, relative to the known load.
+
+        The known load is that of this entry and of the peers with recent reports.
+        """
+        known = 1 + len(self._reports)
+        return max(1.0, (1 + self.live_peers) / known)
+
     def _remove(self, host: int) -> None:
         report = self._reports.pop(host, None)
         if report is not None:
--- a/src/chicoryproxy/forwarding/placement.py
+++ b/src/chicoryproxy/forwarding/placement.py
@@ -25,6 +25,7 @@
     UpstreamPhase,
 )
 from chicoryproxy.forwarding.slowstart import SlowStart
+from chicoryproxy.forwarding.trafficsplit import order_services
 from chicoryproxy.forwarding.unreachablereports import UnreachableReports
 from chicoryproxy.ids import DomainId, ServiceId
 
@@ -123,7 +124,7 @@
 
     def choose(self, opening: Opening, now: float) -> Lifetime | None:
         """Select the least loaded upstream of the best non-empty class."""
-        for service in self._order_services(opening):
+        for service in order_services(opening.route, opening.flow):
             upstream = self._choose_in_service(service, opening, now)
             if upstream is not None:
                 return upstream
@@ -152,21 +153,6 @@
                     reasons[reason] += 1
         return reasons
 
-    def _order_services(self, opening: Opening) -> list[ServiceId]:
-        """Choose a service by weight and flow hash; the others follow as fallbacks."""
-        route = opening.route
-        targets = [target for target in route.targets if target.weight > 0] or list(route.targets)
-        if len(targets) == 1:
-            return [targets[0].service]
-        total = sum(target.weight for target in targets)
-        point = xxhash.xxh3_64_intdigest(opening.flow) * 2.0**-64 * total
-        for index, target in enumerate(targets):
-            point -= target.weight
-            if point < 0 or index == len(targets) - 1:
-                rest = [item.service for item in targets if item is not target]
-                return [target.service, *rest]
-        return []
-
     def _choose_in_service(
         self, service: ServiceId, opening: Opening, now: float
     ) -> Lifetime | None:
--- /dev/null
+++ b/src/chicoryproxy/forwarding/pressure.py
@@ -0,0 +1,73 @@
+"""Pressure on a service: outstanding requests per slot of the upstreams that take its openings."""
+
+from chicoryproxy.forwarding.directory import Directory
+from chicoryproxy.forwarding.domainreachability import DomainReachability
+from chicoryproxy.forwarding.flows import FlowTable
+from chicoryproxy.forwarding.lifetime import Lifetime
+from chicoryproxy.ids import ServiceId
+
+SAMPLE_INTERVAL_S = 0.05
+"""A sample is used for this long, because it takes a pass over all upstreams of the service."""
+
+
+class _Sample:
+    """Pressure at one time."""
+
+    __slots__ = ("pressure", "sampled_s")
+
+    def __init__(self, pressure: float, sampled_s: float) -> None:
+        self.pressure = pressure
+        self.sampled_s = sampled_s
+
+
+class PressureEstimator:
+    """Estimates the pressure that all entries together put on a service.
+
+    The requests known here are those of this entry and of the peers with recent reports. They are
+    scaled to all live peers, since an entry hears only a few of the others in a large fleet.
+
+    :param domains: requests and slots of unreachable failure domains don't count.
+    """
+
+    def __init__(self, directory: Directory, flows: FlowTable, domains: DomainReachability) -> None:
+        self._directory = directory
+        self._flows = flows
+        self._domains = domains
+        self._samples: dict[ServiceId, _Sample] = {}
+
+    def get(self, service: ServiceId, now: float) -> float:
+        """Return the pressure on a service; zero if it has no upstream that can be loaded."""
+        sample = self._samples.get(service)
+        if sample is None or now - sample.sampled_s >= SAMPLE_INTERVAL_S:
+            sample = self._samples[service] = _Sample(self._compute(service, now), now)
+        return sample.pressure
+
+    def get_highest(self) -> float:
+        """Return the highest of the last samples; zero if there is none."""
+        return max((sample.pressure for sample in self._samples.values()), default=0.0)
+
+    def expire(self, now: float) -> None:
+        """Discard the samples that are too old to be used."""
+        for service, sample in list(self._samples.items()):
+            if now - sample.sampled_s >= SAMPLE_INTERVAL_S:
+                del self._samples[service]
+
+    def _compute(self, service: ServiceId, now: float) -> float:
+        slots = 0
+        outstanding = 0.0
+        for upstream in self._directory.iterate_service(service):
+            if self._can_be_loaded(upstream, now):
+                slots += upstream.entry.slots
+                outstanding += self._flows.get_load(upstream).waiting
+        if not slots:
+            return 0.0
+        return outstanding * self._flows.peer_loads.compute_fleet_scale() / slots
+
+    def _can_be_loaded(self, upstream: Lifetime, now: float) -> bool:
+        domain = upstream.entry.domain
+        return (
+            upstream.can_open
+            and not upstream.is_cold(now)
+            and not self._directory.is_domain_out(domain)
+            and not self._domains.is_unreachable(domain)
+        )
--- a/src/chicoryproxy/node/dataplane.py
+++ b/src/chicoryproxy/node/dataplane.py
@@ -6,6 +6,7 @@
 
 from chicoryproxy.eventloop.loop import Loop
 from chicoryproxy.eventloop.packetsocket import PacketSocket
+from chicoryproxy.forwarding.admission import PRESSURE_LIMIT
 from chicoryproxy.forwarding.directory import Directory
 from chicoryproxy.forwarding.directoryevent import DirectoryEvent, DirectoryEventKind
 from chicoryproxy.forwarding.forwarder import TrafficObserver, create_forwarder
@@ -93,6 +94,7 @@
         """Update the metrics that aren't counted as events occur."""
         self._metrics.unsent = self._socket.unsent
         self._metrics.flows = len(self.forwarder.flows)
+        self._metrics.pressure = self.forwarder.admission.get_highest_pressure()
 
     def record_handshake(self, duration_s: float) -> None:
         """Record the duration of a handshake."""
@@ -236,6 +238,9 @@
         if refusal is Refusal.NO_UPSTREAM:
             counts = self.forwarder.count_exclusions(packet, self._loop.read_clock())
             details["excluded"] = {reason.value: count for reason, count in counts.items()}
+        if refusal is Refusal.OVERLOADED:
+            self._log_overload(packet)
+            return
         upstream = self._directory.find_by_mark(packet.mark)
         if refusal is Refusal.UPSTREAM_UNREACHABLE and upstream is not None:
             details.update(self._describe_evidence(upstream))
@@ -247,3 +252,19 @@
             version=self._directory.version,
             **details,
         )
+
+    def _log_overload(self, packet: CallerPacket) -> None:
+        """Log a refusal by admission control, of which there are many while a burst lasts."""
+        inputs = self.forwarder.find_admission_inputs(packet, self._loop.read_clock())
+        if inputs is None:
+            return
+        self._journal.write_rate_limited(
+            "refuse",
+            reason=Refusal.OVERLOADED.value,
+            flow=describe_flow(packet.flow),
+            version=self._directory.version,
+            service=inputs.service,
+            priority=inputs.priority,
+            pressure=round(inputs.pressure, 2),
+            limit=PRESSURE_LIMIT,
+        )
--- a/src/chicoryproxy/node/entrymetrics.py
+++ b/src/chicoryproxy/node/entrymetrics.py
@@ -38,6 +38,7 @@
         self.log_lost = 0
         self.log_skipped = 0
         self.flows = 0
+        self.pressure = 0.0
         self.version = 0
         self.revision = 0
         self.view_age_s = 0.0
@@ -87,6 +88,7 @@
     def _render_gauges(self) -> list[list[str]]:
         gauges = {
             "flows": ("flows in the table", self.flows),
+            "pressure": ("outstanding requests per slot, of the busiest service", self.pressure),
             "config_version": ("version of the configuration in force", self.version),
             "view_revision": ("revision of the store that is known", self.revision),
             "view_age_seconds": ("age of the last confirmation of the view", self.view_age_s),
--- a/src/chicoryproxy/platform/records.py
+++ b/src/chicoryproxy/platform/records.py
@@ -39,6 +39,7 @@
 _HEX_DIGITS = frozenset("0123456789abcdefABCDEF")
 
 _Positive = Annotated[int, Meta(ge=1)]
+_NotNegativeInteger = Annotated[int, Meta(ge=0)]
 _NotNegative = Annotated[float, Meta(ge=0)]
 
 
@@ -67,6 +68,8 @@
     prefix: str = field(name="Prefix")
     service: str = field(name="Service", default="")
     split: tuple[_Split, ...] = field(name="TrafficSplit", default=())
+    priority: _NotNegativeInteger = field(name="Priority", default=0)
+    latency_target_ms: _NotNegative = field(name="TargetLatencyMs", default=0.0)
 
 
 class _Service(Struct):
@@ -194,4 +197,4 @@
     if not port.isdecimal():
         raise ValueError(f"prefix {route.prefix!r} of route {route.name!r} is not a port number")
     key = RouteKey(parse_host(route.hostname), int(port))
-    return Route(route.name, key, targets)
+    return Route(route.name, key, targets, route.priority, route.latency_target_ms / 1000)
--- a/tests/adapter/test_records.py
+++ b/tests/adapter/test_records.py
@@ -103,6 +103,30 @@
     assert [(target.service, target.weight) for target in route.targets] == [("a", 90), ("b", 10)]
 
 
+def test_the_priority_and_latency_target_of_a_route_are_decoded():
+    config = create_config(7)
+    config["Routes"][0] |= {"Priority": 2, "TargetLatencyMs": 605}
+    (route,) = decode("op/config", config).routing.routes
+    assert (route.priority, route.latency_target_s) == (2, 0.605)
+
+
+def test_a_route_without_priority_has_the_highest_and_no_latency_target():
+    config = create_config(7)
+    del config["Routes"][0]["Priority"]
+    (route,) = decode("op/config", config).routing.routes
+    assert (route.priority, route.latency_target_s) == (0, 0.0)
+
+
+@pytest.mark.parametrize("name", ["Priority", "TargetLatencyMs"])
+@pytest.mark.parametrize("value", ["2", None, -1, True, []])
+def test_a_priority_or_latency_target_of_a_wrong_type_makes_the_version_unreadable(name, value):
+    config = create_config(7)
+    config["Routes"][0][name] = value
+    fact = decode("op/config", config)
+    assert isinstance(fact, RoutingUnreadable)
+    assert f"$.Routes[0].{name}" in fact.reason
+
+
 def test_an_invalid_configuration_names_the_value():
     config = create_config(7)
     config["Routes"][0]["Prefix"] = "/door/"
--- /dev/null
+++ b/tests/forwarding/test_admission.py
@@ -0,0 +1,301 @@
+"""Under overload, openings of low priority are refused so that those of higher priority are served.
+
+The feed has the lower priority and bursts; the desk has the higher one and its usual load.
+"""
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from chicoryproxy.forwarding.admission import (
+    FLOOR_SHARE,
+    PRESSURE_LIMIT,
+    PRESSURE_RANGE,
+    compute_refused_share,
+)
+from chicoryproxy.forwarding.domainreachability import DomainReachability
+from chicoryproxy.forwarding.lifetime import Lifetime
+from chicoryproxy.forwarding.model import FlowId, Refusal, RouteKey, WeightedService
+from chicoryproxy.forwarding.peermessages import Heartbeat, LoadReport, PeerAddress
+from chicoryproxy.forwarding.pressure import SAMPLE_INTERVAL_S, PressureEstimator
+from chicoryproxy.forwarding.priorityshares import (
+    AVERAGING_S,
+    PRIORITY_RETENTION_S,
+    PriorityShares,
+)
+from tests.forwarding.harness import (
+    OTHER_DOMAIN,
+    OWN_DOMAIN,
+    SERVICE,
+    ForwarderHarness,
+    create_packet,
+    create_route,
+)
+
+DESK = RouteKey(0xC612_0001, 8080)
+FEED = RouteKey(0xC612_0001, 443)
+IDLE = RouteKey(0xC612_0009, 443)
+SLOTS = 2
+UPSTREAMS = 4
+OPENINGS = 1000
+
+
+def create_routes(feed_priority=2):
+    """Create two routes to one service, and one of a third priority that sees no traffic."""
+    targets = (WeightedService(SERVICE, 1.0),)
+    return (
+        create_route("desk", DESK, targets, 1),
+        create_route("feed", FEED, targets, feed_priority),
+        create_route("idle", IDLE, targets, 0),
+    )
+
+
+@pytest.fixture
+def fleet():
+    """A core with admission control, four upstreams, and a desk with a fifth of the work."""
+    return create_fleet()
+
+
+def create_fleet(has_false_health=True, feed_priority=2):
+    """Create a core with two routes to four upstreams."""
+    fleet = ForwarderHarness(has_false_health)
+    fleet.publish_routing(1, create_routes(feed_priority), services=(SERVICE,))
+    for number in range(UPSTREAMS):
+        fleet.publish_upstream(f"i-{number}", slots=SLOTS)
+    answer(fleet, DESK, 2)
+    answer(fleet, FEED, 8)
+    return fleet
+
+
+def answer(fleet, route, number):
+    """Open flows and answer a request on each."""
+    flows = [(caller, *fleet.open_flow(route, caller)) for caller in range(1, number + 1)]
+    for caller, upstream, port in flows:
+        fleet.send(create_packet(route, caller, port, upstream.mark, 0, 1, 100))
+    fleet.now += 0.05
+    for caller, upstream, port in flows:
+        fleet.send(create_packet(route, caller, port, upstream.mark, 100, 2))
+        fleet.send(create_packet(route, caller, port, upstream.mark, 100, 2, is_end=True))
+
+
+def press(fleet, pressure, host=1, domain=OWN_DOMAIN):
+    """Report requests of a peer, per slot of each upstream of a failure domain."""
+    loads = tuple(
+        LoadReport(upstream.mark, 0, int(pressure * SLOTS))
+        for upstream in fleet.directory.iterate_present()
+        if upstream.entry.domain == domain
+    )
+    heartbeat = Heartbeat(PeerAddress(host, 0), 1, 0.0, False, loads, (), ())
+    fleet.forwarder.flows.peer_loads.handle_heartbeat(heartbeat, fleet.now)
+    fleet.now += 2 * SAMPLE_INTERVAL_S
+
+
+def count_refused(fleet, route, number=OPENINGS):
+    """Send openings of new flows; return the share that is refused."""
+    decisions = [fleet.send_opening(route, caller=index + 2)[0] for index in range(number)]
+    assert all(item is Refusal.OVERLOADED or isinstance(item, Lifetime) for item in decisions)
+    return decisions.count(Refusal.OVERLOADED) / number
+
+
+def test_a_burst_of_low_priority_leaves_room_for_the_steady_high_priority(fleet):
+    """Burst: the feed presses at a multiple of what the upstreams can do."""
+    press(fleet, 5.0)
+    assert count_refused(fleet, FEED) == pytest.approx(1.0 - FLOOR_SHARE, abs=0.04)
+    assert count_refused(fleet, DESK) == 0.0
+
+
+def test_below_the_limit_nothing_is_refused(fleet):
+    """Usual and high load: each slot is busy, and one request waits for it."""
+    press(fleet, PRESSURE_LIMIT)
+    assert count_refused(fleet, FEED) == 0.0
+
+
+def test_own_requests_count(fleet):
+    """Burst at a single entry: no peer reports, its own unanswered requests decide."""
+    for index in range(int(UPSTREAMS * SLOTS * (PRESSURE_LIMIT + PRESSURE_RANGE))):
+        upstream, port = fleet.open_flow(DESK, index + 2)
+        request = create_packet(DESK, index + 2, port, upstream.mark, 1, 1, 100)
+        fleet.send(request)
+    fleet.now += 2 * SAMPLE_INTERVAL_S
+    assert count_refused(fleet, FEED) > 0.8
+
+
+def test_nothing_is_refused_once_the_burst_is_over(fleet):
+    """Recovery: the pressure falls, the next openings are all admitted."""
+    press(fleet, 5.0)
+    assert count_refused(fleet, FEED) > 0.8
+    press(fleet, 1.0)
+    assert count_refused(fleet, FEED) == 0.0
+
+
+def test_refused_openings_add_no_pressure(fleet):
+    """Retries of refused callers: they don't keep the refusals going."""
+    press(fleet, 5.0)
+    before = len(fleet.forwarder.flows)
+    refused = count_refused(fleet, FEED)
+    assert len(fleet.forwarder.flows) - before == round(OPENINGS * (1.0 - refused))
+
+
+def test_a_forwarded_opening_is_never_refused(fleet):
+    """Overload between two copies: the first one may have reached an upstream."""
+    flows = [(index, fleet.send_opening(FEED, index)[1]) for index in range(2, 200)]
+    press(fleet, 9.0)
+    for copy in (0, 1, 2):
+        for caller, port in flows:
+            decision, _ = fleet.send_opening(FEED, caller, port, copy=copy)
+            assert isinstance(decision, Lifetime)
+        fleet.now += 0.2
+
+
+def test_a_copy_whose_first_went_elsewhere_is_not_refused(fleet):
+    """Rehashed flows: another entry may have forwarded the first copy."""
+    press(fleet, 9.0)
+    for caller in range(2, 200):
+        assert isinstance(fleet.send_opening(FEED, caller, copy=1)[0], Lifetime)
+
+
+def test_requests_of_open_flows_are_never_refused(fleet):
+    """Overload while flows are open: their packets go on."""
+    upstream, port = fleet.open_flow(FEED)
+    press(fleet, 9.0)
+    assert fleet.send(create_packet(FEED, 1, port, upstream.mark, 1, 1, 100)) is upstream
+
+
+def test_one_priority_in_use_is_served_as_before():
+    """Burst of callers of equal priority: there is nobody to prefer."""
+    fleet = create_fleet(feed_priority=1)
+    press(fleet, 9.0)
+    assert count_refused(fleet, FEED) == 0.0
+
+
+def test_a_priority_without_recent_traffic_does_not_count(fleet):
+    """Burst of the feed while the desk is closed: the room is left to nobody else."""
+    fleet.advance(PRIORITY_RETENTION_S)
+    answer(fleet, FEED, 8)
+    press(fleet, 9.0)
+    assert count_refused(fleet, FEED) == 0.0
+
+
+def test_deployments_that_do_not_ask_for_it_are_served_as_before():
+    """Burst at a deployment with reliable health checks."""
+    fleet = create_fleet(has_false_health=False)
+    press(fleet, 9.0)
+    assert count_refused(fleet, FEED) == 0.0
+
+
+def test_requests_of_lower_priority_do_not_push_out_higher_ones(fleet):
+    """Burst of the feed on open flows, which can't be refused, with a still higher priority in use.
+
+    A few openings of an otherwise idle route don't make the desk give way.
+    """
+    answer(fleet, IDLE, 1)
+    press(fleet, 5.0)
+    assert count_refused(fleet, DESK) == 0.0
+    assert count_refused(fleet, IDLE) == 0.0
+
+
+def test_high_priority_that_presses_alone_is_refused_for_a_still_higher_one(fleet):
+    """Burst of the desk: it has most of the requests, and others have a higher priority."""
+    answer(fleet, DESK, 200)
+    answer(fleet, IDLE, 20)
+    press(fleet, 4.0)
+    assert count_refused(fleet, DESK) > 0.8
+    assert count_refused(fleet, IDLE) == 0.0
+
+
+def test_reports_that_are_lost_are_estimated(fleet):
+    """Heartbeats of three of four peers lost: those that report stand for the others."""
+    fleet.forwarder.flows.peer_loads.live_peers = 3
+    press(fleet, 1.5)
+    assert count_refused(fleet, FEED) > 0.8
+
+
+def test_reports_are_outdated_when_a_link_fails_one_way(fleet):
+    """Heartbeats lost one way: old reports end, and own requests decide."""
+    press(fleet, 9.0)
+    fleet.advance(3.0)
+    fleet.forwarder.flows.peer_loads.expire(fleet.now)
+    fleet.send_opening(DESK)
+    assert count_refused(fleet, FEED) == 0.0
+
+
+def test_an_entry_that_has_heard_no_peer_admits(fleet):
+    """Start in the middle of a burst: no report yet, no request of its own."""
+    fleet.forwarder.flows.peer_loads.live_peers = 60
+    fleet.now += 2 * SAMPLE_INTERVAL_S
+    assert count_refused(fleet, FEED, 10) == 0.0
+
+
+def test_in_a_partition_only_reachable_upstreams_count(fleet):
+    """Partition: idle upstreams beyond the cut offer no room, those at hand are full."""
+    for number in range(UPSTREAMS):
+        fleet.publish_upstream(f"j-{number}", domain=OTHER_DOMAIN, slots=SLOTS)
+    press(fleet, 3.0)
+    assert count_refused(fleet, FEED) == 0.0
+    estimator = PressureEstimator(fleet.directory, fleet.forwarder.flows, CutDomains(fleet))
+    assert estimator.get(SERVICE, fleet.now) == 3.0
+
+
+class CutDomains(DomainReachability):
+    """The other failure domain is unreachable."""
+
+    def __init__(self, fleet):
+        super().__init__(fleet.directory, 0)
+
+    def is_unreachable(self, domain):
+        """Return whether it is the other failure domain."""
+        return domain == OTHER_DOMAIN
+
+
+def test_without_an_upstream_the_refusal_is_that_of_placement(fleet):
+    """All upstreams lost: there is no room to give by priority."""
+    press(fleet, 9.0)
+    for number in range(UPSTREAMS):
+        fleet.publish_upstream(f"i-{number}", draining=True)
+    fleet.advance(60.0)
+    assert fleet.send_opening(FEED)[0] is Refusal.NO_UPSTREAM
+
+
+def test_the_inputs_of_a_refusal_are_told(fleet):
+    press(fleet, 3.0)
+    packet = create_packet(FEED, is_opening=True)
+    inputs = fleet.forwarder.find_admission_inputs(packet, fleet.now)
+    assert (inputs.service, inputs.priority) == (SERVICE, 2)
+    assert inputs.pressure == pytest.approx(3.0)
+    assert fleet.forwarder.admission.get_highest_pressure() == 3.0
+
+
+pressures = st.floats(0.0, 100.0)
+
+
+@given(pressures, pressures)
+def test_the_refused_share_grows_with_pressure_and_keeps_a_floor(first, second):
+    low, high = sorted((first, second))
+    assert 0.0 <= compute_refused_share(low) <= compute_refused_share(high) <= 1.0 - FLOOR_SHARE
+
+
+responses = st.lists(st.tuples(st.integers(0, 9), st.floats(0.001, 5.0)), min_size=1)
+
+
+@given(responses, pressures)
+def test_a_higher_priority_is_never_refused_more(responses, pressure):
+    shares = PriorityShares()
+    for number, (priority, duration_s) in enumerate(responses):
+        shares.record_response(SERVICE, priority, duration_s, number * AVERAGING_S / 100)
+    now = len(responses) * AVERAGING_S / 100
+    in_use = sorted({priority for priority, _ in responses})
+    found = [shares.compute_share(SERVICE, priority, now) for priority in in_use]
+    refused = [compute_refused_share((share or 0.0) * pressure) for share in found]
+    assert found[0] is None
+    assert refused == sorted(refused)
+
+
+@given(st.binary(min_size=12, max_size=12), st.integers(0, 9))
+def test_the_same_input_gives_the_same_decision(flow, pressure):
+    route = create_routes()[1]
+    decisions = set()
+    for _ in range(2):
+        fleet = create_fleet()
+        press(fleet, pressure)
+        decisions.add(fleet.forwarder.admission.admits(route, FlowId(flow), fleet.now))
+    assert len(decisions) == 1
--- a/tests/forwarding/test_routingpatch.py
+++ b/tests/forwarding/test_routingpatch.py
@@ -1,5 +1,6 @@
 """Entries send each other patches of a large configuration instead of whole versions."""
 
+import msgspec
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
@@ -156,3 +157,10 @@
     patched = behind.fetch_changes(reader)
     assert patched * CHANGES_PER_DAY / SECONDS_PER_DAY < CONTROL_BYTES_PER_S * 0.01
     assert patched * 100 < whole
+
+
+def test_a_route_of_an_older_entry_has_the_highest_priority():
+    """Two versions side by side: the older one leaves out the fields at the end."""
+    older = msgspec.msgpack.encode(["r-1", [0xC612_0001, 443], [["desk", 1.0]]])
+    route = msgspec.msgpack.decode(older, type=Route)
+    assert (route.priority, route.latency_target_s) == (0, 0.0)
