Limit what one upstream adds to the pressure on its service

Requests pile up at an upstream that doesn't answer; by their number alone, an eighth of the upstreams would have looked like overload at the usual load. Found by reading, with a test.

--- a/src/chicoryproxy/forwarding/pressure.py
+++ b/src/chicoryproxy/forwarding/pressure.py
@@ -10,6 +10,11 @@
 """A sample is used for this long, because it takes a pass over all upstreams of the service."""
 
 
+MAX_UPSTREAM_PRESSURE = 6.0
+"""Requests per slot that one upstream counts for at most. Requests pile up at an upstream that
+doesn't answer; a few of these must not look like overload of the service."""
+
+
 class _Sample:
     """Pressure at one time."""
 
@@ -53,15 +58,15 @@
                 del self._samples[service]
 
     def _compute(self, service: ServiceId, now: float) -> float:
+        scale = self._flows.peer_loads.compute_fleet_scale()
         slots = 0
         outstanding = 0.0
         for upstream in self._directory.iterate_service(service):
             if self._can_be_loaded(upstream, now):
+                waiting = self._flows.get_load(upstream).waiting * scale
                 slots += upstream.entry.slots
-                outstanding += self._flows.get_load(upstream).waiting
-        if not slots:
-            return 0.0
-        return outstanding * self._flows.peer_loads.compute_fleet_scale() / slots
+                outstanding += min(waiting, upstream.entry.slots * MAX_UPSTREAM_PRESSURE)
+        return outstanding / slots if slots else 0.0
 
     def _can_be_loaded(self, upstream: Lifetime, now: float) -> bool:
         domain = upstream.entry.domain
--- a/tests/forwarding/test_admission.py
+++ b/tests/forwarding/test_admission.py
@@ -78,14 +78,13 @@
         fleet.send(create_packet(route, caller, port, upstream.mark, 100, 2, is_end=True))
 
 
-def press(fleet, pressure, host=1, domain=OWN_DOMAIN):
-    """Report requests of a peer, per slot of each upstream of a failure domain."""
+def press(fleet, pressure, upstreams=None):
+    """Report requests of a peer, per slot of each given upstream or of the own failure domain."""
+    near = [item for item in fleet.directory.iterate_present() if item.entry.domain == OWN_DOMAIN]
     loads = tuple(
-        LoadReport(upstream.mark, 0, int(pressure * SLOTS))
-        for upstream in fleet.directory.iterate_present()
-        if upstream.entry.domain == domain
+        LoadReport(upstream.mark, 0, int(pressure * SLOTS)) for upstream in upstreams or near
     )
-    heartbeat = Heartbeat(PeerAddress(host, 0), 1, 0.0, False, loads, (), ())
+    heartbeat = Heartbeat(PeerAddress(1, 0), 1, 0.0, False, loads, (), ())
     fleet.forwarder.flows.peer_loads.handle_heartbeat(heartbeat, fleet.now)
     fleet.now += 2 * SAMPLE_INTERVAL_S
 
@@ -256,6 +255,12 @@
     assert fleet.send_opening(FEED)[0] is Refusal.NO_UPSTREAM
 
 
+def test_requests_stuck_at_a_few_upstreams_do_not_count_as_overload(fleet):
+    """Usual load while one of four upstreams answers nothing, so that requests pile up there."""
+    press(fleet, 50.0, [fleet.find_upstream("i-0")])
+    assert count_refused(fleet, FEED) == 0.0
+
+
 def test_the_inputs_of_a_refusal_are_told(fleet):
     press(fleet, 3.0)
     packet = create_packet(FEED, is_opening=True)
