--- a/tests/forwarding/harness.py
+++ b/tests/forwarding/harness.py
@@ -59,7 +59,7 @@
 class ForwarderHarness:
     """A directory and a forwarding core with a simulated clock.
 
-    :param has_false_health: as in the settings of an entry.
+    :param has_false_health: as in the settings; switches on what decides by answers.
 
     :ivar events: events of the last change of the directory.
     """
@@ -169,9 +169,9 @@
         return upstream, port
 
 
-def create_route(name, key, targets):
+def create_route(name, key, targets, priority=0):
     """Create a route."""
-    return Route(name, key, tuple(targets))
+    return Route(name, key, tuple(targets), priority)
 
 
 def create_packet(
