--- a/src/chicoryproxy/forwarding/forwarder.py
+++ b/src/chicoryproxy/forwarding/forwarder.py
@@ -36,6 +36,12 @@
 )
 from chicoryproxy.forwarding.probecontrol import ControlProbeSelector
 from chicoryproxy.forwarding.reachability import ReachabilityMonitor
+from chicoryproxy.forwarding.sequence import (
+    add_to_sequence,
+    compute_distance,
+    is_same_flow,
+    is_sequence_after,
+)
 from chicoryproxy.forwarding.slowstart import SlowStart, create_slow_start
 from chicoryproxy.forwarding.unreachablereports import UnreachableReports
 from chicoryproxy.forwarding.upstreamfailures import UpstreamFailures
@@ -52,12 +58,6 @@
 """An upstream that got an opening less than this ago may still answer it. Callers send the first
 copy after twice this time; copies that arrive sooner waited in the queue of this entry."""
 
-_HALF_SEQUENCE_RANGE = 1 << 31
-_SEQUENCE_MASK = (1 << 32) - 1
-_SAME_FLOW_BYTES = 1 << 24
-"""Both ends number their bytes from a start chosen for each flow. Offsets further apart than this
-belong to different flows; one in 128 pairs of unrelated offsets is nearer."""
-
 Decision = Lifetime | Refusal | Drop
 """Upstream of a packet, or why the packet is not forwarded."""
 
@@ -211,7 +211,7 @@
 
     def _touch_opening(self, packet: CallerPacket, now: float) -> Flow:
         flow = self.flows.touch(packet.flow, now)
-        if flow.sent >= 0 and not _is_same_flow(packet.sequence, flow.sent):
+        if flow.sent >= 0 and not is_same_flow(packet.sequence, flow.sent):
             return self._replace_flow(packet, now)
         return flow
 
@@ -259,7 +259,7 @@
         flow = self.flows.get(packet.flow)
         if flow is None or not flow.is_open or not packet.mark:
             return flow
-        if _is_same_flow(packet.acknowledged, flow.acknowledged):
+        if is_same_flow(packet.acknowledged, flow.acknowledged):
             return flow
         self.flows.remove(packet.flow)
         return None
@@ -292,7 +292,7 @@
             self.observer.record_handshake(now - flow.opened_s)
             self.recent_openings.record_answer(now)
             self._record_answer(upstream, now)
-        elif _is_sequence_after(packet.acknowledged, flow.acknowledged):
+        elif is_sequence_after(packet.acknowledged, flow.acknowledged):
             flow.acknowledged = packet.acknowledged
             if flow.waiting_since_s is not None:
                 self._record_response(packet, upstream, now - flow.waiting_since_s, now)
@@ -304,8 +304,8 @@
     ) -> None:
         if not packet.size:
             return
-        end = (packet.sequence + packet.size) & _SEQUENCE_MASK
-        if flow.sent < 0 or _is_sequence_after(end, flow.sent):
+        end = add_to_sequence(packet.sequence, packet.size)
+        if flow.sent < 0 or is_sequence_after(end, flow.sent):
             flow.sent = end
             if self.flows.start_wait(flow, now):
                 self._pending.add_request(packet.flow, flow, upstream, now)
@@ -338,23 +338,12 @@
         self._domains.record_success(upstream.entry.domain)
 
 
-def _is_sequence_after(offset: int, other: int) -> bool:
-    """Return whether an offset is after another one, with wraparound at 32 bits."""
-    return offset != other and (offset - other) & _SEQUENCE_MASK < _HALF_SEQUENCE_RANGE
-
-
-def _is_same_flow(offset: int, other: int) -> bool:
-    """Return whether two offsets of one end may belong to the same flow."""
-    distance = (offset - other) & _SEQUENCE_MASK
-    return min(distance, _SEQUENCE_MASK + 1 - distance) < _SAME_FLOW_BYTES
-
-
 def _is_first_packet(packet: CallerPacket, flow: Flow) -> bool:
     """Return whether a packet directly follows the opening of a flow.
 
     The mark in it is that of the answer which the caller acknowledges; later ones may differ.
     """
-    return not flow.is_open and (packet.sequence - flow.sent) & _SEQUENCE_MASK <= 1
+    return not flow.is_open and compute_distance(flow.sent, packet.sequence) <= 1
 
 
 def create_forwarder(
