Find the pace of starting upstreams from their answers

A new or recovered upstream has no flows, so every entry sent it all its openings until load reports came; a cold one got none while a warm one was usable. It now gets a share that its answers decide.

--- a/src/chicoryproxy/forwarding/directory.py
+++ b/src/chicoryproxy/forwarding/directory.py
@@ -101,6 +101,10 @@
         """Return the lifetime with a mark, including ended ones."""
         return self._marks.get(mark)
 
+    def find_present(self, upstream: UpstreamId) -> Lifetime | None:
+        """Return the lifetime of an upstream that has not ended."""
+        return self._current.get(upstream)
+
     def get_limits(self, service: ServiceId) -> ServiceLimits | None:
         """Return the limits of a service."""
         return self._limits.get(service)
--- a/src/chicoryproxy/forwarding/forwarder.py
+++ b/src/chicoryproxy/forwarding/forwarder.py
@@ -30,6 +30,7 @@
     create_opening_policy,
 )
 from chicoryproxy.forwarding.probecontrol import ControlProbeSelector
+from chicoryproxy.forwarding.ramp import RampCause
 from chicoryproxy.forwarding.reachability import ReachabilityMonitor
 from chicoryproxy.forwarding.slowstart import SlowStart, create_slow_start
 from chicoryproxy.forwarding.unreachablereports import UnreachableReports
@@ -309,6 +310,7 @@
         self.reachability.suspect(upstream, now)
         self.slow_start.record_failure(upstream, now)
         if self.failure_detector.record_failure(upstream, now):
+            self.slow_start.begin(upstream, RampCause.SUSPECTED, now)
             self.observer.record_suspicion(upstream, self.failure_detector.get_failures(upstream))
 
     def _record_answer(self, upstream: Lifetime, now: float) -> None:
--- a/src/chicoryproxy/forwarding/placement.py
+++ b/src/chicoryproxy/forwarding/placement.py
@@ -171,6 +171,7 @@
         self, service: ServiceId, opening: Opening, now: float
     ) -> Lifetime | None:
         usable: list[Lifetime] = []
+        ramping: list[Lifetime] = []
         cold: list[Lifetime] = []
         suspected: list[Lifetime] = []
         fallback: list[Lifetime] = []
@@ -181,17 +182,44 @@
                     fallback.append(upstream)
             elif exclusion is not None:
                 continue
+            elif upstream in opening.tried or self._is_suspected(upstream, now):
+                (cold if upstream.is_cold(now) else suspected).append(upstream)
+            elif self._slow_start.is_ramping(upstream):
+                ramping.append(upstream)
             elif upstream.is_cold(now):
                 cold.append(upstream)
-            elif upstream in opening.tried or self._is_suspected(upstream, now):
-                suspected.append(upstream)
             else:
                 usable.append(upstream)
+        if usable:
+            usable += self._list_accepted(ramping, usable, opening)
+        else:
+            usable = [upstream for upstream in ramping if not upstream.is_cold(now)]
+        cold += [upstream for upstream in ramping if upstream.is_cold(now)]
         for candidates in (usable, cold, suspected, fallback):
             if candidates:
                 return self._choose_least_loaded(candidates, opening)
         return None
 
+    def _list_accepted(
+        self, ramping: Sequence[Lifetime], usable: Sequence[Lifetime], opening: Opening
+    ) -> list[Lifetime]:
+        """Return the ramping upstreams that are considered together with the usable ones.
+
+        Only entries of their own failure domain consider them, so that no more share them out. If
+        no other domain can take the rest of the load, the usable ones are not left alone with it.
+        """
+        near = [upstream for upstream in ramping if upstream.entry.domain == self._domain]
+        if not near:
+            return []
+        others = sum(1 for upstream in usable if upstream.entry.domain == self._domain)
+        if others < len(usable):
+            others += len(near) - 1
+        return [
+            upstream
+            for upstream in near
+            if self._slow_start.accepts(upstream, opening.flow, others)
+        ]
+
     def _find_exclusion(self, upstream: Lifetime, now: float) -> Exclusion | None:
         if upstream.is_mark_taken:
             return Exclusion.MARK_TAKEN
--- /dev/null
+++ b/src/chicoryproxy/forwarding/ramp.py
@@ -0,0 +1,131 @@
+"""Ramp of one upstream: the share of openings that its answers have earned so far."""
+
+from enum import Enum, unique
+
+from msgspec import Struct
+
+from chicoryproxy.forwarding.lifetime import Lifetime
+from chicoryproxy.forwarding.peermessages import RampReport
+
+INITIAL_SHARE = 0.5
+"""Part of the openings that an upstream would get if all were equal."""
+
+MIN_SHARE = 0.25
+"""A slow upstream still gets openings, by which it can show that it has recovered."""
+
+GROWTH_PER_ANSWER = 0.25
+"""The more openings it gets, the more answers it needs for the same relative growth."""
+
+LATE_WEIGHT = 2.0
+"""A late answer cancels the effect of this many answers on time."""
+
+MAX_EXTRAPOLATION = 4.0
+"""The answers that some entries counted are scaled up to all entries by no more than this."""
+
+MAX_REPORTING_PEERS = 64
+"""In larger failure domains the reports of the first ones suffice."""
+
+
+@unique
+class RampCause(Enum):
+    """Why an upstream ramps up."""
+
+    STARTED = "started"
+    RETURNED = "returned"
+    REACHABLE = "reachable"
+    SUSPECTED = "suspected"
+    DOMAIN_BACK = "domain_back"
+
+
+class RampEvent(Struct, frozen=True):
+    """Begin or end of a ramp, for the log.
+
+    :param has_ended: False at the begin.
+    :param on_time: answers that came on time, by the estimate for the whole failure domain.
+    :param late: late or missing answers, by the same estimate.
+    :param share: part of the openings that the upstream would get if all were equal.
+    :param candidates: upstreams that openings could go to otherwise.
+    :param age_s: time since the begin.
+    """
+
+    upstream: Lifetime
+    cause: RampCause
+    has_ended: bool
+    on_time: int = 0
+    late: int = 0
+    share: float = INITIAL_SHARE
+    candidates: int = 0
+    age_s: float = 0.0
+
+
+class Ramp:
+    """Evidence of one upstream since its ramp began.
+
+    :ivar on_time: responses to this entry's requests that took no longer than usual.
+    :ivar late: other responses, and requests and openings without an answer.
+    :ivar peers: live peers of the own failure domain.
+    :ivar candidates: upstreams that the last opening could go to otherwise; zero before the first.
+    """
+
+    def __init__(self, upstream: Lifetime, cause: RampCause, now: float) -> None:
+        self.upstream = upstream
+        self.cause = cause
+        self.began_s = now
+        self.on_time = 0
+        self.late = 0
+        self.peers = 0
+        self.candidates = 0
+        self._reports: dict[int, RampReport] = {}
+        self._offset = 0.0
+        self.share = INITIAL_SHARE
+
+    def record(self, is_late: bool) -> None:
+        """Count an answer at this entry."""
+        if is_late:
+            self.late += 1
+        else:
+            self.on_time += 1
+        self._update_share()
+
+    def handle_report(self, host: int, report: RampReport) -> None:
+        """Replace the counts of a peer; lower ones mean that it has begun anew."""
+        if host in self._reports or len(self._reports) < MAX_REPORTING_PEERS:
+            self._reports[host] = report
+            self._update_share()
+
+    def is_complete(self) -> bool:
+        """Return whether the share is no limit any more."""
+        return 0 < self.candidates <= self.share
+
+    def create_report(self) -> RampReport:
+        """Create the report for the peers."""
+        return RampReport(self.upstream.mark, self.on_time, self.late)
+
+    def create_end(self, now: float) -> RampEvent:
+        """Create the event of the end."""
+        on_time, late = self._estimate_counts()
+        return RampEvent(
+            self.upstream,
+            self.cause,
+            True,
+            round(on_time),
+            round(late),
+            round(self.share, 2),
+            self.candidates,
+            round(now - self.began_s, 3),
+        )
+
+    def _update_share(self) -> None:
+        on_time, late = self._estimate_counts()
+        earned = GROWTH_PER_ANSWER * (on_time - LATE_WEIGHT * late)
+        # What a share below the minimum would lack need not be made up for.
+        self._offset = max(self._offset, MIN_SHARE - INITIAL_SHARE - earned)
+        self.share = INITIAL_SHARE + earned + self._offset
+
+    def _estimate_counts(self) -> tuple[float, float]:
+        """Estimate the counts of the whole failure domain from those of the known entries."""
+        on_time = self.on_time + sum(report.on_time for report in self._reports.values())
+        late = self.late + sum(report.late for report in self._reports.values())
+        known = 1 + len(self._reports)
+        scale = min(MAX_EXTRAPOLATION, max(1.0, (1 + self.peers) / known))
+        return scale * on_time, scale * late
--- a/src/chicoryproxy/forwarding/slowstart.py
+++ b/src/chicoryproxy/forwarding/slowstart.py
@@ -8,17 +8,29 @@
 
 from abc import ABC, abstractmethod
 
+import xxhash
+
 from chicoryproxy.forwarding.lifetime import Lifetime
-from chicoryproxy.forwarding.model import FlowId
+from chicoryproxy.forwarding.model import FlowId, Mark, UpstreamPhase
 from chicoryproxy.forwarding.peermessages import Heartbeat, RampReport
+from chicoryproxy.forwarding.ramp import Ramp, RampCause, RampEvent
+from chicoryproxy.forwarding.responsetimes import ResponseTimes
+
+MAX_RAMPS = 128
+"""If more upstreams ramp up at once, the ramps that began first are given up."""
+
+REPORTS_IN_HEARTBEAT = 6
+"""If there are more ramps, each heartbeat has others of them."""
+
+_HASH_RANGE = 2.0**64
 
 
 class SlowStart(ABC):
     """Limits the share of openings at upstreams that are ramping up."""
 
     @abstractmethod
-    def begin(self, upstream: Lifetime, now: float) -> None:
-        """Start a ramp: the upstream has started, recovered or returned."""
+    def begin(self, upstream: Lifetime, cause: RampCause, now: float) -> None:
+        """Start a ramp, or start it anew."""
 
     @abstractmethod
     def is_ramping(self, upstream: Lifetime) -> bool:
@@ -54,11 +66,19 @@
     def expire(self, now: float) -> None:
         """End the ramps that are complete, and those of ended upstreams."""
 
+    @abstractmethod
+    def count(self) -> int:
+        """Return the number of upstreams that are ramping up."""
+
+    @abstractmethod
+    def pop_events(self) -> list[RampEvent]:
+        """Return the begins and ends of ramps since the last call."""
+
 
 class NoSlowStart(SlowStart):
     """Never limits; for deployments whose settings don't ask for slow start."""
 
-    def begin(self, upstream: Lifetime, now: float) -> None:
+    def begin(self, upstream: Lifetime, cause: RampCause, now: float) -> None:
         """Do nothing."""
 
     def is_ramping(self, upstream: Lifetime) -> bool:
@@ -85,10 +105,109 @@
     def expire(self, now: float) -> None:
         """Do nothing."""
 
+    def count(self) -> int:
+        """Return zero."""
+        return 0
+
+    def pop_events(self) -> list[RampEvent]:
+        """Return nothing."""
+        return []
+
+
+class AdaptiveSlowStart(SlowStart):
+    """Finds the share of each upstream from its answers.
+
+    A hash of the flow and the mark decides whether an upstream is considered, so that all entries
+    together keep to the share without messages.
+    """
+
+    def __init__(self) -> None:
+        # Ordered by begin, oldest first.
+        self._ramps: dict[Mark, Ramp] = {}
+        self._response_times = ResponseTimes()
+        self._events: list[RampEvent] = []
+        self._round = 0
+
+    def begin(self, upstream: Lifetime, cause: RampCause, now: float) -> None:
+        """Start a ramp, or start it anew."""
+        self._ramps.pop(upstream.mark, None)
+        while len(self._ramps) >= MAX_RAMPS:
+            self._end(next(iter(self._ramps.values())), now)
+        self._ramps[upstream.mark] = Ramp(upstream, cause, now)
+        self._events.append(RampEvent(upstream, cause, False))
+
+    def is_ramping(self, upstream: Lifetime) -> bool:
+        """Return whether an upstream is ramping up."""
+        return self._find(upstream) is not None
+
+    def accepts(self, upstream: Lifetime, flow: FlowId, candidates: int) -> bool:
+        """Return whether a ramping upstream is considered for an opening."""
+        ramp = self._find(upstream)
+        if ramp is None:
+            return True
+        ramp.candidates = max(1, candidates)
+        point = xxhash.xxh3_64_intdigest(upstream.mark_bytes + flow) / _HASH_RANGE
+        return point * ramp.candidates < ramp.share
+
+    def record_response(self, upstream: Lifetime, duration_s: float, now: float) -> None:
+        """Record the time from a request to its response, also of upstreams that don't ramp."""
+        service = upstream.entry.service
+        ramp = self._find(upstream)
+        if ramp is None:
+            self._response_times.record(service, duration_s)
+        else:
+            ramp.record(self._response_times.is_slow(service, duration_s))
+
+    def record_failure(self, upstream: Lifetime, now: float) -> None:
+        """Record an opening or a request that was not answered in time."""
+        ramp = self._find(upstream)
+        if ramp is not None:
+            ramp.record(is_late=True)
+
+    def list_reports(self) -> tuple[RampReport, ...]:
+        """Return what this entry has counted, others in each round if there is much."""
+        ramps = list(self._ramps.values())
+        if len(ramps) > REPORTS_IN_HEARTBEAT:
+            self._round += 1
+            start = self._round * REPORTS_IN_HEARTBEAT % len(ramps)
+            ramps = (ramps[start:] + ramps[:start])[:REPORTS_IN_HEARTBEAT]
+        return tuple(ramp.create_report() for ramp in ramps)
+
+    def handle_heartbeat(self, heartbeat: Heartbeat, peers: int, now: float) -> None:
+        """Take over the counts of a peer."""
+        for report in heartbeat.ramps:
+            ramp = self._ramps.get(report.mark)
+            if ramp is not None:
+                ramp.peers = peers
+                ramp.handle_report(heartbeat.sender.host, report)
+
+    def expire(self, now: float) -> None:
+        """End the ramps that are complete, and those of ended upstreams."""
+        for ramp in list(self._ramps.values()):
+            if ramp.is_complete() or ramp.upstream.phase is UpstreamPhase.GONE:
+                self._end(ramp, now)
+
+    def count(self) -> int:
+        """Return the number of upstreams that are ramping up."""
+        return len(self._ramps)
+
+    def pop_events(self) -> list[RampEvent]:
+        """Return the begins and ends of ramps since the last call."""
+        events, self._events = self._events, []
+        return events
+
+    def _find(self, upstream: Lifetime) -> Ramp | None:
+        ramp = self._ramps.get(upstream.mark)
+        return ramp if ramp is not None and ramp.upstream is upstream else None
+
+    def _end(self, ramp: Ramp, now: float) -> None:
+        del self._ramps[ramp.upstream.mark]
+        self._events.append(ramp.create_end(now))
+
 
 def create_slow_start(is_enabled: bool) -> SlowStart:
     """Create the slow start of an entry.
 
     :param is_enabled: the settings of the deployment ask for it.
     """
-    return NoSlowStart()
+    return AdaptiveSlowStart() if is_enabled else NoSlowStart()
--- a/src/chicoryproxy/node/dataplane.py
+++ b/src/chicoryproxy/node/dataplane.py
@@ -17,7 +17,9 @@
     Refusal,
 )
 from chicoryproxy.forwarding.packet import CallerPacket
+from chicoryproxy.forwarding.ramp import RampCause, RampEvent
 from chicoryproxy.forwarding.reachability import ProbeResult
+from chicoryproxy.forwarding.recovery import begin_ramps
 from chicoryproxy.forwarding.upstreamfailures import BrokenFlow
 from chicoryproxy.node.entrymetrics import EntryMetrics
 from chicoryproxy.node.journal import Journal
@@ -80,19 +82,24 @@
         self.forwarder.expire(now)
         for upstream in self.forwarder.reachability.pop_due(now):
             self._probe(upstream)
+        for event in self.forwarder.slow_start.pop_events():
+            self._log_ramp(event)
 
     def handle_view_change(self, belief: DirectoryEvent) -> None:
-        """Follow a change of an upstream's phase."""
+        """Follow a change of an upstream or a failure domain."""
+        now = self._loop.read_clock()
+        begin_ramps(belief, self._directory, self.forwarder.slow_start, now)
         upstream = belief.lifetime
         if belief.kind is not DirectoryEventKind.UPSTREAM_PHASE or upstream is None:
             return
-        broken = self.forwarder.failures.handle_phase_change(upstream, self._loop.read_clock())
+        broken = self.forwarder.failures.handle_phase_change(upstream, now)
         self._reset_flows(broken, upstream)
 
     def update_metrics(self) -> None:
         """Update the metrics that aren't counted as events occur."""
         self._metrics.unsent = self._socket.unsent
         self._metrics.flows = len(self.forwarder.flows)
+        self._metrics.ramping = self.forwarder.slow_start.count()
 
     def record_handshake(self, duration_s: float) -> None:
         """Record the duration of a handshake."""
@@ -195,12 +202,28 @@
             )
             if upstream.is_unreachable:
                 self._announce()
+            else:
+                now = self._loop.read_clock()
+                self.forwarder.slow_start.begin(upstream, RampCause.REACHABLE, now)
         elif result not in (ProbeResult.CONNECTED, ProbeResult.CONNECTED_SLOWLY):
             self._journal.write_rate_limited(
                 "probe", upstream=upstream.entry.id, result=result.value
             )
         self._reset_flows(broken, upstream)
 
+    def _log_ramp(self, event: RampEvent) -> None:
+        self._journal.write(
+            "ramp",
+            upstream=event.upstream.entry.id,
+            cause=event.cause.value,
+            state="end" if event.has_ended else "begin",
+            on_time=event.on_time,
+            late=event.late,
+            share=event.share,
+            candidates=event.candidates,
+            age_s=event.age_s,
+        )
+
     def _log_forwarded(self, packet: CallerPacket, data: bytes, upstream: Lifetime) -> None:
         if packet.is_opening:
             self._journal.write_rate_limited(
--- a/src/chicoryproxy/node/entrymetrics.py
+++ b/src/chicoryproxy/node/entrymetrics.py
@@ -43,6 +43,7 @@
         self.view_age_s = 0.0
         self.upstreams = 0
         self.unreachable = 0
+        self.ramping = 0
         self.peers = 0
         self.is_isolated = False
         self.handshakes = Histogram()
@@ -92,6 +93,10 @@
             "view_age_seconds": ("age of the last confirmation of the view", self.view_age_s),
             "upstreams": ("upstreams that have not ended", self.upstreams),
             "unreachable_upstreams": ("upstreams out of reach", self.unreachable),
+            "ramping_upstreams": (
+                "upstreams that get a limited share of openings",
+                self.ramping,
+            ),
             "peers": ("living entries, this one included", self.peers),
             "isolated": (
                 "1 while callers are sent to other failure domains",
