--- a/src/chicoryproxy/forwarding/ramp.py
+++ b/src/chicoryproxy/forwarding/ramp.py
@@ -16,6 +16,10 @@
 GROWTH_PER_ANSWER = 0.25
 """The more openings it gets, the more answers it needs for the same relative growth."""
 
+DOUBLING_S = 0.5
+"""The share doubles no faster than this, however many answers come: most entries know the load of
+an upstream only after a few heartbeats, and flows that are open can't be moved."""
+
 LATE_WEIGHT = 2.0
 """A late answer cancels the effect of this many answers on time."""
 
@@ -76,22 +80,23 @@
         self.peers = 0
         self.candidates = 0
         self._reports: dict[int, RampReport] = {}
-        self._offset = 0.0
+        self._offset = INITIAL_SHARE
+        self._updated_s = now
         self.share = INITIAL_SHARE
 
-    def record(self, is_late: bool) -> None:
+    def record(self, is_late: bool, now: float) -> None:
         """Count an answer at this entry."""
         if is_late:
             self.late += 1
         else:
             self.on_time += 1
-        self._update_share()
+        self._update_share(now)
 
-    def handle_report(self, host: int, report: RampReport) -> None:
+    def handle_report(self, host: int, report: RampReport, now: float) -> None:
         """Replace the counts of a peer; lower ones mean that it has begun anew."""
         if host in self._reports or len(self._reports) < MAX_REPORTING_PEERS:
             self._reports[host] = report
-            self._update_share()
+            self._update_share(now)
 
     def is_complete(self) -> bool:
         """Return whether the share is no limit any more."""
@@ -115,12 +120,15 @@
             round(now - self.began_s, 3),
         )
 
-    def _update_share(self) -> None:
+    def _update_share(self, now: float) -> None:
         on_time, late = self._estimate_counts()
         earned = GROWTH_PER_ANSWER * (on_time - LATE_WEIGHT * late)
-        # What a share below the minimum would lack need not be made up for.
-        self._offset = max(self._offset, MIN_SHARE - INITIAL_SHARE - earned)
-        self.share = INITIAL_SHARE + earned + self._offset
+        elapsed = min(1.0, (now - self._updated_s) / DOUBLING_S)
+        limit = self.share * 2.0**elapsed
+        self.share = max(MIN_SHARE, min(limit, earned + self._offset))
+        # Answers beyond either limit are not credited later.
+        self._offset = self.share - earned
+        self._updated_s = now
 
     def _estimate_counts(self) -> tuple[float, float]:
         """Estimate the counts of the whole failure domain from those of the known entries."""
--- a/src/chicoryproxy/forwarding/slowstart.py
+++ b/src/chicoryproxy/forwarding/slowstart.py
@@ -156,13 +156,13 @@
         if ramp is None:
             self._response_times.record(service, duration_s)
         else:
-            ramp.record(self._response_times.is_slow(service, duration_s))
+            ramp.record(self._response_times.is_slow(service, duration_s), now)
 
     def record_failure(self, upstream: Lifetime, now: float) -> None:
         """Record an opening or a request that was not answered in time."""
         ramp = self._find(upstream)
         if ramp is not None:
-            ramp.record(is_late=True)
+            ramp.record(True, now)
 
     def list_reports(self) -> tuple[RampReport, ...]:
         """Return what this entry has counted, others in each round if there is much."""
@@ -179,7 +179,7 @@
             ramp = self._ramps.get(report.mark)
             if ramp is not None:
                 ramp.peers = peers
-                ramp.handle_report(heartbeat.sender.host, report)
+                ramp.handle_report(heartbeat.sender.host, report, now)
 
     def expire(self, now: float) -> None:
         """End the ramps that are complete, and those of ended upstreams."""
