--- a/tests/forwarding/harness.py
+++ b/tests/forwarding/harness.py
@@ -62,8 +62,8 @@
     :ivar events: events of the last change of the directory.
     """
 
-    def __init__(self, has_false_health=False) -> None:
-        self.now = 100.0
+    def __init__(self, has_false_health=False, now=100.0) -> None:
+        self.now = now
         self.events: list[DirectoryEvent] = []
         self.directory = Directory(Bounds())
         self.forwarder: Forwarder = create_forwarder(
--- a/tests/forwarding/test_slowstart.py
+++ b/tests/forwarding/test_slowstart.py
@@ -2,21 +2,38 @@
 
 import heapq
 import itertools
+from collections import Counter
 
+import msgspec
 import pytest
+import xxhash
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from chicoryproxy.endpoint import Endpoint
 from chicoryproxy.forwarding.coldstart import DomainShare
-from chicoryproxy.forwarding.model import Bounds, Revision
+from chicoryproxy.forwarding.lifetime import Lifetime
+from chicoryproxy.forwarding.marks import get_identity
+from chicoryproxy.forwarding.model import NO_REVISION, Bounds, Revision, UpstreamEntry
 from chicoryproxy.forwarding.peermessages import (
     Heartbeat,
     PeerAddress,
+    RampReport,
     decode_message,
     encode_message,
 )
+from chicoryproxy.forwarding.ramp import RampCause
 from chicoryproxy.forwarding.recovery import begin_ramps
-from tests.forwarding.harness import OTHER_DOMAIN, OWN_DOMAIN, ROUTE, ForwarderHarness, create_packet
+from chicoryproxy.forwarding.slowstart import MAX_RAMPS, REPORTS_IN_HEARTBEAT, create_slow_start
+from chicoryproxy.ids import UpstreamId
+from tests.forwarding.harness import (
+    OTHER_DOMAIN,
+    OWN_DOMAIN,
+    ROUTE,
+    SERVICE,
+    ForwarderHarness,
+    create_packet,
+)
 
 ENTRIES = 12
 UPSTREAMS = 20
@@ -28,11 +45,6 @@
 NEW = "i-new"
 
 
-def exchange_all(sender, receiver, now):
-    """Deliver every heartbeat."""
-    return True
-
-
 class Fleet:
     """Entries of one failure domain before upstreams with two slots, under steady load.
 
@@ -43,7 +55,7 @@
     :ivar durations: response times at each upstream.
     """
 
-    def __init__(self, is_enabled=True, delivers=exchange_all, slowness=None):
+    def __init__(self, is_enabled=True, delivers=lambda sender, receiver, now: True, slowness=None):
         self.now = 100.0
         self.entries = [ForwarderHarness(is_enabled) for _ in range(ENTRIES)]
         self.opened = {}
@@ -68,7 +80,7 @@
 
     def restart(self, rank):
         """Restart an entry, whose first view has all upstreams."""
-        entry = self.entries[rank] = ForwarderHarness(True)
+        entry = self.entries[rank] = ForwarderHarness(True, self.now)
         self._prepare(rank, entry)
         entry.publish_upstream(NEW)
 
@@ -76,11 +88,7 @@
         """Start an upstream or a further lifetime of it."""
         for entry in self.entries:
             entry.now = self.now
-            known = entry.directory.known_revision
-            entry.publish_upstream(name, **fields)
-            assert known
-            for event in entry.events:
-                begin_ramps(event, entry.directory, entry.forwarder.slow_start, self.now)
+            start(entry, name, **fields)
 
     def run(self, seconds):
         """Let time pass."""
@@ -99,10 +107,6 @@
         times = self.opened.get(name, ())
         return sum(1 for time in times if start <= time < end) / (end - start)
 
-    def get_share(self, name=NEW):
-        """Return the part of the openings of the last second that went to an upstream."""
-        return self.count_openings(name, self.now - 1.0, self.now) / FAIR_PER_S
-
     def _schedule(self, time, action, *arguments):
         heapq.heappush(self._events, (time, next(self._order), action, arguments))
 
@@ -164,6 +168,39 @@
         forwarder.slow_start.handle_heartbeat(heartbeat, ENTRIES - 1, self.now)
 
 
+def list_rates(fleet, start, seconds):
+    """Return the openings per second at the new upstream in each half second."""
+    steps = range(int(seconds * 2))
+    return [fleet.count_openings(NEW, start + step / 2, start + (step + 1) / 2) for step in steps]
+
+
+def follow(harness):
+    """Begin the ramps that the last events call for."""
+    for event in harness.events:
+        begin_ramps(event, harness.directory, harness.forwarder.slow_start, harness.now)
+
+
+def start(harness, name, **fields):
+    """Start an upstream."""
+    known = harness.directory.known_revision
+    harness.publish_upstream(name, **fields)
+    harness.directory.known_revision = known
+    follow(harness)
+
+
+def create_lifetime(number):
+    """Create a lifetime that is in no directory."""
+    name = UpstreamId(f"i-{number}")
+    address = Endpoint("10.1.0.9", 1)
+    entry = UpstreamEntry(name, 7, SERVICE, address, OWN_DOMAIN, 2, False, 0.0, 1)
+    return Lifetime(entry, get_identity(entry), Revision(1), 0.0)
+
+
+def create_heartbeat(host, *ramps):
+    """Create the heartbeat of a peer."""
+    return Heartbeat(PeerAddress(host, 0), Revision(1), 0.0, False, (), (), (), False, ramps)
+
+
 def create_running_fleet(**fields):
     """Create a fleet whose load is steady."""
     fleet = Fleet(**fields)
@@ -171,13 +208,201 @@
     return fleet
 
 
-if __name__ == "__main__":
-    for kw in ({"is_enabled": False}, {}, {"slowness": {NEW: 8.0}}, {"slowness": {NEW: 3.0}},{"delivers":lambda a,b,t: False}):
-        f = create_running_fleet(**kw)
-        t = f.now
-        f.start_upstream()
-        f.run(8.0)
-        print(kw, [round(f.count_openings(NEW, t + i/2, t + i/2+.5) / FAIR_PER_S, 2) for i in range(16)])
-        d = f.durations[NEW]
-        print("  worst", round(max(d), 2), "median other", sorted(f.durations["i-3"])[len(f.durations["i-3"]) // 2], "other worst", max(f.durations["i-3"]))
-        print("  ", [round(e.forwarder.slow_start._find(e.find_upstream(NEW)).share,1) if f.entries and e.forwarder.slow_start.is_ramping(e.find_upstream(NEW)) else None for e in f.entries])
+def test_a_started_upstream_is_not_flooded():
+    """Release under steady load: the new upstream has no flows, so that it looks best to all."""
+    fleet = create_running_fleet()
+    began = fleet.now
+    fleet.start_upstream()
+    fleet.run(5.0)
+    assert max(list_rates(fleet, began, 5.0)) <= 2.5 * FAIR_PER_S
+    assert max(fleet.durations[NEW]) <= 10 * WORK_S
+
+
+def test_without_slow_start_it_is_flooded_and_then_idle():
+    """The same release with other settings: this load is one that slow start has to answer."""
+    fleet = create_running_fleet(is_enabled=False)
+    began = fleet.now
+    fleet.start_upstream()
+    fleet.run(5.0)
+    rates = list_rates(fleet, began, 5.0)
+    assert max(rates) > 8 * FAIR_PER_S
+    assert not min(rates)
+    assert not any(entry.forwarder.slow_start.count() for entry in fleet.entries)
+
+
+def test_an_upstream_that_answers_well_bears_its_part_within_three_seconds():
+    fleet = create_running_fleet()
+    fleet.start_upstream()
+    fleet.run(3.0)
+    assert fleet.count_openings(NEW, fleet.now - OPEN_S, fleet.now) >= 0.8 * FAIR_PER_S
+
+
+def test_an_upstream_that_answers_slowly_gets_less():
+    """Release of a version that works eight times as long on each request."""
+    fleet = create_running_fleet(slowness={NEW: 8.0})
+    began = fleet.now
+    fleet.start_upstream()
+    fleet.run(5.0)
+    assert 0 < fleet.count_openings(NEW, began + 1.0, fleet.now) <= 0.5 * FAIR_PER_S
+
+
+@pytest.mark.parametrize(
+    "delivers",
+    [
+        lambda sender, receiver, now: False,
+        lambda sender, receiver, now: sender < receiver,
+        lambda sender, receiver, now: xxhash.xxh32_intdigest(bytes([sender, int(now * 10) % 256]))
+        % 2,
+    ],
+    ids=["all lost", "one-way", "half lost"],
+)
+def test_lost_heartbeats_lead_neither_to_a_flood_nor_to_idleness(delivers):
+    """Release while entries don't hear each other: each of them paces its own openings."""
+    fleet = create_running_fleet(delivers=delivers)
+    began = fleet.now
+    fleet.start_upstream()
+    fleet.run(4.0)
+    assert max(list_rates(fleet, began, 4.0)) <= 3 * FAIR_PER_S
+    assert fleet.count_openings(NEW, began, fleet.now) >= 0.4 * FAIR_PER_S
+
+
+def test_an_entry_that_restarts_during_a_ramp_does_not_flood_the_upstream():
+    """A restarted entry knows of no ramp; the others still keep to theirs."""
+    fleet = create_running_fleet()
+    began = fleet.now
+    fleet.start_upstream()
+    fleet.run(0.5)
+    fleet.restart(0)
+    fleet.run(3.0)
+    assert not fleet.entries[0].forwarder.slow_start.count()
+    assert max(list_rates(fleet, began, 3.5)) <= 3.5 * FAIR_PER_S
+
+
+def test_a_new_lifetime_under_the_same_id_begins_anew():
+    """Crash loop: what the former lifetime has answered says nothing of the next one."""
+    fleet = create_running_fleet()
+    fleet.start_upstream(started_ms=1)
+    fleet.run(3.0)
+    began = fleet.now
+    fleet.start_upstream(started_ms=2)
+    fleet.run(0.5)
+    assert fleet.count_openings(NEW, began, fleet.now) <= FAIR_PER_S
+
+
+def test_openings_are_spread_as_before_if_all_upstreams_start_at_once():
+    """Restart of a whole service: there is nothing to compare with, and nothing is refused."""
+    harness = ForwarderHarness(True)
+    harness.publish_routing(1)
+    for number in range(4):
+        start(harness, f"i-{number}")
+    opened = Counter(harness.open_flow(caller=caller)[0].entry.id for caller in range(1, 101))
+    assert harness.forwarder.slow_start.count() == 4
+    assert max(opened.values()) <= 26
+
+
+def test_entries_of_other_domains_leave_a_ramping_upstream_to_its_own():
+    harness = ForwarderHarness(True)
+    harness.publish_routing(1)
+    harness.publish_upstream("i-1")
+    start(harness, NEW, domain=OTHER_DOMAIN)
+    opened = {harness.open_flow(caller=caller)[0].entry.id for caller in range(1, 51)}
+    assert opened == {"i-1"}
+
+
+def test_the_first_view_of_an_entry_begins_no_ramp():
+    """Restart of an entry: upstreams that are new to it have run for long."""
+    harness = ForwarderHarness(True)
+    harness.publish_routing(1)
+    harness.directory.known_revision = NO_REVISION
+    start(harness, "i-1")
+    assert not harness.forwarder.slow_start.count()
+
+
+def test_an_upstream_that_was_missing_begins_a_ramp_unless_it_has_just_answered():
+    """Lapsed registration: an upstream that served meanwhile has its flows."""
+    for idle_s, ramps in ((0.2, 0), (1.5, 1)):
+        harness = ForwarderHarness(True)
+        harness.publish_routing(1)
+        harness.publish_upstream("i-1").answered_s = harness.now
+        harness.remove_upstream("i-1")
+        harness.advance(idle_s)
+        start(harness, "i-1")
+        assert harness.forwarder.slow_start.count() == ramps
+
+
+def test_the_upstreams_of_a_domain_that_is_back_begin_ramps():
+    harness = ForwarderHarness(True)
+    harness.publish_routing(1)
+    for name, domain in (("i-1", OWN_DOMAIN), ("i-2", OTHER_DOMAIN)):
+        harness.publish_upstream(name, domain=domain)
+    harness.take_domain_out(OTHER_DOMAIN)
+    harness.bring_domain_back(OTHER_DOMAIN)
+    follow(harness)
+    (event,) = harness.forwarder.slow_start.pop_events()
+    assert (event.upstream.entry.id, event.cause) == ("i-2", RampCause.DOMAIN_BACK)
+
+
+def test_an_upstream_ramps_after_it_was_suspected():
+    """Upstream that hangs for a while: all entries avoided it and return to it together."""
+    harness = ForwarderHarness(True)
+    harness.publish_routing(1)
+    harness.publish_upstream("i-1")
+    _, port = harness.send_opening()
+    for _ in range(2):
+        harness.advance(0.2)
+        harness.send_opening(port=port, copy=1)
+    (event,) = harness.forwarder.slow_start.pop_events()
+    assert event.cause is RampCause.SUSPECTED
+
+
+def test_state_and_reports_stay_bounded_when_all_upstreams_start():
+    """Restart of 24,000 upstreams."""
+    slow_start = create_slow_start(is_enabled=True)
+    for number in range(24_000):
+        slow_start.begin(create_lifetime(number), RampCause.STARTED, 0.0)
+    assert slow_start.count() == MAX_RAMPS
+    assert len(slow_start.list_reports()) == REPORTS_IN_HEARTBEAT
+    seen = {report.mark for _ in range(MAX_RAMPS) for report in slow_start.list_reports()}
+    assert len(seen) == MAX_RAMPS
+
+
+def test_heartbeats_of_an_older_version_have_no_reports():
+    """Rolling update of the entries."""
+    heartbeat = Heartbeat(PeerAddress(1, 0), Revision(1), 0.0, False, (), (), ())
+    fields = msgspec.msgpack.decode(encode_message(heartbeat))
+    older = decode_message(msgspec.msgpack.encode(fields[:-1]))
+    assert older == heartbeat
+    create_slow_start(is_enabled=True).handle_heartbeat(older, 1, 0.0)
+
+
+@settings(max_examples=40, deadline=None)
+@given(
+    reports=st.lists(st.tuples(*[st.integers(0, 300)] * 3), max_size=40), entries=st.integers(1, 6)
+)
+def test_a_cold_upstream_gets_some_openings_but_never_more_than_its_limit(reports, entries):
+    """Cold start beside warm upstreams; reports of peers come in any order, or not at all."""
+    fleet = [ForwarderHarness(True) for _ in range(entries)]
+    for rank, harness in enumerate(fleet):
+        harness.publish_routing(1, cold_per_s=4.0)
+        harness.forwarder.cold_budget.share = DomainShare(rank, entries)
+        harness.publish_upstream("i-1", slots=1)
+        start(harness, NEW, cold_s=60.0)
+    opened = []
+    for step in range(300):
+        harness = fleet[step % entries]
+        harness.now = 100.0 + step * 0.01
+        harness.forwarder.pause.tick(True, harness.now)
+        if step < len(reports):
+            host, on_time, late = reports[step]
+            report = RampReport(harness.find_upstream(NEW).mark, on_time, late)
+            harness.forwarder.slow_start.handle_heartbeat(
+                create_heartbeat(host, report), 6, harness.now
+            )
+        if harness.send_opening(caller=step + 1)[0].entry.id == NEW:
+            opened.append(harness.now)
+    bounds = Bounds()
+    limit = 4.0 * bounds.cold_overage + bounds.cold_slack
+    assert opened
+    assert (
+        max(sum(1 for item in opened if first <= item < first + 1.0) for first in opened) <= limit
+    )
