--- a/src/chicoryproxy/forwarding/forwarder.py
+++ b/src/chicoryproxy/forwarding/forwarder.py
@@ -359,7 +359,7 @@
     cold_budget = ColdBudget(directory)
     domains = DomainReachability(directory, seed)
     reports = UnreachableReports()
-    slow_start = create_slow_start(has_false_health)
+    slow_start = create_slow_start(has_false_health, domain)
     policy = create_opening_policy(
         domain, directory, flows, failure_detector, cold_budget, domains, reports, slow_start
     )
--- a/src/chicoryproxy/forwarding/slowstart.py
+++ b/src/chicoryproxy/forwarding/slowstart.py
@@ -7,6 +7,7 @@
 """
 
 from abc import ABC, abstractmethod
+from collections.abc import Sequence
 
 import xxhash
 
@@ -15,6 +16,7 @@
 from chicoryproxy.forwarding.peermessages import Heartbeat, RampReport
 from chicoryproxy.forwarding.ramp import Ramp, RampCause, RampEvent
 from chicoryproxy.forwarding.responsetimes import ResponseTimes
+from chicoryproxy.ids import DomainId
 
 MAX_RAMPS = 128
 """If more upstreams ramp up at once, the ramps that began first are given up."""
@@ -22,6 +24,10 @@
 REPORTS_IN_HEARTBEAT = 6
 """If there are more ramps, each heartbeat has others of them."""
 
+REMOTE_RAMP_S = 8.0
+"""Entries of other failure domains don't see the answers; by then those of its own have found the
+pace, or have no callers for it."""
+
 _HASH_RANGE = 2.0**64
 
 
@@ -43,6 +49,10 @@
         :param candidates: upstreams that the opening could go to otherwise.
         """
 
+    @abstractmethod
+    def record_candidates(self, upstreams: Sequence[Lifetime]) -> None:
+        """Record that an opening could go to ramping upstreams only, so that none is limited."""
+
     @abstractmethod
     def record_response(self, upstream: Lifetime, duration_s: float, now: float) -> None:
         """Record the time from a request to its response, also of upstreams that don't ramp."""
@@ -57,9 +67,9 @@
 
     @abstractmethod
     def handle_heartbeat(self, heartbeat: Heartbeat, peers: int, now: float) -> None:
-        """Take over the counts of a peer.
+        """Take over the counts of a peer of the own failure domain.
 
-        :param peers: live peers of the own failure domain.
+        :param peers: live peers there.
         """
 
     @abstractmethod
@@ -89,6 +99,9 @@
         """Return True."""
         return True
 
+    def record_candidates(self, upstreams: Sequence[Lifetime]) -> None:
+        """Do nothing."""
+
     def record_response(self, upstream: Lifetime, duration_s: float, now: float) -> None:
         """Do nothing."""
 
@@ -119,9 +132,13 @@
 
     A hash of the flow and the mark decides whether an upstream is considered, so that all entries
     together keep to the share without messages.
+
+    :param domain: failure domain of this entry. Only its entries open flows at an upstream that
+        ramps up; the others leave it alone for ``REMOTE_RAMP_S``.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, domain: DomainId) -> None:
+        self._domain = domain
         # Ordered by begin, oldest first.
         self._ramps: dict[Mark, Ramp] = {}
         self._response_times = ResponseTimes()
@@ -134,7 +151,8 @@
         while len(self._ramps) >= MAX_RAMPS:
             self._end(next(iter(self._ramps.values())), now)
         self._ramps[upstream.mark] = Ramp(upstream, cause, now)
-        self._events.append(RampEvent(upstream, cause, False))
+        if upstream.entry.domain == self._domain:
+            self._events.append(RampEvent(upstream, cause, False))
 
     def is_ramping(self, upstream: Lifetime) -> bool:
         """Return whether an upstream is ramping up."""
@@ -149,6 +167,14 @@
         point = xxhash.xxh3_64_intdigest(upstream.mark_bytes + flow) / _HASH_RANGE
         return point * ramp.candidates < ramp.share
 
+    def record_candidates(self, upstreams: Sequence[Lifetime]) -> None:
+        """Record that an opening could go to ramping upstreams only, so that none is limited."""
+        near = [upstream for upstream in upstreams if upstream.entry.domain == self._domain]
+        for upstream in near:
+            ramp = self._find(upstream)
+            if ramp is not None:
+                ramp.candidates = max(1, len(near) - 1)
+
     def record_response(self, upstream: Lifetime, duration_s: float, now: float) -> None:
         """Record the time from a request to its response, also of upstreams that don't ramp."""
         service = upstream.entry.service
@@ -166,7 +192,7 @@
 
     def list_reports(self) -> tuple[RampReport, ...]:
         """Return what this entry has counted, others in each round if there is much."""
-        ramps = list(self._ramps.values())
+        ramps = [ramp for ramp in self._ramps.values() if not self._is_remote(ramp)]
         if len(ramps) > REPORTS_IN_HEARTBEAT:
             self._round += 1
             start = self._round * REPORTS_IN_HEARTBEAT % len(ramps)
@@ -184,7 +210,8 @@
     def expire(self, now: float) -> None:
         """End the ramps that are complete, and those of ended upstreams."""
         for ramp in list(self._ramps.values()):
-            if ramp.is_complete() or ramp.upstream.phase is UpstreamPhase.GONE:
+            is_over = self._is_remote(ramp) and now - ramp.began_s >= REMOTE_RAMP_S
+            if is_over or ramp.is_complete() or ramp.upstream.phase is UpstreamPhase.GONE:
                 self._end(ramp, now)
 
     def count(self) -> int:
@@ -200,14 +227,19 @@
         ramp = self._ramps.get(upstream.mark)
         return ramp if ramp is not None and ramp.upstream is upstream else None
 
+    def _is_remote(self, ramp: Ramp) -> bool:
+        return ramp.upstream.entry.domain != self._domain
+
     def _end(self, ramp: Ramp, now: float) -> None:
         del self._ramps[ramp.upstream.mark]
-        self._events.append(ramp.create_end(now))
+        if not self._is_remote(ramp):
+            self._events.append(ramp.create_end(now))
 
 
-def create_slow_start(is_enabled: bool) -> SlowStart:
+def create_slow_start(is_enabled: bool, domain: DomainId) -> SlowStart:
     """Create the slow start of an entry.
 
     :param is_enabled: the settings of the deployment ask for it.
+    :param domain: failure domain of the entry.
     """
-    return AdaptiveSlowStart() if is_enabled else NoSlowStart()
+    return AdaptiveSlowStart(domain) if is_enabled else NoSlowStart()
--- a/src/chicoryproxy/node/entry.py
+++ b/src/chicoryproxy/node/entry.py
@@ -132,6 +132,8 @@
 
     def handle_ramps(self, heartbeat: Heartbeat) -> None:
         """Take over what a peer has counted of the upstreams that are ramping up."""
+        if not heartbeat.ramps or heartbeat.sender.domain != self._view.peers.own.domain:
+            return
         now = self._loop.read_clock()
         peers = self._view.peers.count_own_domain(now)
         self._data_plane.forwarder.slow_start.handle_heartbeat(heartbeat, peers, now)
