--- a/src/chicoryproxy/forwarding/ramp.py
+++ b/src/chicoryproxy/forwarding/ramp.py
@@ -69,6 +69,8 @@
     :ivar late: other responses, and requests and openings without an answer.
     :ivar peers: live peers of the own failure domain.
     :ivar candidates: upstreams that the last opening could go to otherwise; zero before the first.
+    :ivar share: part of the openings that it may get, as if all upstreams were equal.
+    :ivar completed_s: when the share became no limit any more, ``None`` before.
     """
 
     def __init__(self, upstream: Lifetime, cause: RampCause, now: float) -> None:
@@ -83,6 +85,7 @@
         self._offset = INITIAL_SHARE
         self._updated_s = now
         self.share = INITIAL_SHARE
+        self.completed_s: float | None = None
 
     def record(self, is_late: bool, now: float) -> None:
         """Count an answer at this entry."""
@@ -98,9 +101,12 @@
             self._reports[host] = report
             self._update_share(now)
 
-    def is_complete(self) -> bool:
-        """Return whether the share is no limit any more."""
-        return 0 < self.candidates <= self.share
+    def complete(self, now: float) -> bool:
+        """Complete the ramp if the share is no limit any more; return whether it is now."""
+        if self.completed_s is None and 0 < self.candidates <= self.share:
+            self.completed_s = now
+            return True
+        return False
 
     def create_report(self) -> RampReport:
         """Create the report for the peers."""
--- a/src/chicoryproxy/forwarding/slowstart.py
+++ b/src/chicoryproxy/forwarding/slowstart.py
@@ -28,6 +28,9 @@
 """Entries of other failure domains don't see the answers; by then those of its own have found the
 pace, or have no callers for it."""
 
+REPORT_AFTER_S = 4.0
+"""The entry of a complete ramp goes on to report answers, for the peers that have seen fewer."""
+
 _HASH_RANGE = 2.0**64
 
 
@@ -149,18 +152,18 @@
         """Start a ramp, or start it anew."""
         self._ramps.pop(upstream.mark, None)
         while len(self._ramps) >= MAX_RAMPS:
-            self._end(next(iter(self._ramps.values())), now)
+            self._remove(next(iter(self._ramps.values())), now)
         self._ramps[upstream.mark] = Ramp(upstream, cause, now)
         if upstream.entry.domain == self._domain:
             self._events.append(RampEvent(upstream, cause, False))
 
     def is_ramping(self, upstream: Lifetime) -> bool:
         """Return whether an upstream is ramping up."""
-        return self._find(upstream) is not None
+        return self._find_limiting(upstream) is not None
 
     def accepts(self, upstream: Lifetime, flow: FlowId, candidates: int) -> bool:
         """Return whether a ramping upstream is considered for an opening."""
-        ramp = self._find(upstream)
+        ramp = self._find_limiting(upstream)
         if ramp is None:
             return True
         ramp.candidates = max(1, candidates)
@@ -171,17 +174,17 @@
         """Record that an opening could go to ramping upstreams only, so that none is limited."""
         near = [upstream for upstream in upstreams if upstream.entry.domain == self._domain]
         for upstream in near:
-            ramp = self._find(upstream)
+            ramp = self._find_limiting(upstream)
             if ramp is not None:
                 ramp.candidates = max(1, len(near) - 1)
 
     def record_response(self, upstream: Lifetime, duration_s: float, now: float) -> None:
         """Record the time from a request to its response, also of upstreams that don't ramp."""
         service = upstream.entry.service
-        ramp = self._find(upstream)
-        if ramp is None:
+        if not self.is_ramping(upstream):
             self._response_times.record(service, duration_s)
-        else:
+        ramp = self._find(upstream)
+        if ramp is not None:
             ramp.record(self._response_times.is_slow(service, duration_s), now)
 
     def record_failure(self, upstream: Lifetime, now: float) -> None:
@@ -210,13 +213,14 @@
     def expire(self, now: float) -> None:
         """End the ramps that are complete, and those of ended upstreams."""
         for ramp in list(self._ramps.values()):
-            is_over = self._is_remote(ramp) and now - ramp.began_s >= REMOTE_RAMP_S
-            if is_over or ramp.is_complete() or ramp.upstream.phase is UpstreamPhase.GONE:
-                self._end(ramp, now)
+            if ramp.complete(now):
+                self._events.append(ramp.create_end(now))
+            elif self._is_outdated(ramp, now):
+                self._remove(ramp, now)
 
     def count(self) -> int:
         """Return the number of upstreams that are ramping up."""
-        return len(self._ramps)
+        return sum(1 for ramp in self._ramps.values() if ramp.completed_s is None)
 
     def pop_events(self) -> list[RampEvent]:
         """Return the begins and ends of ramps since the last call."""
@@ -227,12 +231,22 @@
         ramp = self._ramps.get(upstream.mark)
         return ramp if ramp is not None and ramp.upstream is upstream else None
 
+    def _find_limiting(self, upstream: Lifetime) -> Ramp | None:
+        ramp = self._find(upstream)
+        return ramp if ramp is not None and ramp.completed_s is None else None
+
+    def _is_outdated(self, ramp: Ramp, now: float) -> bool:
+        if ramp.completed_s is not None and now - ramp.completed_s >= REPORT_AFTER_S:
+            return True
+        is_over = self._is_remote(ramp) and now - ramp.began_s >= REMOTE_RAMP_S
+        return is_over or ramp.upstream.phase is UpstreamPhase.GONE
+
     def _is_remote(self, ramp: Ramp) -> bool:
         return ramp.upstream.entry.domain != self._domain
 
-    def _end(self, ramp: Ramp, now: float) -> None:
+    def _remove(self, ramp: Ramp, now: float) -> None:
         del self._ramps[ramp.upstream.mark]
-        if not self._is_remote(ramp):
+        if ramp.completed_s is None and not self._is_remote(ramp):
             self._events.append(ramp.create_end(now))
 
 
