--- a/src/chicoryproxy/forwarding/placement.py
+++ b/src/chicoryproxy/forwarding/placement.py
@@ -206,19 +206,21 @@
     ) -> list[Lifetime]:
         """Return the ramping upstreams that are considered together with the usable ones.
 
-        Only entries of their own failure domain consider them, so that no more share them out. If
-        no other domain can take the rest of the load, the usable ones are not left alone with it.
+        One of the own failure domain is an alternative to the others there. Unless other domains
+        can take the rest of the load, the ramping ones don't count, so that the usable ones are
+        not left alone with it.
         """
-        near = [upstream for upstream in ramping if upstream.entry.domain == self._domain]
-        if not near:
-            return []
-        others = sum(1 for upstream in usable if upstream.entry.domain == self._domain)
-        if others < len(usable):
-            others += len(near) - 1
+        near = _count_domain(usable, self._domain)
+        has_remote = near < len(usable)
+        if has_remote:
+            near += _count_domain(ramping, self._domain) - 1
+        total = len(usable) + len(ramping) - 1
         return [
             upstream
-            for upstream in near
-            if self._slow_start.accepts(upstream, opening.flow, others)
+            for upstream in ramping
+            if self._slow_start.accepts(
+                upstream, opening.flow, near if upstream.entry.domain == self._domain else total
+            )
         ]
 
     def _find_exclusion(self, upstream: Lifetime, now: float) -> Exclusion | None:
@@ -287,6 +289,10 @@
         return cost
 
 
+def _count_domain(upstreams: Iterable[Lifetime], domain: DomainId) -> int:
+    return sum(1 for upstream in upstreams if upstream.entry.domain == domain)
+
+
 def create_opening_policy(
     domain: DomainId,
     directory: Directory,
--- a/src/chicoryproxy/forwarding/ramp.py
+++ b/src/chicoryproxy/forwarding/ramp.py
@@ -70,6 +70,7 @@
     :ivar peers: live peers of the own failure domain.
     :ivar candidates: upstreams that the last opening could go to otherwise; zero before the first.
     :ivar share: part of the openings that it may get, as if all upstreams were equal.
+    :ivar is_delayed: this entry does not yet open flows there.
     :ivar completed_s: when the share became no limit any more, ``None`` before.
     """
 
@@ -85,6 +86,7 @@
         self._offset = INITIAL_SHARE
         self._updated_s = now
         self.share = INITIAL_SHARE
+        self.is_delayed = False
         self.completed_s: float | None = None
 
     def record(self, is_late: bool, now: float) -> None:
--- a/src/chicoryproxy/forwarding/slowstart.py
+++ b/src/chicoryproxy/forwarding/slowstart.py
@@ -24,9 +24,9 @@
 REPORTS_IN_HEARTBEAT = 6
 """If there are more ramps, each heartbeat has others of them."""
 
-REMOTE_RAMP_S = 8.0
-"""Entries of other failure domains don't see the answers; by then those of its own have found the
-pace, or have no callers for it."""
+REMOTE_DELAY_S = 3.0
+"""Entries of other failure domains begin later, when those of its own have some answers or have no
+callers for it."""
 
 REPORT_AFTER_S = 4.0
 """The entry of a complete ramp goes on to report answers, for the peers that have seen fewer."""
@@ -136,8 +136,8 @@
     A hash of the flow and the mark decides whether an upstream is considered, so that all entries
     together keep to the share without messages.
 
-    :param domain: failure domain of this entry. Only its entries open flows at an upstream that
-        ramps up; the others leave it alone for ``REMOTE_RAMP_S``.
+    :param domain: failure domain of this entry. Entries of other domains than the upstream's leave
+        it alone for ``REMOTE_DELAY_S``, and then find their own share of all upstreams.
     """
 
     def __init__(self, domain: DomainId) -> None:
@@ -154,7 +154,8 @@
         while len(self._ramps) >= MAX_RAMPS:
             self._remove(next(iter(self._ramps.values())), now)
         self._ramps[upstream.mark] = Ramp(upstream, cause, now)
-        if upstream.entry.domain == self._domain:
+        self._ramps[upstream.mark].is_delayed = self._is_remote(upstream)
+        if not self._is_remote(upstream):
             self._events.append(RampEvent(upstream, cause, False))
 
     def is_ramping(self, upstream: Lifetime) -> bool:
@@ -167,16 +168,19 @@
         if ramp is None:
             return True
         ramp.candidates = max(1, candidates)
+        if ramp.is_delayed:
+            return False
         point = xxhash.xxh3_64_intdigest(upstream.mark_bytes + flow) / _HASH_RANGE
         return point * ramp.candidates < ramp.share
 
     def record_candidates(self, upstreams: Sequence[Lifetime]) -> None:
         """Record that an opening could go to ramping upstreams only, so that none is limited."""
-        near = [upstream for upstream in upstreams if upstream.entry.domain == self._domain]
-        for upstream in near:
+        near = sum(1 for upstream in upstreams if not self._is_remote(upstream))
+        for upstream in upstreams:
             ramp = self._find_limiting(upstream)
             if ramp is not None:
-                ramp.candidates = max(1, len(near) - 1)
+                alternatives = len(upstreams) if self._is_remote(upstream) else near
+                ramp.candidates = max(1, alternatives - 1)
 
     def record_response(self, upstream: Lifetime, duration_s: float, now: float) -> None:
         """Record the time from a request to its response, also of upstreams that don't ramp."""
@@ -195,7 +199,7 @@
 
     def list_reports(self) -> tuple[RampReport, ...]:
         """Return what this entry has counted, others in each round if there is much."""
-        ramps = [ramp for ramp in self._ramps.values() if not self._is_remote(ramp)]
+        ramps = [ramp for ramp in self._ramps.values() if not ramp.is_delayed]
         if len(ramps) > REPORTS_IN_HEARTBEAT:
             self._round += 1
             start = self._round * REPORTS_IN_HEARTBEAT % len(ramps)
@@ -213,9 +217,11 @@
     def expire(self, now: float) -> None:
         """End the ramps that are complete, and those of ended upstreams."""
         for ramp in list(self._ramps.values()):
-            if ramp.complete(now):
-                self._events.append(ramp.create_end(now))
-            elif self._is_outdated(ramp, now):
+            if ramp.is_delayed:
+                ramp.is_delayed = now - ramp.began_s < REMOTE_DELAY_S
+            elif ramp.complete(now):
+                self._record_end(ramp, now)
+            if _is_outdated(ramp, now):
                 self._remove(ramp, now)
 
     def count(self) -> int:
@@ -235,21 +241,24 @@
         ramp = self._find(upstream)
         return ramp if ramp is not None and ramp.completed_s is None else None
 
-    def _is_outdated(self, ramp: Ramp, now: float) -> bool:
-        if ramp.completed_s is not None and now - ramp.completed_s >= REPORT_AFTER_S:
-            return True
-        is_over = self._is_remote(ramp) and now - ramp.began_s >= REMOTE_RAMP_S
-        return is_over or ramp.upstream.phase is UpstreamPhase.GONE
-
-    def _is_remote(self, ramp: Ramp) -> bool:
-        return ramp.upstream.entry.domain != self._domain
+    def _is_remote(self, upstream: Lifetime) -> bool:
+        return upstream.entry.domain != self._domain
 
     def _remove(self, ramp: Ramp, now: float) -> None:
         del self._ramps[ramp.upstream.mark]
-        if ramp.completed_s is None and not self._is_remote(ramp):
+        if ramp.completed_s is None:
+            self._record_end(ramp, now)
+
+    def _record_end(self, ramp: Ramp, now: float) -> None:
+        if not self._is_remote(ramp.upstream):
             self._events.append(ramp.create_end(now))
 
 
+def _is_outdated(ramp: Ramp, now: float) -> bool:
+    is_reported = ramp.completed_s is not None and now - ramp.completed_s >= REPORT_AFTER_S
+    return is_reported or ramp.upstream.phase is UpstreamPhase.GONE
+
+
 def create_slow_start(is_enabled: bool, domain: DomainId) -> SlowStart:
     """Create the slow start of an entry.
 
--- a/tests/forwarding/test_slowstart.py
+++ b/tests/forwarding/test_slowstart.py
@@ -26,7 +26,7 @@
 from chicoryproxy.forwarding.recovery import begin_ramps
 from chicoryproxy.forwarding.slowstart import (
     MAX_RAMPS,
-    REMOTE_RAMP_S,
+    REMOTE_DELAY_S,
     REPORTS_IN_HEARTBEAT,
     create_slow_start,
 )
@@ -314,15 +314,17 @@
     assert max(ramping) <= UPSTREAMS // 4
 
 
-def test_entries_of_other_domains_leave_a_ramping_upstream_to_its_own():
+def test_entries_of_other_domains_begin_later():
     harness = ForwarderHarness(True)
     harness.publish_routing(1)
     harness.publish_upstream("i-1")
     start(harness, NEW, domain=OTHER_DOMAIN)
     opened = {harness.open_flow(caller=caller)[0].entry.id for caller in range(1, 51)}
     assert opened == {"i-1"}
-    harness.forwarder.slow_start.expire(harness.now + REMOTE_RAMP_S)
-    assert not harness.forwarder.slow_start.count()
+    harness.advance(REMOTE_DELAY_S)
+    harness.forwarder.expire(harness.now)
+    later = Counter(harness.open_flow(caller=caller)[0].entry.id for caller in range(100, 200))
+    assert 25 <= later[NEW] <= 75
 
 
 def test_the_first_view_of_an_entry_begins_no_ramp():
