--- a/tests/forwarding/harness.py
+++ b/tests/forwarding/harness.py
@@ -62,12 +62,12 @@
     :ivar events: events of the last change of the directory.
     """
 
-    def __init__(self, has_false_health=False, now=100.0) -> None:
+    def __init__(self, has_false_health=False, now=100.0, domain=OWN_DOMAIN) -> None:
         self.now = now
         self.events: list[DirectoryEvent] = []
         self.directory = Directory(Bounds())
         self.forwarder: Forwarder = create_forwarder(
-            OWN_DOMAIN, self.directory, self.now, NullObserver(), has_false_health
+            domain, self.directory, self.now, NullObserver(), has_false_health
         )
         self.forwarder.is_synced = True
         self.forwarder.cold_budget.share = DomainShare(0, 1)
--- a/tests/forwarding/test_slowstart.py
+++ b/tests/forwarding/test_slowstart.py
@@ -48,10 +48,11 @@
 OPEN_S = 1.5
 HEARTBEAT_S = 0.4
 NEW = "i-new"
+DOMAINS = (OWN_DOMAIN, OTHER_DOMAIN)
 
 
 class Fleet:
-    """Entries of one failure domain before upstreams with two slots, under steady load.
+    """Entries of one or two failure domains before upstreams with two slots, under steady load.
 
     Each flow has one request and stays open for ``OPEN_S``. Requests wait for a free slot.
 
@@ -60,9 +61,16 @@
     :ivar durations: response times at each upstream.
     """
 
-    def __init__(self, is_enabled=True, delivers=lambda sender, receiver, now: True, slowness=None):
+    def __init__(
+        self,
+        is_enabled=True,
+        delivers=lambda sender, receiver, now: True,
+        slowness=None,
+        domains=DOMAINS[:1],
+    ):
         self.now = 100.0
-        self.entries = [ForwarderHarness(is_enabled) for _ in range(ENTRIES)]
+        self._domains = [domains[rank % len(domains)] for rank in range(ENTRIES)]
+        self.entries = [ForwarderHarness(is_enabled, domain=domain) for domain in self._domains]
         self.opened = {}
         self.durations = {}
         self.slowness = slowness or {}
@@ -81,11 +89,11 @@
         entry.publish_routing(1, cold_per_s=20.0)
         entry.forwarder.cold_budget.share = DomainShare(rank, ENTRIES)
         for number in range(UPSTREAMS):
-            entry.publish_upstream(f"i-{number}")
+            entry.publish_upstream(f"i-{number}", domain=self._domains[number % ENTRIES])
 
     def restart(self, rank):
         """Restart an entry, whose first view has all upstreams."""
-        entry = self.entries[rank] = ForwarderHarness(True, self.now)
+        entry = self.entries[rank] = ForwarderHarness(True, self.now, self._domains[rank])
         self._prepare(rank, entry)
         entry.publish_upstream(NEW)
 
@@ -163,14 +171,16 @@
             for step in (number, number * 3 + 1):
                 receiver = (rank + 1 + step % (ENTRIES - 1)) % ENTRIES
                 if self._delivers(rank, receiver, self.now):
-                    self._receive(receiver, heartbeat)
+                    self._receive(rank, receiver, heartbeat)
             forwarder.expire(self.now)
         self._schedule(self.now + HEARTBEAT_S, self._exchange)
 
-    def _receive(self, rank, heartbeat):
-        forwarder = self.entries[rank].forwarder
+    def _receive(self, sender, receiver, heartbeat):
+        forwarder = self.entries[receiver].forwarder
         forwarder.flows.peer_loads.handle_heartbeat(heartbeat, self.now)
-        forwarder.slow_start.handle_heartbeat(heartbeat, ENTRIES - 1, self.now)
+        if self._domains[sender] == self._domains[receiver]:
+            peers = self._domains.count(self._domains[receiver]) - 1
+            forwarder.slow_start.handle_heartbeat(heartbeat, peers, self.now)
 
 
 def list_rates(fleet, start, seconds):
@@ -235,6 +245,16 @@
     assert not any(entry.forwarder.slow_start.count() for entry in fleet.entries)
 
 
+def test_entries_of_another_domain_do_not_flood_a_started_upstream_later():
+    """Release under steady load: its few flows look like room to all domains."""
+    fleet = create_running_fleet(domains=DOMAINS)
+    began = fleet.now
+    fleet.start_upstream()
+    fleet.run(8.0)
+    assert max(list_rates(fleet, began, 8.0)) <= 2.5 * FAIR_PER_S
+    assert max(fleet.durations[NEW]) <= 10 * WORK_S
+
+
 def test_an_upstream_that_answers_well_bears_its_part_within_three_seconds():
     fleet = create_running_fleet()
     fleet.start_upstream()
