--- a/src/chicoryproxy/forwarding/peering.py
+++ b/src/chicoryproxy/forwarding/peering.py
@@ -60,6 +60,9 @@
 LOADS_IN_HEARTBEAT = 28
 """If there are more loads, the heaviest ones are reported."""
 
+LOADS_REPLACED_BY_RAMP = 2
+"""So many loads need no fewer bytes than the report of a ramp."""
+
 UNREACHABLE_IN_HEARTBEAT = 28
 """If there are more unreachable upstreams, each heartbeat has others of them."""
 
@@ -169,12 +172,13 @@
     ) -> Heartbeat:
         """Create the heartbeat of this entry."""
         heaviest = sorted(loads, key=lambda load: load.flows + load.waiting, reverse=True)
+        load_count = LOADS_IN_HEARTBEAT - len(ramps) * LOADS_REPLACED_BY_RAMP
         return Heartbeat(
             self.own,
             synced,
             self.report_age(now),
             is_leaving,
-            tuple(heaviest[:LOADS_IN_HEARTBEAT]),
+            tuple(heaviest[:load_count]),
             self._select_unreachable(unreachable),
             self._list_peers(PEERS_IN_HEARTBEAT, now),
             is_isolated,
--- a/src/chicoryproxy/forwarding/ramp.py
+++ b/src/chicoryproxy/forwarding/ramp.py
@@ -23,6 +23,10 @@
 LATE_WEIGHT = 2.0
 """A late answer cancels the effect of this many answers on time."""
 
+UNLIMITED_S = 2.0
+"""Upstreams of a service that all started together need no ramp after this time, in which nothing
+could limit them; those that start later are compared with them."""
+
 MAX_EXTRAPOLATION = 4.0
 """The answers that some entries counted are scaled up to all entries by no more than this."""
 
@@ -71,6 +75,7 @@
     :ivar candidates: upstreams that the last opening could go to otherwise; zero before the first.
     :ivar share: part of the openings that it may get, as if all upstreams were equal.
     :ivar is_delayed: this entry does not yet open flows there.
+    :ivar unlimited_s: time since which all upstreams of the service were ramping, ``None`` if not.
     :ivar completed_s: when the share became no limit any more, ``None`` before.
     """
 
@@ -87,6 +92,7 @@
         self._updated_s = now
         self.share = INITIAL_SHARE
         self.is_delayed = False
+        self.unlimited_s: float | None = None
         self.completed_s: float | None = None
 
     def record(self, is_late: bool, now: float) -> None:
@@ -105,10 +111,12 @@
 
     def complete(self, now: float) -> bool:
         """Complete the ramp if the share is no limit any more; return whether it is now."""
-        if self.completed_s is None and 0 < self.candidates <= self.share:
-            self.completed_s = now
-            return True
-        return False
+        is_earned = 0 < self.candidates <= self.share
+        is_unlimited = self.unlimited_s is not None and now - self.unlimited_s >= UNLIMITED_S
+        if self.completed_s is not None or not (is_earned or is_unlimited):
+            return False
+        self.completed_s = now
+        return True
 
     def create_report(self) -> RampReport:
         """Create the report for the peers."""
--- a/src/chicoryproxy/forwarding/slowstart.py
+++ b/src/chicoryproxy/forwarding/slowstart.py
@@ -21,7 +21,7 @@
 MAX_RAMPS = 128
 """If more upstreams ramp up at once, the ramps that began first are given up."""
 
-REPORTS_IN_HEARTBEAT = 6
+REPORTS_IN_HEARTBEAT = 4
 """If there are more ramps, each heartbeat has others of them."""
 
 REMOTE_DELAY_S = 3.0
@@ -53,8 +53,11 @@
         """
 
     @abstractmethod
-    def record_candidates(self, upstreams: Sequence[Lifetime]) -> None:
-        """Record that an opening could go to ramping upstreams only, so that none is limited."""
+    def record_unlimited(self, upstreams: Sequence[Lifetime], now: float) -> None:
+        """Record that an opening could go to these ramping upstreams only.
+
+        None of them is limited then, since no other one could bear the load instead.
+        """
 
     @abstractmethod
     def record_response(self, upstream: Lifetime, duration_s: float, now: float) -> None:
@@ -102,7 +105,7 @@
         """Return True."""
         return True
 
-    def record_candidates(self, upstreams: Sequence[Lifetime]) -> None:
+    def record_unlimited(self, upstreams: Sequence[Lifetime], now: float) -> None:
         """Do nothing."""
 
     def record_response(self, upstream: Lifetime, duration_s: float, now: float) -> None:
@@ -168,19 +171,18 @@
         if ramp is None:
             return True
         ramp.candidates = max(1, candidates)
+        ramp.unlimited_s = None
         if ramp.is_delayed:
             return False
         point = xxhash.xxh3_64_intdigest(upstream.mark_bytes + flow) / _HASH_RANGE
         return point * ramp.candidates < ramp.share
 
-    def record_candidates(self, upstreams: Sequence[Lifetime]) -> None:
-        """Record that an opening could go to ramping upstreams only, so that none is limited."""
-        near = sum(1 for upstream in upstreams if not self._is_remote(upstream))
+    def record_unlimited(self, upstreams: Sequence[Lifetime], now: float) -> None:
+        """Record that an opening could go to these ramping upstreams only."""
         for upstream in upstreams:
             ramp = self._find_limiting(upstream)
-            if ramp is not None:
-                alternatives = len(upstreams) if self._is_remote(upstream) else near
-                ramp.candidates = max(1, alternatives - 1)
+            if ramp is not None and ramp.unlimited_s is None:
+                ramp.unlimited_s = now
 
     def record_response(self, upstream: Lifetime, duration_s: float, now: float) -> None:
         """Record the time from a request to its response, also of upstreams that don't ramp."""
