--- a/src/chicoryproxy/forwarding/forwarder.py
+++ b/src/chicoryproxy/forwarding/forwarder.py
@@ -35,6 +35,7 @@
     create_opening_policy,
 )
 from chicoryproxy.forwarding.probecontrol import ControlProbeSelector
+from chicoryproxy.forwarding.ramp import RampCause
 from chicoryproxy.forwarding.reachability import ReachabilityMonitor
 from chicoryproxy.forwarding.sequence import (
     add_to_sequence,
@@ -320,6 +321,7 @@
         self.reachability.suspect(upstream, now)
         self.slow_start.record_failure(upstream, now)
         if self.failure_detector.record_failure(upstream, now):
+            self.slow_start.begin(upstream, RampCause.SUSPECTED, now)
             self.observer.record_suspicion(upstream, self.failure_detector.get_failures(upstream))
 
     def _record_response(
@@ -368,7 +370,7 @@
     cold_budget = ColdBudget(directory)
     domains = DomainReachability(directory, seed)
     reports = UnreachableReports()
-    slow_start = create_slow_start(has_false_health)
+    slow_start = create_slow_start(has_false_health, domain)
     policy = create_opening_policy(
         domain, directory, flows, failure_detector, cold_budget, domains, reports, slow_start
     )
--- a/src/chicoryproxy/forwarding/placement.py
+++ b/src/chicoryproxy/forwarding/placement.py
@@ -157,6 +157,7 @@
         self, service: ServiceId, opening: Opening, now: float
     ) -> Lifetime | None:
         usable: list[Lifetime] = []
+        ramping: list[Lifetime] = []
         cold: list[Lifetime] = []
         suspected: list[Lifetime] = []
         fallback: list[Lifetime] = []
@@ -167,17 +168,47 @@
                     fallback.append(upstream)
             elif exclusion is not None:
                 continue
+            elif upstream in opening.tried or self._is_suspected(upstream, now):
+                (cold if upstream.is_cold(now) else suspected).append(upstream)
+            elif self._slow_start.is_ramping(upstream):
+                ramping.append(upstream)
             elif upstream.is_cold(now):
                 cold.append(upstream)
-            elif upstream in opening.tried or self._is_suspected(upstream, now):
-                suspected.append(upstream)
             else:
                 usable.append(upstream)
+        if usable:
+            usable += self._list_accepted(ramping, usable, opening)
+        else:
+            usable = [upstream for upstream in ramping if not upstream.is_cold(now)]
+            self._slow_start.record_unlimited(usable, now)
+        cold += [upstream for upstream in ramping if upstream.is_cold(now)]
         for candidates in (usable, cold, suspected, fallback):
             if candidates:
                 return self._choose_least_loaded(candidates, opening)
         return None
 
+    def _list_accepted(
+        self, ramping: Sequence[Lifetime], usable: Sequence[Lifetime], opening: Opening
+    ) -> list[Lifetime]:
+        """Return the ramping upstreams that are considered together with the usable ones.
+
+        One of the own failure domain is an alternative to the others there. Unless other domains
+        can take the rest of the load, the ramping ones don't count, so that the usable ones are
+        not left alone with it.
+        """
+        near = _count_domain(usable, self._domain)
+        has_remote = near < len(usable)
+        if has_remote:
+            near += _count_domain(ramping, self._domain) - 1
+        total = len(usable) + len(ramping) - 1
+        return [
+            upstream
+            for upstream in ramping
+            if self._slow_start.accepts(
+                upstream, opening.flow, near if upstream.entry.domain == self._domain else total
+            )
+        ]
+
     def _find_exclusion(self, upstream: Lifetime, now: float) -> Exclusion | None:
         if upstream.is_mark_taken:
             return Exclusion.MARK_TAKEN
@@ -244,6 +275,10 @@
         return cost
 
 
+def _count_domain(upstreams: Iterable[Lifetime], domain: DomainId) -> int:
+    return sum(1 for upstream in upstreams if upstream.entry.domain == domain)
+
+
 def create_opening_policy(
     domain: DomainId,
     directory: Directory,
