Keep probes, reads of the store and ticks going after an unexpected error

Found by the review of the containment of errors, each reproduced there: an error at the start of one probe left up to 16 upstreams marked as being probed, and no probe followed; one at the start of a read ended the reading of the store; one in the listener was taken by the HTTP parser for an invalid response, was never reported, and the store was read again without a pause; one early in a tick skipped the rest of it, and one while the entry stopped kept it running.

The HTTP client now delivers a response outside the parser. Retries are scheduled, with their backoff, before the listener runs. The changes of one reading are applied one by one, so that a fault with one key doesn't hold up the others. Steps of a tick fail for themselves.

--- a/src/chicoryproxy/eventloop/http.py
+++ b/src/chicoryproxy/eventloop/http.py
@@ -64,6 +64,7 @@
         self._parser: httptools.HttpResponseParser | None = None
         self._headers: dict[bytes, bytes] = {}
         self._body = bytearray()
+        self._response: HttpResponse | None = None
         self._on_result: Callable[[HttpResult], None] | None = None
         self._timer: Timer | None = None
 
@@ -111,6 +112,11 @@
             self._parser.feed_data(data)
         except httptools.HttpParserError as error:
             self._finish(HttpFailure(ConnectionAbortedError(str(error))), keep_open=False)
+            return
+        # Outside the parser, which would take an exception of the receiver for its own.
+        response, self._response = self._response, None
+        if response is not None:
+            self._finish(response, keep_open=response.keeps_alive)
 
     def handle_closed(self, error: OSError | None) -> None:
         """Fail the pending request."""
@@ -134,8 +140,7 @@
         assert self._parser is not None
         keeps_alive = self._parser.should_keep_alive()
         status = self._parser.get_status_code()
-        response = HttpResponse(status, self._headers, bytes(self._body), keeps_alive)
-        self._finish(response, keep_open=keeps_alive)
+        self._response = HttpResponse(status, self._headers, bytes(self._body), keeps_alive)
 
     def _expire(self, due_s: float) -> None:
         self._finish(HttpTimeout(self._loop.read_clock() - due_s), keep_open=False)
--- a/src/chicoryproxy/eventloop/loop.py
+++ b/src/chicoryproxy/eventloop/loop.py
@@ -81,6 +81,19 @@
         heapq.heappush(self._timers, (read_clock() + delay_s, next(self._timer_numbers), timer))
         return timer
 
+    def call(self, callback: Callback) -> None:
+        """Call a callback; an exception that it raises is reported and goes no further."""
+        try:
+            callback()
+        except Exception as error:
+            self.report(error)
+
+    def report(self, error: Exception) -> None:
+        """Report an unexpected error, or raise it if nobody handles errors."""
+        if self.on_error is None:
+            raise error
+        self.on_error(error)
+
     def call_repeatedly(self, get_interval_s: Callable[[], float], callback: Callback) -> None:
         """Call a callback now and then repeatedly, also if it raises an exception.
 
@@ -93,7 +106,7 @@
             finally:
                 self.call_later(get_interval_s(), call)
 
-        self._call(call)
+        self.call(call)
 
     def watch(
         self,
@@ -152,23 +165,15 @@
     def _handle_ready(self, key: selectors.SelectorKey, events: int) -> None:
         handlers: _Handlers = key.data
         if events & selectors.EVENT_WRITE and handlers.on_writable:
-            self._call(handlers.on_writable)
+            self.call(handlers.on_writable)
         if events & selectors.EVENT_READ and handlers.on_readable:
-            self._call(handlers.on_readable)
+            self.call(handlers.on_readable)
 
     def _run_timers(self, limit_s: float) -> None:
         while self._timers and self._timers[0][0] <= limit_s:
             _, _, timer = heapq.heappop(self._timers)
-            self._call(timer.callback)
+            self.call(timer.callback)
 
     def _handle_wakeup(self) -> None:
         for number in self._wakeup_reader.recv(64):
-            self._call(self._signals.get(number, _ignore))
-
-    def _call(self, callback: Callback) -> None:
-        try:
-            callback()
-        except Exception as error:
-            if self.on_error is None:
-                raise
-            self.on_error(error)
+            self.call(self._signals.get(number, _ignore))
--- a/src/chicoryproxy/node/dataplane.py
+++ b/src/chicoryproxy/node/dataplane.py
@@ -82,7 +82,7 @@
         """Expire outdated state and start the probes that are due."""
         self.forwarder.expire(now)
         for upstream in self.forwarder.reachability.pop_due(now):
-            self._probe(upstream)
+            self._start_probe(upstream)
         for event in self.forwarder.slow_start.pop_events():
             self._log_ramp(event)
 
@@ -177,6 +177,14 @@
             "cause_age_s": round(age_s, 3),
         }
 
+    def _start_probe(self, upstream: Lifetime) -> None:
+        """Start a probe; one that can't be started is due again at the next tick."""
+        try:
+            self._probe(upstream)
+        except Exception as error:
+            self._handle_probe_result(upstream, ProbeResult.DISCARDED)
+            self._loop.report(error)
+
     def _probe(self, upstream: Lifetime) -> None:
         def handle_result(result: ProbeResult) -> None:
             self._handle_probe_result(upstream, result)
--- a/src/chicoryproxy/node/entry.py
+++ b/src/chicoryproxy/node/entry.py
@@ -110,13 +110,14 @@
         self._loop.call_later(min(LEAVE_DELAY_S, self._settings.bounds.grace_s / 2), self._stop)
 
     def _stop(self) -> None:
+        # First, so that an error while something is closed doesn't keep the process running.
+        self._loop.stop()
         self._readiness_server.close()
         self._metrics_server.close()
         self._view.stop()
         self._data_plane.stop()
         self._journal.write("stop")
         self._journal.flush()
-        self._loop.stop()
 
     def _end_start(self) -> None:
         """Receive packets from now on; what was loaded so far is never garbage."""
@@ -194,16 +195,20 @@
 
     def _tick(self) -> None:
         now = self._loop.read_clock()
-        self._handle_pause(now)
+        self._loop.call(lambda: self._handle_pause(now))
         # Before the phase: an entry that starts in an isolated domain must not report ready.
-        self._update_isolation(now)
-        self._update_phase()
-        self._data_plane.forwarder.reachability.is_view_behind = self._view.is_behind
-        self._data_plane.forwarder.cold_budget.share = self._view.peers.compute_share(now)
-        self._view.expire(now)
-        self._data_plane.tick(now)
+        self._loop.call(lambda: self._update_isolation(now))
+        self._loop.call(self._update_phase)
+        self._loop.call(lambda: self._update_forwarder(now))
+        self._loop.call(lambda: self._view.expire(now))
+        self._loop.call(lambda: self._data_plane.tick(now))
         self._journal.flush()
 
+    def _update_forwarder(self, now: float) -> None:
+        forwarder = self._data_plane.forwarder
+        forwarder.reachability.is_view_behind = self._view.is_behind
+        forwarder.cold_budget.share = self._view.peers.compute_share(now)
+
     def _get_tick_interval(self) -> float:
         is_starting = self._phase is EntryPhase.STARTING
         return STARTING_TICK_INTERVAL_S if is_starting else TICK_INTERVAL_S
--- a/src/chicoryproxy/node/peers.py
+++ b/src/chicoryproxy/node/peers.py
@@ -156,8 +156,8 @@
     ) -> None:
         self._on_result: Callable[[ChangesReply | None], None] | None = on_result
         self._frame_decoder = _FrameDecoder()
-        self._timer = loop.call_later(CHANGES_TIMEOUT_S, lambda: self._finish(None))
         self._stream: Stream = open_stream(loop, peer, self)
+        self._timer = loop.call_later(CHANGES_TIMEOUT_S, lambda: self._finish(None))
         self._stream.write(_encode_frame(request))
 
     def handle_connected(self) -> None:
--- a/src/chicoryproxy/node/probe.py
+++ b/src/chicoryproxy/node/probe.py
@@ -34,8 +34,8 @@
         self._loop = loop
         self._on_result = on_result
         self._due_s = loop.read_clock() + CONNECT_TIMEOUT_S
-        self._timer = loop.call_later(CONNECT_TIMEOUT_S, self._expire)
         self._stream: Stream = open_stream(loop, address, self)
+        self._timer = loop.call_later(CONNECT_TIMEOUT_S, self._expire)
 
     def handle_connected(self) -> None:
         """Report success; the kernel of the upstream's host completed the handshake."""
--- a/src/chicoryproxy/node/storewatch.py
+++ b/src/chicoryproxy/node/storewatch.py
@@ -72,6 +72,13 @@
         self._schedule(0.0)
 
     def _read_next(self) -> None:
+        try:
+            self._read()
+        except Exception:
+            self._schedule_retry()
+            raise
+
+    def _read(self) -> None:
         if self._needs_listing:
             # After lost history, a stale listing could again be older than the remaining history.
             allow_stale = not self._listener.get_synced_revision()
@@ -89,7 +96,7 @@
             self._handle_failure(result)
             return
         # If the listener raises an exception, the store is listed again after the delay.
-        self._schedule(self._retry_s)
+        self._schedule_retry()
         self._listener.handle_listing(result)
         self._needs_listing = False
         self._needs_confirmation = True
@@ -100,16 +107,20 @@
         if isinstance(result, ReadFailure):
             self._handle_failure(result)
             return
+        self._schedule_retry()
+        self._listener.handle_changes(result.changes, result.revision)
         self._needs_confirmation = False
         self._retry_s = RETRY_MIN_S
         # Changes often come in quick succession; a short delay lets one request return several.
         self._schedule(BATCH_DELAY_S if result.changes else 0.0)
-        self._listener.handle_changes(result.changes, result.revision)
 
     def _handle_failure(self, failure: ReadFailure) -> None:
-        self._listener.handle_failure(failure)
         if failure is ReadFailure.HISTORY_LOST:
             self._needs_listing = True
+        self._schedule_retry()
+        self._listener.handle_failure(failure)
+
+    def _schedule_retry(self) -> None:
         self._schedule(self._retry_s)
         self._retry_s = min(RETRY_MAX_S, self._retry_s * 2)
 
--- a/src/chicoryproxy/node/view.py
+++ b/src/chicoryproxy/node/view.py
@@ -199,7 +199,7 @@
         is_newer_whole = since > self.replica.synced
         for change in changes:
             if self.replica.merge(change, is_newer_whole):
-                self._report_view_changes(self.directory.apply(change, now))
+                self._apply(change, now)
         has_more = revision > self.replica.synced
         self.replica.advance_synced(revision, since)
         self.directory.known_revision = self.replica.synced
@@ -207,6 +207,10 @@
         if has_more:
             self.announce()
 
+    def _apply(self, change: Change, now: float) -> None:
+        """Apply a change; an unexpected error in one must not hold up the changes of other keys."""
+        self._loop.call(lambda: self._report_view_changes(self.directory.apply(change, now)))
+
     def _report_view_changes(self, beliefs: Iterable[DirectoryEvent]) -> None:
         for belief in beliefs:
             self._journal.write(
--- /dev/null
+++ b/tests/node/test_dataplane.py
@@ -0,0 +1,64 @@
+"""The data plane goes on probing when a probe can't be started."""
+
+from chicoryproxy.forwarding.directory import Directory
+from chicoryproxy.forwarding.model import Bounds, EntrySettings
+from chicoryproxy.forwarding.reachability import MAX_CONCURRENT_PROBES, ProbeResult
+from chicoryproxy.ids import DomainId, InstanceId, RegionId
+from chicoryproxy.model import Endpoint
+from chicoryproxy.node.dataplane import DataPlane
+from chicoryproxy.node.entrymetrics import EntryMetrics
+from chicoryproxy.node.journal import Journal
+from tests.forwarding.harness import OWN_DOMAIN, ForwarderHarness
+from tests.node.fakestore import HOST, pick_port
+
+
+def create_data_plane(loop, log):
+    """Create the data plane of an entry without peers."""
+    endpoint = Endpoint(HOST, pick_port())
+    settings = EntrySettings(
+        InstanceId("entry-1"),
+        DomainId(OWN_DOMAIN),
+        {DomainId(OWN_DOMAIN): RegionId("klang-valley")},
+        endpoint,
+        endpoint,
+        endpoint,
+        endpoint,
+        (),
+        endpoint,
+        1000,
+        False,
+        Bounds(),
+    )
+    journal = Journal("entry-1", lambda: 0.0, loop.read_clock, log.fileno())
+    directory = Directory(Bounds())
+    return DataPlane(loop, settings, directory, journal, EntryMetrics(), 1, lambda: None)
+
+
+def test_probes_go_on_after_some_could_not_be_started(loop, tmp_path, monkeypatch):
+    """All descriptors are in use while a failure domain with many upstreams is suspected."""
+    errors = []
+    loop.on_error = errors.append
+    harness = ForwarderHarness()
+    upstreams = [harness.publish_upstream(f"i-{number}") for number in range(40)]
+    with (tmp_path / "log").open("wb") as log:
+        plane = create_data_plane(loop, log)
+        started = []
+
+        def fail(upstream):
+            raise OSError(24, "too many open files")
+
+        now = loop.read_clock()
+        for upstream in upstreams:
+            plane.forwarder.reachability.suspect(upstream, now)
+        monkeypatch.setattr(plane, "_probe", fail)
+        plane.tick(now)
+        monkeypatch.setattr(plane, "_probe", started.append)
+        for step in range(1, 6):
+            plane.tick(now + step * 0.05)
+            while started:
+                upstream = started.pop()
+                upstreams.remove(upstream)
+                plane._handle_probe_result(upstream, ProbeResult.CONNECTED)
+        plane.stop()
+    assert len(errors) == MAX_CONCURRENT_PROBES
+    assert upstreams == []
--- a/tests/node/test_http.py
+++ b/tests/node/test_http.py
@@ -69,3 +69,23 @@
     assert get(loop, client, "/").body == b"first"
     client.set_server(Endpoint(HOST, second.port))
     assert get(loop, client, "/").body == b"second"
+
+
+def test_an_error_of_the_receiver_is_no_invalid_response(loop):
+    """A fault in the handling of a response must be reported, and not be taken for the server's."""
+    errors = []
+    loop.on_error = errors.append
+    server = HttpServer(loop, Endpoint(HOST, 0), lambda path: ServerResponse(200, b"ok"))
+    client = HttpClient(loop, Endpoint(HOST, server.port))
+    results = []
+
+    def receive(result):
+        results.append(result)
+        raise LookupError("fault")
+
+    client.get("/", 1.0, receive)
+    run_until(loop, lambda: errors)
+    client.close()
+    server.close()
+    assert [type(error) for error in errors] == [LookupError]
+    assert [type(result) for result in results] == [HttpResponse]
--- a/tests/node/test_storewatch.py
+++ b/tests/node/test_storewatch.py
@@ -160,3 +160,69 @@
     watch.revalidate()
     run_until(loop, lambda: listener.confirmations > before)
     assert loop.read_clock() - started < 0.15
+
+
+class FailingListener(Listener):
+    """Raises an error for the first results of each kind.
+
+    :ivar remaining: number of errors still to raise.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.remaining = 0
+        self.attempts = 0
+
+    def _keep(self, changes, revision):
+        self.attempts += 1
+        if self.remaining:
+            self.remaining -= 1
+            raise LookupError("fault")
+        super()._keep(changes, revision)
+
+
+@pytest.mark.parametrize("errors", [1, 3])
+def test_the_store_is_read_again_after_an_error_of_the_listener(loop, store, errors):
+    """A fault while changes are merged must not end the only reader of a failure domain."""
+    reported = []
+    loop.on_error = reported.append
+    listener = FailingListener()
+    watch = StoreWatch(loop, StoreClient(loop, store.address, DOMAINS), listener, Policy())
+    listener.remaining = errors
+    store.put("servers/i-0001", create_server_entry())
+    watch.start()
+    run_until(loop, lambda: len(listener.changes) == 1)
+    listener.remaining = errors
+    store.put("op/config", create_config(3))
+    run_until(loop, lambda: "routing" in listener.changes)
+    assert len(reported) == 2 * errors
+
+
+def test_reads_are_repeated_at_growing_intervals_while_the_listener_fails(loop, store):
+    loop.on_error = lambda error: None
+    listener = FailingListener()
+    listener.remaining = 1_000_000
+    store.put("servers/i-0001", create_server_entry())
+    StoreWatch(loop, StoreClient(loop, store.address, DOMAINS), listener, Policy()).start()
+    loop.call_later(1.5, loop.stop)
+    loop.run()
+    assert 2 <= listener.attempts <= 5
+
+
+def test_a_read_that_can_not_be_sent_is_sent_later(loop, store, listener, watch, monkeypatch):
+    """All descriptors are in use for a moment."""
+    reported = []
+    loop.on_error = reported.append
+    send = watch._client.list_all
+    failures = iter([OSError(24, "too many open files")])
+
+    def list_all(*arguments):
+        for error in failures:
+            raise error
+        send(*arguments)
+
+    monkeypatch.setattr(watch._client, "list_all", list_all)
+    store.put("servers/i-0001", create_server_entry())
+    loop.call_later(0.0, watch.start)
+    run_until(loop, lambda: listener.changes)
+    assert len(reported) == 1
