--- a/src/chicoryproxy/forwarding/flows.py
+++ b/src/chicoryproxy/forwarding/flows.py
@@ -5,14 +5,11 @@
 retransmissions.
 """
 
-import math
 from collections import OrderedDict
 from collections.abc import Iterator
 
-from msgspec import Struct
-
 from chicoryproxy.forwarding.lifetime import Lifetime
-from chicoryproxy.forwarding.model import FlowId, Mark
+from chicoryproxy.forwarding.model import FlowId
 from chicoryproxy.forwarding.peerloads import PeerLoads
 from chicoryproxy.forwarding.peermessages import LoadReport
 
@@ -20,12 +17,6 @@
 LOAD_IDLE_S = 5.0
 """A flow without packets for this long is no longer counted as load."""
 
-AVERAGING_S = 1.0
-"""Time constant of the average loads that are reported to peers."""
-
-REPORT_SCALE = 10
-"""Reported loads are in tenths."""
-
 
 class Flow:
     """State of one flow as seen by this entry.
@@ -85,45 +76,12 @@
     :ivar unended: flows that have not ended, with or without recent packets.
     """
 
-    __slots__ = (
-        "flows",
-        "waiting",
-        "unended",
-        "_average_flows",
-        "_average_waiting",
-        "_averaged_s",
-    )
+    __slots__ = ("flows", "waiting", "unended")
 
-    def __init__(self, now: float) -> None:
+    def __init__(self) -> None:
         self.flows = 0
         self.waiting = 0
         self.unended = 0
-        self._average_flows = 0.0
-        self._average_waiting = 0.0
-        self._averaged_s = now
-
-    def average(self, now: float) -> None:
-        """Bring the averages up to date; to be called before each change."""
-        share = 1.0 - math.exp((self._averaged_s - now) / AVERAGING_S)
-        self._average_flows += (self.flows - self._average_flows) * share
-        self._average_waiting += (self.waiting - self._average_waiting) * share
-        self._averaged_s = now
-
-    def create_report(self, mark: Mark) -> LoadReport:
-        """Create the report of the averages."""
-        flows = round(self._average_flows * REPORT_SCALE)
-        return LoadReport(mark, flows, round(self._average_waiting * REPORT_SCALE))
-
-
-class UpstreamLoad(Struct, frozen=True):
-    """Load of all known entries at one upstream.
-
-    :param flows: flows with recent packets.
-    :param waiting: unanswered requests.
-    """
-
-    flows: float
-    waiting: float
 
 
 class FlowTable:
@@ -139,7 +97,6 @@
         self._flows: OrderedDict[FlowId, Flow] = OrderedDict()
         self._idle: OrderedDict[FlowId, Flow] = OrderedDict()
         self._loads: dict[Lifetime, Load] = {}
-        self._now_s = 0.0
         self.peer_loads = PeerLoads()
 
     def __len__(self) -> int:
@@ -163,7 +120,6 @@
 
     def touch(self, flow_id: FlowId, now: float) -> Flow:
         """Return a flow, creating it if needed, and update the time of its last packet."""
-        self._now_s = now
         flow = self._flows.get(flow_id)
         if flow is not None:
             flow.seen_s = now
@@ -188,9 +144,9 @@
         flow.upstream = upstream
         flow.is_counted = True
         flow.has_ended = False
-        if upstream not in self._loads:
-            self._loads[upstream] = Load(self._now_s)
-        load = self._change_load(upstream)
+        load = self._loads.get(upstream)
+        if load is None:
+            load = self._loads[upstream] = Load()
         load.flows += 1
         load.unended += 1
 
@@ -200,7 +156,7 @@
             return
         self.end_wait(flow)
         flow.is_counted = False
-        self._change_load(flow.upstream).flows -= 1
+        self._loads[flow.upstream].flows -= 1
 
     def end(self, flow: Flow) -> None:
         """Record that the caller has ended a flow.
@@ -222,7 +178,7 @@
             return False
         flow.waiting_since_s = now
         flow.retransmissions = 0
-        self._change_load(flow.upstream).waiting += 1
+        self._loads[flow.upstream].waiting += 1
         return True
 
     def end_wait(self, flow: Flow) -> None:
@@ -230,7 +186,7 @@
         if flow.waiting_since_s is not None and flow.upstream is not None:
             flow.waiting_since_s = None
             flow.retransmissions = 0
-            self._change_load(flow.upstream).waiting -= 1
+            self._loads[flow.upstream].waiting -= 1
 
     def remove(self, flow_id: FlowId) -> None:
         """Remove a flow."""
@@ -244,7 +200,6 @@
 
         :param idle_timeout_s: seconds without a packet after which a flow is removed.
         """
-        self._now_s = now
         while self._flows:
             flow_id, flow = next(iter(self._flows.items()))
             if now - flow.seen_s < LOAD_IDLE_S:
@@ -257,39 +212,32 @@
                 break
             self.remove(flow_id)
 
-    def report_loads(self, now: float) -> tuple[LoadReport, ...]:
-        """Return the average load of this entry at each upstream."""
-        reports: list[LoadReport] = []
-        for upstream, load in list(self._loads.items()):
-            load.average(now)
-            report = load.create_report(upstream.mark)
-            if report.flows or report.waiting:
-                reports.append(report)
-            elif not load.unended:
-                del self._loads[upstream]
-        return tuple(reports)
-
-    def _change_load(self, upstream: Lifetime) -> Load:
-        """Return the load of an upstream, for a change of it now."""
-        load = self._loads[upstream]
-        load.average(self._now_s)
-        return load
+    def report_loads(self) -> tuple[LoadReport, ...]:
+        """Return the load of this entry at each upstream."""
+        return tuple(
+            LoadReport(upstream.mark, load.flows, load.waiting)
+            for upstream, load in self._loads.items()
+            if load.flows
+        )
 
     def _leave_upstream(self, flow: Flow) -> None:
         """Mark a flow as ended at its upstream."""
         if flow.upstream is None or flow.has_ended:
             return
         flow.has_ended = True
-        self._loads[flow.upstream].unended -= 1
+        load = self._loads[flow.upstream]
+        load.unended -= 1
+        if not load.unended:
+            del self._loads[flow.upstream]
 
     def _evict_if_full(self) -> None:
         if len(self) >= self._capacity:
             self.remove(next(iter(self._idle or self._flows)))
 
-    def get_load(self, upstream: Lifetime) -> UpstreamLoad:
+    def get_load(self, upstream: Lifetime) -> LoadReport:
         """Return the load of an upstream from this entry and, as last reported, from its peers."""
         own = self._loads.get(upstream)
         reported = self.peer_loads.get(upstream.mark)
-        flows = (own.flows if own else 0) + (reported.flows / REPORT_SCALE if reported else 0)
-        waiting = (own.waiting if own else 0) + (reported.waiting / REPORT_SCALE if reported else 0)
-        return UpstreamLoad(flows, waiting)
+        flows = (own.flows if own else 0) + (reported.flows if reported else 0)
+        waiting = (own.waiting if own else 0) + (reported.waiting if reported else 0)
+        return LoadReport(upstream.mark, flows, waiting)
--- a/src/chicoryproxy/forwarding/forwarder.py
+++ b/src/chicoryproxy/forwarding/forwarder.py
@@ -23,6 +23,7 @@
 from chicoryproxy.forwarding.packet import CallerPacket
 from chicoryproxy.forwarding.pause import PauseDetector
 from chicoryproxy.forwarding.pending import PendingResponses
+from chicoryproxy.forwarding.performance import Performance, create_performance
 from chicoryproxy.forwarding.placement import (
     Exclusion,
     Opening,
@@ -92,6 +93,7 @@
     domains: DomainReachability
     failures: UpstreamFailures
     slow_start: SlowStart
+    performance: Performance
     admission: AdmissionControl
     observer: TrafficObserver
 
@@ -114,6 +116,7 @@
         self.reachability = parts.reachability
         self.failures = parts.failures
         self.slow_start = parts.slow_start
+        self._performance = parts.performance
         self._admission = parts.admission
         self._domains = parts.domains
         self.recent_openings = RecentOpenings()
@@ -146,6 +149,7 @@
         self.failure_detector.expire(now)
         self.cold_budget.expire(now)
         self.slow_start.expire(now)
+        self._performance.expire(now)
 
     def _handle_opening(self, packet: CallerPacket, now: float) -> Decision:
         if not self.is_synced or self.pause.is_unconfirmed or self.pause.is_late(now):
@@ -285,6 +289,8 @@
                 duration_s = now - flow.waiting_since_s
                 self.observer.record_response(duration_s)
                 self.slow_start.record_response(upstream, duration_s, now)
+                if not flow.retransmissions:
+                    self._performance.record_response(upstream, duration_s, now)
             self.flows.end_wait(flow)
             self._record_answer(upstream, now)
 
@@ -358,8 +364,17 @@
     domains = DomainReachability(directory, seed)
     reports = UnreachableReports()
     slow_start = create_slow_start(has_false_health)
+    performance = create_performance(has_false_health)
     policy = create_opening_policy(
-        domain, directory, flows, failure_detector, cold_budget, domains, reports, slow_start
+        domain,
+        directory,
+        flows,
+        failure_detector,
+        cold_budget,
+        domains,
+        reports,
+        slow_start,
+        performance,
     )
     reachability = ReachabilityMonitor(FALSE_HEALTH_QUIET_S if has_false_health else 0.0)
     control = ControlProbeSelector(directory, domain, reachability.is_failing)
@@ -374,6 +389,7 @@
         domains,
         failures,
         slow_start,
+        performance,
         UnlimitedAdmission(),
         observer,
     )
--- a/src/chicoryproxy/forwarding/peering.py
+++ b/src/chicoryproxy/forwarding/peering.py
@@ -57,7 +57,7 @@
 PEERS_IN_DISCOVERY_REPLY = 100
 """Number of peers sent to a newly started entry that knows none."""
 
-LOADS_IN_HEARTBEAT = 24
+LOADS_IN_HEARTBEAT = 28
 """If there are more loads, the heaviest ones are reported."""
 
 UNREACHABLE_IN_HEARTBEAT = 28
@@ -168,15 +168,13 @@
         ramps: tuple[RampReport, ...] = (),
     ) -> Heartbeat:
         """Create the heartbeat of this entry."""
-        heaviest = heapq.nlargest(
-            LOADS_IN_HEARTBEAT, loads, key=lambda load: load.flows + load.waiting
-        )
+        heaviest = sorted(loads, key=lambda load: load.flows + load.waiting, reverse=True)
         return Heartbeat(
             self.own,
             synced,
             self.report_age(now),
             is_leaving,
-            tuple(heaviest),
+            tuple(heaviest[:LOADS_IN_HEARTBEAT]),
             self._select_unreachable(unreachable),
             self._list_peers(PEERS_IN_HEARTBEAT, now),
             is_isolated,
--- a/src/chicoryproxy/forwarding/peermessages.py
+++ b/src/chicoryproxy/forwarding/peermessages.py
@@ -42,13 +42,10 @@
 
 
 class LoadReport(Struct, frozen=True, array_like=True):
-    """Average load of one entry at one upstream in the last second.
+    """Load of one entry at one upstream.
 
-    A request often takes less time than the report of it. Entries that chose by the momentary loads
-    of their peers would all choose the same upstream, one that was idle a moment ago.
-
-    :param flows: flows with recent packets, in tenths.
-    :param waiting: unanswered requests, in tenths.
+    :param flows: flows with recent packets.
+    :param waiting: unanswered requests.
     """
 
     mark: Mark
--- a/src/chicoryproxy/forwarding/placement.py
+++ b/src/chicoryproxy/forwarding/placement.py
@@ -24,6 +24,7 @@
     Route,
     UpstreamPhase,
 )
+from chicoryproxy.forwarding.performance import Performance
 from chicoryproxy.forwarding.slowstart import SlowStart
 from chicoryproxy.forwarding.unreachablereports import UnreachableReports
 from chicoryproxy.ids import DomainId, ServiceId
@@ -34,6 +35,9 @@
 WAITING_WEIGHT = 2.0
 """An unanswered request counts as this many flows."""
 
+OPENING_LOAD = 1.0 + WAITING_WEIGHT
+"""Load that an opening adds; without it a slow idle upstream would cost no more than a fast one."""
+
 FAILURE_COST = 1.0
 """Penalty for each failure since the last answer, as load per slot."""
 
@@ -111,6 +115,7 @@
         domains: DomainReachability,
         reports: UnreachableReports,
         slow_start: SlowStart,
+        performance: Performance,
     ) -> None:
         self._domain = domain
         self._directory = directory
@@ -120,6 +125,7 @@
         self._domains = domains
         self._reports = reports
         self._slow_start = slow_start
+        self._performance = performance
 
     def choose(self, opening: Opening, now: float) -> Lifetime | None:
         """Select the least loaded upstream of the best non-empty class."""
@@ -250,6 +256,9 @@
     def _compute_cost(self, upstream: Lifetime, opening: Opening) -> float:
         load = self._flows.get_load(upstream)
         busy = load.flows + WAITING_WEIGHT * load.waiting
+        factor = self._performance.get_factor(upstream)
+        if factor is not None:
+            busy = (busy + OPENING_LOAD) * factor
         cost = busy / upstream.entry.slots
         cost += AVOIDED_COST * opening.avoided.count(upstream)
         cost += FAILURE_COST * self._failure_detector.get_failures(upstream)
@@ -267,8 +276,17 @@
     domains: DomainReachability,
     reports: UnreachableReports,
     slow_start: SlowStart,
+    performance: Performance,
 ) -> OpeningPolicy:
     """Create the policy of an entry."""
     return LeastLoadPolicy(
-        domain, directory, flows, failure_detector, cold_budget, domains, reports, slow_start
+        domain,
+        directory,
+        flows,
+        failure_detector,
+        cold_budget,
+        domains,
+        reports,
+        slow_start,
+        performance,
     )
--- a/src/chicoryproxy/node/entry.py
+++ b/src/chicoryproxy/node/entry.py
@@ -123,8 +123,8 @@
         self._data_plane.handle_view_change(belief)
 
     def list_upstream_loads(self) -> tuple[LoadReport, ...]:
-        """Return the average load of this entry at each upstream."""
-        return self._data_plane.forwarder.flows.report_loads(self._loop.read_clock())
+        """Return the load of this entry at each upstream."""
+        return self._data_plane.forwarder.flows.report_loads()
 
     def list_ramps(self) -> tuple[RampReport, ...]:
         """Return what this entry has counted of the upstreams that are ramping up."""
