Place openings by measured response times, and weigh reported load less

Cause: peers' momentary counts are up to 2.5 s old, many times the length of a request, so that entries avoided busy upstreams together; and an upstream's speed was unknown.

On only where health checks may be false.

Messages keep their fields and units, so there is nothing for an older version to misread.

--- a/benchmarks/placement_baselines.py
+++ b/benchmarks/placement_baselines.py
@@ -158,24 +158,3 @@
     """Return a candidate with the least load, at random among equals."""
     least = min(loads[item] for item in candidates)
     return rng.choice([item for item in candidates if loads[item] <= least])
-
-
-class WithPerformance(Landed):
-    """The policy of the entry with response times learned by each entry."""
-
-    has_performance = True
-
-    def end(self, entry: int, upstream: int, duration_s: float, now: float) -> None:
-        """Learn the response time."""
-        super().end(entry, upstream, duration_s, now)
-        self._performances[entry].record_response(self._lifetimes[upstream], duration_s, now)
-
-    def exchange(self, now: float) -> None:
-        """Discard what is too old."""
-        super().exchange(now)
-        for performance in self._performances:
-            performance.expire(now)
-
-
-class PerformanceWithoutReports(WithPerformance, LandedWithoutReports):
-    """The policy of the entry with its own counts and response times alone."""
--- a/benchmarks/placement_fleet.py
+++ b/benchmarks/placement_fleet.py
@@ -6,7 +6,20 @@
 
 from msgspec import Struct
 
-from chicoryproxy.ids import DomainId, UpstreamId
+from chicoryproxy.forwarding.directory import Directory
+from chicoryproxy.forwarding.model import (
+    Bounds,
+    Change,
+    Revision,
+    Route,
+    RouteKey,
+    UpstreamEntry,
+    UpstreamListed,
+    WeightedService,
+)
+from chicoryproxy.forwarding.replica import get_upstream_key
+from chicoryproxy.ids import DomainId, ServiceId, UpstreamId
+from chicoryproxy.model import Endpoint
 
 SLOTS = 2
 WORK_S = 0.05
@@ -17,6 +30,8 @@
 SWING = 0.5
 SWING_PERIOD_S = 8.0
 TAIL_FACTOR = 7.0
+SERVICE = ServiceId("service")
+ROUTE = Route("route", RouteKey(1, 443), (WeightedService(SERVICE, 1.0),))
 
 
 class Shape(Struct, frozen=True):
@@ -120,3 +135,23 @@
 def name_domain(number: int) -> DomainId:
     """Return the failure domain of an entry or upstream."""
     return DomainId(f"domain-{number % DOMAIN_COUNT}")
+
+
+def create_directory(upstreams: int) -> Directory:
+    """Create a directory of warm upstreams, spread over the failure domains."""
+    directory = Directory(Bounds())
+    for number in range(upstreams):
+        entry = UpstreamEntry(
+            name_upstream(number),
+            number,
+            SERVICE,
+            Endpoint(f"10.0.{number // 250}.{number % 250 + 1}", 80),
+            name_domain(number),
+            SLOTS,
+            False,
+            0.0,
+            1,
+        )
+        change = Change(get_upstream_key(entry.id), Revision(number + 1), UpstreamListed(entry))
+        directory.apply(change, 0.0)
+    return directory
--- a/benchmarks/placement_policies.py
+++ b/benchmarks/placement_policies.py
@@ -22,29 +22,22 @@
 )
 from benchmarks.placement_fleet import (
     DOMAIN_COUNT,
-    SLOTS,
+    ROUTE,
     Shape,
     Upstreams,
+    create_directory,
     name_domain,
     name_upstream,
 )
 from chicoryproxy.forwarding.coldstart import ColdBudget
-from chicoryproxy.forwarding.directory import Directory
 from chicoryproxy.forwarding.domainreachability import DomainReachability
 from chicoryproxy.forwarding.failuredetector import FailureDetector
 from chicoryproxy.forwarding.flows import FlowTable
 from chicoryproxy.forwarding.lifetime import Lifetime
 from chicoryproxy.forwarding.model import (
-    Bounds,
-    Change,
     FlowId,
     Mark,
     Revision,
-    Route,
-    RouteKey,
-    UpstreamEntry,
-    UpstreamListed,
-    WeightedService,
 )
 from chicoryproxy.forwarding.peerloads import PeerLoads
 from chicoryproxy.forwarding.peermessages import Heartbeat, LoadReport, PeerAddress
@@ -53,15 +46,10 @@
     LeastLoadPolicy,
     Opening,
 )
-from chicoryproxy.forwarding.replica import get_upstream_key
 from chicoryproxy.forwarding.slowstart import NoSlowStart
 from chicoryproxy.forwarding.unreachablereports import UnreachableReports
-from chicoryproxy.ids import ServiceId
-from chicoryproxy.model import Endpoint
 
 AVERAGING_S = 1.0
-SERVICE = ServiceId("service")
-ROUTE = Route("route", RouteKey(1, 443), (WeightedService(SERVICE, 1.0),))
 
 
 class Landed(Balancer):
@@ -227,24 +215,25 @@
             table.peer_loads = ScaledPeerLoads(shape.entries - 1)
 
 
-def create_directory(upstreams: int) -> Directory:
-    """Create a directory of warm upstreams, spread over the failure domains."""
-    directory = Directory(Bounds())
-    for number in range(upstreams):
-        entry = UpstreamEntry(
-            name_upstream(number),
-            number,
-            SERVICE,
-            Endpoint(f"10.0.{number // 250}.{number % 250 + 1}", 80),
-            name_domain(number),
-            SLOTS,
-            False,
-            0.0,
-            1,
-        )
-        change = Change(get_upstream_key(entry.id), Revision(number + 1), UpstreamListed(entry))
-        directory.apply(change, 0.0)
-    return directory
+class WithPerformance(Landed):
+    """The policy of the entry with response times learned by each entry."""
+
+    has_performance = True
+
+    def end(self, entry: int, upstream: int, duration_s: float, now: float) -> None:
+        """Learn the response time."""
+        super().end(entry, upstream, duration_s, now)
+        self._performances[entry].record_response(self._lifetimes[upstream], duration_s, now)
+
+    def exchange(self, now: float) -> None:
+        """Discard what is too old."""
+        super().exchange(now)
+        for performance in self._performances:
+            performance.expire(now)
+
+
+class PerformanceWithoutReports(WithPerformance, LandedWithoutReports):
+    """The policy of the entry with its own counts and response times alone."""
 
 
 BALANCERS: dict[str, type[Balancer]] = {
--- a/src/chicoryproxy/forwarding/flows.py
+++ b/src/chicoryproxy/forwarding/flows.py
@@ -238,6 +238,13 @@
         """Return the load of an upstream from this entry and, as last reported, from its peers."""
         own = self._loads.get(upstream)
         reported = self.peer_loads.get(upstream.mark)
-        flows = (own.flows if own else 0) + (reported.flows if reported else 0)
-        waiting = (own.waiting if own else 0) + (reported.waiting if reported else 0)
-        return LoadReport(upstream.mark, flows, waiting)
+        if own is None:
+            return reported or LoadReport(upstream.mark, 0, 0)
+        if reported is None:
+            return LoadReport(upstream.mark, own.flows, own.waiting)
+        flows = own.flows + reported.flows
+        return LoadReport(upstream.mark, flows, own.waiting + reported.waiting)
+
+    def get_own_load(self, upstream: Lifetime) -> Load | None:
+        """Return the load of this entry at an upstream, ``None`` if there is none."""
+        return self._loads.get(upstream)
--- a/src/chicoryproxy/forwarding/forwarder.py
+++ b/src/chicoryproxy/forwarding/forwarder.py
@@ -116,7 +116,7 @@
         self.reachability = parts.reachability
         self.failures = parts.failures
         self.slow_start = parts.slow_start
-        self._performance = parts.performance
+        self.performance = parts.performance
         self._admission = parts.admission
         self._domains = parts.domains
         self.recent_openings = RecentOpenings()
@@ -149,7 +149,7 @@
         self.failure_detector.expire(now)
         self.cold_budget.expire(now)
         self.slow_start.expire(now)
-        self._performance.expire(now)
+        self.performance.expire(now)
 
     def _handle_opening(self, packet: CallerPacket, now: float) -> Decision:
         if not self.is_synced or self.pause.is_unconfirmed or self.pause.is_late(now):
@@ -290,7 +290,7 @@
                 self.observer.record_response(duration_s)
                 self.slow_start.record_response(upstream, duration_s, now)
                 if not flow.retransmissions:
-                    self._performance.record_response(upstream, duration_s, now)
+                    self.performance.record_response(upstream, duration_s, now)
             self.flows.end_wait(flow)
             self._record_answer(upstream, now)
 
--- a/src/chicoryproxy/forwarding/placement.py
+++ b/src/chicoryproxy/forwarding/placement.py
@@ -38,6 +38,9 @@
 OPENING_LOAD = 1.0 + WAITING_WEIGHT
 """Load that an opening adds; without it a slow idle upstream would cost no more than a fast one."""
 
+PEER_WEIGHT = 0.25
+"""Weight of reported load where response times are measured: most of it has ended since."""
+
 FAILURE_COST = 1.0
 """Penalty for each failure since the last answer, as load per slot."""
 
@@ -254,18 +257,27 @@
         return best
 
     def _compute_cost(self, upstream: Lifetime, opening: Opening) -> float:
-        load = self._flows.get_load(upstream)
-        busy = load.flows + WAITING_WEIGHT * load.waiting
-        factor = self._performance.get_factor(upstream)
-        if factor is not None:
-            busy = (busy + OPENING_LOAD) * factor
-        cost = busy / upstream.entry.slots
+        cost = self._compute_load(upstream) / upstream.entry.slots
         cost += AVOIDED_COST * opening.avoided.count(upstream)
         cost += FAILURE_COST * self._failure_detector.get_failures(upstream)
         if upstream.entry.domain != self._domain:
             cost += REMOTE_COST
         return cost
 
+    def _compute_load(self, upstream: Lifetime) -> float:
+        factor = self._performance.get_factor(upstream)
+        if factor is None:
+            total = self._flows.get_load(upstream)
+            return total.flows + WAITING_WEIGHT * total.waiting
+        load = OPENING_LOAD
+        own = self._flows.get_own_load(upstream)
+        if own is not None:
+            load += own.flows + WAITING_WEIGHT * own.waiting
+        reported = self._flows.peer_loads.get(upstream.mark)
+        if reported is not None:
+            load += PEER_WEIGHT * (reported.flows + WAITING_WEIGHT * reported.waiting)
+        return load * factor
+
 
 def create_opening_policy(
     domain: DomainId,
--- a/tests/forwarding/harness.py
+++ b/tests/forwarding/harness.py
@@ -59,15 +59,17 @@
 class ForwarderHarness:
     """A directory and a forwarding core with a simulated clock.
 
+    :param has_false_health: as in the settings of a deployment.
+
     :ivar events: events of the last change of the directory.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, has_false_health: bool = False) -> None:
         self.now = 100.0
         self.events: list[DirectoryEvent] = []
         self.directory = Directory(Bounds())
         self.forwarder: Forwarder = create_forwarder(
-            OWN_DOMAIN, self.directory, self.now, NullObserver()
+            OWN_DOMAIN, self.directory, self.now, NullObserver(), has_false_health
         )
         self.forwarder.is_synced = True
         self.forwarder.cold_budget.share = DomainShare(0, 1)
--- a/tests/forwarding/test_placement.py
+++ b/tests/forwarding/test_placement.py
@@ -2,6 +2,8 @@
 
 from collections import Counter
 
+import pytest
+
 from chicoryproxy.forwarding.model import Refusal, WeightedService
 from chicoryproxy.forwarding.peermessages import LoadReport
 from tests.forwarding.harness import (
@@ -10,6 +12,7 @@
     OWN_DOMAIN,
     ROUTE,
     SERVICE,
+    ForwarderHarness,
     create_packet,
     create_route,
 )
@@ -133,3 +136,56 @@
         "unreachable": 1,
         "draining": 1,
     }
+
+
+@pytest.fixture
+def measuring_harness():
+    """A harness whose settings say that health checks may be false."""
+    harness = ForwarderHarness(has_false_health=True)
+    harness.publish_routing(1)
+    return harness
+
+
+def exchange_request(harness, upstream, port, duration_s, copies=1):
+    """Send a request on a new flow, and acknowledge its response after a time."""
+    for _ in range(copies):
+        harness.send(create_packet(port=port, mark=upstream.mark, acknowledged=1, size=10))
+    harness.advance(duration_s)
+    fields = {"port": port, "mark": upstream.mark, "sequence": 10, "acknowledged": 50}
+    harness.send(create_packet(**fields))
+    harness.send(create_packet(**fields, is_end=True))
+
+
+def test_slow_upstreams_get_fewer_openings(measuring_harness):
+    """Both are idle at each opening, as one request follows the other."""
+    harness = measuring_harness
+    slow = harness.publish_upstream("i-1")
+    harness.publish_upstream("i-2")
+    counts = Counter()
+    for _ in range(100):
+        upstream, port = harness.open_flow()
+        exchange_request(harness, upstream, port, 0.05 if upstream is not slow else 0.2)
+        counts[upstream.entry.id] += 1
+    assert counts["i-1"] <= 20
+
+
+def test_retransmitted_requests_are_no_samples(measuring_harness):
+    """The network lost the request: the upstream is not to blame for the time."""
+    harness = measuring_harness
+    harness.publish_upstream("i-1")
+    harness.publish_upstream("i-2")
+    for _ in range(20):
+        exchange_request(harness, *harness.open_flow(), 0.05)
+    upstream, port = harness.open_flow()
+    exchange_request(harness, upstream, port, 0.4, copies=2)
+    assert harness.forwarder.performance.get_factor(upstream) == pytest.approx(1.0)
+
+
+def test_reported_load_counts_less_where_response_times_are_measured(measuring_harness):
+    """Short requests: what peers report has mostly ended when it is read."""
+    harness = measuring_harness
+    busy = harness.publish_upstream("i-1")
+    harness.publish_upstream("i-2")
+    harness.report_peer_load(LoadReport(busy.mark, 40, 0))
+    counts = count_openings(harness, 30)
+    assert abs(counts["i-2"] - 20) <= 1
