--- a/src/chicoryproxy/forwarding/forwarder.py
+++ b/src/chicoryproxy/forwarding/forwarder.py
@@ -11,7 +11,11 @@
 
 from msgspec import Struct
 
-from chicoryproxy.forwarding.admission import AdmissionControl, UnlimitedAdmission
+from chicoryproxy.forwarding.admission import (
+    AdmissionControl,
+    AdmissionInputs,
+    create_admission_control,
+)
 from chicoryproxy.forwarding.coldstart import ColdBudget
 from chicoryproxy.forwarding.directory import Directory
 from chicoryproxy.forwarding.domainreachability import DomainReachability
@@ -20,6 +24,7 @@
 from chicoryproxy.forwarding.isolation import RecentOpenings
 from chicoryproxy.forwarding.lifetime import Lifetime
 from chicoryproxy.forwarding.model import Drop, FlowId, Refusal, Route
+from chicoryproxy.forwarding.overload import OverloadDetector, create_overload_detector
 from chicoryproxy.forwarding.packet import CallerPacket
 from chicoryproxy.forwarding.pause import PauseDetector
 from chicoryproxy.forwarding.pending import PendingResponses
@@ -32,6 +37,12 @@
 )
 from chicoryproxy.forwarding.probecontrol import ControlProbeSelector
 from chicoryproxy.forwarding.reachability import ReachabilityMonitor
+from chicoryproxy.forwarding.sequence import (
+    add_to_sequence,
+    compute_distance,
+    is_same_flow,
+    is_sequence_after,
+)
 from chicoryproxy.forwarding.slowstart import SlowStart, create_slow_start
 from chicoryproxy.forwarding.unreachablereports import UnreachableReports
 from chicoryproxy.forwarding.upstreamfailures import UpstreamFailures
@@ -48,12 +59,6 @@
 """An upstream that got an opening less than this ago may still answer it. Callers send the first
 copy after twice this time; copies that arrive sooner waited in the queue of this entry."""
 
-_HALF_SEQUENCE_RANGE = 1 << 31
-_SEQUENCE_MASK = (1 << 32) - 1
-_SAME_FLOW_BYTES = 1 << 24
-"""Both ends number their bytes from a start chosen for each flow. Offsets further apart than this
-belong to different flows; one in 128 pairs of unrelated offsets is nearer."""
-
 Decision = Lifetime | Refusal | Drop
 """Upstream of a packet, or why the packet is not forwarded."""
 
@@ -92,6 +97,7 @@
     reachability: ReachabilityMonitor
     domains: DomainReachability
     failures: UpstreamFailures
+    overload: OverloadDetector
     slow_start: SlowStart
     performance: Performance
     admission: AdmissionControl
@@ -117,7 +123,8 @@
         self.failures = parts.failures
         self.slow_start = parts.slow_start
         self.performance = parts.performance
-        self._admission = parts.admission
+        self._overload = parts.overload
+        self.admission = parts.admission
         self._domains = parts.domains
         self.recent_openings = RecentOpenings()
         self._pending = PendingResponses()
@@ -138,6 +145,11 @@
         route = self._directory.find_route(packet.route_key)
         return self.policy.count_exclusions(route, now) if route else Counter()
 
+    def find_admission_inputs(self, packet: CallerPacket, now: float) -> AdmissionInputs | None:
+        """Return what decides on the admission of an opening, if anything does."""
+        route = self._directory.find_route(packet.route_key)
+        return self.admission.find_inputs(route, packet.flow, now) if route else None
+
     def expire(self, now: float) -> None:
         """Discard expired state, and suspect upstreams with overdue responses."""
         for upstream in self._pending.pop_overdue(now):
@@ -150,6 +162,7 @@
         self.cold_budget.expire(now)
         self.slow_start.expire(now)
         self.performance.expire(now)
+        self.admission.expire(now)
 
     def _handle_opening(self, packet: CallerPacket, now: float) -> Decision:
         if not self.is_synced or self.pause.is_unconfirmed or self.pause.is_late(now):
@@ -168,7 +181,7 @@
         if awaited is not None:
             return awaited
         is_new = not packet.acknowledged and not flow.tried
-        if is_new and not self._admission.admits(route, packet.flow, now):
+        if is_new and not self.admission.admits(route, packet.flow, now):
             self.flows.remove(packet.flow)
             return Refusal.OVERLOADED
         flow.sent = packet.sequence
@@ -202,7 +215,7 @@
 
     def _touch_opening(self, packet: CallerPacket, now: float) -> Flow:
         flow = self.flows.touch(packet.flow, now)
-        if flow.sent >= 0 and not _is_same_flow(packet.sequence, flow.sent):
+        if flow.sent >= 0 and not is_same_flow(packet.sequence, flow.sent):
             return self._replace_flow(packet, now)
         return flow
 
@@ -250,7 +263,7 @@
         flow = self.flows.get(packet.flow)
         if flow is None or not flow.is_open or not packet.mark:
             return flow
-        if _is_same_flow(packet.acknowledged, flow.acknowledged):
+        if is_same_flow(packet.acknowledged, flow.acknowledged):
             return flow
         self.flows.remove(packet.flow)
         return None
@@ -283,14 +296,13 @@
             self.observer.record_handshake(now - flow.opened_s)
             self.recent_openings.record_answer(now)
             self._record_answer(upstream, now)
-        elif _is_sequence_after(packet.acknowledged, flow.acknowledged):
+        elif is_sequence_after(packet.acknowledged, flow.acknowledged):
             flow.acknowledged = packet.acknowledged
             if flow.waiting_since_s is not None:
                 duration_s = now - flow.waiting_since_s
-                self.observer.record_response(duration_s)
-                self.slow_start.record_response(upstream, duration_s, now)
                 if not flow.retransmissions:
                     self.performance.record_response(upstream, duration_s, now)
+                self._record_response(packet, upstream, duration_s, now)
             self.flows.end_wait(flow)
             self._record_answer(upstream, now)
 
@@ -299,8 +311,8 @@
     ) -> None:
         if not packet.size:
             return
-        end = (packet.sequence + packet.size) & _SEQUENCE_MASK
-        if flow.sent < 0 or _is_sequence_after(end, flow.sent):
+        end = add_to_sequence(packet.sequence, packet.size)
+        if flow.sent < 0 or is_sequence_after(end, flow.sent):
             flow.sent = end
             if self.flows.start_wait(flow, now):
                 self._pending.add_request(packet.flow, flow, upstream, now)
@@ -317,29 +329,28 @@
         if self.failure_detector.record_failure(upstream, now):
             self.observer.record_suspicion(upstream, self.failure_detector.get_failures(upstream))
 
+    def _record_response(
+        self, packet: CallerPacket, upstream: Lifetime, duration_s: float, now: float
+    ) -> None:
+        self.observer.record_response(duration_s)
+        self._overload.record_response(duration_s, now)
+        self.slow_start.record_response(upstream, duration_s, now)
+        route = self._directory.find_route(packet.route_key)
+        if route is not None:
+            self.admission.record_response(route, upstream.entry.service, duration_s, now)
+
     def _record_answer(self, upstream: Lifetime, now: float) -> None:
         upstream.answered_s = now
         self.failure_detector.record_answer(upstream)
         self._domains.record_success(upstream.entry.domain)
 
 
-def _is_sequence_after(offset: int, other: int) -> bool:
-    """Return whether an offset is after another one, with wraparound at 32 bits."""
-    return offset != other and (offset - other) & _SEQUENCE_MASK < _HALF_SEQUENCE_RANGE
-
-
-def _is_same_flow(offset: int, other: int) -> bool:
-    """Return whether two offsets of one end may belong to the same flow."""
-    distance = (offset - other) & _SEQUENCE_MASK
-    return min(distance, _SEQUENCE_MASK + 1 - distance) < _SAME_FLOW_BYTES
-
-
 def _is_first_packet(packet: CallerPacket, flow: Flow) -> bool:
     """Return whether a packet directly follows the opening of a flow.
 
     The mark in it is that of the answer which the caller acknowledges; later ones may differ.
     """
-    return not flow.is_open and (packet.sequence - flow.sent) & _SEQUENCE_MASK <= 1
+    return not flow.is_open and compute_distance(flow.sent, packet.sequence) <= 1
 
 
 def create_forwarder(
@@ -355,7 +366,8 @@
     :param domain: failure domain of the entry.
     :param now: time of the start, in seconds.
     :param observer: receives measurements and events.
-    :param has_false_health: connections may fail although an upstream works.
+    :param has_false_health: connections may fail although an upstream works; the
+        answers to callers then decide, also on slow start and admission.
     :param seed: seed of the pseudo-random choices.
     """
     flows = FlowTable()
@@ -376,7 +388,9 @@
         slow_start,
         performance,
     )
-    reachability = ReachabilityMonitor(FALSE_HEALTH_QUIET_S if has_false_health else 0.0)
+    overload = create_overload_detector(has_false_health)
+    quiet_s = FALSE_HEALTH_QUIET_S if has_false_health else 0.0
+    reachability = ReachabilityMonitor(quiet_s, overload)
     control = ControlProbeSelector(directory, domain, reachability.is_failing)
     failures = UpstreamFailures(domain, directory, flows, reachability, domains, reports, control)
     parts = ForwarderParts(
@@ -388,9 +402,10 @@
         reachability,
         domains,
         failures,
+        overload,
         slow_start,
         performance,
-        UnlimitedAdmission(),
+        create_admission_control(has_false_health, directory, flows, domains),
         observer,
     )
     return Forwarder(parts, now)
--- a/src/chicoryproxy/node/entrymetrics.py
+++ b/src/chicoryproxy/node/entrymetrics.py
@@ -29,6 +29,7 @@
         self.refusals: Counter[Refusal] = Counter()
         self.drops: Counter[Drop] = Counter()
         self.broken_flows = 0
+        self.unexpected_errors = 0
         self.moved_flows = 0
         self.probes: Counter[ProbeResult] = Counter()
         self.store_calls = 0
@@ -38,6 +39,7 @@
         self.log_lost = 0
         self.log_skipped = 0
         self.flows = 0
+        self.pressure = 0.0
         self.version = 0
         self.revision = 0
         self.view_age_s = 0.0
@@ -65,6 +67,10 @@
             "store_failures_total": ("failed calls to the store", self.store_failures),
             "heartbeat_bytes_total": ("bytes of heartbeats sent", self.heartbeat_bytes),
             "unsent_packets_total": ("packets that the socket refused", self.unsent),
+            "unexpected_errors_total": (
+                "callbacks that an unexpected error ended",
+                self.unexpected_errors,
+            ),
             "log_lost_total": ("log lines that found the output full", self.log_lost),
             "log_skipped_total": ("log lines over the budget", self.log_skipped),
         }
@@ -87,6 +93,7 @@
     def _render_gauges(self) -> list[list[str]]:
         gauges = {
             "flows": ("flows in the table", self.flows),
+            "pressure": ("outstanding requests per slot, of the busiest service", self.pressure),
             "config_version": ("version of the configuration in force", self.version),
             "view_revision": ("revision of the store that is known", self.revision),
             "view_age_seconds": ("age of the last confirmation of the view", self.view_age_s),
