--- a/src/chicoryproxy/forwarding/forwarder.py
+++ b/src/chicoryproxy/forwarding/forwarder.py
@@ -6,7 +6,6 @@
 caller retransmits it.
 """
 
-from abc import ABC, abstractmethod
 from collections import Counter
 
 from msgspec import Struct
@@ -23,7 +22,7 @@
 from chicoryproxy.forwarding.flows import Flow, FlowTable
 from chicoryproxy.forwarding.isolation import RecentOpenings
 from chicoryproxy.forwarding.lifetime import Lifetime
-from chicoryproxy.forwarding.model import Drop, FlowId, Refusal, Route
+from chicoryproxy.forwarding.model import Drop, Refusal, Route
 from chicoryproxy.forwarding.overload import OverloadDetector, create_overload_detector
 from chicoryproxy.forwarding.packet import CallerPacket
 from chicoryproxy.forwarding.pause import PauseDetector
@@ -44,6 +43,7 @@
     is_sequence_after,
 )
 from chicoryproxy.forwarding.slowstart import SlowStart, create_slow_start
+from chicoryproxy.forwarding.trafficobserver import TrafficObserver
 from chicoryproxy.forwarding.unreachablereports import UnreachableReports
 from chicoryproxy.forwarding.upstreamfailures import UpstreamFailures
 from chicoryproxy.ids import DomainId
@@ -63,26 +63,6 @@
 """Upstream of a packet, or why the packet is not forwarded."""
 
 
-class TrafficObserver(ABC):
-    """Receives measurements and events derived from the packets of callers."""
-
-    @abstractmethod
-    def record_handshake(self, duration_s: float) -> None:
-        """Record the time from an opening to the caller's acknowledgement."""
-
-    @abstractmethod
-    def record_response(self, duration_s: float) -> None:
-        """Record the time from a request to the first acknowledged byte of its response."""
-
-    @abstractmethod
-    def record_suspicion(self, upstream: Lifetime, failures: int) -> None:
-        """Record that an upstream became suspected and openings avoid it."""
-
-    @abstractmethod
-    def record_upstream_change(self, flow: FlowId, former: Lifetime, upstream: Lifetime) -> None:
-        """Record that the packets of an open flow go to another upstream than before."""
-
-
 class ForwarderParts(Struct, frozen=True):
     """The components of a forwarder.
 
--- a/src/chicoryproxy/node/dataplane.py
+++ b/src/chicoryproxy/node/dataplane.py
@@ -9,7 +9,7 @@
 from chicoryproxy.forwarding.admission import PRESSURE_LIMIT
 from chicoryproxy.forwarding.directory import Directory
 from chicoryproxy.forwarding.directoryevent import DirectoryEvent, DirectoryEventKind
-from chicoryproxy.forwarding.forwarder import TrafficObserver, create_forwarder
+from chicoryproxy.forwarding.forwarder import create_forwarder
 from chicoryproxy.forwarding.lifetime import Lifetime
 from chicoryproxy.forwarding.model import (
     Drop,
@@ -19,6 +19,7 @@
 )
 from chicoryproxy.forwarding.packet import CallerPacket
 from chicoryproxy.forwarding.reachability import ProbeResult
+from chicoryproxy.forwarding.trafficobserver import TrafficObserver
 from chicoryproxy.forwarding.upstreamfailures import BrokenFlow
 from chicoryproxy.node.entrymetrics import EntryMetrics
 from chicoryproxy.node.journal import Journal
--- a/tests/forwarding/harness.py
+++ b/tests/forwarding/harness.py
@@ -5,7 +5,7 @@
 from chicoryproxy.forwarding.coldstart import DomainShare
 from chicoryproxy.forwarding.directory import Directory
 from chicoryproxy.forwarding.directoryevent import DirectoryEvent
-from chicoryproxy.forwarding.forwarder import Forwarder, TrafficObserver, create_forwarder
+from chicoryproxy.forwarding.forwarder import Forwarder, create_forwarder
 from chicoryproxy.forwarding.lifetime import Lifetime
 from chicoryproxy.forwarding.model import (
     NO_REVISION,
@@ -29,6 +29,7 @@
 from chicoryproxy.forwarding.packet import CallerPacket
 from chicoryproxy.forwarding.peermessages import Heartbeat, PeerAddress
 from chicoryproxy.forwarding.replica import ROUTING_KEY, get_domain_key, get_upstream_key
+from chicoryproxy.forwarding.trafficobserver import TrafficObserver
 from chicoryproxy.ids import DomainId, ServiceId, UpstreamId, Version
 from chicoryproxy.model import Endpoint
 
