--- a/tests/forwarding/harness.py
+++ b/tests/forwarding/harness.py
@@ -5,7 +5,7 @@
 from chicoryproxy.forwarding.coldstart import DomainShare
 from chicoryproxy.forwarding.directory import Directory
 from chicoryproxy.forwarding.directoryevent import DirectoryEvent
-from chicoryproxy.forwarding.forwarder import Forwarder, TrafficObserver, create_forwarder
+from chicoryproxy.forwarding.forwarder import Forwarder, create_forwarder
 from chicoryproxy.forwarding.lifetime import Lifetime
 from chicoryproxy.forwarding.model import (
     NO_REVISION,
@@ -29,6 +29,7 @@
 from chicoryproxy.forwarding.packet import CallerPacket
 from chicoryproxy.forwarding.peermessages import Heartbeat, PeerAddress
 from chicoryproxy.forwarding.replica import ROUTING_KEY, get_domain_key, get_upstream_key
+from chicoryproxy.forwarding.trafficobserver import TrafficObserver
 from chicoryproxy.ids import DomainId, ServiceId, UpstreamId, Version
 from chicoryproxy.model import Endpoint
 
@@ -59,12 +60,12 @@
 class ForwarderHarness:
     """A directory and a forwarding core with a simulated clock.
 
-    :param has_false_health: as in the settings of a deployment.
+    :param has_false_health: as in the settings; switches on what decides by answers.
 
     :ivar events: events of the last change of the directory.
     """
 
-    def __init__(self, has_false_health: bool = False) -> None:
+    def __init__(self, has_false_health=False) -> None:
         self.now = 100.0
         self.events: list[DirectoryEvent] = []
         self.directory = Directory(Bounds())
@@ -169,9 +170,9 @@
         return upstream, port
 
 
-def create_route(name, key, targets):
+def create_route(name, key, targets, priority=0):
     """Create a route."""
-    return Route(name, key, tuple(targets))
+    return Route(name, key, tuple(targets), priority)
 
 
 def create_packet(
