--- a/src/chicoryproxy/forwarding/performance.py
+++ b/src/chicoryproxy/forwarding/performance.py
@@ -20,7 +20,9 @@
 OUTLIER_RATIO = 3.0
 """A longer response counts as this multiple of the usual time; some requests just take longer."""
 
-MIN_FACTOR = 0.5
+MIN_FACTOR = 1.0
+"""An upstream that fails at once answers fastest; that must not attract openings."""
+
 MAX_FACTOR = 2.0
 
 RETENTION_S = 10.0
