Remember an overload in which all answers stop

Cause: with fewer than MIN_RESPONSES recent responses the detector said that there is no overload, so that a silent upstream beside one that resets connections was declared dead and its flow reset. The last overload counts for OVERLOAD_CONFIRMATION_S more now; the constant moves to the detector.

--- a/src/chicoryproxy/forwarding/overload.py
+++ b/src/chicoryproxy/forwarding/overload.py
@@ -3,6 +3,9 @@
 While queues are full, an upstream that works may accept no connection in time, so that timeouts say
 less about it. Only responses that arrived are counted: an upstream that is down gives none, and
 never makes the others look overloaded.
+
+An overload replaces the bounds of ``reachability`` by the ``OVERLOAD_`` constants: a timeout has to
+repeat for longer, and probes are rarer. Nothing else depends on it.
 """
 
 from abc import ABC, abstractmethod
@@ -21,6 +24,13 @@
 """With fewer recent responses than this, one slow request would look like an overload."""
 
 
+OVERLOAD_CONFIRMATION_S = 2.0
+"""Under overload an upstream has to time out and to answer nobody here for this long. A full queue
+of connections drops opening segments until the upstream accepts the next one; a machine that is
+down stays silent, and callers wait longer than this for their responses. An overload in which all
+responses stop is remembered for as long."""
+
+
 class OverloadDetector(ABC):
     """Tells whether the upstreams that this entry uses are overloaded."""
 
@@ -51,6 +61,7 @@
         self._responses = 0.0
         self._late = 0.0
         self._updated_s = 0.0
+        self._overloaded_s = float("-inf")
 
     def record_response(self, duration_s: float, now: float) -> None:
         """Record the time from a request to the first acknowledged byte of its response."""
@@ -58,11 +69,17 @@
         self._responses += 1.0
         if duration_s > LATE_RESPONSE_S:
             self._late += 1.0
+        self.is_overloaded(now)
 
     def is_overloaded(self, now: float) -> bool:
         """Return whether many responses have been late recently."""
         self._decay(now)
-        return self._responses >= MIN_RESPONSES and self._late >= LATE_SHARE * self._responses
+        if self._responses < MIN_RESPONSES:
+            # The worst overload leaves no responses to judge by.
+            return now - self._overloaded_s < OVERLOAD_CONFIRMATION_S
+        is_overloaded = self._late >= LATE_SHARE * self._responses
+        self._overloaded_s = now if is_overloaded else float("-inf")
+        return is_overloaded
 
     def _decay(self, now: float) -> None:
         factor = 0.5 ** (max(0.0, now - self._updated_s) / HALF_LIFE_S)
--- a/src/chicoryproxy/forwarding/reachability.py
+++ b/src/chicoryproxy/forwarding/reachability.py
@@ -19,7 +19,11 @@
 
 from chicoryproxy.forwarding.lifetime import Lifetime
 from chicoryproxy.forwarding.model import UnreachableCause, UpstreamPhase
-from chicoryproxy.forwarding.overload import NoOverloadDetector, OverloadDetector
+from chicoryproxy.forwarding.overload import (
+    OVERLOAD_CONFIRMATION_S,
+    NoOverloadDetector,
+    OverloadDetector,
+)
 
 TIMEOUTS_TO_CONFIRM = 2
 MAX_CONTROLS = 64
@@ -39,11 +43,6 @@
 """Timeouts prove nothing about an upstream that a caller acknowledged within this time: its packets
 may wait that long at a full link, and those of a new connection with them."""
 
-OVERLOAD_CONFIRMATION_S = 2.0
-"""Under overload an upstream has to time out and to answer nobody here for this long. A full queue
-of connections drops opening segments until the upstream accepts the next one; a machine that is
-down stays silent, and callers wait longer than this for their responses."""
-
 OVERLOAD_RETRY_S = 0.25
 """Under overload the next probe comes this long after a timeout, since probes fill queues too."""
 
--- a/tests/forwarding/test_overload.py
+++ b/tests/forwarding/test_overload.py
@@ -2,12 +2,12 @@
 
 import pytest
 
-from chicoryproxy.forwarding.overload import LATE_RESPONSE_S, LateResponses
-from chicoryproxy.forwarding.reachability import (
+from chicoryproxy.forwarding.overload import (
+    LATE_RESPONSE_S,
     OVERLOAD_CONFIRMATION_S,
-    OVERLOAD_RETRY_S,
-    OVERLOAD_SUCCESS_VALID_S,
+    LateResponses,
 )
+from chicoryproxy.forwarding.reachability import OVERLOAD_RETRY_S, OVERLOAD_SUCCESS_VALID_S
 from chicoryproxy.node.probe import CONNECT_TIMEOUT_S
 from tests.forwarding.harness import OTHER_DOMAIN, ForwarderHarness, create_packet
 from tests.forwarding.probenetwork import NEVER_S, TICK_S, Network
@@ -138,6 +138,31 @@
     assert len(network.broken) >= 1
 
 
+# The worst overload: no upstream answers any more, and only a reset shows that connections work.
+def test_an_overload_is_not_forgotten_when_all_answers_stop(harness, network):
+    upstream, other = harness.publish_upstream("i-1"), harness.publish_upstream("i-2")
+    run_burst(harness, network, [upstream, other], 1.0)
+    network.delays_s["i-1"] = NEVER_S
+    network.resetting.add("i-2")
+    run_burst(harness, network, [], OVERLOAD_CONFIRMATION_S - LATE_S, [upstream])
+    assert network.broken == []
+    assert not upstream.is_unreachable
+
+
+# A burst ends for all upstreams but one, whose queue is still full.
+def test_timeouts_of_an_overload_prove_nothing_soon_after_it(harness, network):
+    upstream, other = harness.publish_upstream("i-1"), harness.publish_upstream("i-2")
+    run_burst(harness, network, [upstream, other], 1.0)
+    network.delays_s["i-1"] = NEVER_S
+    run_burst(harness, network, [other], 3 * LATE_S, [upstream])
+    for port in range(3000, 3200):
+        use(harness, other, port, 1)
+        use(harness, other, port, 2)
+    run_burst(harness, network, [], OVERLOAD_CONFIRMATION_S - 4 * LATE_S, [upstream])
+    assert network.broken == []
+    assert not upstream.is_unreachable
+
+
 # A burst, in which the process of a busy upstream ends.
 def test_a_refused_connection_is_a_proof_under_overload_too(harness, network):
     upstream, other = harness.publish_upstream("i-1"), harness.publish_upstream("i-2")
@@ -163,6 +188,14 @@
     return responses.is_overloaded(now)
 
 
+# The last answers of the worst overload: they count for as long as a death needs to be confirmed.
+def test_an_overload_lasts_while_nothing_answers():
+    responses = LateResponses()
+    assert record(responses, [0.3] * 4)
+    assert responses.is_overloaded(1.0 + OVERLOAD_CONFIRMATION_S - TICK_S)
+    assert not responses.is_overloaded(1.0 + OVERLOAD_CONFIRMATION_S + TICK_S)
+
+
 # Overloaded upstreams reject most requests at once, so that few responses are late.
 def test_one_late_response_in_five_is_an_overload():
     assert record(LateResponses(), ([0.01] * 4 + [0.3]) * 10)
