Keep the confirmation time for a streak of timeouts

Cause: the bound was read at each timeout, so that two timeouts from an overload became a proof as soon as other upstreams answered on time. The upstream's state keeps it until its timeouts are cleared. Measured: test_timeouts_of_an_overload_prove_nothing_soon_after_it failed before and passes.

--- a/src/chicoryproxy/forwarding/reachability.py
+++ b/src/chicoryproxy/forwarding/reachability.py
@@ -97,6 +97,7 @@
     :ivar is_control: the next probe is started beyond the limit of concurrent ones.
     :ivar failed_probes: timeouts since the last success or request of a new proof.
     :ivar failing_since_s: start of the first of them.
+    :ivar confirmation_s: how long they have to go on, the longest since the first of them.
     :ivar checked_s: time of the last result.
     :ivar proved_s: time of the last result that proved the upstream unreachable.
     :ivar probed_s: start of the last probe.
@@ -111,6 +112,7 @@
         "is_control",
         "failed_probes",
         "failing_since_s",
+        "confirmation_s",
         "checked_s",
         "proved_s",
         "probed_s",
@@ -126,6 +128,7 @@
         self.is_control = False
         self.failed_probes = 0
         self.failing_since_s = float("-inf")
+        self.confirmation_s = 0.0
         self.checked_s = float("-inf")
         self.proved_s = float("-inf")
         self.probed_s = float("-inf")
@@ -134,9 +137,14 @@
         self.recheck_interval_s = RECHECK_MIN_S
         self.refused_since_s: float | None = None
 
+    def clear_timeouts(self) -> None:
+        """Forget the timeouts so far; others are needed for a proof."""
+        self.failed_probes = 0
+        self.confirmation_s = 0.0
+
     def record_success(self) -> None:
         """Forget the failures before a successful probe."""
-        self.failed_probes = 0
+        self.clear_timeouts()
         self.proved_s = float("-inf")
         self.is_awaited = False
         self.refused_since_s = None
@@ -251,7 +259,7 @@
         state = self._get_state(upstream)
         if upstream.is_unreachable and not state.is_awaited:
             state.is_awaited = True
-            state.failed_probes = 0
+            state.clear_timeouts()
         if not state.is_probing:
             state.is_control = is_control
             state.checked_s = min(state.checked_s, now - SUCCESS_VALID_S)
@@ -262,14 +270,14 @@
     ) -> bool:
         """Decide whether a failed probe proves that the upstream is unreachable."""
         if upstream.answered_s > state.probed_s - self._quiet_s:
-            state.failed_probes = 0
+            state.clear_timeouts()
             state.next_s = now + self._quiet_s
             return False
         if result is ProbeResult.REFUSED and self._may_be_finishing(upstream, state, now):
             state.next_s = now + FINISHING_RECHECK_S
             return False
         if result in (ProbeResult.SILENT, ProbeResult.RESET):
-            state.failed_probes = 0
+            state.clear_timeouts()
             if upstream.is_unreachable:
                 self._schedule_recheck(upstream, state, now)
             return False
@@ -301,10 +309,11 @@
         if not state.failed_probes:
             state.failing_since_s = state.probed_s
         state.failed_probes += 1
-        is_overloaded = self._overload.is_overloaded(now)
-        confirmation_s = OVERLOAD_CONFIRMATION_S if is_overloaded else 0.0
-        has_lasted = now - state.failing_since_s >= confirmation_s
-        is_answering = now - upstream.answered_s < max(ANSWER_VALID_S, confirmation_s)
+        if self._overload.is_overloaded(now):
+            # Kept after the overload: this upstream may be the last one to recover.
+            state.confirmation_s = OVERLOAD_CONFIRMATION_S
+        has_lasted = now - state.failing_since_s >= state.confirmation_s
+        is_answering = now - upstream.answered_s < max(ANSWER_VALID_S, state.confirmation_s)
         is_network_working = any(
             state.last_timeout_s <= started_s <= state.probed_s for started_s in self._controls_s
         )
@@ -316,7 +325,7 @@
             return False
         if not is_confirmed:
             state.checked_s = float("-inf")
-            state.next_s = now + OVERLOAD_RETRY_S if is_overloaded else now
+            state.next_s = now + OVERLOAD_RETRY_S if state.confirmation_s else now
         return is_confirmed
 
     def _may_be_finishing(self, upstream: Lifetime, state: _ProbeState, now: float) -> bool:
