Let resets prove life only where connections may fail falsely

Cause: a reset counted as a sign of life everywhere, so that where a host in between resets the connections to a dead upstream it was never proved dead, also without has_false_health; before, a reset was a timeout there, and is one again. Resets end the time in which a draining upstream refuses.

--- a/src/chicoryproxy/forwarding/forwarder.py
+++ b/src/chicoryproxy/forwarding/forwarder.py
@@ -378,7 +378,7 @@
     )
     overload = create_overload_detector(has_false_health)
     quiet_s = FALSE_HEALTH_QUIET_S if has_false_health else 0.0
-    reachability = ReachabilityMonitor(quiet_s, overload)
+    reachability = ReachabilityMonitor(quiet_s, overload, has_false_health)
     control = ControlProbeSelector(directory, domain, reachability.is_failing)
     failures = UpstreamFailures(domain, directory, flows, reachability, domains, reports, control)
     parts = ForwarderParts(
--- a/src/chicoryproxy/forwarding/reachability.py
+++ b/src/chicoryproxy/forwarding/reachability.py
@@ -11,7 +11,8 @@
 is over.
 
 Overload never counts as death. A connection that the upstream itself resets shows that it is alive
-and full. While responses are late, timeouts have to go on for longer, and probes are rarer.
+and full, unless connections never fail falsely in this deployment. While responses are late,
+timeouts have to go on for longer, and probes are rarer.
 """
 
 from collections import deque
@@ -71,6 +72,7 @@
 
     ``SILENT``: a server accepted the connection, but did not say which one it is; it may be busy.
     ``RESET``: a server reset the connection at once; it is alive, but has no room for another one.
+    ``RESET_SLOWLY``: the same, but as slowly as ``CONNECTED_SLOWLY``.
     """
 
     CONNECTED = "connected"
@@ -78,11 +80,14 @@
     OTHER_SERVER = "other_server"
     SILENT = "silent"
     RESET = "reset"
+    RESET_SLOWLY = "reset_slowly"
     REFUSED = "refused"
     TIMEOUT = "timeout"
     DISCARDED = "discarded"
 
 
+_RESETS = (ProbeResult.RESET, ProbeResult.RESET_SLOWLY)
+
 _CAUSES = {
     ProbeResult.REFUSED: UnreachableCause.REFUSED,
     ProbeResult.TIMEOUT: UnreachableCause.TIMEOUT,
@@ -157,12 +162,19 @@
     :param quiet_s: a failed probe is ignored if the upstream answered a caller after the start of
         the probe or at most this long before it.
     :param overload: tells whether timeouts may be caused by overload.
+    :param is_reset_alive: an upstream that resets connections may be full.
 
     :ivar is_view_behind: peers have changes that this entry lacks; any upstream may be draining.
     """
 
-    def __init__(self, quiet_s: float = 0.0, overload: OverloadDetector | None = None) -> None:
+    def __init__(
+        self,
+        quiet_s: float = 0.0,
+        overload: OverloadDetector | None = None,
+        is_reset_alive: bool = False,
+    ) -> None:
         self.is_view_behind = False
+        self._is_reset_alive = is_reset_alive
         self._quiet_s = quiet_s
         self._overload = overload or NoOverloadDetector()
         self._controls_s: deque[float] = deque(maxlen=MAX_CONTROLS)
@@ -198,8 +210,16 @@
                 due.append(upstream)
         return due
 
+    def interpret(self, result: ProbeResult) -> ProbeResult:
+        """Return ``TIMEOUT`` for a reset that no full upstream can have caused.
+
+        A host in between may reset the connections to an upstream that is dead.
+        """
+        is_failure = result in _RESETS and not self._is_reset_alive
+        return ProbeResult.TIMEOUT if is_failure else result
+
     def handle_result(self, upstream: Lifetime, result: ProbeResult, now: float) -> bool:
-        """Process the result of a probe.
+        """Process the result of a probe, as ``interpret`` returned it.
 
         :returns: True if the upstream became reachable or unreachable, or was proved unreachable
             again for the flows that waited for it.
@@ -217,6 +237,8 @@
         state.checked_s = now
         if result in (ProbeResult.CONNECTED, ProbeResult.RESET):
             self._controls_s.append(state.probed_s)
+        if result in _RESETS:
+            state.refused_since_s = None
         if result in (ProbeResult.CONNECTED, ProbeResult.CONNECTED_SLOWLY):
             state.record_success()
             return self._set_reachable(upstream)
@@ -276,7 +298,7 @@
         if result is ProbeResult.REFUSED and self._may_be_finishing(upstream, state, now):
             state.next_s = now + FINISHING_RECHECK_S
             return False
-        if result in (ProbeResult.SILENT, ProbeResult.RESET):
+        if result is ProbeResult.SILENT or result in _RESETS:
             state.clear_timeouts()
             if upstream.is_unreachable:
                 self._schedule_recheck(upstream, state, now)
--- a/src/chicoryproxy/forwarding/upstreamfailures.py
+++ b/src/chicoryproxy/forwarding/upstreamfailures.py
@@ -14,8 +14,15 @@
 from chicoryproxy.forwarding.unreachablereports import UnreachableReports
 from chicoryproxy.ids import DomainId
 
-_REACHED = (ProbeResult.CONNECTED, ProbeResult.CONNECTED_SLOWLY, ProbeResult.RESET)
-"""Results that show that the failure domain of an upstream can be reached."""
+_REACHED = (
+    ProbeResult.CONNECTED,
+    ProbeResult.CONNECTED_SLOWLY,
+    ProbeResult.RESET,
+    ProbeResult.RESET_SLOWLY,
+)
+"""Results that show that the failure domain of an upstream can be reached. ``SILENT`` doesn't: only
+upstreams that were unreachable give it, and a server that doesn't say its id may be the next owner
+of the address, in another failure domain."""
 
 
 class BrokenFlow(Struct, frozen=True):
@@ -63,6 +70,7 @@
         :returns: the flows to reset. Idle flows are included, so that their callers learn of the
             failure before they send a request that may not be retried.
         """
+        result = self._reachability.interpret(result)
         domain = upstream.entry.domain
         was_unreachable = upstream.is_unreachable
         is_decided = self._reachability.handle_result(upstream, result, now)
--- a/src/chicoryproxy/node/probe.py
+++ b/src/chicoryproxy/node/probe.py
@@ -113,7 +113,7 @@
         return ProbeResult.REFUSED
     if isinstance(error, ConnectionResetError):
         is_slow = duration_s > SLOW_CONNECT_S
-        return ProbeResult.SILENT if is_slow else ProbeResult.RESET
+        return ProbeResult.RESET_SLOWLY if is_slow else ProbeResult.RESET
     return ProbeResult.TIMEOUT
 
 
