--- a/src/chicoryproxy/forwarding/forwarder.py
+++ b/src/chicoryproxy/forwarding/forwarder.py
@@ -280,10 +280,7 @@
         elif is_sequence_after(packet.acknowledged, flow.acknowledged):
             flow.acknowledged = packet.acknowledged
             if flow.waiting_since_s is not None:
-                duration_s = now - flow.waiting_since_s
-                if not flow.retransmissions:
-                    self.performance.record_response(upstream, duration_s, now)
-                self._record_response(packet, upstream, duration_s, now)
+                self._record_response(packet, flow, upstream, now - flow.waiting_since_s, now)
             self.flows.end_wait(flow)
             self._record_answer(upstream, now)
 
@@ -299,6 +296,7 @@
                 self._pending.add_request(packet.flow, flow, upstream, now)
             return
         flow.retransmissions += 1
+        flow.retransmitted_s = now
         if flow.retransmissions >= FAILURE_RETRANSMISSIONS:
             self._record_failure(upstream, now)
         else:
@@ -312,13 +310,16 @@
             self.observer.record_suspicion(upstream, self.failure_detector.get_failures(upstream))
 
     def _record_response(
-        self, packet: CallerPacket, upstream: Lifetime, duration_s: float, now: float
+        self, packet: CallerPacket, flow: Flow, upstream: Lifetime, duration_s: float, now: float
     ) -> None:
         self.observer.record_response(duration_s)
-        self._overload.record_response(duration_s, now)
         self.slow_start.record_response(upstream, duration_s, now)
+        if not flow.retransmissions:
+            self.performance.record_response(upstream, duration_s, now)
         route = self._directory.find_route(packet.route_key)
         if route is not None:
+            copy_age_s = now - flow.retransmitted_s if flow.retransmissions else None
+            self._overload.record_response(duration_s, now, route.latency_target_s, copy_age_s)
             self.admission.record_response(route, upstream.entry.service, duration_s, now)
 
     def _record_answer(self, upstream: Lifetime, now: float) -> None:
@@ -372,7 +373,7 @@
     )
     overload = create_overload_detector(has_false_health)
     quiet_s = FALSE_HEALTH_QUIET_S if has_false_health else 0.0
-    reachability = ReachabilityMonitor(quiet_s, overload)
+    reachability = ReachabilityMonitor(quiet_s, overload, has_false_health)
     control = ControlProbeSelector(directory, domain, reachability.is_failing)
     failures = UpstreamFailures(domain, directory, flows, reachability, domains, reports, control)
     parts = ForwarderParts(
--- a/src/chicoryproxy/forwarding/reachability.py
+++ b/src/chicoryproxy/forwarding/reachability.py
@@ -11,7 +11,8 @@
 is over.
 
 Overload never counts as death. A connection that the upstream itself resets shows that it is alive
-and full. While responses are late, timeouts have to go on for longer, and probes are rarer.
+and full, unless connections never fail falsely in this deployment. While responses are late,
+timeouts have to go on for longer, and probes are rarer.
 """
 
 from collections import deque
@@ -19,7 +20,11 @@
 
 from chicoryproxy.forwarding.lifetime import Lifetime
 from chicoryproxy.forwarding.model import UnreachableCause, UpstreamPhase
-from chicoryproxy.forwarding.overload import NoOverloadDetector, OverloadDetector
+from chicoryproxy.forwarding.overload import (
+    OVERLOAD_CONFIRMATION_S,
+    NoOverloadDetector,
+    OverloadDetector,
+)
 
 TIMEOUTS_TO_CONFIRM = 2
 MAX_CONTROLS = 64
@@ -39,11 +44,6 @@
 """Timeouts prove nothing about an upstream that a caller acknowledged within this time: its packets
 may wait that long at a full link, and those of a new connection with them."""
 
-OVERLOAD_CONFIRMATION_S = 2.0
-"""Under overload an upstream has to time out and to answer nobody here for this long. A full queue
-of connections drops opening segments until the upstream accepts the next one; a machine that is
-down stays silent, and callers wait longer than this for their responses."""
-
 OVERLOAD_RETRY_S = 0.25
 """Under overload the next probe comes this long after a timeout, since probes fill queues too."""
 
@@ -72,6 +72,7 @@
 
     ``SILENT``: a server accepted the connection, but did not say which one it is; it may be busy.
     ``RESET``: a server reset the connection at once; it is alive, but has no room for another one.
+    ``RESET_SLOWLY``: the same, but as slowly as ``CONNECTED_SLOWLY``.
     """
 
     CONNECTED = "connected"
@@ -79,11 +80,14 @@
     OTHER_SERVER = "other_server"
     SILENT = "silent"
     RESET = "reset"
+    RESET_SLOWLY = "reset_slowly"
     REFUSED = "refused"
     TIMEOUT = "timeout"
     DISCARDED = "discarded"
 
 
+_RESETS = (ProbeResult.RESET, ProbeResult.RESET_SLOWLY)
+
 _CAUSES = {
     ProbeResult.REFUSED: UnreachableCause.REFUSED,
     ProbeResult.TIMEOUT: UnreachableCause.TIMEOUT,
@@ -98,6 +102,7 @@
     :ivar is_control: the next probe is started beyond the limit of concurrent ones.
     :ivar failed_probes: timeouts since the last success or request of a new proof.
     :ivar failing_since_s: start of the first of them.
+    :ivar confirmation_s: how long they have to go on, the longest since the first of them.
     :ivar checked_s: time of the last result.
     :ivar proved_s: time of the last result that proved the upstream unreachable.
     :ivar probed_s: start of the last probe.
@@ -112,6 +117,7 @@
         "is_control",
         "failed_probes",
         "failing_since_s",
+        "confirmation_s",
         "checked_s",
         "proved_s",
         "probed_s",
@@ -127,6 +133,7 @@
         self.is_control = False
         self.failed_probes = 0
         self.failing_since_s = float("-inf")
+        self.confirmation_s = 0.0
         self.checked_s = float("-inf")
         self.proved_s = float("-inf")
         self.probed_s = float("-inf")
@@ -135,9 +142,14 @@
         self.recheck_interval_s = RECHECK_MIN_S
         self.refused_since_s: float | None = None
 
+    def clear_timeouts(self) -> None:
+        """Forget the timeouts so far; others are needed for a proof."""
+        self.failed_probes = 0
+        self.confirmation_s = 0.0
+
     def record_success(self) -> None:
         """Forget the failures before a successful probe."""
-        self.failed_probes = 0
+        self.clear_timeouts()
         self.proved_s = float("-inf")
         self.is_awaited = False
         self.refused_since_s = None
@@ -150,12 +162,19 @@
     :param quiet_s: a failed probe is ignored if the upstream answered a caller after the start of
         the probe or at most this long before it.
     :param overload: tells whether timeouts may be caused by overload.
+    :param is_reset_alive: an upstream that resets connections may be full.
 
     :ivar is_view_behind: peers have changes that this entry lacks; any upstream may be draining.
     """
 
-    def __init__(self, quiet_s: float = 0.0, overload: OverloadDetector | None = None) -> None:
+    def __init__(
+        self,
+        quiet_s: float = 0.0,
+        overload: OverloadDetector | None = None,
+        is_reset_alive: bool = False,
+    ) -> None:
         self.is_view_behind = False
+        self._is_reset_alive = is_reset_alive
         self._quiet_s = quiet_s
         self._overload = overload or NoOverloadDetector()
         self._controls_s: deque[float] = deque(maxlen=MAX_CONTROLS)
@@ -191,8 +210,16 @@
                 due.append(upstream)
         return due
 
+    def interpret(self, result: ProbeResult) -> ProbeResult:
+        """Return ``TIMEOUT`` for a reset that no full upstream can have caused.
+
+        A host in between may reset the connections to an upstream that is dead.
+        """
+        is_failure = result in _RESETS and not self._is_reset_alive
+        return ProbeResult.TIMEOUT if is_failure else result
+
     def handle_result(self, upstream: Lifetime, result: ProbeResult, now: float) -> bool:
-        """Process the result of a probe.
+        """Process the result of a probe, as ``interpret`` returned it.
 
         :returns: True if the upstream became reachable or unreachable, or was proved unreachable
             again for the flows that waited for it.
@@ -210,6 +237,8 @@
         state.checked_s = now
         if result in (ProbeResult.CONNECTED, ProbeResult.RESET):
             self._controls_s.append(state.probed_s)
+        if result in _RESETS:
+            state.refused_since_s = None
         if result in (ProbeResult.CONNECTED, ProbeResult.CONNECTED_SLOWLY):
             state.record_success()
             return self._set_reachable(upstream)
@@ -252,7 +281,7 @@
         state = self._get_state(upstream)
         if upstream.is_unreachable and not state.is_awaited:
             state.is_awaited = True
-            state.failed_probes = 0
+            state.clear_timeouts()
         if not state.is_probing:
             state.is_control = is_control
             state.checked_s = min(state.checked_s, now - SUCCESS_VALID_S)
@@ -263,14 +292,14 @@
     ) -> bool:
         """Decide whether a failed probe proves that the upstream is unreachable."""
         if upstream.answered_s > state.probed_s - self._quiet_s:
-            state.failed_probes = 0
+            state.clear_timeouts()
             state.next_s = now + self._quiet_s
             return False
         if result is ProbeResult.REFUSED and self._may_be_finishing(upstream, state, now):
             state.next_s = now + FINISHING_RECHECK_S
             return False
-        if result in (ProbeResult.SILENT, ProbeResult.RESET):
-            state.failed_probes = 0
+        if result is ProbeResult.SILENT or result in _RESETS:
+            state.clear_timeouts()
             if upstream.is_unreachable:
                 self._schedule_recheck(upstream, state, now)
             return False
@@ -302,10 +331,11 @@
         if not state.failed_probes:
             state.failing_since_s = state.probed_s
         state.failed_probes += 1
-        is_overloaded = self._overload.is_overloaded(now)
-        confirmation_s = OVERLOAD_CONFIRMATION_S if is_overloaded else 0.0
-        has_lasted = now - state.failing_since_s >= confirmation_s
-        is_answering = now - upstream.answered_s < max(ANSWER_VALID_S, confirmation_s)
+        if self._overload.is_overloaded(now):
+            # Kept after the overload: this upstream may be the last one to recover.
+            state.confirmation_s = OVERLOAD_CONFIRMATION_S
+        has_lasted = now - state.failing_since_s >= state.confirmation_s
+        is_answering = now - upstream.answered_s < max(ANSWER_VALID_S, state.confirmation_s)
         is_network_working = any(
             state.last_timeout_s <= started_s <= state.probed_s for started_s in self._controls_s
         )
@@ -317,7 +347,7 @@
             return False
         if not is_confirmed:
             state.checked_s = float("-inf")
-            state.next_s = now + OVERLOAD_RETRY_S if is_overloaded else now
+            state.next_s = now + OVERLOAD_RETRY_S if state.confirmation_s else now
         return is_confirmed
 
     def _may_be_finishing(self, upstream: Lifetime, state: _ProbeState, now: float) -> bool:
--- a/tests/forwarding/test_overload.py
+++ b/tests/forwarding/test_overload.py
@@ -2,11 +2,17 @@
 
 import pytest
 
-from chicoryproxy.forwarding.overload import LATE_RESPONSE_S, LateResponses
-from chicoryproxy.forwarding.reachability import (
+from chicoryproxy.forwarding.overload import (
+    LATE_RESPONSE_S,
     OVERLOAD_CONFIRMATION_S,
+    LateResponses,
+)
+from chicoryproxy.forwarding.reachability import (
+    DRAIN_FINISHING_S,
+    FINISHING_RECHECK_S,
     OVERLOAD_RETRY_S,
     OVERLOAD_SUCCESS_VALID_S,
+    ProbeResult,
 )
 from chicoryproxy.node.probe import CONNECT_TIMEOUT_S
 from tests.forwarding.harness import OTHER_DOMAIN, ForwarderHarness, create_packet
@@ -67,7 +73,9 @@
 @pytest.mark.parametrize("is_control_full", [True, False])
 def test_a_full_upstream_that_resets_connections_keeps_its_flows(harness, network, is_control_full):
     upstream, other = harness.publish_upstream("i-1"), harness.publish_upstream("i-2")
-    network.resetting = {"i-1", "i-2"} if is_control_full else {"i-1"}
+    network.resetting = dict.fromkeys(
+        ("i-1", "i-2") if is_control_full else ("i-1",), ProbeResult.RESET
+    )
     use(harness, upstream, 1024, 1)
     use(harness, other, 1025, 1)
     for _ in range(round(BURST_S / RETRANSMISSION_S)):
@@ -81,7 +89,7 @@
 def test_a_dead_upstream_is_found_while_all_others_are_full(harness, network):
     upstream = harness.publish_upstream("i-1")
     harness.publish_upstream("i-2")
-    network.resetting.add("i-2")
+    network.resetting["i-2"] = ProbeResult.RESET
     use(harness, upstream, 1024, 1)
     network.delays_s["i-1"] = NEVER_S
     suspect(harness, upstream)
@@ -97,11 +105,46 @@
     suspect(harness, upstream)
     network.run(2 * TICK_S)
     network.refusing.clear()
-    network.resetting.add("i-1")
+    network.resetting["i-1"] = ProbeResult.RESET
     network.run(BURST_S)
     assert upstream.is_unreachable
 
 
+# Connections don't fail falsely: what resets them, fast or slowly, stands before a dead upstream.
+@pytest.mark.parametrize("result", [ProbeResult.RESET, ProbeResult.RESET_SLOWLY])
+def test_resets_prove_a_death_where_connections_do_not_fail_falsely(result):
+    harness = ForwarderHarness()
+    harness.publish_routing(1)
+    network = Network(harness)
+    upstream = harness.publish_upstream("i-1")
+    harness.publish_upstream("i-2")
+    use(harness, upstream, 1024, 1)
+    network.resetting = {"i-1": result}
+    suspect(harness, upstream)
+    network.run(4 * TICK_S)
+    assert upstream.is_unreachable
+    assert len(network.broken) == 1
+
+
+# A release: a draining upstream refuses, accepts again while it is full, and refuses later.
+def test_a_reset_ends_the_time_in_which_a_draining_upstream_refuses(harness, network):
+    upstream = harness.publish_upstream("i-1", draining=True)
+    use(harness, upstream, 1024, 1)
+    network.refusing.add("i-1")
+    suspect(harness, upstream)
+    network.run(DRAIN_FINISHING_S / 2)
+    network.refusing.clear()
+    network.resetting["i-1"] = ProbeResult.RESET
+    network.run(2 * FINISHING_RECHECK_S)
+    del network.resetting["i-1"]
+    network.refusing.add("i-1")
+    suspect(harness, upstream)
+    network.run(DRAIN_FINISHING_S / 2)
+    assert not upstream.is_unreachable
+    network.run(DRAIN_FINISHING_S / 2 + FINISHING_RECHECK_S)
+    assert upstream.is_unreachable
+
+
 # A cut failure domain can be reached again, and its upstreams are full at once.
 def test_a_reset_shows_that_a_failure_domain_can_be_reached(harness, network):
     harness.publish_upstream("near")
@@ -113,7 +156,7 @@
     assert policy.is_domain_avoided(OTHER_DOMAIN)
     network.delays_s.clear()
     harness.publish_upstream("i-4", domain=OTHER_DOMAIN)
-    network.resetting.add("i-4")
+    network.resetting["i-4"] = ProbeResult.RESET
     network.run(3.0)
     assert not policy.is_domain_avoided(OTHER_DOMAIN)
 
@@ -145,6 +188,67 @@
     assert len(network.broken) >= 1
 
 
+# The worst overload: no upstream answers any more, and only a reset shows that connections work.
+def test_an_overload_is_not_forgotten_when_all_answers_stop(harness, network):
+    upstream, other = harness.publish_upstream("i-1"), harness.publish_upstream("i-2")
+    run_burst(harness, network, [upstream, other], 1.0)
+    network.delays_s["i-1"] = NEVER_S
+    network.resetting["i-2"] = ProbeResult.RESET
+    run_burst(harness, network, [], OVERLOAD_CONFIRMATION_S - LATE_S, [upstream])
+    assert network.broken == []
+    assert not upstream.is_unreachable
+
+
+# A burst ends for all upstreams but one, whose queue is still full.
+def test_timeouts_of_an_overload_prove_nothing_soon_after_it(harness, network):
+    upstream, other = harness.publish_upstream("i-1"), harness.publish_upstream("i-2")
+    run_burst(harness, network, [upstream, other], 1.0)
+    network.delays_s["i-1"] = NEVER_S
+    run_burst(harness, network, [other], 3 * LATE_S, [upstream])
+    for port in range(3000, 3200):
+        use(harness, other, port, 1)
+        use(harness, other, port, 2)
+    run_burst(harness, network, [], OVERLOAD_CONFIRMATION_S - 4 * LATE_S, [upstream])
+    assert network.broken == []
+    assert not upstream.is_unreachable
+
+
+# Packet loss on an ordinary day: one request in eight is sent again and then answered at once.
+def test_lost_packets_do_not_delay_the_proof_of_a_death(harness, network):
+    upstream, other = harness.publish_upstream("i-1"), harness.publish_upstream("i-2")
+    use(harness, upstream, 1024, 1)
+    for port in range(2000, 2080):
+        use(harness, other, port, 1)
+        if port % 8 == 0:
+            network.run(RETRANSMISSION_S)
+            use(harness, other, port, 1)
+        network.run(0.01)
+        use(harness, other, port, 2)
+    network.delays_s["i-1"] = NEVER_S
+    run_burst(harness, network, [], 4 * CONNECT_TIMEOUT_S, [upstream])
+    assert upstream.is_unreachable
+
+
+# A burst: a request in a queue is not acknowledged, and is sent again although nothing was lost.
+def test_requests_sent_again_in_a_long_queue_are_an_overload():
+    assert record(LateResponses(), [0.5] * 10, copy_age_s=0.3)
+
+
+# A slow service: its users are content with responses that would be late elsewhere.
+@pytest.mark.parametrize(("target_s", "is_overload"), [(None, True), (0.0, True), (2.0, False)])
+def test_a_response_well_within_the_latency_target_is_not_late(target_s, is_overload):
+    assert record(LateResponses(), [0.3] * 10, target_s=target_s) is is_overload
+
+
+# A burst, in which the process of a busy upstream ends.
+def test_a_refused_connection_is_a_proof_under_overload_too(harness, network):
+    upstream, other = harness.publish_upstream("i-1"), harness.publish_upstream("i-2")
+    run_burst(harness, network, [upstream, other], 1.0)
+    network.refusing.add("i-1")
+    run_burst(harness, network, [other], OVERLOAD_SUCCESS_VALID_S + 2 * LATE_S, [upstream])
+    assert upstream.is_unreachable
+
+
 # A burst: nearly all requests are late; a probe for each of them would fill the upstreams further.
 def test_late_responses_cause_few_probes(harness, network):
     upstreams = [harness.publish_upstream(f"i-{number}") for number in range(10)]
@@ -161,6 +265,38 @@
     [(([0.01] * 4 + [0.3]) * 10, True), (([0.01] * 49 + [0.3]) * 4, False), ([0.3], False)],
 )
 def test_a_tenth_of_late_responses_is_an_overload(durations_s, is_overloaded):
+def record(responses, durations_s, now=1.0, **details):
+    """Record responses that come together; return whether there is an overload."""
+    for duration_s in durations_s:
+        responses.record_response(duration_s, now, **details)
+    return responses.is_overloaded(now)
+
+
+# The last answers of the worst overload: they count for as long as a death needs to be confirmed.
+def test_an_overload_lasts_while_nothing_answers():
+    responses = LateResponses()
+    assert record(responses, [0.3] * 4)
+    assert responses.is_overloaded(1.0 + OVERLOAD_CONFIRMATION_S - TICK_S)
+    assert not responses.is_overloaded(1.0 + OVERLOAD_CONFIRMATION_S + TICK_S)
+
+
+# Overloaded upstreams reject most requests at once, so that few responses are late.
+def test_one_late_response_in_five_is_an_overload():
+    assert record(LateResponses(), ([0.01] * 4 + [0.3]) * 10)
+
+
+# An ordinary day: one request in fifty takes much longer than the others.
+def test_a_long_tail_is_no_overload():
+    assert not record(LateResponses(), ([0.01] * 49 + [0.3]) * 4)
+
+
+# An entry with hardly any traffic: one request that was slow says nothing.
+def test_a_single_late_response_is_no_overload():
+    assert not record(LateResponses(), [0.3])
+
+
+# The burst is over: the next timeouts prove a death as quickly as before.
+def test_an_overload_is_forgotten():
     responses = LateResponses()
     for duration_s in durations_s:
         responses.record_response(duration_s, 1.0)
