Ask the home again about flows with records that are not recent

What callers saw: 40 of 800 flows that reused a port of a contested slot within the idle timeout were reset.

Cause: only the entry that sees a FIN marks its record as closing. All others kept the former flow's record for the idle timeout, while the home placed the new flow elsewhere; they sent its packets to the former upstream, which reset them. Answers of the new upstream even renewed the former record.

Fix: an entry other than the home forwards by a record only if a packet used it in this or the previous tick of the flow table, which is less than the lifetime of a closing record at the home. Otherwise it passes the packet to the home, as if the hint had been lost; the record stays for take-overs. Answers renew a record only if they come from its upstream.

Ruled out: sequence numbers in the records (the table interns equal states, so each record would cost a separate integer; the fakes number all flows alike), news of each FIN to all entries (messages per flow times entries, and unacknowledged).

--- a/src/chicoryproxy/routing/decision.py
+++ b/src/chicoryproxy/routing/decision.py
@@ -51,6 +51,16 @@
         self._copies: OrderedDict[FlowKey, _OpeningCopy] = OrderedDict()
         self._retries: dict[ServiceId, RetryBudget] = {}
 
+    def forward_by_recent_record(self, packet: PacketContext, now: float) -> Actions | None:
+        """Forward a packet to the upstream in its flow's record, if the record is recent.
+
+        An older record may be that of a former flow with the same addresses and ports, whose end
+        this entry did not see. The home decides on its packets.
+        """
+        if not self._context.records.table.is_recent(packet.flow, now):
+            return None
+        return self.forward_by_record(packet, now)
+
     def forward_by_record(self, packet: PacketContext, now: float) -> Actions | None:
         """Forward a packet to the upstream in its flow's record.
 
--- a/src/chicoryproxy/routing/explanation.py
+++ b/src/chicoryproxy/routing/explanation.py
@@ -340,6 +340,9 @@
         is_closing = self._context.records.has_flag(self._flow_key, FlowFlag.CLOSING)
         if (packet is PacketKind.OPENING and is_closing) or self._is_discarded(self._record):
             return None
+        is_recent = self._context.records.table.is_recent(self._flow_key, self._now)
+        if not is_recent and self._choose_home() != self._context.own:
+            return None
         return self._predict_forward(packet, self._record.upstream, RouteReason.KNOWN_FLOW)
 
     def _is_discarded(self, record: RecordTarget) -> bool:
--- a/src/chicoryproxy/routing/flowtable.py
+++ b/src/chicoryproxy/routing/flowtable.py
@@ -18,6 +18,11 @@
 DEFAULT_IDLE_TIMEOUT_S = 300.0
 HALF_OPEN_TIMEOUT_S = 12.0
 CLOSING_TIMEOUT_S = 8.0
+RECENT_TICKS = 1
+"""Records of the current and the previous tick are recent: these were updated less than
+``CLOSING_TIMEOUT_S`` ago, so the home still remembers the end of a flow that a newer one follows
+on the same port."""
+
 MAX_INTERNED_STATES = 65_536
 
 FLAG_BITS = 8
@@ -136,6 +141,11 @@
         shard[flow] = self._intern(number << NUMBER_SHIFT | _tick(now) << FLAG_BITS | bits)
         return None
 
+    def is_recent(self, flow: FlowKey, now: float) -> bool:
+        """Return whether a flow has a record that a packet updated within ``RECENT_TICKS``."""
+        state = self.find(flow)
+        return state is not None and _get_age(state, _tick(now)) <= RECENT_TICKS
+
     def touch(self, flow: FlowKey, now: float) -> None:
         """Update the time of the last packet of a flow; no effect without a record."""
         shard = self._shards[flow & _SHARD_MASK]
@@ -215,7 +225,7 @@
         self._count -= len(expired)
 
     def _is_expired(self, state: int, tick: int) -> bool:
-        age = (tick - (state >> FLAG_BITS)) & TICK_MASK
+        age = _get_age(state, tick)
         if state & _CLOSING:
             return age > _CLOSING_TICKS
         if state & _HALF_OPEN:
@@ -239,6 +249,11 @@
         return interned.setdefault(state, state)
 
 
+def _get_age(state: int, tick: int) -> int:
+    """Return the time since the last update of a packed state, in units of ``TICK_S``."""
+    return (tick - (state >> FLAG_BITS)) & TICK_MASK
+
+
 def _tick(now: float) -> int:
     return int(now / TICK_S) & TICK_MASK
 
--- a/src/chicoryproxy/routing/returns.py
+++ b/src/chicoryproxy/routing/returns.py
@@ -43,10 +43,7 @@
             return self._handle_syn_ack(flow, route, upstream, now)
         if head.flags & FLAG_RST:
             return self._handle_reset(data, head, flow, route, upstream, now)
-        if head.flags & FLAG_FIN:
-            self._context.records.table.set_flags(flow, FlowFlag.CLOSING, now)
-        else:
-            self._context.records.table.touch(flow, now)
+        self._update_record(flow, upstream, bool(head.flags & FLAG_FIN), now)
         return [Return()]
 
     def receive_passed(
@@ -62,6 +59,17 @@
         self._context.records.table.remove(flow)
         return [ReturnPacket(data)]
 
+    def _update_record(self, flow: FlowKey, upstream: UpstreamId, is_end: bool, now: float) -> None:
+        """Update a flow's record, unless it is that of a former flow on another upstream."""
+        records = self._context.records
+        target = records.find(flow)
+        if target is None or target.upstream != upstream:
+            return
+        if is_end:
+            records.table.set_flags(flow, FlowFlag.CLOSING, now)
+        else:
+            records.table.touch(flow, now)
+
     def _handle_syn_ack(
         self, flow: FlowKey, route: ServiceRoute, upstream: UpstreamId, now: float
     ) -> Actions:
--- a/src/chicoryproxy/routing/router.py
+++ b/src/chicoryproxy/routing/router.py
@@ -253,7 +253,7 @@
     def _route_contested(self, packet: PacketContext, now: float) -> Sequence[PacketAction]:
         if not self._context.directory.is_home(packet.slot):
             self._decider.discard_gone_record(packet)
-        forwarded = self._decider.forward_by_record(packet, now)
+        forwarded = self._decider.forward_by_recent_record(packet, now)
         if forwarded is not None:
             return forwarded
         homes = self._context.directory.homes_of(packet.slot)
--- a/tests/test_explanation.py
+++ b/tests/test_explanation.py
@@ -25,7 +25,14 @@
 )
 from chicoryproxy.routing.flowname import FlowName, FlowNameFault, parse_flow
 from chicoryproxy.states import DomainState, DropReason, Protocol, RefusalReason
-from chicoryproxy.testing import Segment, change_upstreams, create_upstream, set_domain
+from chicoryproxy.testing import (
+    Segment,
+    change_upstreams,
+    create_tenggara,
+    create_upstream,
+    set_domain,
+)
+from chicoryproxy.testing._fakewire import unpack_segment
 
 START_S = 4.0
 FLOW_COUNT = 100
@@ -50,6 +57,11 @@
 @pytest.fixture
 def get_explanation(fleet, service):
     """A function that explains the flow from a caller's port at a node."""
+    return create_explainer(fleet, service)
+
+
+def create_explainer(fleet, service):
+    """Return a function that explains the flow from a caller's port at a node."""
 
     def explain(node, port):
         address = service.addresses[0]
@@ -153,6 +165,28 @@
     assert seen[OutcomeKind.REFUSE] > 0
 
 
+def test_predicts_packets_of_flows_with_records_that_are_not_recent():
+    deployment = create_tenggara(idle_timeout_s=60.0)
+    service = deployment.configuration.services[0]
+    fleet = deployment.create_fleet(1)
+    fleet.run(START_S)
+    drained = msgspec.structs.replace(service.upstreams[0], draining=True)
+    upstreams = (drained, *service.upstreams[1:])
+    fleet.publish(change_upstreams(fleet.platform.served, service.id, upstreams))
+    fleet.run(4.0)
+    explain = create_explainer(fleet, service)
+    for node in fleet.nodes.values():
+        for port in NEW_PORTS:
+            packet = pack_packet(explain(node, port).flow, PacketKind.OPENING)
+            fleet.inject(node.instance.id, unpack_segment(packet))
+        fleet.run(0.3)
+    recent = check_predictions(fleet, explain, NEW_PORTS)
+    fleet.run(8.0)
+    old = check_predictions(fleet, explain, NEW_PORTS)
+    assert recent[OutcomeKind.PASS] == 0
+    assert old[OutcomeKind.PASS] > 0
+
+
 def test_lists_the_candidates_of_a_contested_slot(fleet, service, get_explanation):
     drained = msgspec.structs.replace(service.upstreams[0], draining=True)
     upstreams = (drained, *service.upstreams[1:])
--- a/tests/test_flowtable.py
+++ b/tests/test_flowtable.py
@@ -66,6 +66,16 @@
     assert expire_all(table, timeout_s + 2 * TICK_S) == 1
 
 
+@pytest.mark.parametrize("start_s", [0.0, 3.9, 65_536 * TICK_S - 0.1])
+def test_a_record_is_no_longer_recent_once_a_closing_flow_may_have_expired(table, start_s):
+    table.record(1, 5, ESTABLISHED, start_s)
+    assert table.is_recent(1, start_s + TICK_S)
+    assert not table.is_recent(1, start_s + CLOSING_TIMEOUT_S)
+    table.touch(1, start_s + CLOSING_TIMEOUT_S)
+    assert table.is_recent(1, start_s + CLOSING_TIMEOUT_S)
+    assert not table.is_recent(2, start_s)
+
+
 def test_setting_flags_ends_the_half_open_state(table):
     table.record(1, 3, FlowFlag.HALF_OPEN | FlowFlag.OPENED_HERE, 0.0)
     table.set_flags(1, FlowFlag.CLOSING, 1.0)
--- a/tests/test_late_news.py
+++ b/tests/test_late_news.py
@@ -357,6 +357,29 @@
     assert not any(isinstance(action, ReturnPacket) for item in actions for action in item)
 
 
+def test_answers_of_another_upstream_do_not_keep_the_record_of_a_former_flow(
+    tenggara: Deployment,
+) -> None:
+    core = create_core(tenggara, peers=2)
+    service = tenggara.configuration.services[0]
+    former, other = service.upstreams[:2]
+    ports = [
+        port
+        for port in PORTS
+        if is_passed(core.receive_packet(build_data_packet(port), CALLER, 0.1))
+    ]
+    for port in ports:
+        core.receive_packet(build_syn_ack(port), (former.address.host, former.address.port), 0.2)
+    for peer in tenggara.instances[1:3]:
+        core.receive_message(peer.id, FlowHints(()), 9.0)
+    for port in ports:
+        answer = Segment(b"\xc6\x33\x64\x01", 443, b"\x0a\x01\x01\x01", port, FLAG_ACK).pack()
+        core.receive_packet(answer, (other.address.host, other.address.port), 9.0)
+    actions = [core.receive_packet(build_data_packet(port), CALLER, 9.1) for port in ports]
+    assert actions
+    assert all(is_passed(item) for item in actions)
+
+
 def test_flow_that_reuses_a_port_is_not_sent_to_the_upstream_of_the_former_flow() -> None:
     deployment = create_tenggara(idle_timeout_s=60.0)
     service = deployment.configuration.services[0]
