Place by a new version only once earlier openings have settled

Cause: an opening that is sent from a clean slot has no record.

The first version of an instance is placed without that wait: no earlier placement exists.

What stays: an instance that joins during the wait places by its first version, and repetitions later than the opening timeout.

--- a/src/chicoryproxy/control/versions.py
+++ b/src/chicoryproxy/control/versions.py
@@ -59,6 +59,7 @@
         self._highest = NO_VERSION
         self._highest_source: InstanceId | None = None
         self._placed = NO_VERSION
+        self._spread_at: float | None = None
         self._generations: dict[ServiceId, tuple[Generation, ...]] = {}
         self._floors: dict[ServiceId, Version] = {}
         self._peer_versions: dict[InstanceId, Version] = {}
@@ -146,6 +147,7 @@
         change = VersionChange(self._configuration, configuration)
         self._configuration = configuration
         self._learned_at = now
+        self._spread_at = None
         self._highest = max(self._highest, configuration.version)
         self._add_generations(configuration)
         self.revision += 1
@@ -189,7 +191,10 @@
                 self._set_generations(service.service, kept)
 
     def advance_placed(self, live: Iterable[InstanceId], spread_s: float, now: float) -> None:
-        """Place new flows by the active version once all peers have it.
+        """Place new flows by the active version once all peers have it and openings have settled.
+
+        An opening that was sent from a clean slot has no record. While its caller may repeat it,
+        the home has to place the copy by the version before. The first version has none before it.
 
         :param live: the live peers, each of which has to report the version.
         :param spread_s: time after which missing reports are no longer waited for.
@@ -197,11 +202,24 @@
         if self._placed == self.version or self.is_behind:
             # A peer with a higher version may have skipped this one and not know its placement.
             return
-        gossipqueue = now - self._learned_at >= spread_s
-        if gossipqueue or all(self.get_peer_version(peer) >= self.version for peer in live):
+        if self._spread_at is None and self._has_spread(live, spread_s, now):
+            self._spread_at = now
+        if self._spread_at is None:
+            return
+        is_first = self._placed == NO_VERSION
+        if is_first or now - self._spread_at >= self._get_opening_timeout_s():
             self._placed = self.version
             self.revision += 1
 
+    def _has_spread(self, live: Iterable[InstanceId], spread_s: float, now: float) -> bool:
+        is_overdue = now - self._learned_at >= spread_s
+        return is_overdue or all(self.get_peer_version(peer) >= self.version for peer in live)
+
+    def _get_opening_timeout_s(self) -> float:
+        """Return the longest opening timeout of the services, in seconds."""
+        services = self._configuration.services
+        return max((service.limits.opening_timeout_s for service in services), default=0.0)
+
     def _add_generations(self, configuration: Configuration) -> None:
         domains_in = list_domains_in(configuration)
         services = {service.id: service for service in configuration.services}
--- a/tests/test_versions.py
+++ b/tests/test_versions.py
@@ -110,6 +110,21 @@
     assert store.placed == 1
 
 
+def test_a_later_version_is_placed_after_openings_without_a_record_have_settled(
+    store: VersionStore,
+) -> None:
+    store.advance_placed((), 3.0, 0.0)
+    store.adopt(make_version(2, 4), 10.0)
+    store.advance_placed(PEERS, 3.0, 10.0)
+    for peer in PEERS:
+        store.record_peer_version(peer, Version(2))
+    store.advance_placed(PEERS, 3.0, 11.0)
+    store.advance_placed(PEERS, 3.0, 13.9)
+    assert store.placed == 1
+    store.advance_placed(PEERS, 3.0, 14.0)
+    assert store.placed == 2
+
+
 def test_the_highest_version_reported_by_a_peer_is_recorded(store: VersionStore) -> None:
     assert store.record_peer_version(PEERS[0], Version(7))
     assert (store.highest, store.is_behind) == (7, True)
