Let one of two homes that query each other decide first

Found while looking for the cause of broken flows in two demos beside load: the demo's single event loop stalls, which pauses all its entries at once.

The models treat a query and its answers as one step.

Fix: an answer voids the answering instance's own open query about the slot, not only its finished ones; and of two instances that query each other, the one with the lower id answers only after its own query has finished, so that the answer has its decision. The other repeats its query after 50 ms, as for a late answer. An order by id over all slots can't deadlock, one by the ranks of homes per slot could.

--- a/src/chicoryproxy/routing/peers.py
+++ b/src/chicoryproxy/routing/peers.py
@@ -87,6 +87,11 @@
         return self._context.records.import_record(record, now)
 
     def _handle_flow_query(self, sender: InstanceId, message: FlowQuery, now: float) -> Actions:
+        slots = [question.slot for question in message.questions]
+        if self._context.own < sender and self._context.take_over.is_querying(slots):
+            # Of two instances that query each other, the first one finishes and decides before it
+            # answers. The other repeats its query.
+            return []
         records: list[FlowRecord] = []
         floors = []
         for question in message.questions:
@@ -100,7 +105,7 @@
         answer = FlowAnswer(message.query, tuple(records), known_floors)
         # The querying peer is now home of these slots. If both instances decided on their unknown
         # flows, the copies of one opening could be placed on two upstreams.
-        self._context.take_over.invalidate(question.slot for question in message.questions)
+        self._context.take_over.invalidate(slots)
         return [SendToPeer(sender, answer, Priority.SAFETY)]
 
     def _build_slots(self, slot: SlotName, now: float) -> None:
--- a/src/chicoryproxy/routing/takeover.py
+++ b/src/chicoryproxy/routing/takeover.py
@@ -76,9 +76,18 @@
         self._complete.clear()
         self._queried = frozenset()
 
+    def is_querying(self, slots: Iterable[SlotName]) -> bool:
+        """Return whether the open query is about one of the slots."""
+        return self._answer_deadline_s is not None and not self._queried.isdisjoint(slots)
+
     def invalidate(self, slots: Iterable[SlotName]) -> None:
-        """Require a new query for slots that a peer has taken over."""
-        self._complete.difference_update(slots)
+        """Require a new query for slots that a peer has taken over.
+
+        An open query about them counts no longer, as the peer may decide before it finishes.
+        """
+        taken = frozenset(slots)
+        self._complete -= taken
+        self._queried -= taken
 
     def queue_packet(self, packet: PacketContext) -> bool:
         """Queue a packet until the query about its slot has finished.
--- a/tests/test_late_news.py
+++ b/tests/test_late_news.py
@@ -161,6 +161,24 @@
     assert answer.records == (record,)
 
 
+def test_of_two_instances_that_query_each_other_the_first_one_answers_later(
+    tenggara: Deployment,
+) -> None:
+    core = create_core(tenggara, peers=2)
+    core.receive_packet(build_data_packet(PORTS[0]), CALLER, 0.0)
+    slot = core.built_slots()[0].name(find_record(core, tenggara)[0].slot)
+    core._context.take_over.request_refresh([SlotQuestion(slot, UpstreamId(""))])
+    core._context.take_over.start_query([tenggara.instances[1].id], 0.1)
+    query = FlowQuery(1, (SlotQuestion(slot, UpstreamId("")),))
+    later, first = tenggara.instances[1].id, InstanceId("a")
+    assert core._context.own < later
+    messages = list_messages(core.receive_message(later, query, 0.11))
+    assert not any(isinstance(message, FlowAnswer) for message in messages)
+    messages = list_messages(core.receive_message(first, query, 0.11))
+    assert any(isinstance(message, FlowAnswer) for message in messages)
+    assert not core._context.take_over.is_querying([slot])
+
+
 def test_successor_without_packets_reports_its_live_flow_before_a_release(
     tenggara: Deployment,
 ) -> None:
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -134,6 +134,26 @@
     assert_all_flows_done(fleet)
 
 
+@pytest.mark.parametrize("seed", [4, 5])
+def test_pause_of_all_entries_at_once_breaks_no_flow(seed):
+    deployment = create_tenggara(idle_timeout_s=60.0)
+    service = deployment.configuration.services[0]
+    fleet = deployment.create_fleet(seed)
+    fleet.run(START_S)
+    fleet.open_flows(service, 2 * FLOW_COUNT, OPENINGS_S, 10, 0.5)
+    fleet.run(2.0)
+    upstreams = list(service.upstreams)
+    upstreams[2] = msgspec.structs.replace(upstreams[2], draining=True)
+    fleet.publish(change_upstreams(fleet.platform.served, service.id, upstreams))
+    fleet.run(1.5)
+    for _ in range(2):
+        for name in fleet.nodes:
+            fleet.pause(name, 2.0)
+        fleet.run(3.0)
+    fleet.run(SETTLE_S)
+    assert fleet.count() == {FlowOutcome.DONE: 2 * FLOW_COUNT}
+
+
 def test_leaving_entry_hands_over_and_breaks_no_flow(fleet):
     name = InstanceId("entry-3")
     fleet.stop(name)
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -65,3 +65,11 @@
     take_over.mark_complete([SLOT])
     take_over.invalidate([SLOT])
     assert not take_over.has_all_records(SLOT)
+
+
+def test_open_query_about_slots_that_a_peer_takes_over_does_not_complete_them(take_over):
+    take_over.invalidate([SLOT])
+    for peer in PEERS:
+        answer(take_over, peer)
+    take_over.finish_query(0.01)
+    assert not take_over.has_all_records(SLOT)
