Cover longer leases in waits that start after a lease was shortened

Cause: GrantOwner.set_lease used the longer wait only for upstreams owned at that moment. A pause, a new ownership or a further change right after it started a wait for the short lease, while leases of the long one could still be in use, so that a cold upstream could get more than its bound.

--- a/tests/test_grants.py
+++ b/tests/test_grants.py
@@ -87,6 +87,20 @@
     assert ask(owner, 100.0 + 1.1 + WINDOW_S + MARGIN_S) == 10
 
 
+@pytest.mark.parametrize("event", ["pause", "new upstream", "shorter again"])
+def test_a_wait_that_starts_after_a_lease_was_shortened_covers_the_longer_leases(event):
+    owner = GrantOwner(10.0, MARGIN_S)
+    owner.set_lease(0.2, 100.0)
+    if event == "pause":
+        ask(owner, 100.1)
+        owner.invalidate(100.2)
+    elif event == "shorter again":
+        owner.set_lease(0.1, 100.2)
+    assert ask(owner, 100.3) == 0
+    assert ask(owner, 100.0 + 10.0 + WINDOW_S + MARGIN_S) == 0
+    assert ask(owner, 100.0 + 10.2 + WINDOW_S + MARGIN_S) == 10
+
+
 @pytest.mark.parametrize(
     "state",
     [UpstreamState.DRAINING, UpstreamState.GONE, UpstreamState.UNREACHABLE, UpstreamState.READY],
