--- a/tests/forwarding/test_overload.py
+++ b/tests/forwarding/test_overload.py
@@ -21,6 +21,7 @@
 BURST_S = 9.0
 LATE_S = LATE_RESPONSE_S + 0.05
 RETRANSMISSION_S = 0.2
+STEP_S = 0.1
 PROOF_S = OVERLOAD_SUCCESS_VALID_S + OVERLOAD_CONFIRMATION_S + OVERLOAD_RETRY_S + 0.5
 """A probe may have succeeded just before; then come timeouts, and one more with its control."""
 
@@ -103,7 +104,7 @@
     upstream = harness.publish_upstream("i-1")
     network.refusing.add("i-1")
     suspect(harness, upstream)
-    network.run(2 * TICK_S)
+    network.run(STEP_S)
     network.refusing.clear()
     network.resetting["i-1"] = ProbeResult.RESET
     network.run(BURST_S)
@@ -240,15 +241,6 @@
     assert record(LateResponses(), [0.3] * 10, target_s=target_s) is is_overload
 
 
-# A burst, in which the process of a busy upstream ends.
-def test_a_refused_connection_is_a_proof_under_overload_too(harness, network):
-    upstream, other = harness.publish_upstream("i-1"), harness.publish_upstream("i-2")
-    run_burst(harness, network, [upstream, other], 1.0)
-    network.refusing.add("i-1")
-    run_burst(harness, network, [other], OVERLOAD_SUCCESS_VALID_S + 2 * LATE_S, [upstream])
-    assert upstream.is_unreachable
-
-
 # A burst: nearly all requests are late; a probe for each of them would fill the upstreams further.
 def test_late_responses_cause_few_probes(harness, network):
     upstreams = [harness.publish_upstream(f"i-{number}") for number in range(10)]
@@ -258,13 +250,6 @@
     assert network.probes <= len(upstreams) * (BURST_S / OVERLOAD_SUCCESS_VALID_S + 1)
 
 
-# Overloaded upstreams reject most requests at once, so that few responses are late. On an ordinary
-# day one request in fifty takes long, and an entry with hardly any traffic may see only that one.
-@pytest.mark.parametrize(
-    ("durations_s", "is_overloaded"),
-    [(([0.01] * 4 + [0.3]) * 10, True), (([0.01] * 49 + [0.3]) * 4, False), ([0.3], False)],
-)
-def test_a_tenth_of_late_responses_is_an_overload(durations_s, is_overloaded):
 def record(responses, durations_s, now=1.0, **details):
     """Record responses that come together; return whether there is an overload."""
     for duration_s in durations_s:
@@ -298,9 +283,5 @@
 # The burst is over: the next timeouts prove a death as quickly as before.
 def test_an_overload_is_forgotten():
     responses = LateResponses()
-    for duration_s in durations_s:
-        responses.record_response(duration_s, 1.0)
-    assert responses.is_overloaded(1.0) is is_overloaded
-    for duration_s in [0.01] * 20:
-        responses.record_response(duration_s, 6.0)
-    assert not responses.is_overloaded(6.0)
+    assert record(responses, [0.3] * 50)
+    assert not record(responses, [0.01] * 20, 6.0)
