Compute the wait of a grant without rounding

test_home_change_ends_ownership_of_upstreams_no_longer_owned compares two waits; the sum with the time and its difference, new with the former leases, rounded one of them.

--- a/src/chicoryproxy/routing/grants.py
+++ b/src/chicoryproxy/routing/grants.py
@@ -112,7 +112,7 @@
         """
         if lease_s == self.lease_s:
             return
-        self._former_leases_end_s = self._get_wait_end(now)
+        self._former_leases_end_s = now + self._get_wait_s(now)
         self.lease_s = lease_s
         self._span_s = _compute_span_s(lease_s)
         self._wait_s = self._span_s + self._margin_s
@@ -121,7 +121,7 @@
     def begin_ownership(self, upstream: UpstreamId, now: float) -> None:
         """Add an upstream and start its waiting time; no effect if it is owned already."""
         if upstream not in self._owned:
-            self._owned[upstream] = _OwnedUpstream(self._get_wait_end(now))
+            self._owned[upstream] = _OwnedUpstream(now + self._get_wait_s(now))
 
     def end_ownership(self, upstream: UpstreamId) -> None:
         """Remove an upstream that another instance owns now."""
@@ -138,11 +138,11 @@
     def invalidate(self, now: float) -> None:
         """Restart all waiting times after a pause, since another instance may have granted."""
         for upstream in self._owned:
-            self._owned[upstream] = _OwnedUpstream(self._get_wait_end(now))
+            self._owned[upstream] = _OwnedUpstream(now + self._get_wait_s(now))
 
-    def _get_wait_end(self, now: float) -> float:
-        """Return until when a wait that starts now lasts, leases of former lifetimes included."""
-        return max(now + self._wait_s, self._former_leases_end_s)
+    def _get_wait_s(self, now: float) -> float:
+        """Return how long a wait that starts now lasts, leases of former lifetimes included."""
+        return max(self._wait_s, self._former_leases_end_s - now)
 
     def request(
         self,
@@ -180,7 +180,7 @@
         """Return the seconds after which a refused holder should ask again."""
         owned = self._owned.get(upstream)
         if owned is None or now < owned.not_before:
-            return (self._get_wait_end(now) if owned is None else owned.not_before) - now
+            return self._get_wait_s(now) if owned is None else owned.not_before - now
         if not owned.leases:
             return MIN_RETRY_DELAY_S
         return max(MIN_RETRY_DELAY_S, owned.leases[0].granted_at + self._span_s - now)
