Never refuse a late first copy of an open flow

Cause: the record of the flow was replaced before admission was decided, so that nothing was left of the upstreams tried. A reset could reach the caller of a living flow. Another flow that reuses the addresses and ports is still subject to admission.

--- a/src/chicoryproxy/forwarding/forwarder.py
+++ b/src/chicoryproxy/forwarding/forwarder.py
@@ -169,6 +169,7 @@
             return Refusal.NO_ROUTE
         self.recent_openings.record(packet.route_key, now)
         flow = self._touch_opening(packet, now)
+        is_new = not (packet.acknowledged or flow.tried or flow.is_open)
         if flow.is_open and flow.upstream is not None:
             if packet.acknowledged:
                 # A late retransmission of the opening, which was answered already.
@@ -177,7 +178,6 @@
         awaited = self._find_awaited(flow, route, now)
         if awaited is not None:
             return awaited
-        is_new = not packet.acknowledged and not flow.tried
         if is_new and not self.admission.admits(route, packet.flow, now):
             self.flows.remove(packet.flow)
             return Refusal.OVERLOADED
--- a/tests/forwarding/test_admission.py
+++ b/tests/forwarding/test_admission.py
@@ -153,6 +153,25 @@
         assert isinstance(fleet.send_opening(FEED, caller, copy=1)[0], Lifetime)
 
 
+def test_a_late_first_copy_of_an_open_flow_is_not_refused(fleet):
+    """Packets duplicated or delayed on the way: the upstream of the flow lives."""
+    flows = [(caller, fleet.open_flow(FEED, caller)[1]) for caller in range(2, 200)]
+    press(fleet, 9.0)
+    for caller, port in flows:
+        assert isinstance(fleet.send_opening(FEED, caller, port)[0], Lifetime)
+
+
+def test_a_new_flow_with_the_ports_of_an_open_one_is_refused(fleet):
+    """Ports reused during overload: the opening starts at an unrelated offset."""
+    flows = [(caller, fleet.open_flow(FEED, caller)[1]) for caller in range(2, 200)]
+    press(fleet, 9.0)
+    openings = [
+        create_packet(FEED, caller, port, sequence=1 << 30, is_opening=True)
+        for caller, port in flows
+    ]
+    assert [fleet.send(item) for item in openings].count(Refusal.OVERLOADED) > 0.8 * len(flows)
+
+
 def test_requests_of_open_flows_are_never_refused(fleet):
     """Overload while flows are open: their packets go on."""
     upstream, port = fleet.open_flow(FEED)
