Bound the priorities that are read from the store

Cause: a priority of 2**64 or more was decoded, and raised an OverflowError when the configuration was encoded for a peer. The test of malformed input now passes on each change, with integers above 64 bits. Concurrency, born, Version, MaxConnections and port numbers have the same fault and are not changed here.

--- a/src/chicoryproxy/platform/records.py
+++ b/src/chicoryproxy/platform/records.py
@@ -36,10 +36,14 @@
 STATE_READY = "ready"
 STATE_DRAINING = "draining"
 MAX_NUMBER_DIGITS = 16
+
+MAX_PRIORITY = 2**31 - 1
+"""Higher numbers are unreadable; messages between entries can't hold those above 64 bits."""
+
 _HEX_DIGITS = frozenset("0123456789abcdefABCDEF")
 
 _Positive = Annotated[int, Meta(ge=1)]
-_NotNegativeInteger = Annotated[int, Meta(ge=0)]
+_Priority = Annotated[int, Meta(ge=0, le=MAX_PRIORITY)]
 _NotNegative = Annotated[float, Meta(ge=0)]
 
 
@@ -68,7 +72,7 @@
     prefix: str = field(name="Prefix")
     service: str = field(name="Service", default="")
     split: tuple[_Split, ...] = field(name="TrafficSplit", default=())
-    priority: _NotNegativeInteger = field(name="Priority", default=0)
+    priority: _Priority = field(name="Priority", default=0)
     latency_target_ms: _NotNegative = field(name="TargetLatencyMs", default=0.0)
 
 
--- a/tests/adapter/test_malformed_input.py
+++ b/tests/adapter/test_malformed_input.py
@@ -13,6 +13,7 @@
 from chicoryproxy.forwarding.model import Change, Revision
 from chicoryproxy.forwarding.packet import CallerPacket
 from chicoryproxy.forwarding.peermessages import (
+    ChangesReply,
     Heartbeat,
     PeerAddress,
     decode_message,
@@ -41,7 +42,16 @@
 }
 CONFIG = {
     "Version": 3,
-    "Routes": [{"Name": "r", "Hostname": "198.18.0.1", "Prefix": "/443/", "Service": "qa-desk"}],
+    "Routes": [
+        {
+            "Name": "r",
+            "Hostname": "198.18.0.1",
+            "Prefix": "/443/",
+            "Service": "qa-desk",
+            "Priority": 1,
+            "TargetLatencyMs": 605,
+        }
+    ],
     "Services": [{"Name": "qa-desk", "ColdStartS": 2.0, "ColdPerS": 4.0}],
     "Limits": {"IdleTimeoutMs": 15000},
 }
@@ -49,6 +59,7 @@
     st.none()
     | st.booleans()
     | st.integers()
+    | st.integers(2**63, 2**65)
     | st.floats(allow_nan=False, allow_infinity=False)
     | st.text(max_size=8),
     lambda items: st.lists(items, max_size=3) | st.dictionaries(st.text(max_size=8), items),
@@ -138,9 +149,10 @@
 
 
 def apply(change):
-    """Merge and apply a change, as an entry does with what the store answers."""
+    """Merge, apply and pass on a change, as an entry does with what the store answers."""
     harness = ForwarderHarness()
     harness.publish_upstream("s-1f")
     harness.publish_routing(1)
     if change is not None and Replica().merge(change, False):
         harness.directory.apply(change, harness.now)
+        encode_message(ChangesReply((change,), change.revision, 0.0, None))
--- a/tests/adapter/test_records.py
+++ b/tests/adapter/test_records.py
@@ -17,7 +17,7 @@
 )
 from chicoryproxy.ids import DomainId
 from chicoryproxy.model import Endpoint
-from chicoryproxy.platform.records import decode_item
+from chicoryproxy.platform.records import MAX_PRIORITY, decode_item
 from tests.node.fakestore import create_config, create_server_entry
 
 DOMAINS = {DomainId("shah-alam")}
@@ -127,6 +127,16 @@
     assert f"$.Routes[0].{name}" in fact.reason
 
 
+@pytest.mark.parametrize("value", [MAX_PRIORITY + 1, 2**63, 2**64])
+def test_a_priority_that_is_out_of_range_makes_the_version_unreadable(value):
+    """A store that publishes more than a message between entries can hold."""
+    config = create_config(7)
+    config["Routes"][0]["Priority"] = value
+    fact = decode("op/config", config)
+    assert isinstance(fact, RoutingUnreadable)
+    assert "$.Routes[0].Priority" in fact.reason
+
+
 def test_an_invalid_configuration_names_the_value():
     config = create_config(7)
     config["Routes"][0]["Prefix"] = "/door/"
