Leave avoided upstreams out of the pressure

Cause: requests pile up at a failure domain that is dead and not yet proved to be, so that openings of low priority were refused although the others had room. Suspected and reported upstreams count only where there are no others, as in placement, so that overload with missed answers still shows.

--- a/src/chicoryproxy/forwarding/admission.py
+++ b/src/chicoryproxy/forwarding/admission.py
@@ -12,11 +12,13 @@
 
 from chicoryproxy.forwarding.directory import Directory
 from chicoryproxy.forwarding.domainreachability import DomainReachability
+from chicoryproxy.forwarding.failuredetector import FailureDetector
 from chicoryproxy.forwarding.flows import FlowTable
 from chicoryproxy.forwarding.model import FlowId, Route
 from chicoryproxy.forwarding.pressure import PressureEstimator
 from chicoryproxy.forwarding.priorityshares import PriorityShares
 from chicoryproxy.forwarding.trafficsplit import order_services
+from chicoryproxy.forwarding.unreachablereports import UnreachableReports
 from chicoryproxy.ids import ServiceId
 
 PRESSURE_LIMIT = 2.0
@@ -153,7 +155,12 @@
 
 
 def create_admission_control(
-    is_enabled: bool, directory: Directory, flows: FlowTable, domains: DomainReachability
+    is_enabled: bool,
+    directory: Directory,
+    flows: FlowTable,
+    domains: DomainReachability,
+    failure_detector: FailureDetector,
+    reports: UnreachableReports,
 ) -> AdmissionControl:
     """Create the admission control of an entry.
 
@@ -161,4 +168,6 @@
     """
     if not is_enabled:
         return UnlimitedAdmission()
-    return PriorityAdmission(PressureEstimator(directory, flows, domains))
+    return PriorityAdmission(
+        PressureEstimator(directory, flows, domains, failure_detector, reports)
+    )
--- a/src/chicoryproxy/forwarding/forwarder.py
+++ b/src/chicoryproxy/forwarding/forwarder.py
@@ -379,6 +379,9 @@
     reachability = ReachabilityMonitor(quiet_s, overload)
     control = ControlProbeSelector(directory, domain, reachability.is_failing)
     failures = UpstreamFailures(domain, directory, flows, reachability, domains, reports, control)
+    admission = create_admission_control(
+        has_false_health, directory, flows, domains, failure_detector, reports
+    )
     parts = ForwarderParts(
         directory,
         flows,
@@ -390,7 +393,7 @@
         failures,
         overload,
         slow_start,
-        create_admission_control(has_false_health, directory, flows, domains),
+        admission,
         observer,
     )
     return Forwarder(parts, now)
--- a/src/chicoryproxy/forwarding/pressure.py
+++ b/src/chicoryproxy/forwarding/pressure.py
@@ -2,8 +2,10 @@
 
 from chicoryproxy.forwarding.directory import Directory
 from chicoryproxy.forwarding.domainreachability import DomainReachability
+from chicoryproxy.forwarding.failuredetector import FailureDetector
 from chicoryproxy.forwarding.flows import FlowTable
 from chicoryproxy.forwarding.lifetime import Lifetime
+from chicoryproxy.forwarding.unreachablereports import UnreachableReports
 from chicoryproxy.ids import ServiceId
 
 SAMPLE_INTERVAL_S = 0.05
@@ -31,13 +33,27 @@
     The requests known here are those of this entry and of the peers with recent reports. They are
     scaled to all live peers, since an entry hears only a few of the others in a large fleet.
 
+    Requests pile up at upstreams that are dead and not yet proved to be. Those that openings avoid
+    therefore don't count, unless there are no others.
+
     :param domains: requests and slots of unreachable failure domains don't count.
+    :param failure_detector: suspects upstreams that don't answer callers here.
+    :param reports: upstreams that peers can't reach.
     """
 
-    def __init__(self, directory: Directory, flows: FlowTable, domains: DomainReachability) -> None:
+    def __init__(
+        self,
+        directory: Directory,
+        flows: FlowTable,
+        domains: DomainReachability,
+        failure_detector: FailureDetector,
+        reports: UnreachableReports,
+    ) -> None:
         self._directory = directory
         self._flows = flows
         self._domains = domains
+        self._failure_detector = failure_detector
+        self._reports = reports
         self._samples: dict[ServiceId, _Sample] = {}
 
     def get(self, service: ServiceId, now: float) -> float:
@@ -61,13 +77,25 @@
         scale = self._flows.peer_loads.compute_fleet_scale()
         slots = 0
         outstanding = 0.0
-        for upstream in self._directory.iterate_service(service):
-            if self._can_be_loaded(upstream, now):
-                waiting = self._flows.get_load(upstream).waiting * scale
-                slots += upstream.entry.slots
-                outstanding += min(waiting, upstream.entry.slots * MAX_UPSTREAM_PRESSURE)
+        for upstream in self._list_counted(service, now):
+            waiting = self._flows.get_load(upstream).waiting * scale
+            slots += upstream.entry.slots
+            outstanding += min(waiting, upstream.entry.slots * MAX_UPSTREAM_PRESSURE)
         return outstanding / slots if slots else 0.0
 
+    def _list_counted(self, service: ServiceId, now: float) -> list[Lifetime]:
+        usable = [
+            upstream
+            for upstream in self._directory.iterate_service(service)
+            if self._can_be_loaded(upstream, now)
+        ]
+        trusted = [upstream for upstream in usable if not self._is_avoided(upstream, now)]
+        return trusted or usable
+
+    def _is_avoided(self, upstream: Lifetime, now: float) -> bool:
+        is_suspected = self._failure_detector.is_suspected(upstream, now)
+        return is_suspected or self._reports.is_avoided(upstream, now)
+
     def _can_be_loaded(self, upstream: Lifetime, now: float) -> bool:
         domain = upstream.entry.domain
         return (
--- a/tests/forwarding/test_admission.py
+++ b/tests/forwarding/test_admission.py
@@ -14,6 +14,7 @@
     compute_refused_share,
 )
 from chicoryproxy.forwarding.domainreachability import DomainReachability
+from chicoryproxy.forwarding.failuredetector import SUSPICION_FAILURES
 from chicoryproxy.forwarding.lifetime import Lifetime
 from chicoryproxy.forwarding.model import FlowId, Refusal, RouteKey, WeightedService
 from chicoryproxy.forwarding.peermessages import Heartbeat, LoadReport, PeerAddress
@@ -23,6 +24,7 @@
     PRIORITY_RETENTION_S,
     PriorityShares,
 )
+from chicoryproxy.forwarding.unreachablereports import UnreachableReports
 from tests.forwarding.harness import (
     OTHER_DOMAIN,
     OWN_DOMAIN,
@@ -261,7 +263,13 @@
         fleet.publish_upstream(f"j-{number}", domain=OTHER_DOMAIN, slots=SLOTS)
     press(fleet, 3.0)
     assert count_refused(fleet, FEED) == 0.0
-    estimator = PressureEstimator(fleet.directory, fleet.forwarder.flows, CutDomains(fleet))
+    estimator = PressureEstimator(
+        fleet.directory,
+        fleet.forwarder.flows,
+        CutDomains(fleet),
+        fleet.forwarder.failure_detector,
+        UnreachableReports(),
+    )
     assert estimator.get(SERVICE, fleet.now) == 3.0
 
 
@@ -280,6 +288,45 @@
     assert count_refused(fleet, FEED) == 0.0
 
 
+def report_unreachable(fleet, upstreams):
+    """Let a peer report upstreams."""
+    fleet.forwarder.failures.handle_reports([item.mark for item in upstreams], fleet.now)
+
+
+def suspect(fleet, upstreams):
+    """Let callers retransmit to upstreams."""
+    for upstream in upstreams:
+        for _ in range(SUSPICION_FAILURES):
+            fleet.forwarder.failure_detector.record_failure(upstream, fleet.now)
+
+
+def add_dead_domain(fleet):
+    """Add upstreams of another failure domain that have died; half as many as there are."""
+    names = [f"j-{number}" for number in range(UPSTREAMS // 2)]
+    return [fleet.publish_upstream(name, domain=OTHER_DOMAIN, slots=SLOTS) for name in names]
+
+
+@pytest.mark.parametrize("record", [report_unreachable, suspect])
+def test_a_dead_domain_that_is_not_yet_proved_does_not_count(fleet, record):
+    """Failure domain lost, a third of the upstreams: requests pile up there, others have room."""
+    dead = add_dead_domain(fleet)
+    alive = [item for item in fleet.directory.iterate_present() if item not in dead]
+    loads = [LoadReport(upstream.mark, 0, 6 * SLOTS) for upstream in dead]
+    loads += [LoadReport(upstream.mark, 0, 3) for upstream in alive]
+    fleet.report_peer_load(*loads)
+    fleet.now += 2 * SAMPLE_INTERVAL_S
+    record(fleet, dead)
+    assert count_refused(fleet, FEED) == 0.0
+    assert fleet.forwarder.admission.get_highest_pressure() == 1.5
+
+
+def test_suspected_upstreams_count_if_there_are_no_others(fleet):
+    """Overload so high that all upstreams miss answers: they still get the openings."""
+    press(fleet, 5.0)
+    suspect(fleet, fleet.directory.iterate_present())
+    assert count_refused(fleet, FEED) > 0.8
+
+
 def test_the_inputs_of_a_refusal_are_told(fleet):
     press(fleet, 3.0)
     packet = create_packet(FEED, is_opening=True)
