Limit the load of an upstream relative to the others, before scaling

Cause: the limit was applied to scaled counts, so that in a large fleet a single known request reached it and the pressure was under-estimated. The factor keeps a third of the upstreams that doesn't answer below the limit at the usual load. The bound is loose where few requests are known.

--- a/src/chicoryproxy/forwarding/pressure.py
+++ b/src/chicoryproxy/forwarding/pressure.py
@@ -12,9 +12,12 @@
 """A sample is used for this long, because it takes a pass over all upstreams of the service."""
 
 
-MAX_UPSTREAM_PRESSURE = 6.0
-"""Requests per slot that one upstream counts for at most. Requests pile up at an upstream that
-doesn't answer; a few of these must not look like overload of the service."""
+MAX_RELATIVE_LOAD = 3.5
+"""Requests per slot that one upstream counts for at most, relative to the less loaded upstreams.
+Requests pile up at an upstream that doesn't answer; a few of these must not look like overload."""
+
+MIN_COUNTED = 2
+"""So many known requests always count; in a large fleet most upstreams have fewer."""
 
 
 class _Sample:
@@ -75,13 +78,14 @@
 
     def _compute(self, service: ServiceId, now: float) -> float:
         scale = self._flows.peer_loads.compute_fleet_scale()
-        slots = 0
-        outstanding = 0.0
-        for upstream in self._list_counted(service, now):
-            waiting = self._flows.get_load(upstream).waiting * scale
-            slots += upstream.entry.slots
-            outstanding += min(waiting, upstream.entry.slots * MAX_UPSTREAM_PRESSURE)
-        return outstanding / slots if slots else 0.0
+        loads = [
+            (self._flows.get_load(upstream).waiting, upstream.entry.slots)
+            for upstream in self._list_counted(service, now)
+        ]
+        slots = sum(item[1] for item in loads)
+        limit = MAX_RELATIVE_LOAD * _compute_usual_load(loads)
+        known = sum(min(waiting, max(MIN_COUNTED, limit * size)) for waiting, size in loads)
+        return known * scale / slots if slots else 0.0
 
     def _list_counted(self, service: ServiceId, now: float) -> list[Lifetime]:
         usable = [
@@ -104,3 +108,14 @@
             and not self._directory.is_domain_out(domain)
             and not self._domains.is_unreachable(domain)
         )
+
+
+def _compute_usual_load(loads: list[tuple[int, int]]) -> float:
+    """Return the requests per slot of the two thirds of the upstreams with the least load.
+
+    :param loads: requests and slots of each upstream.
+    """
+    ordered = sorted(loads, key=lambda item: item[0] / item[1])
+    lower = ordered[: max(1, len(ordered) * 2 // 3)]
+    slots = sum(item[1] for item in lower)
+    return sum(item[0] for item in lower) / slots if slots else 0.0
--- a/tests/forwarding/test_admission.py
+++ b/tests/forwarding/test_admission.py
@@ -3,6 +3,8 @@
 The feed has the lower priority and bursts; the desk has the higher one and its usual load.
 """
 
+import math
+
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
@@ -40,6 +42,8 @@
 SLOTS = 2
 UPSTREAMS = 4
 OPENINGS = 1000
+KNOWN_PEERS = 20
+GOLDEN_RATIO = 0.618034
 
 
 def create_routes(feed_priority=2):
@@ -288,6 +292,62 @@
     assert count_refused(fleet, FEED) == 0.0
 
 
+def create_large_fleet(entries, pressures):
+    """Create a core that knows the requests of a few peers only, and has none of its own.
+
+    :param pressures: requests of all entries at each upstream, per slot.
+    """
+    fleet = ForwarderHarness(has_false_health=True)
+    fleet.publish_routing(1, create_routes(), services=(SERVICE,))
+    share = (KNOWN_PEERS + 1) / entries
+    loads = []
+    for number, pressure in enumerate(pressures):
+        upstream = fleet.publish_upstream(f"i-{number:x}", slots=SLOTS)
+        point = (number * GOLDEN_RATIO + 0.5) % 1.0
+        loads.append(LoadReport(upstream.mark, 0, draw_count(pressure * SLOTS * share, point)))
+    for host in range(1, KNOWN_PEERS + 1):
+        beat = Heartbeat(
+            PeerAddress(host, 0), 1, 0.0, False, tuple(loads[host - 1 :: KNOWN_PEERS]), (), ()
+        )
+        fleet.forwarder.flows.peer_loads.handle_heartbeat(beat, fleet.now)
+    fleet.forwarder.flows.peer_loads.live_peers = entries - 1
+    return fleet
+
+
+def draw_count(mean, point):
+    """Return the quantile of the Poisson distribution at a point between 0 and 1."""
+    count, term = 0, math.exp(-mean)
+    total = term
+    while total <= point:
+        count += 1
+        term *= mean / count
+        total += term
+    return count
+
+
+@pytest.mark.parametrize("entries", [64, 300, 4100])
+@pytest.mark.parametrize("pressure", [1.0, 2.0, 3.0, 4.0])
+def test_the_pressure_is_estimated_from_a_few_entries_of_a_large_fleet(entries, pressure):
+    """Burst at a large fleet: most upstreams have one known request or none."""
+    fleet = create_large_fleet(entries, [pressure] * 300)
+    assert get_pressure(fleet) == pytest.approx(pressure, rel=0.15)
+
+
+@pytest.mark.parametrize("entries", [KNOWN_PEERS + 1, 64])
+def test_a_third_of_the_upstreams_that_do_not_answer_is_no_overload(entries):
+    """Upstreams stuck at the usual load, before anything suspects them."""
+    fleet = create_large_fleet(entries, [50.0, 1.0, 1.0] * 100)
+    assert get_pressure(fleet) < PRESSURE_LIMIT
+
+
+def get_pressure(fleet):
+    """Return the estimated pressure on the service."""
+    flows, domains = fleet.forwarder.flows, DomainReachability(fleet.directory, 0)
+    detector = fleet.forwarder.failure_detector
+    estimator = PressureEstimator(fleet.directory, flows, domains, detector, UnreachableReports())
+    return estimator.get(SERVICE, fleet.now)
+
+
 def report_unreachable(fleet, upstreams):
     """Let a peer report upstreams."""
     fleet.forwarder.failures.handle_reports([item.mark for item in upstreams], fleet.now)
