Take no part in admission where the priority of a route is unknown

Cause: a patch passed on by an older entry leaves out the priority, which decoded as the highest. The store's routes without a priority still have priority 0.

--- a/src/chicoryproxy/forwarding/admission.py
+++ b/src/chicoryproxy/forwarding/admission.py
@@ -124,10 +124,13 @@
         self, route: Route, service: ServiceId, duration_s: float, now: float
     ) -> None:
         """Record the time from a request on a route to its response."""
-        self._shares.record_response(service, route.priority, duration_s, now)
+        if route.priority is not None:
+            self._shares.record_response(service, route.priority, duration_s, now)
 
     def find_inputs(self, route: Route, flow: FlowId, now: float) -> AdmissionInputs | None:
         """Return what decides on an opening; ``None`` if its route is never refused."""
+        if route.priority is None:
+            return None
         service = order_services(route, flow)[0]
         share = self._shares.compute_share(service, route.priority, now)
         if share is None:
--- a/tests/forwarding/test_admission.py
+++ b/tests/forwarding/test_admission.py
@@ -192,6 +192,17 @@
     assert count_refused(fleet, FEED) == 0.0
 
 
+def test_a_route_of_unknown_priority_takes_no_part():
+    """Rolling update: an older entry passed on the desk's route without its priority."""
+    fleet = create_fleet(feed_priority=1)
+    fleet.publish_routing(2, (create_route("desk", DESK, (WeightedService(SERVICE, 1.0),), None),))
+    answer(fleet, DESK, 8)
+    press(fleet, 9.0)
+    assert count_refused(fleet, DESK) == 0.0
+    fleet.publish_routing(3, create_routes(feed_priority=1))
+    assert count_refused(fleet, FEED) == 0.0
+
+
 def test_a_priority_without_recent_traffic_does_not_count(fleet):
     """Burst of the feed while the desk is closed: the room is left to nobody else."""
     fleet.advance(PRIORITY_RETENTION_S)
