--- a/src/chicoryproxy/forwarding/peering.py
+++ b/src/chicoryproxy/forwarding/peering.py
@@ -187,10 +187,17 @@
         )
 
     def create_discovery_reply(
-        self, synced: Revision, now: float, is_isolated: bool = False
+        self,
+        synced: Revision,
+        loads: Iterable[LoadReport],
+        now: float,
+        is_isolated: bool = False,
     ) -> Heartbeat:
-        """Create the reply to a heartbeat of an entry that knows no peer yet."""
-        heartbeat = self.create_heartbeat(synced, False, (), (), now, is_isolated)
+        """Create the reply to a heartbeat of an entry that knows no peer yet.
+
+        It replaces the last load report of this entry there, and therefore has the loads.
+        """
+        heartbeat = self.create_heartbeat(synced, False, loads, (), now, is_isolated)
         return structs.replace(heartbeat, peers=self._list_peers(PEERS_IN_DISCOVERY_REPLY, now))
 
     def find_newer(self, synced: Revision, now: float) -> PeerAddress | None:
--- a/src/chicoryproxy/node/view.py
+++ b/src/chicoryproxy/node/view.py
@@ -253,7 +253,10 @@
             self._catch_up(now)
         if not heartbeat.peers and not self.is_leaving:
             reply = self.peers.create_discovery_reply(
-                self.replica.synced, now, self._traffic.has_isolation_evidence()
+                self.replica.synced,
+                self._traffic.list_upstream_loads(),
+                now,
+                self._traffic.has_isolation_evidence(),
             )
             sender = format_host(heartbeat.sender.host)
             self._socket.send(reply, [Endpoint(sender, self._settings.peers.port)])
--- a/tests/forwarding/test_peering.py
+++ b/tests/forwarding/test_peering.py
@@ -69,7 +69,7 @@
                 continue
             other.handle_heartbeat(heartbeat, self.synced[target], self.now)
             if not heartbeat.peers:
-                reply = other.create_discovery_reply(self.synced[target], self.now)
+                reply = other.create_discovery_reply(self.synced[target], (), self.now)
                 group.handle_heartbeat(reply, self.synced[sender], self.now)
             if heartbeat.synced > self.synced[target]:
                 newer = other.find_newer(self.synced[target], self.now)
--- a/tests/forwarding/test_peerloads.py
+++ b/tests/forwarding/test_peerloads.py
@@ -4,6 +4,7 @@
 from hypothesis import strategies as st
 
 from chicoryproxy.forwarding.model import Mark, Revision
+from chicoryproxy.forwarding.peering import PeerGroup
 from chicoryproxy.forwarding.peerloads import LOAD_AGE_S, PeerLoads
 from chicoryproxy.forwarding.peermessages import Heartbeat, LoadReport, PeerAddress
 
@@ -52,3 +53,12 @@
         waiting = sum(load.waiting for load in known)
         expected = LoadReport(mark, flows, waiting) if flows or waiting else None
         assert peers.get(mark) == expected
+
+
+def test_a_discovery_reply_reports_the_loads_of_its_sender():
+    """Entry restarted under load: the reply is no report of zero load."""
+    load = LoadReport(MARKS[0], 10, 2)
+    sender, receiver = (PeerGroup(PeerAddress(host, 0), (), 1, 0.0) for host in (1, 2))
+    reply = sender.create_discovery_reply(Revision(1), (load,), 1.0)
+    receiver.handle_heartbeat(reply, Revision(1), 1.0)
+    assert receiver.loads.get(MARKS[0]) == load
--- a/tests/forwarding/test_unreachablereports.py
+++ b/tests/forwarding/test_unreachablereports.py
@@ -66,7 +66,7 @@
     def _deliver(self, heartbeat, sender, target):
         target.receive(heartbeat, self.now)
         if not heartbeat.peers:
-            reply = target.peers.create_discovery_reply(Revision(1), self.now)
+            reply = target.peers.create_discovery_reply(Revision(1), (), self.now)
             sender.receive(reply, self.now)
 
     def count_informed(self, mark):
