--- a/src/chicoryproxy/forwarding/flows.py
+++ b/src/chicoryproxy/forwarding/flows.py
@@ -30,6 +30,7 @@
     :ivar acknowledged: highest response offset that the caller has acknowledged.
     :ivar waiting_since_s: when the unanswered request was first sent, or ``None``.
     :ivar retransmissions: retransmissions of the unanswered request.
+    :ivar retransmitted_s: time of the last of them.
     :ivar is_open: the caller has acknowledged the handshake of ``upstream``.
     :ivar is_proven: this entry forwarded the copy of the opening whose answer was acknowledged.
     :ivar is_counted: the flow is part of the load of ``upstream``.
@@ -46,6 +47,7 @@
         "acknowledged",
         "waiting_since_s",
         "retransmissions",
+        "retransmitted_s",
         "is_open",
         "is_proven",
         "is_counted",
@@ -62,6 +64,7 @@
         self.acknowledged = -1
         self.waiting_since_s: float | None = None
         self.retransmissions = 0
+        self.retransmitted_s = now
         self.is_open = False
         self.is_proven = False
         self.is_counted = False
@@ -238,6 +241,13 @@
         """Return the load of an upstream from this entry and, as last reported, from its peers."""
         own = self._loads.get(upstream)
         reported = self.peer_loads.get(upstream.mark)
-        flows = (own.flows if own else 0) + (reported.flows if reported else 0)
-        waiting = (own.waiting if own else 0) + (reported.waiting if reported else 0)
-        return LoadReport(upstream.mark, flows, waiting)
+        if own is None:
+            return reported or LoadReport(upstream.mark, 0, 0)
+        if reported is None:
+            return LoadReport(upstream.mark, own.flows, own.waiting)
+        flows = own.flows + reported.flows
+        return LoadReport(upstream.mark, flows, own.waiting + reported.waiting)
+
+    def get_own_load(self, upstream: Lifetime) -> Load | None:
+        """Return the load of this entry at an upstream, ``None`` if there is none."""
+        return self._loads.get(upstream)
--- a/src/chicoryproxy/forwarding/forwarder.py
+++ b/src/chicoryproxy/forwarding/forwarder.py
@@ -6,7 +6,6 @@
 caller retransmits it.
 """
 
-from abc import ABC, abstractmethod
 from collections import Counter
 
 from msgspec import Struct
@@ -23,11 +22,12 @@
 from chicoryproxy.forwarding.flows import Flow, FlowTable
 from chicoryproxy.forwarding.isolation import RecentOpenings
 from chicoryproxy.forwarding.lifetime import Lifetime
-from chicoryproxy.forwarding.model import Drop, FlowId, Refusal, Route
+from chicoryproxy.forwarding.model import Drop, Refusal, Route
 from chicoryproxy.forwarding.overload import OverloadDetector, create_overload_detector
 from chicoryproxy.forwarding.packet import CallerPacket
 from chicoryproxy.forwarding.pause import PauseDetector
 from chicoryproxy.forwarding.pending import PendingResponses
+from chicoryproxy.forwarding.performance import Performance, create_performance
 from chicoryproxy.forwarding.placement import (
     Exclusion,
     Opening,
@@ -44,6 +44,7 @@
     is_sequence_after,
 )
 from chicoryproxy.forwarding.slowstart import SlowStart, create_slow_start
+from chicoryproxy.forwarding.trafficobserver import TrafficObserver
 from chicoryproxy.forwarding.unreachablereports import UnreachableReports
 from chicoryproxy.forwarding.upstreamfailures import UpstreamFailures
 from chicoryproxy.ids import DomainId
@@ -63,26 +64,6 @@
 """Upstream of a packet, or why the packet is not forwarded."""
 
 
-class TrafficObserver(ABC):
-    """Receives measurements and events derived from the packets of callers."""
-
-    @abstractmethod
-    def record_handshake(self, duration_s: float) -> None:
-        """Record the time from an opening to the caller's acknowledgement."""
-
-    @abstractmethod
-    def record_response(self, duration_s: float) -> None:
-        """Record the time from a request to the first acknowledged byte of its response."""
-
-    @abstractmethod
-    def record_suspicion(self, upstream: Lifetime, failures: int) -> None:
-        """Record that an upstream became suspected and openings avoid it."""
-
-    @abstractmethod
-    def record_upstream_change(self, flow: FlowId, former: Lifetime, upstream: Lifetime) -> None:
-        """Record that the packets of an open flow go to another upstream than before."""
-
-
 class ForwarderParts(Struct, frozen=True):
     """The components of a forwarder.
 
@@ -99,6 +80,7 @@
     failures: UpstreamFailures
     overload: OverloadDetector
     slow_start: SlowStart
+    performance: Performance
     admission: AdmissionControl
     observer: TrafficObserver
 
@@ -121,6 +103,7 @@
         self.reachability = parts.reachability
         self.failures = parts.failures
         self.slow_start = parts.slow_start
+        self.performance = parts.performance
         self._overload = parts.overload
         self.admission = parts.admission
         self._domains = parts.domains
@@ -159,6 +142,7 @@
         self.failure_detector.expire(now)
         self.cold_budget.expire(now)
         self.slow_start.expire(now)
+        self.performance.expire(now)
         self.admission.expire(now)
 
     def _handle_opening(self, packet: CallerPacket, now: float) -> Decision:
@@ -296,7 +280,7 @@
         elif is_sequence_after(packet.acknowledged, flow.acknowledged):
             flow.acknowledged = packet.acknowledged
             if flow.waiting_since_s is not None:
-                self._record_response(packet, upstream, now - flow.waiting_since_s, now)
+                self._record_response(packet, flow, upstream, now - flow.waiting_since_s, now)
             self.flows.end_wait(flow)
             self._record_answer(upstream, now)
 
@@ -312,6 +296,7 @@
                 self._pending.add_request(packet.flow, flow, upstream, now)
             return
         flow.retransmissions += 1
+        flow.retransmitted_s = now
         if flow.retransmissions >= FAILURE_RETRANSMISSIONS:
             self._record_failure(upstream, now)
         else:
@@ -325,13 +310,16 @@
             self.observer.record_suspicion(upstream, self.failure_detector.get_failures(upstream))
 
     def _record_response(
-        self, packet: CallerPacket, upstream: Lifetime, duration_s: float, now: float
+        self, packet: CallerPacket, flow: Flow, upstream: Lifetime, duration_s: float, now: float
     ) -> None:
         self.observer.record_response(duration_s)
-        self._overload.record_response(duration_s, now)
         self.slow_start.record_response(upstream, duration_s, now)
+        if not flow.retransmissions:
+            self.performance.record_response(upstream, duration_s, now)
         route = self._directory.find_route(packet.route_key)
         if route is not None:
+            copy_age_s = now - flow.retransmitted_s if flow.retransmissions else None
+            self._overload.record_response(duration_s, now, route.latency_target_s, copy_age_s)
             self.admission.record_response(route, upstream.entry.service, duration_s, now)
 
     def _record_answer(self, upstream: Lifetime, now: float) -> None:
@@ -371,12 +359,21 @@
     domains = DomainReachability(directory, seed)
     reports = UnreachableReports()
     slow_start = create_slow_start(has_false_health, domain)
+    performance = create_performance(has_false_health)
     policy = create_opening_policy(
-        domain, directory, flows, failure_detector, cold_budget, domains, reports, slow_start
+        domain,
+        directory,
+        flows,
+        failure_detector,
+        cold_budget,
+        domains,
+        reports,
+        slow_start,
+        performance,
     )
     overload = create_overload_detector(has_false_health)
     quiet_s = FALSE_HEALTH_QUIET_S if has_false_health else 0.0
-    reachability = ReachabilityMonitor(quiet_s, overload)
+    reachability = ReachabilityMonitor(quiet_s, overload, has_false_health)
     control = ControlProbeSelector(directory, domain, reachability.is_failing)
     failures = UpstreamFailures(domain, directory, flows, reachability, domains, reports, control)
     admission = create_admission_control(
@@ -393,6 +390,7 @@
         failures,
         overload,
         slow_start,
+        performance,
         admission,
         observer,
     )
--- a/src/chicoryproxy/forwarding/overload.py
+++ b/src/chicoryproxy/forwarding/overload.py
@@ -3,6 +3,9 @@
 While queues are full, an upstream that works may accept no connection in time, so that timeouts say
 less about it. Only responses that arrived are counted: an upstream that is down gives none, and
 never makes the others look overloaded.
+
+An overload replaces the bounds of ``reachability`` by the ``OVERLOAD_`` constants: a timeout has to
+repeat for longer, and probes are rarer. Nothing else depends on it.
 """
 
 from abc import ABC, abstractmethod
@@ -10,6 +13,9 @@
 LATE_RESPONSE_S = 0.15
 """A response that takes longer has probably waited for a slot."""
 
+LATE_TARGET_SHARE = 0.25
+"""Share of a route's latency target up to which no response is late; the service may be slow."""
+
 LATE_SHARE = 0.1
 """Share of late responses from which the upstreams count as overloaded. Overloaded upstreams reject
 most requests at once, so that the late ones are a minority."""
@@ -21,12 +27,29 @@
 """With fewer recent responses than this, one slow request would look like an overload."""
 
 
+OVERLOAD_CONFIRMATION_S = 2.0
+"""Under overload an upstream has to time out and to answer nobody here for this long. A full queue
+of connections drops opening segments until the upstream accepts the next one; a machine that is
+down stays silent, and callers wait longer than this for their responses. An overload in which all
+responses stop is remembered for as long."""
+
+
 class OverloadDetector(ABC):
     """Tells whether the upstreams that this entry uses are overloaded."""
 
     @abstractmethod
-    def record_response(self, duration_s: float, now: float) -> None:
-        """Record the time from a request to the first acknowledged byte of its response."""
+    def record_response(
+        self,
+        duration_s: float,
+        now: float,
+        target_s: float | None = None,
+        copy_age_s: float | None = None,
+    ) -> None:
+        """Record the time from a request to the first acknowledged byte of its response.
+
+        :param target_s: time within which the route's callers want their responses, if known.
+        :param copy_age_s: time since the request was sent again, ``None`` if it was sent once.
+        """
 
     @abstractmethod
     def is_overloaded(self, now: float) -> bool:
@@ -36,7 +59,13 @@
 class NoOverloadDetector(OverloadDetector):
     """Never detects an overload; for deployments where connections don't fail falsely."""
 
-    def record_response(self, duration_s: float, now: float) -> None:
+    def record_response(
+        self,
+        duration_s: float,
+        now: float,
+        target_s: float | None = None,
+        copy_age_s: float | None = None,
+    ) -> None:
         """Do nothing."""
 
     def is_overloaded(self, now: float) -> bool:
@@ -51,18 +80,34 @@
         self._responses = 0.0
         self._late = 0.0
         self._updated_s = 0.0
-
-    def record_response(self, duration_s: float, now: float) -> None:
-        """Record the time from a request to the first acknowledged byte of its response."""
+        self._overloaded_s = float("-inf")
+
+    def record_response(
+        self,
+        duration_s: float,
+        now: float,
+        target_s: float | None = None,
+        copy_age_s: float | None = None,
+    ) -> None:
+        """Record a response, unless the loss of a packet explains why it took longer."""
+        late_s = max(LATE_RESPONSE_S, LATE_TARGET_SHARE * (target_s or 0.0))
+        if copy_age_s is not None and copy_age_s <= late_s:
+            return
         self._decay(now)
         self._responses += 1.0
-        if duration_s > LATE_RESPONSE_S:
+        if duration_s > late_s:
             self._late += 1.0
+        self.is_overloaded(now)
 
     def is_overloaded(self, now: float) -> bool:
         """Return whether many responses have been late recently."""
         self._decay(now)
-        return self._responses >= MIN_RESPONSES and self._late >= LATE_SHARE * self._responses
+        if self._responses < MIN_RESPONSES:
+            # The worst overload leaves no responses to judge by.
+            return now - self._overloaded_s < OVERLOAD_CONFIRMATION_S
+        is_overloaded = self._late >= LATE_SHARE * self._responses
+        self._overloaded_s = now if is_overloaded else float("-inf")
+        return is_overloaded
 
     def _decay(self, now: float) -> None:
         factor = 0.5 ** (max(0.0, now - self._updated_s) / HALF_LIFE_S)
--- a/src/chicoryproxy/forwarding/placement.py
+++ b/src/chicoryproxy/forwarding/placement.py
@@ -24,6 +24,7 @@
     Route,
     UpstreamPhase,
 )
+from chicoryproxy.forwarding.performance import Performance
 from chicoryproxy.forwarding.slowstart import SlowStart
 from chicoryproxy.forwarding.trafficsplit import order_services
 from chicoryproxy.forwarding.unreachablereports import UnreachableReports
@@ -35,6 +36,12 @@
 WAITING_WEIGHT = 2.0
 """An unanswered request counts as this many flows."""
 
+OPENING_LOAD = 1.0 + WAITING_WEIGHT
+"""Load that an opening adds; without it a slow idle upstream would cost no more than a fast one."""
+
+PEER_WEIGHT = 0.25
+"""Weight of reported load where response times are measured: most of it has ended since."""
+
 FAILURE_COST = 1.0
 """Penalty for each failure since the last answer, as load per slot."""
 
@@ -112,6 +119,7 @@
         domains: DomainReachability,
         reports: UnreachableReports,
         slow_start: SlowStart,
+        performance: Performance,
     ) -> None:
         self._domain = domain
         self._directory = directory
@@ -121,6 +129,7 @@
         self._domains = domains
         self._reports = reports
         self._slow_start = slow_start
+        self._performance = performance
 
     def choose(self, opening: Opening, now: float) -> Lifetime | None:
         """Select the least loaded upstream of the best non-empty class."""
@@ -265,15 +274,27 @@
         return best
 
     def _compute_cost(self, upstream: Lifetime, opening: Opening) -> float:
-        load = self._flows.get_load(upstream)
-        busy = load.flows + WAITING_WEIGHT * load.waiting
-        cost = busy / upstream.entry.slots
+        cost = self._compute_load(upstream) / upstream.entry.slots
         cost += AVOIDED_COST * opening.avoided.count(upstream)
         cost += FAILURE_COST * self._failure_detector.get_failures(upstream)
         if upstream.entry.domain != self._domain:
             cost += REMOTE_COST
         return cost
 
+    def _compute_load(self, upstream: Lifetime) -> float:
+        factor = self._performance.get_factor(upstream)
+        if factor is None:
+            total = self._flows.get_load(upstream)
+            return total.flows + WAITING_WEIGHT * total.waiting
+        load = OPENING_LOAD
+        own = self._flows.get_own_load(upstream)
+        if own is not None:
+            load += own.flows + WAITING_WEIGHT * own.waiting
+        reported = self._flows.peer_loads.get(upstream.mark)
+        if reported is not None:
+            load += PEER_WEIGHT * (reported.flows + WAITING_WEIGHT * reported.waiting)
+        return load * factor
+
 
 def _count_domain(upstreams: Iterable[Lifetime], domain: DomainId) -> int:
     return sum(1 for upstream in upstreams if upstream.entry.domain == domain)
@@ -288,8 +309,17 @@
     domains: DomainReachability,
     reports: UnreachableReports,
     slow_start: SlowStart,
+    performance: Performance,
 ) -> OpeningPolicy:
     """Create the policy of an entry."""
     return LeastLoadPolicy(
-        domain, directory, flows, failure_detector, cold_budget, domains, reports, slow_start
+        domain,
+        directory,
+        flows,
+        failure_detector,
+        cold_budget,
+        domains,
+        reports,
+        slow_start,
+        performance,
     )
--- a/src/chicoryproxy/node/dataplane.py
+++ b/src/chicoryproxy/node/dataplane.py
@@ -9,7 +9,7 @@
 from chicoryproxy.forwarding.admission import PRESSURE_LIMIT
 from chicoryproxy.forwarding.directory import Directory
 from chicoryproxy.forwarding.directoryevent import DirectoryEvent, DirectoryEventKind
-from chicoryproxy.forwarding.forwarder import TrafficObserver, create_forwarder
+from chicoryproxy.forwarding.forwarder import create_forwarder
 from chicoryproxy.forwarding.lifetime import Lifetime
 from chicoryproxy.forwarding.model import (
     Drop,
@@ -21,6 +21,7 @@
 from chicoryproxy.forwarding.ramp import RampCause, RampEvent
 from chicoryproxy.forwarding.reachability import ProbeResult
 from chicoryproxy.forwarding.recovery import begin_ramps
+from chicoryproxy.forwarding.trafficobserver import TrafficObserver
 from chicoryproxy.forwarding.upstreamfailures import BrokenFlow
 from chicoryproxy.node.entrymetrics import EntryMetrics
 from chicoryproxy.node.journal import Journal
@@ -82,7 +83,7 @@
         """Expire outdated state and start the probes that are due."""
         self.forwarder.expire(now)
         for upstream in self.forwarder.reachability.pop_due(now):
-            self._probe(upstream)
+            self._start_probe(upstream)
         for event in self.forwarder.slow_start.pop_events():
             self._log_ramp(event)
 
@@ -177,6 +178,14 @@
             "cause_age_s": round(age_s, 3),
         }
 
+    def _start_probe(self, upstream: Lifetime) -> None:
+        """Start a probe; one that can't be started is due again at the next tick."""
+        try:
+            self._probe(upstream)
+        except Exception as error:
+            self._handle_probe_result(upstream, ProbeResult.DISCARDED)
+            self._loop.report(error)
+
     def _probe(self, upstream: Lifetime) -> None:
         def handle_result(result: ProbeResult) -> None:
             self._handle_probe_result(upstream, result)
--- a/src/chicoryproxy/node/probe.py
+++ b/src/chicoryproxy/node/probe.py
@@ -34,8 +34,8 @@
         self._loop = loop
         self._on_result = on_result
         self._due_s = loop.read_clock() + CONNECT_TIMEOUT_S
-        self._timer = loop.call_later(CONNECT_TIMEOUT_S, self._expire)
         self._stream: Stream = open_stream(loop, address, self)
+        self._timer = loop.call_later(CONNECT_TIMEOUT_S, self._expire)
 
     def handle_connected(self) -> None:
         """Report success; the kernel of the upstream's host completed the handshake."""
@@ -113,7 +113,7 @@
         return ProbeResult.REFUSED
     if isinstance(error, ConnectionResetError):
         is_slow = duration_s > SLOW_CONNECT_S
-        return ProbeResult.SILENT if is_slow else ProbeResult.RESET
+        return ProbeResult.RESET_SLOWLY if is_slow else ProbeResult.RESET
     return ProbeResult.TIMEOUT
 
 
