Bound the numbers that are read from the store to what peers can be told

The property test over malformed values, which encodes what it decodes since the review of admission, found a version below -2**63 that the store's decoder took and the encoding of messages to peers did not.

--- a/src/chicoryproxy/platform/records.py
+++ b/src/chicoryproxy/platform/records.py
@@ -37,12 +37,18 @@
 STATE_DRAINING = "draining"
 MAX_NUMBER_DIGITS = 16
 
+PORT_LIMIT = 65_536
+MIN_INTEGER = -(2**63)
+MAX_INTEGER = 2**63 - 1
+"""Larger numbers can't be passed on to peers."""
+
 MAX_PRIORITY = 2**31 - 1
 """Higher numbers are unreadable; messages between entries can't hold those above 64 bits."""
 
 _HEX_DIGITS = frozenset("0123456789abcdefABCDEF")
 
-_Positive = Annotated[int, Meta(ge=1)]
+_Integer = Annotated[int, Meta(ge=MIN_INTEGER, le=MAX_INTEGER)]
+_Positive = Annotated[int, Meta(ge=1, le=MAX_INTEGER)]
 _Priority = Annotated[int, Meta(ge=0, le=MAX_PRIORITY)]
 _NotNegative = Annotated[float, Meta(ge=0)]
 
@@ -54,9 +60,9 @@
     slots: _Positive = field(name="Concurrency")
     state: str = field(name="State")
     cold_remaining_ms: _NotNegative = field(name="ColdRemainingMs")
-    sequence: int = field(name="Sequence")
+    sequence: _Integer = field(name="Sequence")
     # Unix time of the server's start in milliseconds. The platform writes this name in lower case.
-    born: int = 0
+    born: _Integer = 0
 
 
 class _Split(Struct):
@@ -79,7 +85,7 @@
 class _Service(Struct):
     name: str = field(name="Name")
     health_path: str = field(name="HealthCheckPath", default="/health")
-    max_connections: int = field(name="MaxConnections", default=0)
+    max_connections: _Integer = field(name="MaxConnections", default=0)
     cold_start_s: _NotNegative = field(name="ColdStartS", default=0.0)
     cold_per_s: _NotNegative = field(name="ColdPerS", default=0.0)
 
@@ -89,7 +95,7 @@
 
 
 class _Config(Struct):
-    version: int = field(name="Version")
+    version: _Integer = field(name="Version")
     routes: tuple[_Route, ...] = field(name="Routes")
     services: tuple[_Service, ...] = field(name="Services")
     limits: _Limits = field(name="Limits")
@@ -168,7 +174,7 @@
     """
     host, _, port = text.rpartition(":")
     parse_host(host)
-    if not port.isdecimal() or not 0 < int(port) < 65_536:
+    if not port.isdecimal() or not 0 < int(port) < PORT_LIMIT:
         raise ValueError(f"address {text!r} has no valid port")
     return Endpoint(host, int(port))
 
@@ -198,7 +204,7 @@
     if not targets:
         targets = (WeightedService(ServiceId(route.service), 1.0),)
     port = route.prefix.strip("/")
-    if not port.isdecimal():
+    if not port.isdecimal() or int(port) >= PORT_LIMIT:
         raise ValueError(f"prefix {route.prefix!r} of route {route.name!r} is not a port number")
     key = RouteKey(parse_host(route.hostname), int(port))
     return Route(route.name, key, targets, route.priority, route.latency_target_ms / 1000)
