--- a/src/chicoryproxy/forwarding/admission.py
+++ b/src/chicoryproxy/forwarding/admission.py
@@ -12,11 +12,13 @@
 
 from chicoryproxy.forwarding.directory import Directory
 from chicoryproxy.forwarding.domainreachability import DomainReachability
+from chicoryproxy.forwarding.failuredetector import FailureDetector
 from chicoryproxy.forwarding.flows import FlowTable
 from chicoryproxy.forwarding.model import FlowId, Route
 from chicoryproxy.forwarding.pressure import PressureEstimator
 from chicoryproxy.forwarding.priorityshares import PriorityShares
 from chicoryproxy.forwarding.trafficsplit import order_services
+from chicoryproxy.forwarding.unreachablereports import UnreachableReports
 from chicoryproxy.ids import ServiceId
 
 PRESSURE_LIMIT = 2.0
@@ -122,10 +124,13 @@
         self, route: Route, service: ServiceId, duration_s: float, now: float
     ) -> None:
         """Record the time from a request on a route to its response."""
-        self._shares.record_response(service, route.priority, duration_s, now)
+        if route.priority is not None:
+            self._shares.record_response(service, route.priority, duration_s, now)
 
     def find_inputs(self, route: Route, flow: FlowId, now: float) -> AdmissionInputs | None:
         """Return what decides on an opening; ``None`` if its route is never refused."""
+        if route.priority is None:
+            return None
         service = order_services(route, flow)[0]
         share = self._shares.compute_share(service, route.priority, now)
         if share is None:
@@ -153,7 +158,12 @@
 
 
 def create_admission_control(
-    is_enabled: bool, directory: Directory, flows: FlowTable, domains: DomainReachability
+    is_enabled: bool,
+    directory: Directory,
+    flows: FlowTable,
+    domains: DomainReachability,
+    failure_detector: FailureDetector,
+    reports: UnreachableReports,
 ) -> AdmissionControl:
     """Create the admission control of an entry.
 
@@ -161,4 +171,6 @@
     """
     if not is_enabled:
         return UnlimitedAdmission()
-    return PriorityAdmission(PressureEstimator(directory, flows, domains))
+    return PriorityAdmission(
+        PressureEstimator(directory, flows, domains, failure_detector, reports)
+    )
--- a/src/chicoryproxy/forwarding/forwarder.py
+++ b/src/chicoryproxy/forwarding/forwarder.py
@@ -153,6 +153,7 @@
             return Refusal.NO_ROUTE
         self.recent_openings.record(packet.route_key, now)
         flow = self._touch_opening(packet, now)
+        is_new = not (packet.acknowledged or flow.tried or flow.is_open)
         if flow.is_open and flow.upstream is not None:
             if packet.acknowledged:
                 # A late retransmission of the opening, which was answered already.
@@ -161,7 +162,6 @@
         awaited = self._find_awaited(flow, route, now)
         if awaited is not None:
             return awaited
-        is_new = not packet.acknowledged and not flow.tried
         if is_new and not self.admission.admits(route, packet.flow, now):
             self.flows.remove(packet.flow)
             return Refusal.OVERLOADED
@@ -376,6 +376,9 @@
     reachability = ReachabilityMonitor(quiet_s, overload, has_false_health)
     control = ControlProbeSelector(directory, domain, reachability.is_failing)
     failures = UpstreamFailures(domain, directory, flows, reachability, domains, reports, control)
+    admission = create_admission_control(
+        has_false_health, directory, flows, domains, failure_detector, reports
+    )
     parts = ForwarderParts(
         directory,
         flows,
@@ -388,7 +391,7 @@
         overload,
         slow_start,
         performance,
-        create_admission_control(has_false_health, directory, flows, domains),
+        admission,
         observer,
     )
     return Forwarder(parts, now)
--- a/tests/forwarding/test_admission.py
+++ b/tests/forwarding/test_admission.py
@@ -3,6 +3,8 @@
 The feed has the lower priority and bursts; the desk has the higher one and its usual load.
 """
 
+import math
+
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
@@ -14,6 +16,7 @@
     compute_refused_share,
 )
 from chicoryproxy.forwarding.domainreachability import DomainReachability
+from chicoryproxy.forwarding.failuredetector import SUSPICION_FAILURES
 from chicoryproxy.forwarding.lifetime import Lifetime
 from chicoryproxy.forwarding.model import FlowId, Refusal, RouteKey, WeightedService
 from chicoryproxy.forwarding.peermessages import Heartbeat, LoadReport, PeerAddress
@@ -23,6 +26,7 @@
     PRIORITY_RETENTION_S,
     PriorityShares,
 )
+from chicoryproxy.forwarding.unreachablereports import UnreachableReports
 from tests.forwarding.harness import (
     OTHER_DOMAIN,
     OWN_DOMAIN,
@@ -38,6 +42,8 @@
 SLOTS = 2
 UPSTREAMS = 4
 OPENINGS = 1000
+KNOWN_PEERS = 20
+GOLDEN_RATIO = 0.618034
 
 
 def create_routes(feed_priority=2):
@@ -153,6 +159,25 @@
         assert isinstance(fleet.send_opening(FEED, caller, copy=1)[0], Lifetime)
 
 
+def test_a_late_first_copy_of_an_open_flow_is_not_refused(fleet):
+    """Packets duplicated or delayed on the way: the upstream of the flow lives."""
+    flows = [(caller, fleet.open_flow(FEED, caller)[1]) for caller in range(2, 200)]
+    press(fleet, 9.0)
+    for caller, port in flows:
+        assert isinstance(fleet.send_opening(FEED, caller, port)[0], Lifetime)
+
+
+def test_a_new_flow_with_the_ports_of_an_open_one_is_refused(fleet):
+    """Ports reused during overload: the opening starts at an unrelated offset."""
+    flows = [(caller, fleet.open_flow(FEED, caller)[1]) for caller in range(2, 200)]
+    press(fleet, 9.0)
+    openings = [
+        create_packet(FEED, caller, port, sequence=1 << 30, is_opening=True)
+        for caller, port in flows
+    ]
+    assert [fleet.send(item) for item in openings].count(Refusal.OVERLOADED) > 0.8 * len(flows)
+
+
 def test_requests_of_open_flows_are_never_refused(fleet):
     """Overload while flows are open: their packets go on."""
     upstream, port = fleet.open_flow(FEED)
@@ -167,6 +192,17 @@
     assert count_refused(fleet, FEED) == 0.0
 
 
+def test_a_route_of_unknown_priority_takes_no_part():
+    """Rolling update: an older entry passed on the desk's route without its priority."""
+    fleet = create_fleet(feed_priority=1)
+    fleet.publish_routing(2, (create_route("desk", DESK, (WeightedService(SERVICE, 1.0),), None),))
+    answer(fleet, DESK, 8)
+    press(fleet, 9.0)
+    assert count_refused(fleet, DESK) == 0.0
+    fleet.publish_routing(3, create_routes(feed_priority=1))
+    assert count_refused(fleet, FEED) == 0.0
+
+
 def test_a_priority_without_recent_traffic_does_not_count(fleet):
     """Burst of the feed while the desk is closed: the room is left to nobody else."""
     fleet.advance(PRIORITY_RETENTION_S)
@@ -242,7 +278,13 @@
         fleet.publish_upstream(f"j-{number}", domain=OTHER_DOMAIN, slots=SLOTS)
     press(fleet, 3.0)
     assert count_refused(fleet, FEED) == 0.0
-    estimator = PressureEstimator(fleet.directory, fleet.forwarder.flows, CutDomains(fleet))
+    estimator = PressureEstimator(
+        fleet.directory,
+        fleet.forwarder.flows,
+        CutDomains(fleet),
+        fleet.forwarder.failure_detector,
+        UnreachableReports(),
+    )
     assert estimator.get(SERVICE, fleet.now) == 3.0
 
 
@@ -261,6 +303,101 @@
     assert count_refused(fleet, FEED) == 0.0
 
 
+def create_large_fleet(entries, pressures):
+    """Create a core that knows the requests of a few peers only, and has none of its own.
+
+    :param pressures: requests of all entries at each upstream, per slot.
+    """
+    fleet = ForwarderHarness(has_false_health=True)
+    fleet.publish_routing(1, create_routes(), services=(SERVICE,))
+    share = (KNOWN_PEERS + 1) / entries
+    loads = []
+    for number, pressure in enumerate(pressures):
+        upstream = fleet.publish_upstream(f"i-{number:x}", slots=SLOTS)
+        point = (number * GOLDEN_RATIO + 0.5) % 1.0
+        loads.append(LoadReport(upstream.mark, 0, draw_count(pressure * SLOTS * share, point)))
+    for host in range(1, KNOWN_PEERS + 1):
+        beat = Heartbeat(
+            PeerAddress(host, 0), 1, 0.0, False, tuple(loads[host - 1 :: KNOWN_PEERS]), (), ()
+        )
+        fleet.forwarder.flows.peer_loads.handle_heartbeat(beat, fleet.now)
+    fleet.forwarder.flows.peer_loads.live_peers = entries - 1
+    return fleet
+
+
+def draw_count(mean, point):
+    """Return the quantile of the Poisson distribution at a point between 0 and 1."""
+    count, term = 0, math.exp(-mean)
+    total = term
+    while total <= point:
+        count += 1
+        term *= mean / count
+        total += term
+    return count
+
+
+@pytest.mark.parametrize("entries", [64, 300, 4100])
+@pytest.mark.parametrize("pressure", [1.0, 2.0, 3.0, 4.0])
+def test_the_pressure_is_estimated_from_a_few_entries_of_a_large_fleet(entries, pressure):
+    """Burst at a large fleet: most upstreams have one known request or none."""
+    fleet = create_large_fleet(entries, [pressure] * 300)
+    assert get_pressure(fleet) == pytest.approx(pressure, rel=0.15)
+
+
+@pytest.mark.parametrize("entries", [KNOWN_PEERS + 1, 64])
+def test_a_third_of_the_upstreams_that_do_not_answer_is_no_overload(entries):
+    """Upstreams stuck at the usual load, before anything suspects them."""
+    fleet = create_large_fleet(entries, [50.0, 1.0, 1.0] * 100)
+    assert get_pressure(fleet) < PRESSURE_LIMIT
+
+
+def get_pressure(fleet):
+    """Return the estimated pressure on the service."""
+    flows, domains = fleet.forwarder.flows, DomainReachability(fleet.directory, 0)
+    detector = fleet.forwarder.failure_detector
+    estimator = PressureEstimator(fleet.directory, flows, domains, detector, UnreachableReports())
+    return estimator.get(SERVICE, fleet.now)
+
+
+def report_unreachable(fleet, upstreams):
+    """Let a peer report upstreams."""
+    fleet.forwarder.failures.handle_reports([item.mark for item in upstreams], fleet.now)
+
+
+def suspect(fleet, upstreams):
+    """Let callers retransmit to upstreams."""
+    for upstream in upstreams:
+        for _ in range(SUSPICION_FAILURES):
+            fleet.forwarder.failure_detector.record_failure(upstream, fleet.now)
+
+
+def add_dead_domain(fleet):
+    """Add upstreams of another failure domain that have died; half as many as there are."""
+    names = [f"j-{number}" for number in range(UPSTREAMS // 2)]
+    return [fleet.publish_upstream(name, domain=OTHER_DOMAIN, slots=SLOTS) for name in names]
+
+
+@pytest.mark.parametrize("record", [report_unreachable, suspect])
+def test_a_dead_domain_that_is_not_yet_proved_does_not_count(fleet, record):
+    """Failure domain lost, a third of the upstreams: requests pile up there, others have room."""
+    dead = add_dead_domain(fleet)
+    alive = [item for item in fleet.directory.iterate_present() if item not in dead]
+    loads = [LoadReport(upstream.mark, 0, 6 * SLOTS) for upstream in dead]
+    loads += [LoadReport(upstream.mark, 0, 3) for upstream in alive]
+    fleet.report_peer_load(*loads)
+    fleet.now += 2 * SAMPLE_INTERVAL_S
+    record(fleet, dead)
+    assert count_refused(fleet, FEED) == 0.0
+    assert fleet.forwarder.admission.get_highest_pressure() == 1.5
+
+
+def test_suspected_upstreams_count_if_there_are_no_others(fleet):
+    """Overload so high that all upstreams miss answers: they still get the openings."""
+    press(fleet, 5.0)
+    suspect(fleet, fleet.directory.iterate_present())
+    assert count_refused(fleet, FEED) > 0.8
+
+
 def test_the_inputs_of_a_refusal_are_told(fleet):
     press(fleet, 3.0)
     packet = create_packet(FEED, is_opening=True)
