--- a/src/chicoryproxy/eventloop/loop.py
+++ b/src/chicoryproxy/eventloop/loop.py
@@ -158,6 +158,8 @@
 
     def close(self) -> None:
         """Close the file descriptors of the loop."""
+        if self._signals:
+            signal.set_wakeup_fd(-1)
         self._selector.close()
         self._wakeup_writer.close()
         self._wakeup_reader.close()
--- a/tests/node/test_loop.py
+++ b/tests/node/test_loop.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from chicoryproxy.eventloop.loop import Loop
 from chicoryproxy.eventloop.stream import Stream, StreamHandler
 
 
@@ -71,6 +72,7 @@
         reader.recv(1)
         fail()
 
+    former = signal.getsignal(signal.SIGUSR1)
     loop.add_signal_handler(signal.SIGUSR1, fail)
     with reader, writer:
         loop.watch(reader, on_readable=fail_to_read)
@@ -79,6 +81,7 @@
         loop.call_later(0.01, lambda: signal.raise_signal(signal.SIGUSR1))
         loop.call_later(0.05, loop.stop)
         loop.run()
+    signal.signal(signal.SIGUSR1, former)
     assert [type(error) for error in errors] == [LookupError] * 3
 
 
@@ -131,3 +134,12 @@
         loop.run()
     assert stream.is_closed
     assert len(errors) == 1
+
+
+def test_a_closed_loop_gets_no_more_signals():
+    """Its descriptors may belong to others by then."""
+    loop = Loop()
+    loop.add_signal_handler(signal.SIGUSR1, lambda: None)
+    loop.close()
+    signal.signal(signal.SIGUSR1, signal.SIG_DFL)
+    assert signal.set_wakeup_fd(-1) == -1
