Mend what the reviews of slow start and of the settling of versions found

A ramp ended while its upstream was cold, which then got nothing and at last the flood (reproduced there: 0 and then 4 fair parts): it lasts as long as the upstream is cold. Counts of a peer that were new or had begun anew grew or shrank the share without an answer (2.9 to 0.4 parts with a domain of three entries): they only count from then on. A repeated opening no longer ends ramps; the fair part counts the ramping upstream itself; a registration that returns while its upstream answers begins no ramp; ramps without answers aren't reported. Versions in quick succession held placement at the first one without limit, new with the wait for earlier openings: the wait is no longer begun anew.

Names and comments as a reader who was new to the project proposed.

--- a/src/chicoryproxy/control/versions.py
+++ b/src/chicoryproxy/control/versions.py
@@ -147,7 +147,6 @@
         change = VersionChange(self._configuration, configuration)
         self._configuration = configuration
         self._learned_at = now
-        self._spread_at = None
         self._highest = max(self._highest, configuration.version)
         self._add_generations(configuration)
         self.revision += 1
@@ -195,6 +194,8 @@
 
         An opening that was sent from a clean slot has no record. While its caller may repeat it,
         the home has to place the copy by the version before. The first version has none before it.
+        One that comes during this wait doesn't start it anew: versions in quick succession must
+        not hold up placement.
 
         :param live: the live peers, each of which has to report the version.
         :param spread_s: time after which missing reports are no longer waited for.
@@ -202,13 +203,14 @@
         if self._placed == self.version or self.is_behind:
             # A peer with a higher version may have skipped this one and not know its placement.
             return
-        if self._spread_at is None and self._has_spread(live, spread_s, now):
-            self._spread_at = now
-        if self._spread_at is None:
+        if not self._has_spread(live, spread_s, now):
             return
+        if self._spread_at is None:
+            self._spread_at = now
         is_first = self._placed == NO_VERSION
         if is_first or now - self._spread_at >= self._get_opening_timeout_s():
             self._placed = self.version
+            self._spread_at = None
             self.revision += 1
 
     def _has_spread(self, live: Iterable[InstanceId], spread_s: float, now: float) -> bool:
--- a/src/chicoryproxy/eventloop/loop.py
+++ b/src/chicoryproxy/eventloop/loop.py
@@ -86,27 +86,27 @@
         try:
             callback()
         except Exception as error:
-            self.report(error)
+            self.report_error(error)
 
-    def report(self, error: Exception) -> None:
+    def report_error(self, error: Exception) -> None:
         """Report an unexpected error, or raise it if nobody handles errors."""
         if self.on_error is None:
             raise error
         self.on_error(error)
 
     def call_repeatedly(self, get_interval_s: Callable[[], float], callback: Callback) -> None:
-        """Call a callback now and then repeatedly, also if it raises an exception.
+        """Call a callback at once, and again after each interval, also if it raises an exception.
 
         :param get_interval_s: returns the delay after each call, in seconds.
         """
 
-        def call() -> None:
+        def call_and_repeat() -> None:
             try:
                 callback()
             finally:
-                self.call_later(get_interval_s(), call)
+                self.call_later(get_interval_s(), call_and_repeat)
 
-        self.call(call)
+        self.call(call_and_repeat)
 
     def watch(
         self,
--- a/src/chicoryproxy/forwarding/admission.py
+++ b/src/chicoryproxy/forwarding/admission.py
@@ -21,9 +21,9 @@
 from chicoryproxy.forwarding.unreachablereports import UnreachableReports
 from chicoryproxy.ids import ServiceId
 
-PRESSURE_LIMIT = 2.0
-"""Requests per slot above which openings are refused: one in work and one waiting keep a slot
-busy."""
+PRESSURE_LIMIT = 3.0
+"""Requests per slot above which openings are refused. One in work and one waiting keep a slot busy;
+the third is for the error of the estimate, since nothing may be refused while there is room."""
 
 PRESSURE_RANGE = 1.0
 """Requests per slot from no refusals to the most refusals."""
@@ -74,8 +74,8 @@
         """Discard outdated state."""
 
 
-class UnlimitedAdmission(AdmissionControl):
-    """Admits every opening; for deployments whose settings don't ask for admission control."""
+class NoAdmissionControl(AdmissionControl):
+    """Admits every opening; for deployments without false health."""
 
     def admits(self, route: Route, flow: FlowId, now: float) -> bool:
         """Return True."""
@@ -158,7 +158,7 @@
 
 
 def create_admission_control(
-    is_enabled: bool,
+    has_false_health: bool,
     directory: Directory,
     flows: FlowTable,
     domains: DomainReachability,
@@ -167,10 +167,10 @@
 ) -> AdmissionControl:
     """Create the admission control of an entry.
 
-    :param is_enabled: the settings of the deployment ask for it.
+    :param has_false_health: connections may fail although an upstream works.
     """
-    if not is_enabled:
-        return UnlimitedAdmission()
+    if not has_false_health:
+        return NoAdmissionControl()
     return PriorityAdmission(
         PressureEstimator(directory, flows, domains, failure_detector, reports)
     )
--- a/src/chicoryproxy/forwarding/forwarder.py
+++ b/src/chicoryproxy/forwarding/forwarder.py
@@ -318,8 +318,10 @@
             self.performance.record_response(upstream, duration_s, now)
         route = self._directory.find_route(packet.route_key)
         if route is not None:
-            copy_age_s = now - flow.retransmitted_s if flow.retransmissions else None
-            self._overload.record_response(duration_s, now, route.latency_target_s, copy_age_s)
+            retransmission_age_s = now - flow.retransmitted_s if flow.retransmissions else None
+            self._overload.record_response(
+                duration_s, now, route.latency_target_s, retransmission_age_s
+            )
             self.admission.record_response(route, upstream.entry.service, duration_s, now)
 
     def _record_answer(self, upstream: Lifetime, now: float) -> None:
--- a/src/chicoryproxy/forwarding/overload.py
+++ b/src/chicoryproxy/forwarding/overload.py
@@ -43,12 +43,13 @@
         duration_s: float,
         now: float,
         target_s: float | None = None,
-        copy_age_s: float | None = None,
+        retransmission_age_s: float | None = None,
     ) -> None:
         """Record the time from a request to the first acknowledged byte of its response.
 
         :param target_s: time within which the route's callers want their responses, if known.
-        :param copy_age_s: time since the request was sent again, ``None`` if it was sent once.
+        :param retransmission_age_s: time since the last retransmission of the request, ``None`` if
+            there was none.
         """
 
     @abstractmethod
@@ -57,14 +58,14 @@
 
 
 class NoOverloadDetector(OverloadDetector):
-    """Never detects an overload; for deployments where connections don't fail falsely."""
+    """Never detects an overload; for deployments without false health."""
 
     def record_response(
         self,
         duration_s: float,
         now: float,
         target_s: float | None = None,
-        copy_age_s: float | None = None,
+        retransmission_age_s: float | None = None,
     ) -> None:
         """Do nothing."""
 
@@ -73,7 +74,7 @@
         return False
 
 
-class LateResponses(OverloadDetector):
+class LateResponseDetector(OverloadDetector):
     """Decayed counts of the responses and of the late ones."""
 
     def __init__(self) -> None:
@@ -87,11 +88,11 @@
         duration_s: float,
         now: float,
         target_s: float | None = None,
-        copy_age_s: float | None = None,
+        retransmission_age_s: float | None = None,
     ) -> None:
         """Record a response, unless the loss of a packet explains why it took longer."""
         late_s = max(LATE_RESPONSE_S, LATE_TARGET_SHARE * (target_s or 0.0))
-        if copy_age_s is not None and copy_age_s <= late_s:
+        if retransmission_age_s is not None and retransmission_age_s <= late_s:
             return
         self._decay(now)
         self._responses += 1.0
@@ -116,9 +117,9 @@
         self._updated_s = now
 
 
-def create_overload_detector(is_enabled: bool) -> OverloadDetector:
+def create_overload_detector(has_false_health: bool) -> OverloadDetector:
     """Create the overload detector of an entry.
 
-    :param is_enabled: connections may fail although an upstream works.
+    :param has_false_health: connections may fail although an upstream works.
     """
-    return LateResponses() if is_enabled else NoOverloadDetector()
+    return LateResponseDetector() if has_false_health else NoOverloadDetector()
--- a/src/chicoryproxy/forwarding/peermessages.py
+++ b/src/chicoryproxy/forwarding/peermessages.py
@@ -58,8 +58,8 @@
 
     The counts only grow during a ramp, so that a lost heartbeat loses no evidence.
 
-    :param on_time: responses that took no longer than usual for the service.
-    :param late: responses that took longer, and requests and openings without an answer.
+    :param on_time: responses that were not slow (``ResponseTimes.is_slow``).
+    :param late: slow responses, and requests and openings without an answer in time.
     """
 
     mark: Mark
--- a/src/chicoryproxy/forwarding/performance.py
+++ b/src/chicoryproxy/forwarding/performance.py
@@ -1,8 +1,8 @@
 """Performance of the upstreams: the response times that this entry sees, against the usual ones.
 
 A response that waits in the queue of its upstream takes longer, so that the time also shows load of
-other entries, sooner than their reports do. Only ratios within a service are used: what makes all
-its upstreams slower changes no choice.
+other entries, sooner than their reports do. The usual time is the mean over the service. Only
+ratios within a service are used: what makes all its upstreams slower changes no choice.
 """
 
 from abc import ABC, abstractmethod
@@ -12,7 +12,7 @@
 from chicoryproxy.ids import ServiceId
 
 MAX_SAMPLES = 30
-"""A mean follows new samples like one over the last of this number."""
+"""Responses over which a mean is taken: a new one has a weight of one over this number."""
 
 PRIOR_SAMPLES = 4
 """Samples of the usual time that are added to those of an upstream, so that few prove little."""
@@ -24,11 +24,13 @@
 """An upstream that fails at once answers fastest; that must not attract openings."""
 
 MAX_FACTOR = 2.0
+"""An upstream that seems slow still gets openings when the others are about twice as loaded."""
 
 RETENTION_S = 10.0
 """Without responses for this long, an upstream counts as a usual one and is tried again."""
 
 MAX_UPSTREAMS = 24_000
+"""Beyond it, the one whose last response is oldest is discarded."""
 
 
 class _Mean:
@@ -49,7 +51,7 @@
 
 
 class Performance(ABC):
-    """Tells how long the responses of an upstream take."""
+    """Tells how the response times of an upstream compare with those of its service."""
 
     @abstractmethod
     def record_response(self, upstream: Lifetime, duration_s: float, now: float) -> None:
@@ -67,8 +69,8 @@
         """Discard what is too old."""
 
 
-class UnknownPerformance(Performance):
-    """Measures nothing; for deployments whose settings don't ask for it."""
+class NoPerformance(Performance):
+    """Measures nothing; for deployments without false health."""
 
     def record_response(self, upstream: Lifetime, duration_s: float, now: float) -> None:
         """Do nothing."""
@@ -128,14 +130,14 @@
 def _compute_factor(mean: _Mean, usual_s: float) -> float:
     if usual_s <= 0.0:
         return 1.0
-    expected_s = mean.value_s * mean.samples + usual_s * PRIOR_SAMPLES
-    ratio = expected_s / (usual_s * (mean.samples + PRIOR_SAMPLES))
+    weighted_s = mean.value_s * mean.samples + usual_s * PRIOR_SAMPLES
+    ratio = weighted_s / (usual_s * (mean.samples + PRIOR_SAMPLES))
     return min(MAX_FACTOR, max(MIN_FACTOR, ratio))
 
 
-def create_performance(is_enabled: bool) -> Performance:
+def create_performance(has_false_health: bool) -> Performance:
     """Create the measurement of response times.
 
-    :param is_enabled: the settings of the deployment ask for it.
+    :param has_false_health: connections may fail although an upstream works.
     """
-    return MeasuredPerformance() if is_enabled else UnknownPerformance()
+    return MeasuredPerformance() if has_false_health else NoPerformance()
--- a/src/chicoryproxy/forwarding/placement.py
+++ b/src/chicoryproxy/forwarding/placement.py
@@ -189,7 +189,8 @@
             usable += self._list_accepted(ramping, usable, opening)
         else:
             usable = [upstream for upstream in ramping if not upstream.is_cold(now)]
-            self._slow_start.record_unlimited(usable, now)
+            if not opening.tried:
+                self._slow_start.record_unlimited(usable, now)
         cold += [upstream for upstream in ramping if upstream.is_cold(now)]
         for candidates in (usable, cold, suspected, fallback):
             if candidates:
--- a/src/chicoryproxy/forwarding/priorityshares.py
+++ b/src/chicoryproxy/forwarding/priorityshares.py
@@ -20,13 +20,13 @@
         self.seconds = 0.0
         self.recorded_s = now
 
-    def decay(self, now: float) -> float:
+    def compute_sum(self, now: float) -> float:
         """Return the sum as of now."""
         return self.seconds * math.exp((self.recorded_s - now) / AVERAGING_S)
 
     def add(self, seconds: float, now: float) -> None:
         """Add the time that one request was outstanding."""
-        self.seconds = self.decay(now) + seconds
+        self.seconds = self.compute_sum(now) + seconds
         self.recorded_s = now
 
 
@@ -56,7 +56,7 @@
         """
         by_priority = self._work.get(service, {})
         recent = {
-            key: work.decay(now)
+            key: work.compute_sum(now)
             for key, work in by_priority.items()
             if now - work.recorded_s < PRIORITY_RETENTION_S
         }
--- a/src/chicoryproxy/forwarding/ramp.py
+++ b/src/chicoryproxy/forwarding/ramp.py
@@ -8,10 +8,11 @@
 from chicoryproxy.forwarding.peermessages import RampReport
 
 INITIAL_SHARE = 0.5
-"""Part of the openings that an upstream would get if all were equal."""
+"""Shares are in fair parts: 1 is the part of the openings that an upstream would get if all were
+equal."""
 
 MIN_SHARE = 0.25
-"""A slow upstream still gets openings, by which it can show that it has recovered."""
+"""Fair parts; a slow upstream still gets openings, by which it can show that it has recovered."""
 
 GROWTH_PER_ANSWER = 0.25
 """The more openings it gets, the more answers it needs for the same relative growth."""
@@ -51,8 +52,8 @@
     :param has_ended: False at the begin.
     :param on_time: answers that came on time, by the estimate for the whole failure domain.
     :param late: late or missing answers, by the same estimate.
-    :param share: part of the openings that the upstream would get if all were equal.
-    :param candidates: upstreams that openings could go to otherwise.
+    :param share: share at the time of the event, in fair parts (see ``INITIAL_SHARE``).
+    :param candidates: upstreams that openings could go to, this one included.
     :param age_s: time since the begin.
     """
 
@@ -69,10 +70,11 @@
 class Ramp:
     """Evidence of one upstream since its ramp began.
 
-    :ivar on_time: responses to this entry's requests that took no longer than usual.
-    :ivar late: other responses, and requests and openings without an answer.
+    :ivar on_time: responses to this entry's requests that were not slow.
+    :ivar late: slow responses, and requests and openings without an answer.
     :ivar peers: live peers of the own failure domain.
-    :ivar candidates: upstreams that the last opening could go to otherwise; zero before the first.
+    :ivar candidates: upstreams that the last opening could go to, this one included; zero before
+        the first.
     :ivar share: part of the openings that it may get, as if all upstreams were equal.
     :ivar is_delayed: this entry does not yet open flows there.
     :ivar unlimited_s: time since which all upstreams of the service were ramping, ``None`` if not.
@@ -105,12 +107,22 @@
 
     def handle_report(self, host: int, report: RampReport, now: float) -> None:
         """Replace the counts of a peer; lower ones mean that it has begun anew."""
-        if host in self._reports or len(self._reports) < MAX_REPORTING_PEERS:
-            self._reports[host] = report
-            self._update_share(now)
+        known = self._reports.get(host)
+        if known is None and len(self._reports) >= MAX_REPORTING_PEERS:
+            return
+        self._reports[host] = report
+        if known is None or report.on_time < known.on_time or report.late < known.late:
+            # Counts of before, or counts that are gone, say nothing of the answers of this moment.
+            self._offset = self.share - self._estimate_earned()
+        self._update_share(now)
 
     def complete(self, now: float) -> bool:
-        """Complete the ramp if the share is no limit any more; return whether it is now."""
+        """Complete the ramp if the share is no limit any more; return whether it is now.
+
+        A cold upstream gets openings by its share, and would get none without a ramp.
+        """
+        if self.upstream.is_cold(now):
+            return False
         is_earned = 0 < self.candidates <= self.share
         is_unlimited = self.unlimited_s is not None and now - self.unlimited_s >= UNLIMITED_S
         if self.completed_s is not None or not (is_earned or is_unlimited):
@@ -137,8 +149,7 @@
         )
 
     def _update_share(self, now: float) -> None:
-        on_time, late = self._estimate_counts()
-        earned = GROWTH_PER_ANSWER * (on_time - LATE_WEIGHT * late)
+        earned = self._estimate_earned()
         elapsed = min(1.0, (now - self._updated_s) / DOUBLING_S)
         limit = self.share * 2.0**elapsed
         self.share = max(MIN_SHARE, min(limit, earned + self._offset))
@@ -146,6 +157,11 @@
         self._offset = self.share - earned
         self._updated_s = now
 
+    def _estimate_earned(self) -> float:
+        """Return what the counted answers add to the share."""
+        on_time, late = self._estimate_counts()
+        return GROWTH_PER_ANSWER * (on_time - LATE_WEIGHT * late)
+
     def _estimate_counts(self) -> tuple[float, float]:
         """Estimate the counts of the whole failure domain from those of the known entries."""
         on_time = self.on_time + sum(report.on_time for report in self._reports.values())
--- a/src/chicoryproxy/forwarding/reachability.py
+++ b/src/chicoryproxy/forwarding/reachability.py
@@ -10,9 +10,9 @@
 entry delays all connections alike and proves nothing, nor does a connection that succeeds when it
 is over.
 
-Overload never counts as death. A connection that the upstream itself resets shows that it is alive
-and full, unless connections never fail falsely in this deployment. While responses are late,
-timeouts have to go on for longer, and probes are rarer.
+Where connections may fail although an upstream works, one that the upstream itself resets shows
+that it is alive and full; elsewhere a reset counts as a timeout (see ``interpret``). While
+responses are late, timeouts have to go on for longer, and probes are rarer.
 """
 
 from collections import deque
@@ -71,7 +71,7 @@
     """Outcome of a connection to an upstream.
 
     ``SILENT``: a server accepted the connection, but did not say which one it is; it may be busy.
-    ``RESET``: a server reset the connection at once; it is alive, but has no room for another one.
+    ``RESET``: a server reset the connection as quickly as ``CONNECTED``; it may be alive and full.
     ``RESET_SLOWLY``: the same, but as slowly as ``CONNECTED_SLOWLY``.
     """
 
--- a/src/chicoryproxy/forwarding/recovery.py
+++ b/src/chicoryproxy/forwarding/recovery.py
@@ -27,7 +27,7 @@
                 slow_start.begin(upstream, RampCause.DOMAIN_BACK, now)
     elif event.kind is DirectoryEventKind.UPSTREAM_NEW:
         started = directory.find_present(UpstreamId(event.subject))
-        if started is not None:
+        if started is not None and now - started.answered_s > IDLE_S:
             slow_start.begin(started, RampCause.STARTED, now)
     elif event.lifetime is not None and _has_returned(event.lifetime, now):
         slow_start.begin(event.lifetime, RampCause.RETURNED, now)
--- a/src/chicoryproxy/forwarding/responsetimes.py
+++ b/src/chicoryproxy/forwarding/responsetimes.py
@@ -1,4 +1,7 @@
-"""Usual response times of services, by which slow upstreams are recognised."""
+"""Usual response times of services, as a quantile, by which slow responses are recognised in ramps.
+
+``performance`` compares means instead.
+"""
 
 from chicoryproxy.ids import ServiceId
 
@@ -9,7 +12,8 @@
 """Relative change with one response; outliers have no more weight than others."""
 
 SLOW_RATIO = 2.0
-"""A request waits no longer than it is worked on."""
+"""A response that takes more than this multiple of the usual time is slow: its request has probably
+waited for longer than it was worked on."""
 
 MIN_SLOW_S = 0.05
 """Shorter delays come from the network and from entries, and callers don't notice them."""
--- a/src/chicoryproxy/forwarding/slowstart.py
+++ b/src/chicoryproxy/forwarding/slowstart.py
@@ -49,6 +49,8 @@
     def accepts(self, upstream: Lifetime, flow: FlowId, candidates: int) -> bool:
         """Return whether a ramping upstream is considered for an opening.
 
+        It also records the number of candidates, and that others could bear the load.
+
         :param candidates: upstreams that the opening could go to otherwise.
         """
 
@@ -92,7 +94,7 @@
 
 
 class NoSlowStart(SlowStart):
-    """Never limits; for deployments whose settings don't ask for slow start."""
+    """Never limits; for deployments without false health."""
 
     def begin(self, upstream: Lifetime, cause: RampCause, now: float) -> None:
         """Do nothing."""
@@ -170,7 +172,7 @@
         ramp = self._find_limiting(upstream)
         if ramp is None:
             return True
-        ramp.candidates = max(1, candidates)
+        ramp.candidates = 1 + candidates
         ramp.unlimited_s = None
         if ramp.is_delayed:
             return False
@@ -201,7 +203,7 @@
 
     def list_reports(self) -> tuple[RampReport, ...]:
         """Return what this entry has counted, others in each round if there is much."""
-        ramps = [ramp for ramp in self._ramps.values() if not ramp.is_delayed]
+        ramps = [ramp for ramp in self._ramps.values() if ramp.on_time or ramp.late]
         if len(ramps) > REPORTS_IN_HEARTBEAT:
             self._round += 1
             start = self._round * REPORTS_IN_HEARTBEAT % len(ramps)
@@ -261,10 +263,10 @@
     return is_reported or ramp.upstream.phase is UpstreamPhase.GONE
 
 
-def create_slow_start(is_enabled: bool, domain: DomainId) -> SlowStart:
+def create_slow_start(has_false_health: bool, domain: DomainId) -> SlowStart:
     """Create the slow start of an entry.
 
-    :param is_enabled: the settings of the deployment ask for it.
+    :param has_false_health: connections may fail although an upstream works.
     :param domain: failure domain of the entry.
     """
-    return AdaptiveSlowStart(domain) if is_enabled else NoSlowStart()
+    return AdaptiveSlowStart(domain) if has_false_health else NoSlowStart()
--- a/src/chicoryproxy/node/dataplane.py
+++ b/src/chicoryproxy/node/dataplane.py
@@ -184,7 +184,7 @@
             self._probe(upstream)
         except Exception as error:
             self._handle_probe_result(upstream, ProbeResult.DISCARDED)
-            self._loop.report(error)
+            self._loop.report_error(error)
 
     def _probe(self, upstream: Lifetime) -> None:
         def handle_result(result: ProbeResult) -> None:
--- a/src/chicoryproxy/node/entrymetrics.py
+++ b/src/chicoryproxy/node/entrymetrics.py
@@ -94,7 +94,10 @@
     def _render_gauges(self) -> list[list[str]]:
         gauges = {
             "flows": ("flows in the table", self.flows),
-            "pressure": ("outstanding requests per slot, of the busiest service", self.pressure),
+            "pressure": (
+                "outstanding requests per slot, all priorities, of the busiest service",
+                self.pressure,
+            ),
             "config_version": ("version of the configuration in force", self.version),
             "view_revision": ("revision of the store that is known", self.revision),
             "view_age_seconds": ("age of the last confirmation of the view", self.view_age_s),
--- a/src/chicoryproxy/platform/records.py
+++ b/src/chicoryproxy/platform/records.py
@@ -38,6 +38,8 @@
 MAX_NUMBER_DIGITS = 16
 
 PORT_LIMIT = 65_536
+"""Ports are below this."""
+
 MIN_INTEGER = -(2**63)
 MAX_INTEGER = 2**63 - 1
 """Larger numbers can't be passed on to peers."""
--- a/tests/test_versions.py
+++ b/tests/test_versions.py
@@ -125,6 +125,17 @@
     assert store.placed == 2
 
 
+def test_versions_in_quick_succession_do_not_hold_up_placement(store: VersionStore) -> None:
+    store.advance_placed((), 3.0, 0.0)
+    for number in range(2, 20):
+        now = 10.0 + number
+        store.adopt(make_version(number, 4), now)
+        for peer in PEERS:
+            store.record_peer_version(peer, Version(number))
+        store.advance_placed(PEERS, 3.0, now)
+        assert store.placed >= number - 4
+
+
 def test_the_highest_version_reported_by_a_peer_is_recorded(store: VersionStore) -> None:
     assert store.record_peer_version(PEERS[0], Version(7))
     assert (store.highest, store.is_behind) == (7, True)
