--- a/tests/forwarding/test_slowstart.py
+++ b/tests/forwarding/test_slowstart.py
@@ -449,7 +449,7 @@
 
 
 def test_a_ramp_lasts_while_its_upstream_is_cold():
-    """Release in a small service: a cold upstream without a ramp would get nothing, then a flood."""
+    """Release in a small service: without a ramp it would get nothing, and then a flood."""
     upstream = create_lifetime(1)
     upstream.cold_until_s = 10.0
     ramp = Ramp(upstream, RampCause.STARTED, 0.0)
