Name the phase of the upstream in the log of openings, and count those that leave

Whether callers were sent to upstreams that had said that they leave could only be put together from the belief lines of each entry; the lines of openings have a budget, so that a count was not to be had. The field phase and the counter leaving_openings_total tell an entry that does not know that an upstream leaves from one that knows it and opens all the same (hypotheses 1 and 2 against 3 and 4 of docs/incidents/2026-12-config-drain.md).

--- a/src/chicoryproxy/node/dataplane.py
+++ b/src/chicoryproxy/node/dataplane.py
@@ -16,6 +16,7 @@
     EntrySettings,
     FlowId,
     Refusal,
+    UpstreamPhase,
 )
 from chicoryproxy.forwarding.packet import CallerPacket
 from chicoryproxy.forwarding.ramp import RampCause, RampEvent
@@ -237,11 +238,14 @@
 
     def _log_forwarded(self, packet: CallerPacket, data: bytes, upstream: Lifetime) -> None:
         if packet.is_opening:
+            if upstream.phase is not UpstreamPhase.SERVING:
+                self._metrics.leaving_openings += 1
             self._journal.write_rate_limited(
                 "open",
                 flow=describe_flow(packet.flow),
                 copy=packet.acknowledged,
                 upstream=upstream.entry.id,
+                phase=upstream.phase.value,
                 mark=f"{upstream.mark:08x}",
                 version=self._directory.version,
             )
--- a/src/chicoryproxy/node/entrymetrics.py
+++ b/src/chicoryproxy/node/entrymetrics.py
@@ -18,6 +18,7 @@
     """Counters since the start, current values, and latencies derived from callers' packets.
 
     :ivar repeated_openings: retransmitted first packets of flows.
+    :ivar leaving_openings: first packets of flows sent to upstreams that aren't serving.
     :ivar handshakes: time from the first packet of a flow to the caller's acknowledgement.
     :ivar responses: time from a request to the first acknowledged byte of its response.
     """
@@ -25,6 +26,7 @@
     def __init__(self) -> None:
         self.openings = 0
         self.repeated_openings = 0
+        self.leaving_openings = 0
         self.packets = 0
         self.refusals: Counter[Refusal] = Counter()
         self.drops: Counter[Drop] = Counter()
@@ -61,6 +63,10 @@
         totals = {
             "openings_total": ("first packets of flows", self.openings),
             "opening_copies_total": ("openings that callers repeated", self.repeated_openings),
+            "leaving_openings_total": (
+                "openings sent to upstreams that leave or are missing",
+                self.leaving_openings,
+            ),
             "packets_total": ("packets of open flows", self.packets),
             "broken_flows_total": ("flows reset without a packet", self.broken_flows),
             "moved_flows_total": ("open flows that changed their upstream", self.moved_flows),
--- a/tests/node/test_dataplane.py
+++ b/tests/node/test_dataplane.py
@@ -8,7 +8,7 @@
 from chicoryproxy.node.dataplane import DataPlane
 from chicoryproxy.node.entrymetrics import EntryMetrics
 from chicoryproxy.node.journal import Journal
-from tests.forwarding.harness import OWN_DOMAIN, ForwarderHarness
+from tests.forwarding.harness import OWN_DOMAIN, ForwarderHarness, create_packet
 from tests.node.fakestore import HOST, pick_port
 
 
@@ -62,3 +62,17 @@
         plane.stop()
     assert len(errors) == MAX_CONCURRENT_PROBES
     assert upstreams == []
+
+
+def test_openings_at_upstreams_that_leave_are_counted(loop, tmp_path):
+    """The log names the phase, but its lines have a budget; the metric misses none."""
+    with (tmp_path / "log").open("wb") as log:
+        plane = create_data_plane(loop, log)
+        harness = ForwarderHarness()
+        serving = harness.publish_upstream("i-1")
+        leaving = harness.publish_upstream("i-2", draining=True)
+        opening = create_packet(is_opening=True)
+        for upstream in (serving, leaving, leaving):
+            plane._log_forwarded(opening, b"", upstream)
+        plane.stop()
+    assert plane._metrics.leaving_openings == 2
