--- a/tests/forwarding/harness.py
+++ b/tests/forwarding/harness.py
@@ -63,11 +63,13 @@
     :param has_false_health: as in the settings; switches on what decides by answers.
 
     :ivar events: events of the last change of the directory.
+    :ivar confirmed_s: time of the last confirmation of the view; ``None`` if it is always current.
     """
 
     def __init__(self, has_false_health=False, now=100.0, domain=OWN_DOMAIN) -> None:
         self.now = now
         self.events: list[DirectoryEvent] = []
+        self.confirmed_s: float | None = None
         self.directory = Directory(Bounds())
         self.forwarder: Forwarder = create_forwarder(
             domain, self.directory, self.now, NullObserver(), has_false_health
@@ -88,6 +90,7 @@
     def apply(self, key, fact, revision=None):
         """Apply a fact with the given or the next revision; return the directory events."""
         revision = Revision(revision or next(self._revisions))
+        self.directory.confirmed_s = self.now if self.confirmed_s is None else self.confirmed_s
         self.events = self.directory.apply(Change(key, revision, fact), self.now)
         self.directory.known_revision = max(self.directory.known_revision, revision)
         return self.events
