Don't take a leaving upstream whose registration vanishes for one that lapsed

What callers saw: openings at upstreams that had left, which ended by a reset or waited for the retransmission.

Cause: a registration that is removed within 3 s of a failed read of the store may have lapsed by mistake, so its upstream stays in use for 2.5 s. The phase missing that says so replaced the phase draining, and with it the fact that the upstream leaves. A lost history is a failed read, too.

Why it works: the registration keeps that the upstream leaves, whatever becomes of it; only one that doesn't leave may have lapsed by mistake. Its flows stay as they were.

--- a/src/chicoryproxy/forwarding/directory.py
+++ b/src/chicoryproxy/forwarding/directory.py
@@ -126,9 +126,13 @@
         self._store_failed_s = now
 
     def may_have_expired(self, lifetime: Lifetime, now: float) -> bool:
-        """Return whether a missing lifetime is probably alive: the store was unavailable."""
+        """Return whether a missing lifetime is probably alive: the store was unavailable.
+
+        The registration of one that leaves is removed at its end, whatever the state of the store.
+        """
         return (
             lifetime.phase is UpstreamPhase.MISSING
+            and not lifetime.is_leaving
             and lifetime.phase_since_s - self._store_failed_s < STORE_RECOVERY_S
             and now - lifetime.phase_since_s < RETURN_GRACE_S
         )
--- a/src/chicoryproxy/forwarding/lifetime.py
+++ b/src/chicoryproxy/forwarding/lifetime.py
@@ -66,6 +66,11 @@
         """True if it may get openings according to its phase and reachability."""
         return self.phase is UpstreamPhase.SERVING and not self.is_unreachable
 
+    @property
+    def is_leaving(self) -> bool:
+        """True if it has published that it leaves, also after its registration was removed."""
+        return self.entry.is_draining
+
     def is_cold(self, now: float) -> bool:
         """Return whether the upstream is still cold."""
         return now < self.cold_until_s
--- a/src/chicoryproxy/forwarding/reachability.py
+++ b/src/chicoryproxy/forwarding/reachability.py
@@ -359,7 +359,7 @@
         if upstream.phase is UpstreamPhase.GONE:
             return now - upstream.phase_since_s < REMOVED_FINISHING_S
         # The registration of a draining upstream may also lapse while the store is unavailable.
-        may_be_leaving = upstream.entry.is_draining or self.is_view_behind
+        may_be_leaving = upstream.is_leaving or self.is_view_behind
         return may_be_leaving and now - state.refused_since_s < DRAIN_FINISHING_S
 
     def _is_done(self, upstream: Lifetime, state: _ProbeState, now: float) -> bool:
