Keep the time limit of a drain when the registration lapses

What callers saw: openings at an upstream that had said long before that it leaves, where no other one was left.

Cause: the limit counted from the last change of the phase. A registration that lapses in a store outage and returns begins the phase draining anew, and while it is missing there was no limit at all.

Why it works: the limit belongs to the drain of this lifetime and ends only when it says that it serves again.

--- a/src/chicoryproxy/forwarding/lifetime.py
+++ b/src/chicoryproxy/forwarding/lifetime.py
@@ -18,6 +18,7 @@
     :ivar mark: its identifier in the packets.
     :ivar prefix: precedes each packet in a datagram to it.
     :ivar phase_since_s: when the phase began, on the clock of this process.
+    :ivar leaving_since_s: when this entry learned that it leaves; ``None`` unless it leaves.
     :ivar cold_until_s: time until which it is cold.
     :ivar is_mark_taken: another lifetime owns its mark.
     :ivar is_unreachable: connections to it failed, and none has succeeded since.
@@ -36,6 +37,7 @@
         "target",
         "phase",
         "phase_since_s",
+        "leaving_since_s",
         "cold_until_s",
         "is_mark_taken",
         "is_unreachable",
@@ -54,6 +56,7 @@
         self.target = (entry.address.host, entry.address.port)
         self.phase = UpstreamPhase.SERVING
         self.phase_since_s = now
+        self.leaving_since_s: float | None = now if entry.is_draining else None
         self.cold_until_s = now
         self.is_mark_taken = False
         self.is_unreachable = False
@@ -69,7 +72,7 @@
     @property
     def is_leaving(self) -> bool:
         """True if it has published that it leaves, also after its registration was removed."""
-        return self.entry.is_draining
+        return self.leaving_since_s is not None
 
     def is_cold(self, now: float) -> bool:
         """Return whether the upstream is still cold."""
@@ -80,6 +83,10 @@
         self.entry = entry
         self.revision = revision
         self.target = (entry.address.host, entry.address.port)
+        if not entry.is_draining:
+            self.leaving_since_s = None
+        elif self.leaving_since_s is None:
+            self.leaving_since_s = now
         self.keep_cold(entry, now)
 
     def keep_cold(self, entry: UpstreamEntry, now: float) -> None:
--- a/src/chicoryproxy/forwarding/placement.py
+++ b/src/chicoryproxy/forwarding/placement.py
@@ -254,11 +254,11 @@
         return upstream.entry.domain == self._domain and self._cold_budget.can_open(upstream, now)
 
     def _is_fallback(self, upstream: Lifetime, now: float) -> bool:
-        if upstream.phase is UpstreamPhase.MISSING:
+        """Return whether a draining or missing upstream may be used if there is no other one."""
+        if upstream.leaving_since_s is None:
             return not upstream.is_cold(now)
-        age = now - upstream.phase_since_s
-        is_in_time = age < self._directory.bounds.drain_s - DRAIN_MARGIN_S
-        return upstream.phase is UpstreamPhase.DRAINING and is_in_time
+        age_s = now - upstream.leaving_since_s
+        return age_s < self._directory.bounds.drain_s - DRAIN_MARGIN_S
 
     def _choose_least_loaded(self, candidates: Iterable[Lifetime], opening: Opening) -> Lifetime:
         best: Lifetime | None = None
