Count the time limit of a drain from the last confirmed view

What callers saw: openings at an upstream that has said that it leaves, after its limit, where no other one was left.

Cause: the limit counted from the moment at which the entry learned of the drain, less 1.5 s. An entry may learn 3.5 s late by the design of the readers (0.7 of a limit of 5 s), and one that starts finds drains of any age.

Why it works: what an entry learns now was published after its view was last known to be current. Counted from there the drain can't be younger than it looks; the margin is 1 s, since it no longer stands for learning late. An entry without a confirmed view opens nothing at upstreams that leave.

--- a/src/chicoryproxy/forwarding/directory.py
+++ b/src/chicoryproxy/forwarding/directory.py
@@ -58,6 +58,8 @@
 
     :ivar routing: current version of the configuration; ``None`` before the first.
     :ivar history: patches between the last versions.
+    :ivar confirmed_s: time of the last proof that the view was current; a change that was not known
+        then was published after it.
     :ivar known_revision: all changes up to this revision were applied; ``NO_REVISION`` before the
         first complete view.
     """
@@ -66,6 +68,7 @@
         self.bounds = bounds
         self.routing: RoutingVersion | None = None
         self.history = RoutingHistory()
+        self.confirmed_s = float("-inf")
         self.known_revision = NO_REVISION
         self._routes: dict[RouteKey, Route] = {}
         self._removed_routes: set[RouteKey] = set()
@@ -195,11 +198,11 @@
             known = None
         if known is None:
             known = self._restore_ended(identity) or Lifetime(entry, identity, revision, now)
-            known.update(entry, revision, now)
+            known.update(entry, revision, now, self.confirmed_s)
             events.extend(self._add(known, revision, now))
         else:
             self._leave_address(known)
-            known.update(entry, revision, now)
+            known.update(entry, revision, now, self.confirmed_s)
             self._occupy_address(known)
             events.extend(self._claim_address(known, revision, now))
         if known.phase is UpstreamPhase.GONE:
--- a/src/chicoryproxy/forwarding/lifetime.py
+++ b/src/chicoryproxy/forwarding/lifetime.py
@@ -18,7 +18,8 @@
     :ivar mark: its identifier in the packets.
     :ivar prefix: precedes each packet in a datagram to it.
     :ivar phase_since_s: when the phase began, on the clock of this process.
-    :ivar leaving_since_s: when this entry learned that it leaves; ``None`` unless it leaves.
+    :ivar leaving_since_s: earliest time at which it may have published that it leaves; ``None``
+        unless it leaves.
     :ivar cold_until_s: time until which it is cold.
     :ivar is_mark_taken: another lifetime owns its mark.
     :ivar is_unreachable: connections to it failed, and none has succeeded since.
@@ -56,7 +57,7 @@
         self.target = (entry.address.host, entry.address.port)
         self.phase = UpstreamPhase.SERVING
         self.phase_since_s = now
-        self.leaving_since_s: float | None = now if entry.is_draining else None
+        self.leaving_since_s: float | None = None
         self.cold_until_s = now
         self.is_mark_taken = False
         self.is_unreachable = False
@@ -78,15 +79,20 @@
         """Return whether the upstream is still cold."""
         return now < self.cold_until_s
 
-    def update(self, entry: UpstreamEntry, revision: Revision, now: float) -> None:
-        """Apply a newer registration of the same lifetime."""
+    def update(
+        self, entry: UpstreamEntry, revision: Revision, now: float, published_after_s: float
+    ) -> None:
+        """Apply a newer registration of the same lifetime.
+
+        :param published_after_s: time after which it was published.
+        """
         self.entry = entry
         self.revision = revision
         self.target = (entry.address.host, entry.address.port)
         if not entry.is_draining:
             self.leaving_since_s = None
         elif self.leaving_since_s is None:
-            self.leaving_since_s = now
+            self.leaving_since_s = published_after_s
         self.keep_cold(entry, now)
 
     def keep_cold(self, entry: UpstreamEntry, now: float) -> None:
--- a/src/chicoryproxy/forwarding/peering.py
+++ b/src/chicoryproxy/forwarding/peering.py
@@ -113,6 +113,11 @@
         """Record when this entry was last known to be up to date with the store."""
         self._confirmed_s = max(self._confirmed_s, confirmed_s)
 
+    @property
+    def confirmed_s(self) -> float:
+        """When this entry was last known to be up to date, minus infinity before the first time."""
+        return self._confirmed_s
+
     def get_age(self, now: float) -> float:
         """Return the maximum age of this entry's view, in seconds."""
         return now - self._confirmed_s
--- a/src/chicoryproxy/forwarding/placement.py
+++ b/src/chicoryproxy/forwarding/placement.py
@@ -48,9 +48,8 @@
 AVOIDED_COST = 2.0
 """Penalty for each unanswered item of a caller that opens another flow, as load per slot."""
 
-DRAIN_MARGIN_S = 1.5
-"""Openings at draining upstreams stop this long before the limit, because the drain began when it
-was written to the store."""
+DRAIN_MARGIN_S = 1.0
+"""Openings at draining upstreams stop this long before the limit, which holds for their arrival."""
 
 
 class Opening(Struct, frozen=True):
--- a/src/chicoryproxy/node/view.py
+++ b/src/chicoryproxy/node/view.py
@@ -196,6 +196,7 @@
             # unavailable, although this entry didn't read it. Upstreams that vanish now may still
             # run: their records may have lapsed.
             self.directory.record_store_failure(now)
+        self.directory.confirmed_s = self.peers.confirmed_s
         is_newer_whole = since > self.replica.synced
         for change in changes:
             if self.replica.merge(change, is_newer_whole):
--- a/tests/node/test_view.py
+++ b/tests/node/test_view.py
@@ -90,3 +90,14 @@
     (lifetime,) = view.directory.iterate_present()
     assert lifetime.phase is UpstreamPhase.MISSING
     assert view.directory.may_have_expired(lifetime, loop.read_clock()) is may_have_expired
+
+
+# DRAIN: an entry that learns late of a drain opened at the upstream for as long as one that learns
+# at once.
+def test_a_drain_may_have_begun_when_the_view_was_last_confirmed(loop, view):
+    confirmed_s = loop.read_clock() - 2.0
+    harness = ForwarderHarness()
+    merge(view, UpstreamListed(harness.publish_upstream("i-1").entry), "i-1", 1, confirmed_s)
+    draining = harness.publish_upstream("i-1", draining=True).entry
+    merge(view, UpstreamListed(draining), "i-1", 2, loop.read_clock())
+    assert view.directory.find_present(draining.id).leaving_since_s == confirmed_s
