Ask another peer for changes while one has not answered

What callers saw: an entry that reached neither the store nor other failure domains used an outdated version for four seconds, although its neighbour had the newer one.

Cause: a request for changes goes to the peer that has announced the newest revision, and went there again every 0.3 s until that peer was no longer alive, 4 s after its last heartbeat. Whether it answers was not looked at.

No rule was broken, since an entry of a cut domain is not in touch.

Why it works: a peer with an unanswered request of the last 2 s comes after all others.

--- a/src/chicoryproxy/forwarding/peering.py
+++ b/src/chicoryproxy/forwarding/peering.py
@@ -66,18 +66,29 @@
 UNREACHABLE_IN_HEARTBEAT = 28
 """If there are more unreachable upstreams, each heartbeat has others of them."""
 
+UNANSWERED_VALID_S = 2.0
+"""For this long a peer that has not answered a request for changes is asked after all others."""
+
 UNKNOWN_AGE_S = -1.0
 
 
 class _Peer:
-    """State of one peer."""
+    """State of one peer.
+
+    :ivar requested_s: when it got the request for changes that it has not answered yet.
+    """
 
-    __slots__ = ("address", "last_seen_s", "synced")
+    __slots__ = ("address", "last_seen_s", "synced", "requested_s")
 
     def __init__(self, address: PeerAddress, last_seen_s: float) -> None:
         self.address = address
         self.last_seen_s = last_seen_s
         self.synced = NO_REVISION
+        self.requested_s = float("-inf")
+
+    def is_unresponsive(self, now: float) -> bool:
+        """Return whether it has not answered a recent request for changes."""
+        return now - self.requested_s < UNANSWERED_VALID_S
 
 
 class PeerGroup:
@@ -206,12 +217,27 @@
         return structs.replace(heartbeat, peers=self._list_peers(PEERS_IN_DISCOVERY_REPLY, now))
 
     def find_newer(self, synced: Revision, now: float) -> PeerAddress | None:
-        """Return the live peer with the newest revision that is newer than this entry's, if any."""
-        best: PeerAddress | None = None
-        for peer in self._iterate_alive(now):
-            if peer.synced > synced:
-                best, synced = peer.address, peer.synced
-        return best
+        """Return the live peer to request changes from, if any has a newer revision.
+
+        It is the one with the newest revision among those that answer, or else among the others.
+        """
+        newer = [peer for peer in self._iterate_alive(now) if peer.synced > synced]
+        if not newer:
+            return None
+        best = max(newer, key=lambda peer: (not peer.is_unresponsive(now), peer.synced))
+        return best.address
+
+    def record_request(self, host: int, now: float) -> None:
+        """Record that a peer was asked for changes."""
+        peer = self._peers.get(host)
+        if peer is not None:
+            peer.requested_s = now
+
+    def record_reply(self, host: int) -> None:
+        """Record that a peer has answered a request for changes."""
+        peer = self._peers.get(host)
+        if peer is not None:
+            peer.requested_s = float("-inf")
 
     def is_discovering(self, now: float) -> bool:
         """Return whether this entry has just started and may know few of its peers."""
--- a/src/chicoryproxy/node/view.py
+++ b/src/chicoryproxy/node/view.py
@@ -273,15 +273,18 @@
         peer = self.peers.find_newer(self.replica.synced, now)
         if peer is not None:
             self._last_request_s = now
-            self._request_changes(Endpoint(format_host(peer.host), self._settings.peers.port))
+            self.peers.record_request(peer.host, now)
+            self._request_changes(peer.host)
 
-    def _request_changes(self, peer: Endpoint) -> None:
+    def _request_changes(self, host: int) -> None:
+        peer = Endpoint(format_host(host), self._settings.peers.port)
         request = self._change_exchange.create_request()
 
         def handle_reply(reply: ChangesReply | None) -> None:
             if reply is None:
                 self._journal.write("peer_silent", host=peer.host, since=request.since)
             else:
+                self.peers.record_reply(host)
                 self._handle_reply(request, reply, peer)
                 if not request.since:
                     self._journal.write("view_from_peer", host=peer.host, revision=reply.synced)
--- a/tests/node/test_view.py
+++ b/tests/node/test_view.py
@@ -1,7 +1,10 @@
-"""An entry that learns changes from peers treats a store outage like the entries that read it."""
+"""The view of an entry that learns changes from peers."""
+
+import socket
 
 import pytest
 
+from chicoryproxy.forwarding.hosts import parse_host
 from chicoryproxy.forwarding.model import (
     Bounds,
     Change,
@@ -11,13 +14,16 @@
     UpstreamPhase,
     UpstreamUnlisted,
 )
+from chicoryproxy.forwarding.peermessages import ChangesReply, Heartbeat, PeerAddress
+from chicoryproxy.forwarding.readerpolicy import MAX_BEHIND_S
 from chicoryproxy.forwarding.replica import get_upstream_key
 from chicoryproxy.ids import DomainId, InstanceId, RegionId, UpstreamId
 from chicoryproxy.model import Endpoint
 from chicoryproxy.node.journal import Journal
-from chicoryproxy.node.view import TrafficReports, View
+from chicoryproxy.node.peers import ChangesServer
+from chicoryproxy.node.view import HEARTBEAT_INTERVAL_S, TrafficReports, View
 from tests.forwarding.harness import OWN_DOMAIN, ForwarderHarness
-from tests.node.fakestore import HOST, pick_port
+from tests.node.fakestore import HOST, pick_port, run_until
 
 
 class NoTraffic(TrafficReports):
@@ -101,3 +107,24 @@
     draining = harness.publish_upstream("i-1", draining=True).entry
     merge(view, UpstreamListed(draining), "i-1", 2, loop.read_clock())
     assert view.directory.find_present(draining.id).leaving_since_s == confirmed_s
+
+
+# CONFIG: an entry that can't reach the store asked the peer with the highest revision again and
+# again for four seconds, although it didn't answer and others had the change.
+def test_changes_come_from_another_peer_while_the_newest_one_is_silent(loop, view):
+    port = view._settings.peers.port
+    near, silent = (HOST.removesuffix("1") + last for last in "23")
+    entry = ForwarderHarness().publish_upstream("i-1").entry
+    change = Change(get_upstream_key(entry.id), Revision(30), UpstreamListed(entry))
+    reply = ChangesReply((change,), Revision(30), 0.0, None, Revision(0))
+    server = ChangesServer(loop, Endpoint(near, port), lambda request: reply)
+
+    def send_heartbeats():
+        for host, revision in ((silent, 31), (near, 30)):
+            sender = PeerAddress(parse_host(host), 0)
+            view._handle_heartbeat(Heartbeat(sender, Revision(revision), 0.0, False, (), (), ()))
+
+    with socket.create_server((silent, port)):
+        loop.call_repeatedly(lambda: HEARTBEAT_INTERVAL_S, send_heartbeats)
+        run_until(loop, lambda: view.replica.synced == 30, deadline_s=MAX_BEHIND_S)
+    server.close()
