Close the connection to the store while an entry doesn't read it

What callers could see: a version in force 4.5 s after its publication instead of 3 s.

Cause: each entry keeps the connection of its start open and idle. Open connections may go silent for good. The entry notices only when it has to read, after the loss of the readers: its watch then runs out after its wait and another second, 2.35 s of a limit of 3 s, when 2.1 s have passed already.

Evidence: the test failed before (1.2 s with a wait of 0.2 s).

Why it works: an entry that becomes a reader opens a connection. The cost is one handshake with the store.

--- a/src/chicoryproxy/node/storewatch.py
+++ b/src/chicoryproxy/node/storewatch.py
@@ -89,6 +89,8 @@
             wait_s = self._policy.get_max_wait_s(self._loop.read_clock())
             self._client.watch(self._listener.get_synced_revision(), wait_s, self._handle_changes)
         else:
+            # An idle connection may stop working unnoticed; a later read opens a new one.
+            self._client.close()
             self._schedule(IDLE_POLL_S)
 
     def _handle_listing(self, result: Listing | ReadFailure) -> None:
--- a/tests/node/fakestore.py
+++ b/tests/node/fakestore.py
@@ -56,6 +56,7 @@
 
     def __init__(self, store):
         self.stream = None
+        self.is_silent = False
         self._store = store
         self._buffer = b""
 
@@ -70,7 +71,8 @@
         self._buffer += data
         while b"\r\n\r\n" in self._buffer:
             head, _, self._buffer = self._buffer.partition(b"\r\n\r\n")
-            self._store.answer(self, head.split(b" ")[1].decode())
+            if not self.is_silent:
+                self._store.answer(self, head.split(b" ")[1].decode())
 
     def reply(self, status, body):
         """Send a response with a JSON body."""
@@ -99,6 +101,7 @@
         self.revision = 0
         self._loop = loop
         self._events = []
+        self._connections = []
         self._listener = Listener(loop, Endpoint(HOST, 0), self._serve)
 
     @property
@@ -119,6 +122,11 @@
         """Compact the history; watches from an earlier revision get status 410."""
         self.history_from = self.revision
 
+    def silence_connections(self):
+        """Answer no further request on the open connections; new ones work."""
+        for connection in self._connections:
+            connection.is_silent = True
+
     def answer(self, connection, target):
         """Answer a request."""
         self.calls.append(target)
@@ -141,6 +149,7 @@
 
     def _serve(self, sock):
         connection = _Connection(self)
+        self._connections.append(connection)
         connection.stream = Stream(self._loop, sock, connection)
         connection.stream.accept()
 
--- a/tests/node/test_storewatch.py
+++ b/tests/node/test_storewatch.py
@@ -4,7 +4,7 @@
 
 from chicoryproxy.forwarding.model import NO_REVISION
 from chicoryproxy.ids import DomainId
-from chicoryproxy.node.storewatch import StoreListener, StoreWatch
+from chicoryproxy.node.storewatch import IDLE_POLL_S, StoreListener, StoreWatch
 from chicoryproxy.platform.store import ReadFailure, StoreClient
 from tests.node.fakestore import create_config, create_server_entry, run_until
 
@@ -12,11 +12,17 @@
 
 
 class Policy:
-    """A policy that always reads, with a short wait."""
+    """A policy with a short wait.
+
+    :ivar is_reader: whether the store is read.
+    """
+
+    def __init__(self):
+        self.is_reader = True
 
     def should_read(self, now):
-        """Return true."""
-        return True
+        """Return whether this is a reader."""
+        return self.is_reader
 
     def get_max_wait_s(self, now):
         """Return a short wait."""
@@ -63,10 +69,16 @@
 
 
 @pytest.fixture
-def watch(loop, store, listener):
+def policy():
+    """A policy that reads the store."""
+    return Policy()
+
+
+@pytest.fixture
+def watch(loop, store, listener, policy):
     """A watch of the fake store that has not been started."""
     client = StoreClient(loop, store.address, DOMAINS)
-    return StoreWatch(loop, client, listener, Policy())
+    return StoreWatch(loop, client, listener, policy)
 
 
 def test_all_pages_are_read_and_changes_follow(loop, store, listener, watch):
@@ -140,6 +152,23 @@
     run_until(loop, lambda: listener.confirmations > before)
 
 
+# CONFIG: the reader of a failure domain is lost, and the connection of its successor has gone silent
+# while it was idle; the successor waited for an answer for longer than the limit allows.
+def test_an_entry_that_becomes_a_reader_does_not_rely_on_an_idle_connection(
+    loop, store, listener, watch, policy
+):
+    store.put("op/config", create_config(3))
+    policy.is_reader = False
+    watch.start()
+    run_until(loop, lambda: listener.confirmations)
+    store.silence_connections()
+    loop.call_later(2 * IDLE_POLL_S, loop.stop)
+    loop.run()
+    store.put("op/config", create_config(4))
+    policy.is_reader = True
+    run_until(loop, lambda: listener.synced == store.revision, deadline_s=0.5)
+
+
 def test_a_series_of_changes_needs_few_calls(loop, store, listener, watch):
     """During a release, many servers change their records in quick succession."""
     watch.start()
