Find out soon that a read of an outdated view hangs

What callers could see: a version in force late after an outage of the store that ends silently; and an entry that never becomes ready while the store takes longer than a second.

Cause: an entry whose view is too old, or that lacks a change its peers have, read with a watch that may wait for 0.45 of the limit. One that hangs is given up a second after that wait: 2.35 s of a limit of 3 s, 3.25 s of 5 s. And each watch had the same second for its answer, so that a slower store never confirmed a view.

Why it works: the first watch of an outdated view doesn't wait and is given up after a second; the one after a timeout has two. Once a read has succeeded, the next ones wait as usual, so that no view is read in a loop (tested).

--- a/src/chicoryproxy/forwarding/readerpolicy.py
+++ b/src/chicoryproxy/forwarding/readerpolicy.py
@@ -80,6 +80,10 @@
             and self._peers.get_reader_rank(now) < READERS_PER_DOMAIN
         ):
             return True
+        return self.is_urgent(now)
+
+    def is_urgent(self, now: float) -> bool:
+        """Return whether the view may be outdated, so that a read must not hang unnoticed."""
         return self.is_overdue(now) or self._lags(now)
 
     def get_max_wait_s(self, now: float) -> float:
--- a/src/chicoryproxy/node/storewatch.py
+++ b/src/chicoryproxy/node/storewatch.py
@@ -10,6 +10,12 @@
 
 RETRY_MIN_S = 0.1
 RETRY_MAX_S = 0.8
+RESPONSE_TIMEOUT_S = 1.0
+"""Time that a watch may take beyond its wait before it counts as timed out."""
+
+SLOW_RESPONSE_TIMEOUT_S = 2.0
+"""The same for the watch after one that timed out, because the store may be slow."""
+
 BATCH_DELAY_S = 0.15
 """Delay after changes, so that the next watch returns several changes at once."""
 
@@ -58,6 +64,8 @@
         self._policy = policy
         self._needs_listing = True
         self._needs_confirmation = True
+        self._has_timed_out = False
+        self._is_following = False
         self._retry_s = RETRY_MIN_S
         self._timer: Timer | None = None
 
@@ -83,16 +91,25 @@
             # After lost history, a stale listing could again be older than the remaining history.
             allow_stale = not self._listener.get_synced_revision()
             self._client.list_all(allow_stale, self._handle_listing)
-        elif self._needs_confirmation:
-            self._client.watch(self._listener.get_synced_revision(), 0.0, self._handle_changes)
-        elif self._policy.should_read(self._loop.read_clock()):
-            wait_s = self._policy.get_max_wait_s(self._loop.read_clock())
-            self._client.watch(self._listener.get_synced_revision(), wait_s, self._handle_changes)
+        elif self._needs_confirmation or self._policy.should_read(self._loop.read_clock()):
+            self._watch()
         else:
             # An idle connection may stop working unnoticed; a later read opens a new one.
             self._client.close()
+            self._is_following = False
             self._schedule(IDLE_POLL_S)
 
+    def _watch(self) -> None:
+        now = self._loop.read_clock()
+        # The first watch of an outdated view does not wait, so that it times out soon if it hangs.
+        is_urgent = self._needs_confirmation or (
+            self._policy.is_urgent(now) and not self._is_following
+        )
+        wait_s = 0.0 if is_urgent else self._policy.get_max_wait_s(now)
+        timeout_s = SLOW_RESPONSE_TIMEOUT_S if self._has_timed_out else RESPONSE_TIMEOUT_S
+        revision = self._listener.get_synced_revision()
+        self._client.watch(revision, wait_s, timeout_s, self._handle_changes)
+
     def _handle_listing(self, result: Listing | ReadFailure) -> None:
         if isinstance(result, ReadFailure):
             self._handle_failure(result)
@@ -112,6 +129,8 @@
         self._schedule_retry()
         self._listener.handle_changes(result.changes, result.revision)
         self._needs_confirmation = False
+        self._has_timed_out = False
+        self._is_following = True
         self._retry_s = RETRY_MIN_S
         # Changes often come in quick succession; a short delay lets one request return several.
         self._schedule(BATCH_DELAY_S if result.changes else 0.0)
@@ -119,6 +138,8 @@
     def _handle_failure(self, failure: ReadFailure) -> None:
         if failure is ReadFailure.HISTORY_LOST:
             self._needs_listing = True
+        self._is_following = False
+        self._has_timed_out = failure is ReadFailure.TIMEOUT and not self._has_timed_out
         self._schedule_retry()
         self._listener.handle_failure(failure)
 
--- a/src/chicoryproxy/platform/store.py
+++ b/src/chicoryproxy/platform/store.py
@@ -21,9 +21,6 @@
 from chicoryproxy.platform.records import decode_item
 
 LIST_TIMEOUT_S = 2.0
-WATCH_TIMEOUT_MARGIN_S = 1.0
-"""Time that a watch may exceed its requested wait before it counts as timed out."""
-
 ALL_KEYS_PREFIX = ""
 
 Body = TypeVar("Body")
@@ -120,11 +117,13 @@
         self,
         revision: Revision,
         wait_s: float,
+        response_timeout_s: float,
         on_result: Callable[[WatchResult | ReadFailure], None],
     ) -> None:
         """Wait for changes after a revision.
 
         :param wait_s: longest time to wait, in seconds; after it the result has no changes.
+        :param response_timeout_s: time that the response may take beyond the wait, in seconds.
         """
         wait_ms = max(1, round(wait_s * 1000))
         query = f"/-/kv-watch?Prefix={ALL_KEYS_PREFIX}&after={revision}&WaitMs={wait_ms}"
@@ -136,7 +135,7 @@
             changes = tuple(self._decode_items(events.events))
             on_result(WatchResult(changes, Revision(events.revision)))
 
-        self._call(query, wait_s + WATCH_TIMEOUT_MARGIN_S, _Events, finish)
+        self._call(query, wait_s + response_timeout_s, _Events, finish)
 
     def close(self) -> None:
         """Close the connection and cancel the pending request without calling back."""
--- a/tests/node/fakestore.py
+++ b/tests/node/fakestore.py
@@ -87,6 +87,7 @@
     :ivar calls: targets of the received requests, in order.
     :ivar status: status of every response instead of 200, if not ``None``.
     :ivar is_silent: true if requests get no response.
+    :ivar delay_s: time that each response takes, in seconds.
     :ivar stale_revision: revision that listings with ``AllowStale`` show, if not ``None``.
     :ivar page_size: maximum number of items of a page.
     """
@@ -95,6 +96,7 @@
         self.calls = []
         self.status = None
         self.is_silent = False
+        self.delay_s = 0.0
         self.stale_revision = None
         self.page_size = 50
         self.history_from = 0
@@ -130,8 +132,10 @@
     def answer(self, connection, target):
         """Answer a request."""
         self.calls.append(target)
-        if self.is_silent:
-            return
+        if not self.is_silent:
+            self._loop.call_later(self.delay_s, lambda: self._answer(connection, target))
+
+    def _answer(self, connection, target):
         if self.status is not None:
             connection.reply(self.status, {})
             return
--- a/tests/node/test_storewatch.py
+++ b/tests/node/test_storewatch.py
@@ -15,18 +15,26 @@
     """A policy with a short wait.
 
     :ivar is_reader: whether the store is read.
+    :ivar is_view_urgent: whether a read is urgent.
+    :ivar wait_s: maximum wait of a watch, in seconds.
     """
 
     def __init__(self):
         self.is_reader = True
+        self.is_view_urgent = False
+        self.wait_s = 0.2
+
+    def is_urgent(self, now):
+        """Return whether a read is urgent."""
+        return self.is_view_urgent
 
     def should_read(self, now):
         """Return whether this is a reader."""
         return self.is_reader
 
     def get_max_wait_s(self, now):
-        """Return a short wait."""
-        return 0.2
+        """Return the wait."""
+        return self.wait_s
 
 
 class Listener(StoreListener):
@@ -169,6 +177,47 @@
     run_until(loop, lambda: listener.synced == store.revision, deadline_s=0.5)
 
 
+# CONFIG: after an outage the view is too old already, and a read that hangs was given up only after
+# the time for which a watch may wait.
+def test_an_urgent_read_that_hangs_is_soon_repeated(loop, store, listener, watch, policy):
+    store.put("op/config", create_config(3))
+    watch.start()
+    run_until(loop, lambda: listener.confirmations)
+    policy.wait_s = 3.0
+    policy.is_reader = False
+    loop.call_later(4 * IDLE_POLL_S, loop.stop)
+    loop.run()
+    policy.is_reader = policy.is_view_urgent = True
+    store.is_silent = True
+    loop.call_later(0.3, lambda: setattr(store, "is_silent", False))
+    store.put("op/config", create_config(4))
+    run_until(loop, lambda: listener.synced == store.revision, deadline_s=1.5)
+
+
+def test_a_view_that_stays_outdated_is_not_read_in_a_tight_loop(
+    loop, store, listener, watch, policy
+):
+    """A peer announces a revision that the store doesn't have."""
+    policy.is_view_urgent = True
+    store.put("op/config", create_config(3))
+    watch.start()
+    loop.call_later(1.0, loop.stop)
+    loop.run()
+    assert listener.confirmations
+    assert len(store.calls) <= 3 + 1.0 / policy.wait_s
+
+
+def test_urgent_reads_succeed_although_the_store_takes_longer_than_they_may(
+    loop, store, listener, watch, policy
+):
+    policy.wait_s = 1.0
+    policy.is_view_urgent = True
+    store.put("op/config", create_config(3))
+    store.delay_s = 1.3
+    watch.start()
+    run_until(loop, lambda: listener.confirmations)
+
+
 def test_a_series_of_changes_needs_few_calls(loop, store, listener, watch):
     """During a release, many servers change their records in quick succession."""
     watch.start()
