Confirm a view as of the arrival of the proof, not of its reading

What callers could see: a version in force later than its limit at an entry that never stood still.

Cause: heartbeats and answers of the store that waited while an entry stood still were read as if they had just arrived. The entry took its view for current as of now, and its next heartbeats, sent before it had asked the store, told its peers so; they then read the store later by as long as it had stood still.

Evidence: both tests failed before, by the 0.5 s that the process stands still in them.

Why it works: what had arrived before the last poll was read then. Without a gap of 0.2 s between polls nothing changes.

--- a/src/chicoryproxy/eventloop/loop.py
+++ b/src/chicoryproxy/eventloop/loop.py
@@ -14,6 +14,10 @@
 import time
 from collections.abc import Callable
 
+STANDSTILL_S = 0.2
+"""Time between two polls from which the process counts as having stood still; timers of the entry
+keep it at a quarter of this."""
+
 Callback = Callable[[], None]
 ErrorHandler = Callable[[Exception], None]
 
@@ -64,6 +68,7 @@
         self._selector = selectors.DefaultSelector()
         self._timers: list[tuple[float, int, Timer]] = []
         self._timer_numbers = itertools.count()
+        self._previous_poll_s = read_clock()
         self._is_running = False
         self._signals: dict[int, Callback] = {}
         self._wakeup_writer, self._wakeup_reader = socket.socketpair()
@@ -75,6 +80,15 @@
         """Return the loop's monotonic time in seconds."""
         return read_clock()
 
+    def get_arrival_s(self) -> float:
+        """Return when the data that is read now may have arrived, in seconds.
+
+        A process that stood still reads late what arrived meanwhile; all that had arrived before
+        the end of the previous poll was read then.
+        """
+        now = read_clock()
+        return now if now - self._previous_poll_s < STANDSTILL_S else self._previous_poll_s
+
     def call_later(self, delay_s: float, callback: Callback) -> Timer:
         """Schedule a callback after a delay in seconds."""
         timer = Timer(callback)
@@ -147,10 +161,12 @@
             deadline_s = self._timers[0][0] if self._timers else math.inf
             timeout_s = max(0.0, deadline_s - polled_s) if self._timers else None
             ready = self._selector.select(timeout_s)
+            ready_s = read_clock()
             for key, events in ready:
                 self._handle_ready(key, events)
             quiet_until_s = polled_s if ready else max(polled_s, deadline_s)
             self._run_timers(min(quiet_until_s, read_clock()))
+            self._previous_poll_s = ready_s
 
     def stop(self) -> None:
         """Make ``run`` return after the current iteration."""
--- a/src/chicoryproxy/forwarding/peering.py
+++ b/src/chicoryproxy/forwarding/peering.py
@@ -138,10 +138,13 @@
         age = self.get_age(now)
         return round(age, 2) if age < PEER_RETENTION_S else UNKNOWN_AGE_S
 
-    def handle_heartbeat(self, heartbeat: Heartbeat, synced: Revision, now: float) -> None:
+    def handle_heartbeat(
+        self, heartbeat: Heartbeat, synced: Revision, arrived_s: float, now: float
+    ) -> None:
         """Process a heartbeat.
 
         :param synced: revision up to which this entry knows all changes.
+        :param arrived_s: when it arrived; it may have waited to be read.
         """
         if heartbeat.sender.host == self.own.host:
             return
@@ -155,7 +158,7 @@
             peer.last_seen_s = now - ALIVE_TIMEOUT_S
         if heartbeat.age_s >= 0 and heartbeat.synced <= synced:
             # At that time the sender was up to date, and this entry knows at least as much.
-            self.record_confirmation(now - heartbeat.age_s)
+            self.record_confirmation(arrived_s - heartbeat.age_s)
         for status in heartbeat.peers:
             if status.address.host != self.own.host:
                 self._update_peer(status.address, now - status.age_ds / 10)
--- a/src/chicoryproxy/node/view.py
+++ b/src/chicoryproxy/node/view.py
@@ -167,7 +167,7 @@
     def handle_changes(self, changes: Iterable[Change], revision: Revision) -> None:
         """Merge changes from the store, which confirm that the view is current."""
         self._merge(changes, revision, self.replica.synced)
-        self._note_confirmation(self._loop.read_clock())
+        self._note_confirmation(self._loop.get_arrival_s())
         if self._store_failure is not None:
             self._journal.write("store_back", revision=revision, after=self._store_failure.value)
             self._store_failure = None
@@ -248,7 +248,7 @@
 
     def _handle_heartbeat(self, heartbeat: Heartbeat) -> None:
         now = self._loop.read_clock()
-        self.peers.handle_heartbeat(heartbeat, self.replica.synced, now)
+        self.peers.handle_heartbeat(heartbeat, self.replica.synced, self._loop.get_arrival_s(), now)
         self._reader_policy.record_heartbeat(now)
         self._reader_policy.record_progress(self.replica.synced, heartbeat.synced, now)
         self._traffic.handle_ramps(heartbeat)
@@ -308,7 +308,7 @@
         )
         self._merge(changes, reply.synced, reply.since)
         if reply.age_s >= 0:
-            self._note_confirmation(self._loop.read_clock() - reply.age_s)
+            self._note_confirmation(self._loop.get_arrival_s() - reply.age_s)
 
     def _answer_changes(self, request: ChangesRequest) -> ChangesReply:
         age_s = self.peers.report_age(self._loop.read_clock())
--- a/tests/forwarding/test_isolation.py
+++ b/tests/forwarding/test_isolation.py
@@ -43,7 +43,7 @@
         heartbeat = Heartbeat(
             PeerAddress(host, domain), Revision(1), 0.0, False, (), (Mark(1),), (), is_isolated
         )
-        self.peers.handle_heartbeat(heartbeat, Revision(1), self.harness.now)
+        self.peers.handle_heartbeat(heartbeat, Revision(1), self.harness.now, self.harness.now)
 
     def tick(self):
         """Run the detector as the process does; return whether the entry is isolated."""
--- a/tests/forwarding/test_peering.py
+++ b/tests/forwarding/test_peering.py
@@ -67,10 +67,10 @@
             other = self.groups.get(target)
             if other is None or target in self.disconnected:
                 continue
-            other.handle_heartbeat(heartbeat, self.synced[target], self.now)
+            other.handle_heartbeat(heartbeat, self.synced[target], self.now, self.now)
             if not heartbeat.peers:
                 reply = other.create_discovery_reply(self.synced[target], (), self.now)
-                group.handle_heartbeat(reply, self.synced[sender], self.now)
+                group.handle_heartbeat(reply, self.synced[sender], self.now, self.now)
             if heartbeat.synced > self.synced[target]:
                 newer = other.find_newer(self.synced[target], self.now)
                 assert newer is not None
@@ -210,9 +210,9 @@
     first, second = fleet.groups[host(0)], fleet.groups[host(1)]
     second.record_confirmation(fleet.now)
     behind = second.create_heartbeat(Revision(8), False, (), (), fleet.now)
-    first.handle_heartbeat(behind, Revision(7), fleet.now)
+    first.handle_heartbeat(behind, Revision(7), fleet.now, fleet.now)
     assert first.get_age(fleet.now) > 100
-    first.handle_heartbeat(behind, Revision(8), fleet.now)
+    first.handle_heartbeat(behind, Revision(8), fleet.now, fleet.now)
     assert first.get_age(fleet.now) < 0.1
 
 
--- a/tests/forwarding/test_unreachablereports.py
+++ b/tests/forwarding/test_unreachablereports.py
@@ -40,7 +40,7 @@
         return self.peers.create_heartbeat(Revision(1), False, (), marks, now)
 
     def receive(self, heartbeat, now):
-        self.peers.handle_heartbeat(heartbeat, Revision(1), now)
+        self.peers.handle_heartbeat(heartbeat, Revision(1), now, now)
         for mark in heartbeat.unreachable:
             self.reports.record(mark, now)
 
--- a/tests/node/fakestore.py
+++ b/tests/node/fakestore.py
@@ -79,6 +79,7 @@
         data = json.dumps(body).encode()
         head = f"HTTP/1.1 {status} X\r\nContent-Length: {len(data)}\r\n\r\n".encode()
         self.stream.write(head + data)
+        self._store.on_reply()
 
 
 class FakeStore:
@@ -87,6 +88,7 @@
     :ivar calls: targets of the received requests, in order.
     :ivar status: status of every response instead of 200, if not ``None``.
     :ivar is_silent: true if requests get no response.
+    :ivar on_reply: called after each response.
     :ivar delay_s: time that each response takes, in seconds.
     :ivar stale_revision: revision that listings with ``AllowStale`` show, if not ``None``.
     :ivar page_size: maximum number of items of a page.
@@ -96,6 +98,7 @@
         self.calls = []
         self.status = None
         self.is_silent = False
+        self.on_reply = lambda: None
         self.delay_s = 0.0
         self.stale_revision = None
         self.page_size = 50
--- a/tests/node/test_view.py
+++ b/tests/node/test_view.py
@@ -1,6 +1,7 @@
 """The view of an entry that learns changes from peers."""
 
 import socket
+import time
 
 import pytest
 
@@ -14,7 +15,12 @@
     UpstreamPhase,
     UpstreamUnlisted,
 )
-from chicoryproxy.forwarding.peermessages import ChangesReply, Heartbeat, PeerAddress
+from chicoryproxy.forwarding.peermessages import (
+    ChangesReply,
+    Heartbeat,
+    PeerAddress,
+    encode_message,
+)
 from chicoryproxy.forwarding.readerpolicy import MAX_BEHIND_S
 from chicoryproxy.forwarding.replica import get_upstream_key
 from chicoryproxy.ids import DomainId, InstanceId, RegionId, UpstreamId
@@ -23,7 +29,7 @@
 from chicoryproxy.node.peers import ChangesServer
 from chicoryproxy.node.view import HEARTBEAT_INTERVAL_S, TrafficReports, View
 from tests.forwarding.harness import OWN_DOMAIN, ForwarderHarness
-from tests.node.fakestore import HOST, pick_port, run_until
+from tests.node.fakestore import HOST, create_config, pick_port, run_until
 
 
 class NoTraffic(TrafficReports):
@@ -109,6 +115,43 @@
     assert view.directory.find_present(draining.id).leaving_since_s == confirmed_s
 
 
+def run_for(loop, seconds):
+    """Run an event loop for some time."""
+    loop.call_later(seconds, loop.stop)
+    loop.run()
+
+
+# CONFIG: an entry that stood still read heartbeats from before as if they had just been sent, took
+# its view for current, and told its peers so.
+def test_a_heartbeat_that_waited_confirms_the_view_as_of_its_arrival(loop, view):
+    run_for(loop, 0.15)
+    heartbeat = Heartbeat(PeerAddress(parse_host(HOST) + 1, 0), Revision(0), 0.0, False, (), (), ())
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sender:
+        sender.sendto(encode_message(heartbeat), (HOST, view._settings.peers.port))
+    arrived_s = loop.read_clock()
+    time.sleep(0.5)
+    run_for(loop, 0.05)
+    assert 0.0 < view.peers.confirmed_s <= arrived_s
+
+
+# CONFIG: an answer of the store that waited while the entry stood still confirmed its view as of
+# the moment at which it was read.
+def test_an_answer_of_the_store_that_waited_confirms_the_view_as_of_its_arrival(loop, store, view):
+    store.put("op/config", create_config(3))
+    view.start()
+    run_until(loop, lambda: view.is_confirmed)
+    store.put("op/config", create_config(4))
+    arrivals_s = []
+
+    def stand_still():
+        arrivals_s.append(loop.read_clock())
+        time.sleep(0.5)
+
+    store.on_reply = stand_still
+    run_until(loop, lambda: view.directory.version == 4)
+    assert view.peers.confirmed_s <= arrivals_s[0]
+
+
 # CONFIG: an entry that can't reach the store asked the peer with the highest revision again and
 # again for four seconds, although it didn't answer and others had the change.
 def test_changes_come_from_another_peer_while_the_newest_one_is_silent(loop, view):
