Keep the changes of a reply whose patch of the configuration doesn't fit

What callers could see: openings at upstreams that leave, for some hundreds of milliseconds longer, while versions come in quick succession.

Cause: a reply whose patch is based on a version that is no longer in force was discarded as a whole, with the drains, removals and evacuations that it held. The entry asked again 0.3 s later, and the next version was out by then.

Both cases of the test failed before.

Why it works: changes of single keys merge in any order; only the revision, which says that nothing is missing, must not advance.

--- a/src/chicoryproxy/node/view.py
+++ b/src/chicoryproxy/node/view.py
@@ -296,8 +296,9 @@
             changes = self._change_exchange.restore_changes(request, reply)
         except ValueError as error:
             # The configuration version changed while the reply was in transit, so that its patch
-            # no longer applies. The next request asks for the changes that are still missing.
+            # no longer applies. Its other changes hold, but the revision is not reached with them.
             self._journal.write("reply_unfit", host=peer.host, reason=str(error))
+            self._merge(reply.changes, self.replica.synced, self.replica.synced)
             return
         self._journal.write_rate_limited(
             "catch_up",
--- a/tests/node/test_view.py
+++ b/tests/node/test_view.py
@@ -11,24 +11,28 @@
     Change,
     EntrySettings,
     Revision,
+    RoutingPublished,
     UpstreamListed,
     UpstreamPhase,
     UpstreamUnlisted,
 )
 from chicoryproxy.forwarding.peermessages import (
     ChangesReply,
+    ChangesRequest,
     Heartbeat,
     PeerAddress,
     encode_message,
 )
 from chicoryproxy.forwarding.readerpolicy import MAX_BEHIND_S
-from chicoryproxy.forwarding.replica import get_upstream_key
-from chicoryproxy.ids import DomainId, InstanceId, RegionId, UpstreamId
+from chicoryproxy.forwarding.replica import ROUTING_KEY, get_upstream_key
+from chicoryproxy.ids import DomainId, InstanceId, RegionId, UpstreamId, Version
 from chicoryproxy.model import Endpoint
 from chicoryproxy.node.journal import Journal
 from chicoryproxy.node.peers import ChangesServer
 from chicoryproxy.node.view import HEARTBEAT_INTERVAL_S, TrafficReports, View
 from tests.forwarding.harness import OWN_DOMAIN, ForwarderHarness
+from tests.forwarding.replicanode import ReplicaNode
+from tests.forwarding.test_routingpatch import create_routing
 from tests.node.fakestore import HOST, create_config, pick_port, run_until
 
 
@@ -171,3 +175,26 @@
         loop.call_repeatedly(lambda: HEARTBEAT_INTERVAL_S, send_heartbeats)
         run_until(loop, lambda: view.replica.synced == 30, deadline_s=MAX_BEHIND_S)
     server.close()
+
+
+# DRAIN: while versions come in quick succession, replies came with patches of former versions; all
+# that these replies held was discarded, with the drains.
+@pytest.mark.parametrize("known_version", [3, 7])
+def test_a_reply_with_an_unfit_patch_brings_all_other_changes(view, known_version):
+    routings = {version: create_routing(version, {1: version, 2: 1, 3: 1}) for version in (1, 3, 7)}
+    peer = ReplicaNode()
+    peer.publish(routings[1], 1)
+    request = ChangesRequest(Revision(1), Version(1))
+    peer.publish(routings[7], 7)
+    entry = ForwarderHarness().publish_upstream("i-1", draining=True).entry
+    drain = Change(get_upstream_key(entry.id), Revision(8), UpstreamListed(entry))
+    peer.watch([drain], 8)
+    reply = peer.exchange.create_reply(request, 0.0)
+    published = Change(
+        ROUTING_KEY, Revision(known_version), RoutingPublished(routings[known_version])
+    )
+    view._merge([published], Revision(known_version), Revision(1))
+    view._handle_reply(request, reply, Endpoint(HOST, 1))
+    assert view.directory.find_present(entry.id).is_leaving
+    assert view.replica.synced == known_version
+    assert view.directory.version == known_version
