Send no late copy of an opening where an opening may not go

What callers could see: a request at a service that a version had taken out of its route, at an upstream that leaves or in a failure domain that is out of service.

Cause: a copy of the opening of an open flow went to the upstream on record without a look at what had been published since. An upstream that has lost or ended that flow takes the copy for a new opening.

Evidence: before, all three cases of the test returned the upstream on record (run with an assertion that did not name the new reason).

The open flow needs no copy, so that dropping it costs nothing.

--- a/src/chicoryproxy/forwarding/model.py
+++ b/src/chicoryproxy/forwarding/model.py
@@ -255,7 +255,8 @@
 class Drop(Enum):
     """Why a packet was dropped without an answer.
 
-    ``REROUTING`` means that the caller's retransmission will reach another failure domain.
+    ``REROUTING`` means that the caller's retransmission will reach another failure domain,
+    ``LATE_COPY`` that a flow is open already whose upstream may get no openings any more.
     """
 
     MALFORMED = "malformed"
@@ -263,6 +264,7 @@
     UNKNOWN_MARK = "unknown_mark"
     NO_FLOW = "no_flow"
     REROUTING = "rerouting"
+    LATE_COPY = "late_copy"
 
 
 @unique
--- a/tests/forwarding/test_leaving.py
+++ b/tests/forwarding/test_leaving.py
@@ -2,8 +2,15 @@
 
 import pytest
 
-from chicoryproxy.forwarding.model import Refusal, UpstreamPhase
-from tests.forwarding.harness import ForwarderHarness
+from chicoryproxy.forwarding.model import Drop, Refusal, UpstreamPhase, WeightedService
+from tests.forwarding.harness import (
+    ARCHIVE,
+    OWN_DOMAIN,
+    ROUTE,
+    ForwarderHarness,
+    create_packet,
+    create_route,
+)
 
 DRAIN_S = ForwarderHarness().directory.bounds.drain_s
 
@@ -45,3 +52,23 @@
     harness.advance(DRAIN_S - 0.5)
     harness.publish_upstream("i-1", draining=True)
     assert harness.send_opening()[0] is Refusal.NO_UPSTREAM
+
+
+# DRAIN, CONFIG: a late copy of the opening of an open flow went to the flow's upstream whatever had
+# been published since; one that no longer holds the flow takes it for a new opening.
+@pytest.mark.parametrize("change", ["drain", "other service", "domain out"])
+def test_a_late_copy_of_an_opening_goes_nowhere_that_an_opening_may_not_go(harness, change):
+    harness.publish_upstream("i-1")
+    upstream, port = harness.open_flow()
+    assert harness.send_opening(port=port, copy=1)[0] is upstream
+    harness.publish_upstream("a-2", service=ARCHIVE)
+    if change == "drain":
+        harness.publish_upstream("i-1", draining=True)
+    elif change == "domain out":
+        harness.take_domain_out(OWN_DOMAIN)
+    else:
+        moved = create_route("desk", ROUTE, (WeightedService(ARCHIVE, 1.0),))
+        harness.publish_routing(2, [moved])
+    assert harness.send_opening(port=port, copy=1)[0] is Drop.LATE_COPY
+    packet = create_packet(port=port, mark=upstream.mark, sequence=1, acknowledged=1, size=10)
+    assert harness.send(packet) is upstream
--- a/tests/forwarding/test_peerloads.py
+++ b/tests/forwarding/test_peerloads.py
@@ -60,5 +60,5 @@
     load = LoadReport(MARKS[0], 10, 2)
     sender, receiver = (PeerGroup(PeerAddress(host, 0), (), 1, 0.0) for host in (1, 2))
     reply = sender.create_discovery_reply(Revision(1), (load,), 1.0)
-    receiver.handle_heartbeat(reply, Revision(1), 1.0)
+    receiver.handle_heartbeat(reply, Revision(1), 1.0, 1.0)
     assert receiver.loads.get(MARKS[0]) == load
