Don't let a registration that was written late end a drain

What callers could see: openings at an upstream that leaves, until it reports again.

Cause: of two registrations of one lifetime the one with the newer revision counted, also if the store completed the earlier write later. Registrations carry a number that rises within a lifetime; it was read and not used.

Evidence: the test failed before.

Why it works: an earlier number of the same lifetime changes nothing. Entries that don't pass the number on yet leave it at zero, which compares with nothing; without a start the number may begin anew, and is not used.

--- a/src/chicoryproxy/forwarding/directory.py
+++ b/src/chicoryproxy/forwarding/directory.py
@@ -189,7 +189,7 @@
         events: list[DirectoryEvent] = []
         if known is not None and is_outdated(entry, known):
             known.keep_cold(entry, now)
-            detail = f"registration began no later than {known.entry.started_ms}"
+            detail = f"registration precedes the one of revision {known.revision}"
             kind = DirectoryEventKind.UPSTREAM_OUTDATED
             return [DirectoryEvent(kind, entry.id, detail, revision)]
         if known is not None and known.identity != identity:
--- a/src/chicoryproxy/forwarding/lifetime.py
+++ b/src/chicoryproxy/forwarding/lifetime.py
@@ -113,12 +113,16 @@
 
 
 def is_outdated(entry: UpstreamEntry, known: Lifetime) -> bool:
-    """Return whether a registration of another lifetime of the same id began no later.
+    """Return whether a registration precedes the known one of the same id.
 
-    It was written late, or by another writer, and proves no end of the known lifetime.
+    It was written late, or by another writer: it is an earlier one of this lifetime, or one of
+    another lifetime that began no later, and proves no change of the known one.
     """
-    is_other = get_identity(entry) != known.identity
-    return is_other and 0 < known.entry.started_ms >= entry.started_ms
+    if not known.entry.started_ms:
+        return False
+    if get_identity(entry) == known.identity:
+        return 0 < entry.sequence < known.entry.sequence
+    return known.entry.started_ms >= entry.started_ms
 
 
 def find_later(first: Lifetime, second: Lifetime) -> Lifetime | None:
--- a/src/chicoryproxy/forwarding/model.py
+++ b/src/chicoryproxy/forwarding/model.py
@@ -97,6 +97,7 @@
     :param slots: requests that it serves concurrently.
     :param cold_remaining_s: how long it stays cold after the publication, in seconds.
     :param started_ms: start of this lifetime, in milliseconds since 1970; zero if unknown.
+    :param sequence: number of this registration, which rises within a lifetime; zero if unknown.
     """
 
     id: UpstreamId
@@ -108,6 +109,7 @@
     is_draining: bool
     cold_remaining_s: float
     started_ms: int
+    sequence: int = 0
 
 
 class UpstreamListed(Struct, frozen=True, array_like=True, tag="upstream_listed"):
--- a/src/chicoryproxy/platform/records.py
+++ b/src/chicoryproxy/platform/records.py
@@ -155,6 +155,7 @@
         server.state == STATE_DRAINING,
         server.cold_remaining_ms / 1000,
         server.born,
+        server.sequence,
     )
 
 
--- a/tests/forwarding/harness.py
+++ b/tests/forwarding/harness.py
@@ -118,6 +118,7 @@
         started_ms=1,
         address=None,
         revision=None,
+        sequence=0,
     ):
         """Publish the registration of an upstream; return its lifetime if it is present."""
         upstream = UpstreamId(name)
@@ -127,7 +128,16 @@
                 known.entry.address if known else Endpoint("10.1.0.9", 8000 + next(self._addresses))
             )
         entry = UpstreamEntry(
-            upstream, 7, service, address, domain, slots, draining, cold_s, started_ms
+            upstream,
+            7,
+            service,
+            address,
+            domain,
+            slots,
+            draining,
+            cold_s,
+            started_ms,
+            sequence,
         )
         self.apply(get_upstream_key(upstream), UpstreamListed(entry), revision)
         return self.find_upstream(name)
--- a/tests/forwarding/test_leaving.py
+++ b/tests/forwarding/test_leaving.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from chicoryproxy.forwarding.directoryevent import DirectoryEventKind
 from chicoryproxy.forwarding.model import Drop, Refusal, UpstreamPhase, WeightedService
 from tests.forwarding.harness import (
     ARCHIVE,
@@ -72,3 +73,22 @@
     assert harness.send_opening(port=port, copy=1)[0] is Drop.LATE_COPY
     packet = create_packet(port=port, mark=upstream.mark, sequence=1, acknowledged=1, size=10)
     assert harness.send(packet) is upstream
+
+
+# DRAIN: a write of an upstream from before it said that it leaves, which the store completed late,
+# has the newer revision; openings went there again.
+def test_a_registration_written_late_does_not_end_a_drain(harness):
+    harness.publish_upstream("i-2")
+    harness.publish_upstream("i-1", sequence=7)
+    leaving = harness.publish_upstream("i-1", draining=True, sequence=9)
+    harness.publish_upstream("i-1", sequence=8)
+    assert leaving.phase is UpstreamPhase.DRAINING
+    assert harness.events[0].kind is DirectoryEventKind.UPSTREAM_OUTDATED
+    harness.publish_upstream("i-1", sequence=10)
+    assert leaving.phase is UpstreamPhase.SERVING
+
+
+def test_registrations_of_an_entry_that_does_not_pass_on_their_numbers_count(harness):
+    upstream = harness.publish_upstream("i-1", sequence=7)
+    harness.publish_upstream("i-1", draining=True, sequence=0)
+    assert upstream.phase is UpstreamPhase.DRAINING
