Take a view for current only with the version that confirms it

What callers could see, in the product's own core: an instance that missed a version while its process was paused placed flows by the former one again until it had fetched the new one.

Cause: after a pause the view counts as stale until a peer answers that is not stale itself. That the answer names a newer version than the own one was not looked at: the proof that the view is outdated confirmed it.

Evidence: the test failed before: with the bodies of versions lost, the view counted as current with version 1 while its peers reported 2.

Why it works: the highest version that peers report has to be active; as before, the wait ends after the time that a version takes to spread, so that an instance without a peer to fetch from goes on.

--- a/src/chicoryproxy/control/core.py
+++ b/src/chicoryproxy/control/core.py
@@ -115,7 +115,7 @@
         self._current_limits = limits
         self._conditions = ConditionStore(self._outbox)
         self._readers = ReaderRole(instance, self._outbox)
-        self._staleness = StalenessDetector(self._membership, self._outbox)
+        self._staleness = StalenessDetector(self._membership, self._versions, self._outbox)
         self._health = create_health_monitor(seed, self._conditions, self._outbox)
         self._owners = OwnerMap()
         self._reachability = DomainReachability(instance.id, self._outbox)
@@ -257,6 +257,7 @@
 
     def _finish(self, now: float) -> list[ControlAction]:
         if self._exchange.pop_adopted():
+            self._staleness.check_version()
             limits = self._limits
             self._budget.set_rate(limits.control_bytes_per_s * VIEW_BUDGET_SHARE)
             self._membership.configure(limits)
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -4,8 +4,9 @@
 
 import pytest
 
-from chicoryproxy.ids import ServiceId, Version
-from chicoryproxy.protocol.messages import EntryReport, Gossip, Ping, ServiceClean
+from chicoryproxy.ids import InstanceId, ServiceId, Version
+from chicoryproxy.protocol.actions import SendToView
+from chicoryproxy.protocol.messages import EntryReport, Gossip, Ping, ServiceClean, VersionBody
 from chicoryproxy.states import MemberState
 from tests.control_net import DOMAINS, ControlNet, make_configuration, make_upstream
 
@@ -108,6 +109,32 @@
     assert net.views[paused].configuration.version == 2
 
 
+# An instance that missed a version while it was paused took its view for current as soon as a peer
+# answered, and placed flows by the former version until it had fetched the new one.
+def test_a_peer_with_a_newer_version_does_not_confirm_the_view(
+    net: ControlNet, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    paused = net.instances[0].id
+    net.paused.add(paused)
+    net.watching.discard(paused)
+    net.run(5.0)
+    net.publish(make_configuration(2))
+    net.run(1.0)
+    net.paused.discard(paused)
+    send = net._send
+
+    def lose_bodies(sender: InstanceId, action: SendToView) -> None:
+        if not isinstance(action.message, VersionBody):
+            send(sender, action)
+
+    monkeypatch.setattr(net, "_send", lose_bodies)
+    net.run(0.5 * net.views[paused].configuration.fleet.spread_s)
+    assert net.views[paused].stale
+    monkeypatch.setattr(net, "_send", send)
+    net.run_until(lambda: not net.views[paused].stale, 2.0)
+    assert net.views[paused].configuration.version == 2
+
+
 def test_two_instances_resumed_together_do_not_confirm_each_other(net: ControlNet) -> None:
     pair = {entry.id for entry in net.instances[:2]}
     net.paused |= pair
