--- a/src/chicoryproxy/forwarding/directory.py
+++ b/src/chicoryproxy/forwarding/directory.py
@@ -8,7 +8,7 @@
 
 from collections.abc import Iterator
 
-from chicoryproxy.endpoint import Endpoint
+from chicoryproxy.forwarding.addressowners import AddressOwners
 from chicoryproxy.forwarding.directoryevent import (
     DirectoryEvent,
     DirectoryEventKind,
@@ -76,7 +76,7 @@
         self._current: dict[UpstreamId, Lifetime] = {}
         self._services: dict[ServiceId, dict[UpstreamId, Lifetime]] = {}
         self._marks: dict[Mark, Lifetime] = {}
-        self._addresses: dict[Endpoint, tuple[Lifetime, ...]] = {}
+        self._addresses = AddressOwners()
         self._missing: dict[UpstreamId, Lifetime] = {}
         self._ended: dict[str, Lifetime] = {}
         self._domains_out: set[DomainId] = set()
@@ -176,7 +176,7 @@
                 break
             del self._ended[identity]
             if not lifetime.is_replaced:
-                self._leave_address(lifetime)
+                self._addresses.discard(lifetime)
             if self._marks.get(lifetime.mark) is lifetime:
                 del self._marks[lifetime.mark]
         return events
@@ -201,9 +201,9 @@
             known.update(entry, revision, now, self.confirmed_s)
             events.extend(self._add(known, revision, now))
         else:
-            self._leave_address(known)
+            self._addresses.discard(known)
             known.update(entry, revision, now, self.confirmed_s)
-            self._occupy_address(known)
+            self._addresses.add(known)
             events.extend(self._claim_address(known, revision, now))
         if known.phase is UpstreamPhase.GONE:
             return events
@@ -287,7 +287,7 @@
         entry = lifetime.entry
         self._current[entry.id] = lifetime
         self._services.setdefault(entry.service, {})[entry.id] = lifetime
-        self._occupy_address(lifetime)
+        self._addresses.add(lifetime)
         lifetime.phase_since_s = now
         detail = f"{entry.service} at {entry.address.host}:{entry.address.port}"
         return [
@@ -329,9 +329,7 @@
         service that no configuration names may be another writer's and ends nothing.
         """
         events: list[DirectoryEvent] = []
-        for other in self._addresses[lifetime.entry.address]:
-            if other is lifetime:
-                continue
+        for other in self._addresses.list_others(lifetime):
             later = find_later(other, lifetime)
             if other.phase is UpstreamPhase.GONE and later is not lifetime:
                 continue
@@ -344,7 +342,7 @@
             earlier.mark_unreachable(UnreachableCause.ADDRESS_REASSIGNED, now)
             reason = f"its address belongs to {later.entry.id} since revision {later.revision}"
             if earlier.phase is UpstreamPhase.GONE:
-                self._leave_address(earlier)
+                self._addresses.discard(earlier)
                 events.append(create_phase_event(earlier, reason, revision))
             else:
                 events.append(self._end(earlier, reason, revision, now))
@@ -352,23 +350,11 @@
                 break
         return events
 
-    def _occupy_address(self, lifetime: Lifetime) -> None:
-        address = lifetime.entry.address
-        self._addresses[address] = (*self._addresses.get(address, ()), lifetime)
-
-    def _leave_address(self, lifetime: Lifetime) -> None:
-        address = lifetime.entry.address
-        others = tuple(item for item in self._addresses[address] if item is not lifetime)
-        if others:
-            self._addresses[address] = others
-        else:
-            del self._addresses[address]
-
     def _restore_ended(self, identity: str) -> Lifetime | None:
         lifetime = self._ended.pop(identity, None)
         if lifetime is not None:
             if not lifetime.is_replaced:
-                self._leave_address(lifetime)
+                self._addresses.discard(lifetime)
             lifetime.phase = UpstreamPhase.SERVING
             lifetime.is_unreachable = False
             lifetime.is_mark_taken = False
@@ -379,7 +365,7 @@
         del self._current[entry.id]
         del self._services[entry.service][entry.id]
         if lifetime.is_replaced:
-            self._leave_address(lifetime)
+            self._addresses.discard(lifetime)
         self._ended[lifetime.identity] = lifetime
         self._pass_on_mark(lifetime)
         return self._set_phase(lifetime, UpstreamPhase.GONE, reason, revision, now)
--- a/src/chicoryproxy/forwarding/forwarder.py
+++ b/src/chicoryproxy/forwarding/forwarder.py
@@ -157,7 +157,9 @@
         if flow.is_open and flow.upstream is not None:
             if packet.acknowledged:
                 # A late retransmission of the opening, which was answered already.
-                return flow.upstream if self._may_open(flow.upstream, route) else Drop.LATE_COPY
+                return (
+                    flow.upstream if self.policy.may_open(flow.upstream, route) else Drop.LATE_COPY
+                )
             flow = self._replace_flow(packet, now)
         awaited = self._find_awaited(flow, route, now)
         if awaited is not None:
@@ -189,14 +191,7 @@
         if not flow.tried or now - flow.tried_s >= ANSWER_TIMEOUT_S:
             return None
         upstream = flow.tried[-1]
-        return upstream if self._may_open(upstream, route) else None
-
-    def _may_open(self, upstream: Lifetime, route: Route) -> bool:
-        """Return whether an upstream may get openings of a route as published now."""
-        entry = upstream.entry
-        is_allowed = any(target.service == entry.service for target in route.targets)
-        is_out = self._directory.is_domain_out(entry.domain)
-        return is_allowed and upstream.can_open and not is_out
+        return upstream if self.policy.may_open(upstream, route) else None
 
     def _touch_opening(self, packet: CallerPacket, now: float) -> Flow:
         flow = self.flows.touch(packet.flow, now)
--- a/src/chicoryproxy/forwarding/placement.py
+++ b/src/chicoryproxy/forwarding/placement.py
@@ -89,6 +89,10 @@
         :returns: ``None`` if no upstream can accept the opening.
         """
 
+    @abstractmethod
+    def may_open(self, upstream: Lifetime, route: Route) -> bool:
+        """Return whether what is published allows openings of a route at an upstream."""
+
     @abstractmethod
     def can_serve(self, route: Route, now: float) -> bool:
         """Return whether some upstream of a route can accept an opening."""
@@ -138,6 +142,13 @@
                 return upstream
         return None
 
+    def may_open(self, upstream: Lifetime, route: Route) -> bool:
+        """Return whether what is published allows openings of a route at an upstream."""
+        entry = upstream.entry
+        is_allowed = any(target.service == entry.service for target in route.targets)
+        is_out = self._directory.is_domain_out(entry.domain)
+        return is_allowed and upstream.can_open and not is_out
+
     def can_serve(self, route: Route, now: float) -> bool:
         """Return whether some upstream of a route can accept an opening."""
         return any(
--- a/tests/node/test_storewatch.py
+++ b/tests/node/test_storewatch.py
@@ -160,8 +160,8 @@
     run_until(loop, lambda: listener.confirmations > before)
 
 
-# CONFIG: the reader of a failure domain is lost, and the connection of its successor has gone silent
-# while it was idle; the successor waited for an answer for longer than the limit allows.
+# CONFIG: the reader of a failure domain is lost, and the connection of its successor has gone
+# silent while it was idle; the successor waited for an answer for longer than the limit allows.
 def test_an_entry_that_becomes_a_reader_does_not_rely_on_an_idle_connection(
     loop, store, listener, watch, policy
 ):
