Refuse no opening while the upstreams answer on time

Hypothesis: admission control refuses for seconds with idle upstreams, because requests whose flows the routers move to other entries stay counted here, for up to 5 s, and each change of the set of entries moves nearly all flows. Peers report these counts and the scale multiplies them.

Change: the pressure refuses only beside fresh evidence, a tenth of late responses of the service among those of the last fractions of a second (half-life 0.3 s). Responses on time end refusals within 1.2 s whatever the counts say, and without responses nothing is refused. The log line of a refusal has the share.

--- a/src/chicoryproxy/forwarding/admission.py
+++ b/src/chicoryproxy/forwarding/admission.py
@@ -15,6 +15,7 @@
 from chicoryproxy.forwarding.failuredetector import FailureDetector
 from chicoryproxy.forwarding.flows import FlowTable
 from chicoryproxy.forwarding.model import FlowId, Route
+from chicoryproxy.forwarding.overload import LATE_SHARE, LateShare
 from chicoryproxy.forwarding.pressure import PressureEstimator
 from chicoryproxy.forwarding.priorityshares import PriorityShares
 from chicoryproxy.forwarding.trafficsplit import order_services
@@ -31,6 +32,10 @@
 FLOOR_SHARE = 0.1
 """Share of the openings of each priority that is always admitted, so that none starves."""
 
+EVIDENCE_HALF_LIFE_S = 0.3
+"""A response counts half after this long as evidence of overload. Responses on time end refusals
+within about a second, whatever the counts say."""
+
 _ADMISSION_SEED = 1
 """Keeps the choice independent of that of the service, which hashes the flow without a seed."""
 
@@ -41,11 +46,24 @@
     :param service: service that the opening is meant for.
     :param priority: priority of its route.
     :param pressure: outstanding requests of this priority and higher ones per slot of the service.
+    :param late_share: share of the recent responses of the service that were late at this entry;
+        ``None`` if there were too few.
     """
 
     service: ServiceId
     priority: int
     pressure: float
+    late_share: float | None
+
+    def compute_refused_share(self) -> float:
+        """Return the share of such openings to refuse.
+
+        Nothing is refused while the upstreams answer on time: the pressure is an estimate, which
+        callers that moved to other entries can keep too high.
+        """
+        if self.late_share is None or self.late_share < LATE_SHARE:
+            return 0.0
+        return compute_refused_share(self.pressure)
 
 
 class AdmissionControl(ABC):
@@ -57,9 +75,18 @@
 
     @abstractmethod
     def record_response(
-        self, route: Route, service: ServiceId, duration_s: float, now: float
+        self,
+        route: Route,
+        service: ServiceId,
+        duration_s: float,
+        now: float,
+        retransmission_age_s: float | None = None,
     ) -> None:
-        """Record the time from a request on a route to its response."""
+        """Record the time from a request on a route to its response.
+
+        :param retransmission_age_s: time since the last retransmission of the request, ``None`` if
+            there was none.
+        """
 
     @abstractmethod
     def find_inputs(self, route: Route, flow: FlowId, now: float) -> AdmissionInputs | None:
@@ -82,7 +109,12 @@
         return True
 
     def record_response(
-        self, route: Route, service: ServiceId, duration_s: float, now: float
+        self,
+        route: Route,
+        service: ServiceId,
+        duration_s: float,
+        now: float,
+        retransmission_age_s: float | None = None,
     ) -> None:
         """Do nothing."""
 
@@ -108,6 +140,7 @@
     def __init__(self, pressure: PressureEstimator) -> None:
         self._pressure = pressure
         self._shares = PriorityShares()
+        self._late_shares: dict[ServiceId, LateShare] = {}
 
     def admits(self, route: Route, flow: FlowId, now: float) -> bool:
         """Return whether an opening may be forwarded.
@@ -118,12 +151,21 @@
         if inputs is None:
             return True
         point = xxhash.xxh3_64_intdigest(flow, seed=_ADMISSION_SEED) * 2.0**-64
-        return point >= compute_refused_share(inputs.pressure)
+        return point >= inputs.compute_refused_share()
 
     def record_response(
-        self, route: Route, service: ServiceId, duration_s: float, now: float
+        self,
+        route: Route,
+        service: ServiceId,
+        duration_s: float,
+        now: float,
+        retransmission_age_s: float | None = None,
     ) -> None:
         """Record the time from a request on a route to its response."""
+        late_share = self._late_shares.get(service)
+        if late_share is None:
+            late_share = self._late_shares[service] = LateShare(EVIDENCE_HALF_LIFE_S)
+        late_share.record(duration_s, now, route.latency_target_s, retransmission_age_s)
         if route.priority is not None:
             self._shares.record_response(service, route.priority, duration_s, now)
 
@@ -136,7 +178,9 @@
         if share is None:
             return None
         pressure = share * self._pressure.get(service, now)
-        return AdmissionInputs(service, route.priority, pressure)
+        evidence = self._late_shares.get(service)
+        late_share = evidence.compute(now) if evidence else None
+        return AdmissionInputs(service, route.priority, pressure, late_share)
 
     def get_highest_pressure(self) -> float:
         """Return the highest pressure of the services with recent openings."""
--- a/src/chicoryproxy/forwarding/forwarder.py
+++ b/src/chicoryproxy/forwarding/forwarder.py
@@ -321,7 +321,9 @@
             self._overload.record_response(
                 duration_s, now, route.latency_target_s, retransmission_age_s
             )
-            self.admission.record_response(route, upstream.entry.service, duration_s, now)
+            self.admission.record_response(
+                route, upstream.entry.service, duration_s, now, retransmission_age_s
+            )
 
     def _record_answer(self, upstream: Lifetime, now: float) -> None:
         upstream.answered_s = now
--- a/src/chicoryproxy/forwarding/overload.py
+++ b/src/chicoryproxy/forwarding/overload.py
@@ -74,23 +74,29 @@
         return False
 
 
-class LateResponseDetector(OverloadDetector):
-    """Decayed counts of the responses and of the late ones."""
+class LateShare:
+    """Decayed counts of the responses and of the late ones.
 
-    def __init__(self) -> None:
+    :param half_life_s: time after which a response counts half.
+    """
+
+    def __init__(self, half_life_s: float) -> None:
+        self._half_life_s = half_life_s
         self._responses = 0.0
         self._late = 0.0
         self._updated_s = 0.0
-        self._overloaded_s = float("-inf")
 
-    def record_response(
+    def record(
         self,
         duration_s: float,
         now: float,
         target_s: float | None = None,
         retransmission_age_s: float | None = None,
     ) -> None:
-        """Record a response, unless the loss of a packet explains why it took longer."""
+        """Record a response, unless the loss of a packet explains why it took longer.
+
+        The parameters are those of ``OverloadDetector.record_response``.
+        """
         late_s = max(LATE_RESPONSE_S, LATE_TARGET_SHARE * (target_s or 0.0))
         if retransmission_age_s is not None and retransmission_age_s <= late_s:
             return
@@ -98,25 +104,50 @@
         self._responses += 1.0
         if duration_s > late_s:
             self._late += 1.0
-        self.is_overloaded(now)
 
-    def is_overloaded(self, now: float) -> bool:
-        """Return whether many responses have been late recently."""
+    def compute(self, now: float) -> float | None:
+        """Return the share of late responses, ``None`` if there are too few to judge by."""
         self._decay(now)
         if self._responses < MIN_RESPONSES:
-            # The worst overload leaves no responses to judge by.
-            return now - self._overloaded_s < OVERLOAD_CONFIRMATION_S
-        is_overloaded = self._late >= LATE_SHARE * self._responses
-        self._overloaded_s = now if is_overloaded else float("-inf")
-        return is_overloaded
+            return None
+        return self._late / self._responses
 
     def _decay(self, now: float) -> None:
-        factor = 0.5 ** (max(0.0, now - self._updated_s) / HALF_LIFE_S)
+        factor = 0.5 ** (max(0.0, now - self._updated_s) / self._half_life_s)
         self._responses *= factor
         self._late *= factor
         self._updated_s = now
 
 
+class LateResponseDetector(OverloadDetector):
+    """Judges by the share of late responses."""
+
+    def __init__(self) -> None:
+        self._late_share = LateShare(HALF_LIFE_S)
+        self._overloaded_s = float("-inf")
+
+    def record_response(
+        self,
+        duration_s: float,
+        now: float,
+        target_s: float | None = None,
+        retransmission_age_s: float | None = None,
+    ) -> None:
+        """Record a response, unless the loss of a packet explains why it took longer."""
+        self._late_share.record(duration_s, now, target_s, retransmission_age_s)
+        self.is_overloaded(now)
+
+    def is_overloaded(self, now: float) -> bool:
+        """Return whether many responses have been late recently."""
+        late_share = self._late_share.compute(now)
+        if late_share is None:
+            # The worst overload leaves no responses to judge by.
+            return now - self._overloaded_s < OVERLOAD_CONFIRMATION_S
+        is_overloaded = late_share >= LATE_SHARE
+        self._overloaded_s = now if is_overloaded else float("-inf")
+        return is_overloaded
+
+
 def create_overload_detector(has_false_health: bool) -> OverloadDetector:
     """Create the overload detector of an entry.
 
--- a/src/chicoryproxy/node/dataplane.py
+++ b/src/chicoryproxy/node/dataplane.py
@@ -303,4 +303,5 @@
             priority=inputs.priority,
             pressure=round(inputs.pressure, 2),
             limit=PRESSURE_LIMIT,
+            late_share=round(inputs.late_share or 0.0, 2),
         )
