Let the mechanisms that adapt to answers work without a setting

Hypothesis: response times, slow start, overload detection and admission control adapt to what an entry observes, so that the setting for false health needn't switch them; without it peers' counts of short requests, which have mostly ended, send the entries to the same upstream.

Change: the factories no longer ask for has_false_health, which now decides only what a failed connection proves. The do-nothing forms that no comparison uses are gone.

--- a/src/chicoryproxy/forwarding/admission.py
+++ b/src/chicoryproxy/forwarding/admission.py
@@ -101,35 +101,6 @@
         """Discard outdated state."""
 
 
-class NoAdmissionControl(AdmissionControl):
-    """Admits every opening; for deployments without false health."""
-
-    def admits(self, route: Route, flow: FlowId, now: float) -> bool:
-        """Return True."""
-        return True
-
-    def record_response(
-        self,
-        route: Route,
-        service: ServiceId,
-        duration_s: float,
-        now: float,
-        retransmission_age_s: float | None = None,
-    ) -> None:
-        """Do nothing."""
-
-    def find_inputs(self, route: Route, flow: FlowId, now: float) -> AdmissionInputs | None:
-        """Return nothing."""
-        return None
-
-    def get_highest_pressure(self) -> float:
-        """Return zero."""
-        return 0.0
-
-    def expire(self, now: float) -> None:
-        """Do nothing."""
-
-
 class PriorityAdmission(AdmissionControl):
     """Refuses openings by the pressure of their own priority and higher ones.
 
@@ -202,19 +173,13 @@
 
 
 def create_admission_control(
-    has_false_health: bool,
     directory: Directory,
     flows: FlowTable,
     domains: DomainReachability,
     failure_detector: FailureDetector,
     reports: UnreachableReports,
 ) -> AdmissionControl:
-    """Create the admission control of an entry.
-
-    :param has_false_health: connections may fail although an upstream works.
-    """
-    if not has_false_health:
-        return NoAdmissionControl()
+    """Create the admission control of an entry."""
     return PriorityAdmission(
         PressureEstimator(directory, flows, domains, failure_detector, reports)
     )
--- a/src/chicoryproxy/forwarding/forwarder.py
+++ b/src/chicoryproxy/forwarding/forwarder.py
@@ -353,7 +353,7 @@
     :param now: time of the start, in seconds.
     :param observer: receives measurements and events.
     :param has_false_health: connections may fail although an upstream works; the
-        answers to callers then decide, also on slow start and admission.
+        answers to callers then decide whether it is reachable.
     :param seed: seed of the pseudo-random choices.
     """
     flows = FlowTable()
@@ -361,8 +361,8 @@
     cold_budget = ColdBudget(directory)
     domains = DomainReachability(directory, seed)
     reports = UnreachableReports()
-    slow_start = create_slow_start(has_false_health, domain)
-    performance = create_performance(has_false_health)
+    slow_start = create_slow_start(domain)
+    performance = create_performance()
     policy = create_opening_policy(
         domain,
         directory,
@@ -374,14 +374,12 @@
         slow_start,
         performance,
     )
-    overload = create_overload_detector(has_false_health)
+    overload = create_overload_detector()
     quiet_s = FALSE_HEALTH_QUIET_S if has_false_health else 0.0
     reachability = ReachabilityMonitor(quiet_s, overload, has_false_health)
     control = ControlProbeSelector(directory, domain, reachability.is_failing)
     failures = UpstreamFailures(domain, directory, flows, reachability, domains, reports, control)
-    admission = create_admission_control(
-        has_false_health, directory, flows, domains, failure_detector, reports
-    )
+    admission = create_admission_control(directory, flows, domains, failure_detector, reports)
     parts = ForwarderParts(
         directory,
         flows,
--- a/src/chicoryproxy/forwarding/overload.py
+++ b/src/chicoryproxy/forwarding/overload.py
@@ -58,7 +58,7 @@
 
 
 class NoOverloadDetector(OverloadDetector):
-    """Never detects an overload; for deployments without false health."""
+    """Never detects an overload; for a monitor that sees no responses."""
 
     def record_response(
         self,
@@ -148,9 +148,6 @@
         return is_overloaded
 
 
-def create_overload_detector(has_false_health: bool) -> OverloadDetector:
-    """Create the overload detector of an entry.
-
-    :param has_false_health: connections may fail although an upstream works.
-    """
-    return LateResponseDetector() if has_false_health else NoOverloadDetector()
+def create_overload_detector() -> OverloadDetector:
+    """Create the overload detector of an entry."""
+    return LateResponseDetector()
--- a/src/chicoryproxy/forwarding/performance.py
+++ b/src/chicoryproxy/forwarding/performance.py
@@ -70,7 +70,7 @@
 
 
 class NoPerformance(Performance):
-    """Measures nothing; for deployments without false health."""
+    """Measures nothing; for comparisons."""
 
     def record_response(self, upstream: Lifetime, duration_s: float, now: float) -> None:
         """Do nothing."""
@@ -135,9 +135,6 @@
     return min(MAX_FACTOR, max(MIN_FACTOR, ratio))
 
 
-def create_performance(has_false_health: bool) -> Performance:
-    """Create the measurement of response times.
-
-    :param has_false_health: connections may fail although an upstream works.
-    """
-    return MeasuredPerformance() if has_false_health else NoPerformance()
+def create_performance() -> Performance:
+    """Create the measurement of response times."""
+    return MeasuredPerformance()
--- a/src/chicoryproxy/forwarding/slowstart.py
+++ b/src/chicoryproxy/forwarding/slowstart.py
@@ -94,7 +94,7 @@
 
 
 class NoSlowStart(SlowStart):
-    """Never limits; for deployments without false health."""
+    """Never limits; for comparisons."""
 
     def begin(self, upstream: Lifetime, cause: RampCause, now: float) -> None:
         """Do nothing."""
@@ -263,10 +263,9 @@
     return is_reported or ramp.upstream.phase is UpstreamPhase.GONE
 
 
-def create_slow_start(has_false_health: bool, domain: DomainId) -> SlowStart:
+def create_slow_start(domain: DomainId) -> SlowStart:
     """Create the slow start of an entry.
 
-    :param has_false_health: connections may fail although an upstream works.
     :param domain: failure domain of the entry.
     """
-    return AdaptiveSlowStart(domain) if has_false_health else NoSlowStart()
+    return AdaptiveSlowStart(domain)
