Handle an opening in steps with names

Forwarder._handle_opening had grown to do everything from the check of the view to the choice of the upstream.

--- a/src/chicoryproxy/forwarding/flows.py
+++ b/src/chicoryproxy/forwarding/flows.py
@@ -12,6 +12,7 @@
 from chicoryproxy.forwarding.model import FlowId
 from chicoryproxy.forwarding.peerloads import PeerLoads
 from chicoryproxy.forwarding.peermessages import LoadReport
+from chicoryproxy.forwarding.sequence import compute_distance
 
 MAX_FLOWS = 40_000
 LOAD_IDLE_S = 5.0
@@ -70,6 +71,13 @@
         self.is_counted = False
         self.has_ended = False
 
+    def is_next(self, sequence: int) -> bool:
+        """Return whether a packet directly follows the opening.
+
+        The mark in it is that of the answer which the caller acknowledges; later ones may differ.
+        """
+        return not self.is_open and compute_distance(self.sent, sequence) <= 1
+
 
 class Load:
     """Load of this entry at one upstream.
--- a/src/chicoryproxy/forwarding/forwarder.py
+++ b/src/chicoryproxy/forwarding/forwarder.py
@@ -39,7 +39,6 @@
 from chicoryproxy.forwarding.reachability import ReachabilityMonitor
 from chicoryproxy.forwarding.sequence import (
     add_to_sequence,
-    compute_distance,
     is_same_flow,
     is_sequence_after,
 )
@@ -146,7 +145,7 @@
         self.admission.expire(now)
 
     def _handle_opening(self, packet: CallerPacket, now: float) -> Decision:
-        if not self.is_synced or self.pause.is_unconfirmed or self.pause.is_late(now):
+        if not self._is_view_current(now):
             return Drop.NOT_SYNCED
         route = self._directory.find_route(packet.route_key)
         if route is None:
@@ -156,10 +155,7 @@
         is_new = not (packet.acknowledged or flow.tried or flow.is_open)
         if flow.is_open and flow.upstream is not None:
             if packet.acknowledged:
-                # A late retransmission of the opening, which was answered already.
-                return (
-                    flow.upstream if self.policy.may_open(flow.upstream, route) else Drop.LATE_COPY
-                )
+                return self._handle_late_copy(flow.upstream, route)
             flow = self._replace_flow(packet, now)
         awaited = self._find_awaited(flow, route, now)
         if awaited is not None:
@@ -169,6 +165,20 @@
             return Refusal.OVERLOADED
         flow.sent = packet.sequence
         self._record_retransmission(packet, flow, now)
+        return self._place_opening(packet, flow, route, now)
+
+    def _is_view_current(self, now: float) -> bool:
+        """Return whether the view is complete, and confirmed since the last pause."""
+        return self.is_synced and not (self.pause.is_unconfirmed or self.pause.is_late(now))
+
+    def _handle_late_copy(self, upstream: Lifetime, route: Route) -> Decision:
+        """Handle a retransmission of an opening that was answered already."""
+        return upstream if self.policy.may_open(upstream, route) else Drop.LATE_COPY
+
+    def _place_opening(
+        self, packet: CallerPacket, flow: Flow, route: Route, now: float
+    ) -> Decision:
+        """Choose an upstream for an opening, and record that it gets a copy."""
         avoided = self._pending.list_pending(packet.flow, now)
         upstream = self.policy.choose(Opening(route, packet.flow, flow.tried, avoided), now)
         if upstream is None:
@@ -269,7 +279,7 @@
         if not flow.is_open or flow.upstream is not upstream:
             if flow.is_open and flow.upstream is not None:
                 self.observer.record_upstream_change(packet.flow, flow.upstream, upstream)
-            flow.is_proven = upstream in flow.tried and _is_first_packet(packet, flow)
+            flow.is_proven = upstream in flow.tried and flow.is_next(packet.sequence)
             flow.is_open = True
             flow.acknowledged = packet.acknowledged
             self.flows.assign(flow, upstream)
@@ -331,14 +341,6 @@
         self.failures.record_success(upstream.entry.domain, now)
 
 
-def _is_first_packet(packet: CallerPacket, flow: Flow) -> bool:
-    """Return whether a packet directly follows the opening of a flow.
-
-    The mark in it is that of the answer which the caller acknowledges; later ones may differ.
-    """
-    return not flow.is_open and compute_distance(flow.sent, packet.sequence) <= 1
-
-
 def create_forwarder(
     domain: DomainId,
     directory: Directory,
