--- a/benchmarks/placement_cost.py
+++ b/benchmarks/placement_cost.py
@@ -7,12 +7,12 @@
 import time
 
 from benchmarks.placement_fleet import ROUTE, create_directory, name_domain
+from chicoryproxy.forwarding.balancing.placement import Opening
 from chicoryproxy.forwarding.forwarder import create_forwarder
-from chicoryproxy.forwarding.lifetime import Lifetime
 from chicoryproxy.forwarding.model import FlowId, Revision
-from chicoryproxy.forwarding.peermessages import Heartbeat, LoadReport, PeerAddress
-from chicoryproxy.forwarding.placement import Opening
+from chicoryproxy.forwarding.peers.peermessages import Heartbeat, LoadReport, PeerAddress
 from chicoryproxy.forwarding.trafficobserver import TrafficObserver
+from chicoryproxy.forwarding.view.lifetime import Lifetime
 
 PEERS = 24
 LOADS = 28
--- a/benchmarks/placement_fleet.py
+++ b/benchmarks/placement_fleet.py
@@ -6,7 +6,6 @@
 
 from msgspec import Struct
 
-from chicoryproxy.forwarding.directory import Directory
 from chicoryproxy.forwarding.model import (
     Bounds,
     Change,
@@ -17,7 +16,8 @@
     UpstreamListed,
     WeightedService,
 )
-from chicoryproxy.forwarding.replica import get_upstream_key
+from chicoryproxy.forwarding.view.directory import Directory
+from chicoryproxy.forwarding.view.replica import get_upstream_key
 from chicoryproxy.ids import DomainId, ServiceId, UpstreamId
 from chicoryproxy.model import Endpoint
 
--- a/benchmarks/placement_policies.py
+++ b/benchmarks/placement_policies.py
@@ -29,25 +29,25 @@
     name_domain,
     name_upstream,
 )
-from chicoryproxy.forwarding.coldstart import ColdBudget
-from chicoryproxy.forwarding.domainreachability import DomainReachability
-from chicoryproxy.forwarding.failuredetector import FailureDetector
+from chicoryproxy.forwarding.balancing.coldstart import ColdBudget
+from chicoryproxy.forwarding.balancing.peerloads import PeerLoads
+from chicoryproxy.forwarding.balancing.performance import NoPerformance, create_performance
+from chicoryproxy.forwarding.balancing.placement import (
+    LeastLoadPolicy,
+    Opening,
+)
+from chicoryproxy.forwarding.balancing.slowstart import NoSlowStart
 from chicoryproxy.forwarding.flows import FlowTable
-from chicoryproxy.forwarding.lifetime import Lifetime
+from chicoryproxy.forwarding.health.domainreachability import DomainReachability
+from chicoryproxy.forwarding.health.failuredetector import FailureDetector
+from chicoryproxy.forwarding.health.unreachablereports import UnreachableReports
 from chicoryproxy.forwarding.model import (
     FlowId,
     Mark,
     Revision,
 )
-from chicoryproxy.forwarding.peerloads import PeerLoads
-from chicoryproxy.forwarding.peermessages import Heartbeat, LoadReport, PeerAddress
-from chicoryproxy.forwarding.performance import NoPerformance, create_performance
-from chicoryproxy.forwarding.placement import (
-    LeastLoadPolicy,
-    Opening,
-)
-from chicoryproxy.forwarding.slowstart import NoSlowStart
-from chicoryproxy.forwarding.unreachablereports import UnreachableReports
+from chicoryproxy.forwarding.peers.peermessages import Heartbeat, LoadReport, PeerAddress
+from chicoryproxy.forwarding.view.lifetime import Lifetime
 
 AVERAGING_S = 1.0
 
--- a/benchmarks/platform_sizes.py
+++ b/benchmarks/platform_sizes.py
@@ -8,8 +8,6 @@
 
 from msgspec import structs
 
-from chicoryproxy.forwarding.catchup import CatchUp
-from chicoryproxy.forwarding.directory import Directory
 from chicoryproxy.forwarding.model import (
     NO_REVISION,
     Bounds,
@@ -24,13 +22,15 @@
     UpstreamListed,
     WeightedService,
 )
-from chicoryproxy.forwarding.peermessages import (
+from chicoryproxy.forwarding.peers.peermessages import (
     ChangesReply,
     ChangesRequest,
     decode_message,
     encode_message,
 )
-from chicoryproxy.forwarding.replica import ROUTING_KEY, Replica, get_upstream_key
+from chicoryproxy.forwarding.view.catchup import CatchUp
+from chicoryproxy.forwarding.view.directory import Directory
+from chicoryproxy.forwarding.view.replica import ROUTING_KEY, Replica, get_upstream_key
 from chicoryproxy.ids import NO_VERSION, DomainId, ServiceId, UpstreamId, Version
 from chicoryproxy.model import Endpoint
 
--- /dev/null
+++ b/src/chicoryproxy/forwarding/balancing/__init__.py
@@ -0,0 +1,1 @@
+"""The choice of an upstream for an opening."""
--- a/src/chicoryproxy/forwarding/coldstart.py
+++ b/src/chicoryproxy/forwarding/balancing/coldstart.py
@@ -8,8 +8,8 @@
 import math
 from collections import deque
 
-from chicoryproxy.forwarding.directory import Directory
-from chicoryproxy.forwarding.lifetime import Lifetime
+from chicoryproxy.forwarding.view.directory import Directory
+from chicoryproxy.forwarding.view.lifetime import Lifetime
 
 WINDOW_S = 1.25
 """Longer than the one second of the limit, because openings have different network delays."""
--- a/src/chicoryproxy/forwarding/peerloads.py
+++ b/src/chicoryproxy/forwarding/balancing/peerloads.py
@@ -1,7 +1,7 @@
 """Running total of the loads that peers report in their heartbeats."""
 
 from chicoryproxy.forwarding.model import Mark
-from chicoryproxy.forwarding.peermessages import Heartbeat, LoadReport
+from chicoryproxy.forwarding.peers.peermessages import Heartbeat, LoadReport
 
 LOAD_AGE_S = 2.5
 """A report older than this is discarded."""
--- a/src/chicoryproxy/forwarding/pending.py
+++ b/src/chicoryproxy/forwarding/balancing/pending.py
@@ -11,8 +11,8 @@
 from msgspec import Struct
 
 from chicoryproxy.forwarding.flows import Flow
-from chicoryproxy.forwarding.lifetime import Lifetime
 from chicoryproxy.forwarding.model import FlowId
+from chicoryproxy.forwarding.view.lifetime import Lifetime
 
 OPENING_OVERDUE_S = 0.03
 """A handshake normally takes a few milliseconds."""
--- a/src/chicoryproxy/forwarding/performance.py
+++ b/src/chicoryproxy/forwarding/balancing/performance.py
@@ -8,7 +8,7 @@
 from abc import ABC, abstractmethod
 from collections import OrderedDict
 
-from chicoryproxy.forwarding.lifetime import Lifetime
+from chicoryproxy.forwarding.view.lifetime import Lifetime
 from chicoryproxy.ids import ServiceId
 
 MAX_SAMPLES = 30
--- a/src/chicoryproxy/forwarding/placement.py
+++ b/src/chicoryproxy/forwarding/balancing/placement.py
@@ -13,21 +13,21 @@
 import xxhash
 from msgspec import Struct
 
-from chicoryproxy.forwarding.coldstart import ColdBudget
-from chicoryproxy.forwarding.directory import Directory
-from chicoryproxy.forwarding.domainreachability import DomainReachability
-from chicoryproxy.forwarding.failuredetector import FailureDetector
+from chicoryproxy.forwarding.balancing.coldstart import ColdBudget
+from chicoryproxy.forwarding.balancing.performance import Performance
+from chicoryproxy.forwarding.balancing.slowstart import SlowStart
+from chicoryproxy.forwarding.balancing.trafficsplit import order_services
 from chicoryproxy.forwarding.flows import FlowTable
-from chicoryproxy.forwarding.lifetime import Lifetime
+from chicoryproxy.forwarding.health.domainreachability import DomainReachability
+from chicoryproxy.forwarding.health.failuredetector import FailureDetector
+from chicoryproxy.forwarding.health.unreachablereports import UnreachableReports
 from chicoryproxy.forwarding.model import (
     FlowId,
     Route,
     UpstreamPhase,
 )
-from chicoryproxy.forwarding.performance import Performance
-from chicoryproxy.forwarding.slowstart import SlowStart
-from chicoryproxy.forwarding.trafficsplit import order_services
-from chicoryproxy.forwarding.unreachablereports import UnreachableReports
+from chicoryproxy.forwarding.view.directory import Directory
+from chicoryproxy.forwarding.view.lifetime import Lifetime
 from chicoryproxy.ids import DomainId, ServiceId
 
 REMOTE_COST = 0.6
--- a/src/chicoryproxy/forwarding/ramp.py
+++ b/src/chicoryproxy/forwarding/balancing/ramp.py
@@ -4,8 +4,8 @@
 
 from msgspec import Struct
 
-from chicoryproxy.forwarding.lifetime import Lifetime
-from chicoryproxy.forwarding.peermessages import RampReport
+from chicoryproxy.forwarding.peers.peermessages import RampReport
+from chicoryproxy.forwarding.view.lifetime import Lifetime
 
 INITIAL_SHARE = 0.5
 """Shares are in fair parts: 1 is the part of the openings that an upstream would get if all were
--- a/src/chicoryproxy/forwarding/recovery.py
+++ b/src/chicoryproxy/forwarding/balancing/recovery.py
@@ -1,11 +1,11 @@
 """Decides after which changes of the view upstreams ramp up."""
 
-from chicoryproxy.forwarding.directory import Directory
-from chicoryproxy.forwarding.directoryevent import DirectoryEvent, DirectoryEventKind
-from chicoryproxy.forwarding.lifetime import Lifetime
+from chicoryproxy.forwarding.balancing.ramp import RampCause
+from chicoryproxy.forwarding.balancing.slowstart import SlowStart
 from chicoryproxy.forwarding.model import NO_REVISION, UpstreamPhase
-from chicoryproxy.forwarding.ramp import RampCause
-from chicoryproxy.forwarding.slowstart import SlowStart
+from chicoryproxy.forwarding.view.directory import Directory
+from chicoryproxy.forwarding.view.directoryevent import DirectoryEvent, DirectoryEventKind
+from chicoryproxy.forwarding.view.lifetime import Lifetime
 from chicoryproxy.ids import UpstreamId
 
 IDLE_S = 1.0
--- a/src/chicoryproxy/forwarding/slowstart.py
+++ b/src/chicoryproxy/forwarding/balancing/slowstart.py
@@ -11,11 +11,11 @@
 
 import xxhash
 
-from chicoryproxy.forwarding.lifetime import Lifetime
+from chicoryproxy.forwarding.balancing.ramp import Ramp, RampCause, RampEvent
+from chicoryproxy.forwarding.balancing.responsetimes import ResponseTimes
 from chicoryproxy.forwarding.model import FlowId, Mark, UpstreamPhase
-from chicoryproxy.forwarding.peermessages import Heartbeat, RampReport
-from chicoryproxy.forwarding.ramp import Ramp, RampCause, RampEvent
-from chicoryproxy.forwarding.responsetimes import ResponseTimes
+from chicoryproxy.forwarding.peers.peermessages import Heartbeat, RampReport
+from chicoryproxy.forwarding.view.lifetime import Lifetime
 from chicoryproxy.ids import DomainId
 
 MAX_RAMPS = 128
--- a/src/chicoryproxy/forwarding/flows.py
+++ b/src/chicoryproxy/forwarding/flows.py
@@ -8,11 +8,11 @@
 from collections import OrderedDict
 from collections.abc import Iterator
 
-from chicoryproxy.forwarding.lifetime import Lifetime
+from chicoryproxy.forwarding.balancing.peerloads import PeerLoads
 from chicoryproxy.forwarding.model import FlowId
-from chicoryproxy.forwarding.peerloads import PeerLoads
-from chicoryproxy.forwarding.peermessages import LoadReport
+from chicoryproxy.forwarding.peers.peermessages import LoadReport
 from chicoryproxy.forwarding.sequence import compute_distance
+from chicoryproxy.forwarding.view.lifetime import Lifetime
 
 MAX_FLOWS = 40_000
 LOAD_IDLE_S = 5.0
--- a/src/chicoryproxy/forwarding/forwarder.py
+++ b/src/chicoryproxy/forwarding/forwarder.py
@@ -10,42 +10,42 @@
 
 from msgspec import Struct
 
-from chicoryproxy.forwarding.admission import (
+from chicoryproxy.forwarding.balancing.coldstart import ColdBudget
+from chicoryproxy.forwarding.balancing.pending import PendingResponses
+from chicoryproxy.forwarding.balancing.performance import Performance, create_performance
+from chicoryproxy.forwarding.balancing.placement import (
+    Exclusion,
+    Opening,
+    OpeningPolicy,
+    create_opening_policy,
+)
+from chicoryproxy.forwarding.balancing.ramp import RampCause
+from chicoryproxy.forwarding.balancing.slowstart import SlowStart, create_slow_start
+from chicoryproxy.forwarding.flows import Flow, FlowTable
+from chicoryproxy.forwarding.health.domainreachability import DomainReachability
+from chicoryproxy.forwarding.health.failuredetector import FailureDetector
+from chicoryproxy.forwarding.health.isolation import RecentOpenings
+from chicoryproxy.forwarding.health.probecontrol import ControlProbeSelector
+from chicoryproxy.forwarding.health.reachability import ReachabilityMonitor
+from chicoryproxy.forwarding.health.unreachablereports import UnreachableReports
+from chicoryproxy.forwarding.health.upstreamfailures import UpstreamFailures
+from chicoryproxy.forwarding.load.admission import (
     AdmissionControl,
     AdmissionInputs,
     create_admission_control,
 )
-from chicoryproxy.forwarding.coldstart import ColdBudget
-from chicoryproxy.forwarding.directory import Directory
-from chicoryproxy.forwarding.domainreachability import DomainReachability
-from chicoryproxy.forwarding.failuredetector import FailureDetector
-from chicoryproxy.forwarding.flows import Flow, FlowTable
-from chicoryproxy.forwarding.isolation import RecentOpenings
-from chicoryproxy.forwarding.lifetime import Lifetime
+from chicoryproxy.forwarding.load.overload import OverloadDetector, create_overload_detector
 from chicoryproxy.forwarding.model import Drop, Refusal, Route
-from chicoryproxy.forwarding.overload import OverloadDetector, create_overload_detector
 from chicoryproxy.forwarding.packet import CallerPacket
 from chicoryproxy.forwarding.pause import PauseDetector
-from chicoryproxy.forwarding.pending import PendingResponses
-from chicoryproxy.forwarding.performance import Performance, create_performance
-from chicoryproxy.forwarding.placement import (
-    Exclusion,
-    Opening,
-    OpeningPolicy,
-    create_opening_policy,
-)
-from chicoryproxy.forwarding.probecontrol import ControlProbeSelector
-from chicoryproxy.forwarding.ramp import RampCause
-from chicoryproxy.forwarding.reachability import ReachabilityMonitor
 from chicoryproxy.forwarding.sequence import (
     add_to_sequence,
     is_same_flow,
     is_sequence_after,
 )
-from chicoryproxy.forwarding.slowstart import SlowStart, create_slow_start
 from chicoryproxy.forwarding.trafficobserver import TrafficObserver
-from chicoryproxy.forwarding.unreachablereports import UnreachableReports
-from chicoryproxy.forwarding.upstreamfailures import UpstreamFailures
+from chicoryproxy.forwarding.view.directory import Directory
+from chicoryproxy.forwarding.view.lifetime import Lifetime
 from chicoryproxy.ids import DomainId
 
 FAILURE_RETRANSMISSIONS = 2
--- /dev/null
+++ b/src/chicoryproxy/forwarding/health/__init__.py
@@ -0,0 +1,1 @@
+"""Failures of upstreams and failure domains."""
--- a/src/chicoryproxy/forwarding/domainreachability.py
+++ b/src/chicoryproxy/forwarding/health/domainreachability.py
@@ -6,9 +6,9 @@
 nor the time until a partition is detected grows with the domain.
 """
 
-from chicoryproxy.forwarding.directory import Directory
-from chicoryproxy.forwarding.lifetime import Lifetime
 from chicoryproxy.forwarding.model import UpstreamPhase
+from chicoryproxy.forwarding.view.directory import Directory
+from chicoryproxy.forwarding.view.lifetime import Lifetime
 from chicoryproxy.ids import DomainId
 from chicoryproxy.prng import Prng
 
--- a/src/chicoryproxy/forwarding/failuredetector.py
+++ b/src/chicoryproxy/forwarding/health/failuredetector.py
@@ -5,7 +5,7 @@
 circuit breaker with exponential backoff).
 """
 
-from chicoryproxy.forwarding.lifetime import Lifetime
+from chicoryproxy.forwarding.view.lifetime import Lifetime
 
 SUSPICION_FAILURES = 2
 BACKOFF_MIN_S = 1.0
--- a/src/chicoryproxy/forwarding/isolation.py
+++ b/src/chicoryproxy/forwarding/health/isolation.py
@@ -14,10 +14,10 @@
 
 from msgspec import Struct
 
-from chicoryproxy.forwarding.directory import Directory
+from chicoryproxy.forwarding.balancing.placement import OpeningPolicy
 from chicoryproxy.forwarding.model import RouteKey
-from chicoryproxy.forwarding.peering import PeerGroup
-from chicoryproxy.forwarding.placement import OpeningPolicy
+from chicoryproxy.forwarding.peers.peering import PeerGroup
+from chicoryproxy.forwarding.view.directory import Directory
 from chicoryproxy.ids import DomainId
 
 WINDOW_S = 5.0
--- a/src/chicoryproxy/forwarding/probecontrol.py
+++ b/src/chicoryproxy/forwarding/health/probecontrol.py
@@ -7,8 +7,8 @@
 
 from collections.abc import Callable
 
-from chicoryproxy.forwarding.directory import Directory
-from chicoryproxy.forwarding.lifetime import Lifetime
+from chicoryproxy.forwarding.view.directory import Directory
+from chicoryproxy.forwarding.view.lifetime import Lifetime
 from chicoryproxy.ids import DomainId
 
 MIN_SEARCH_INTERVAL_S = 0.25
--- a/src/chicoryproxy/forwarding/reachability.py
+++ b/src/chicoryproxy/forwarding/health/reachability.py
@@ -18,13 +18,13 @@
 from collections import deque
 from enum import Enum, unique
 
-from chicoryproxy.forwarding.lifetime import Lifetime
-from chicoryproxy.forwarding.model import UnreachableCause, UpstreamPhase
-from chicoryproxy.forwarding.overload import (
+from chicoryproxy.forwarding.load.overload import (
     OVERLOAD_CONFIRMATION_S,
     NoOverloadDetector,
     OverloadDetector,
 )
+from chicoryproxy.forwarding.model import UnreachableCause, UpstreamPhase
+from chicoryproxy.forwarding.view.lifetime import Lifetime
 
 TIMEOUTS_TO_CONFIRM = 2
 MAX_CONTROLS = 64
--- a/src/chicoryproxy/forwarding/unreachablereports.py
+++ b/src/chicoryproxy/forwarding/health/unreachablereports.py
@@ -6,8 +6,8 @@
 while, so that it reaches nearly all entries and dies out.
 """
 
-from chicoryproxy.forwarding.lifetime import Lifetime
 from chicoryproxy.forwarding.model import Mark
+from chicoryproxy.forwarding.view.lifetime import Lifetime
 
 FORWARDING_S = 1.2
 """Time for which a report is passed on: three rounds of heartbeats."""
--- a/src/chicoryproxy/forwarding/upstreamfailures.py
+++ b/src/chicoryproxy/forwarding/health/upstreamfailures.py
@@ -4,14 +4,14 @@
 
 from msgspec import Struct
 
-from chicoryproxy.forwarding.directory import Directory
-from chicoryproxy.forwarding.domainreachability import DomainReachability
 from chicoryproxy.forwarding.flows import FlowTable
-from chicoryproxy.forwarding.lifetime import Lifetime
+from chicoryproxy.forwarding.health.domainreachability import DomainReachability
+from chicoryproxy.forwarding.health.probecontrol import ControlProbeSelector
+from chicoryproxy.forwarding.health.reachability import ProbeResult, ReachabilityMonitor
+from chicoryproxy.forwarding.health.unreachablereports import UnreachableReports
 from chicoryproxy.forwarding.model import FlowId, Mark, UpstreamPhase
-from chicoryproxy.forwarding.probecontrol import ControlProbeSelector
-from chicoryproxy.forwarding.reachability import ProbeResult, ReachabilityMonitor
-from chicoryproxy.forwarding.unreachablereports import UnreachableReports
+from chicoryproxy.forwarding.view.directory import Directory
+from chicoryproxy.forwarding.view.lifetime import Lifetime
 from chicoryproxy.ids import DomainId
 
 _REACHED = (
--- /dev/null
+++ b/src/chicoryproxy/forwarding/load/__init__.py
@@ -0,0 +1,1 @@
+"""Overload of a service, and which openings it refuses."""
--- a/src/chicoryproxy/forwarding/admission.py
+++ b/src/chicoryproxy/forwarding/load/admission.py
@@ -10,16 +10,16 @@
 import xxhash
 from msgspec import Struct
 
-from chicoryproxy.forwarding.directory import Directory
-from chicoryproxy.forwarding.domainreachability import DomainReachability
-from chicoryproxy.forwarding.failuredetector import FailureDetector
+from chicoryproxy.forwarding.balancing.trafficsplit import order_services
 from chicoryproxy.forwarding.flows import FlowTable
+from chicoryproxy.forwarding.health.domainreachability import DomainReachability
+from chicoryproxy.forwarding.health.failuredetector import FailureDetector
+from chicoryproxy.forwarding.health.unreachablereports import UnreachableReports
+from chicoryproxy.forwarding.load.overload import LATE_SHARE, LateShare
+from chicoryproxy.forwarding.load.pressure import PressureEstimator
+from chicoryproxy.forwarding.load.priorityshares import PriorityShares
 from chicoryproxy.forwarding.model import FlowId, Route
-from chicoryproxy.forwarding.overload import LATE_SHARE, LateShare
-from chicoryproxy.forwarding.pressure import PressureEstimator
-from chicoryproxy.forwarding.priorityshares import PriorityShares
-from chicoryproxy.forwarding.trafficsplit import order_services
-from chicoryproxy.forwarding.unreachablereports import UnreachableReports
+from chicoryproxy.forwarding.view.directory import Directory
 from chicoryproxy.ids import ServiceId
 
 PRESSURE_LIMIT = 3.0
--- a/src/chicoryproxy/forwarding/pressure.py
+++ b/src/chicoryproxy/forwarding/load/pressure.py
@@ -1,11 +1,11 @@
 """Pressure on a service: outstanding requests per slot of the upstreams that take its openings."""
 
-from chicoryproxy.forwarding.directory import Directory
-from chicoryproxy.forwarding.domainreachability import DomainReachability
-from chicoryproxy.forwarding.failuredetector import FailureDetector
 from chicoryproxy.forwarding.flows import FlowTable
-from chicoryproxy.forwarding.lifetime import Lifetime
-from chicoryproxy.forwarding.unreachablereports import UnreachableReports
+from chicoryproxy.forwarding.health.domainreachability import DomainReachability
+from chicoryproxy.forwarding.health.failuredetector import FailureDetector
+from chicoryproxy.forwarding.health.unreachablereports import UnreachableReports
+from chicoryproxy.forwarding.view.directory import Directory
+from chicoryproxy.forwarding.view.lifetime import Lifetime
 from chicoryproxy.ids import ServiceId
 
 SAMPLE_INTERVAL_S = 0.05
--- /dev/null
+++ b/src/chicoryproxy/forwarding/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Heartbeats, their messages, and which peers live."""
--- a/src/chicoryproxy/forwarding/peering.py
+++ b/src/chicoryproxy/forwarding/peers/peering.py
@@ -12,10 +12,10 @@
 
 from msgspec import structs
 
-from chicoryproxy.forwarding.coldstart import MAX_FULLY_KNOWN_MEMBERS, DomainShare
+from chicoryproxy.forwarding.balancing.coldstart import MAX_FULLY_KNOWN_MEMBERS, DomainShare
+from chicoryproxy.forwarding.balancing.peerloads import PeerLoads
 from chicoryproxy.forwarding.model import NO_REVISION, Mark, Revision
-from chicoryproxy.forwarding.peerloads import PeerLoads
-from chicoryproxy.forwarding.peermessages import (
+from chicoryproxy.forwarding.peers.peermessages import (
     Heartbeat,
     LoadReport,
     PeerAddress,
--- a/src/chicoryproxy/forwarding/peermessages.py
+++ b/src/chicoryproxy/forwarding/peers/peermessages.py
@@ -7,7 +7,7 @@
 from msgspec import Struct
 
 from chicoryproxy.forwarding.model import NO_REVISION, Change, Mark, Revision
-from chicoryproxy.forwarding.routingpatch import RoutingPatch
+from chicoryproxy.forwarding.view.routingpatch import RoutingPatch
 from chicoryproxy.ids import Version
 
 COMPRESSION_THRESHOLD_BYTES = 1024
--- a/src/chicoryproxy/forwarding/trafficobserver.py
+++ b/src/chicoryproxy/forwarding/trafficobserver.py
@@ -2,8 +2,8 @@
 
 from abc import ABC, abstractmethod
 
-from chicoryproxy.forwarding.lifetime import Lifetime
 from chicoryproxy.forwarding.model import FlowId
+from chicoryproxy.forwarding.view.lifetime import Lifetime
 
 
 class TrafficObserver(ABC):
--- a/src/chicoryproxy/forwarding/addressowners.py
+++ b/src/chicoryproxy/forwarding/view/addressowners.py
@@ -5,7 +5,7 @@
 """
 
 from chicoryproxy.endpoint import Endpoint
-from chicoryproxy.forwarding.lifetime import Lifetime
+from chicoryproxy.forwarding.view.lifetime import Lifetime
 
 
 class AddressOwners:
--- a/src/chicoryproxy/forwarding/catchup.py
+++ b/src/chicoryproxy/forwarding/view/catchup.py
@@ -1,10 +1,10 @@
 """Requests and replies by which an entry fetches missed changes from a peer."""
 
-from chicoryproxy.forwarding.directory import Directory
 from chicoryproxy.forwarding.model import NO_REVISION, Change, RoutingPublished
-from chicoryproxy.forwarding.peermessages import ChangesReply, ChangesRequest
-from chicoryproxy.forwarding.replica import ROUTING_KEY, Replica
-from chicoryproxy.forwarding.routingpatch import RoutingPatch, apply_patch
+from chicoryproxy.forwarding.peers.peermessages import ChangesReply, ChangesRequest
+from chicoryproxy.forwarding.view.directory import Directory
+from chicoryproxy.forwarding.view.replica import ROUTING_KEY, Replica
+from chicoryproxy.forwarding.view.routingpatch import RoutingPatch, apply_patch
 
 
 class CatchUp:
--- a/src/chicoryproxy/forwarding/directory.py
+++ b/src/chicoryproxy/forwarding/view/directory.py
@@ -8,14 +8,6 @@
 
 from collections.abc import Iterator
 
-from chicoryproxy.forwarding.addressowners import AddressOwners
-from chicoryproxy.forwarding.directoryevent import (
-    DirectoryEvent,
-    DirectoryEventKind,
-    create_phase_event,
-)
-from chicoryproxy.forwarding.lifetime import Lifetime, find_later, is_outdated
-from chicoryproxy.forwarding.marks import get_identity
 from chicoryproxy.forwarding.model import (
     NO_REVISION,
     Bounds,
@@ -37,7 +29,15 @@
     UpstreamUnlisted,
     UpstreamUnreadable,
 )
-from chicoryproxy.forwarding.routingpatch import RoutingHistory
+from chicoryproxy.forwarding.view.addressowners import AddressOwners
+from chicoryproxy.forwarding.view.directoryevent import (
+    DirectoryEvent,
+    DirectoryEventKind,
+    create_phase_event,
+)
+from chicoryproxy.forwarding.view.lifetime import Lifetime, find_later, is_outdated
+from chicoryproxy.forwarding.view.marks import get_identity
+from chicoryproxy.forwarding.view.routingpatch import RoutingHistory
 from chicoryproxy.ids import NO_VERSION, DomainId, ServiceId, UpstreamId, Version
 
 RETURN_GRACE_S = 2.5
--- a/src/chicoryproxy/forwarding/directoryevent.py
+++ b/src/chicoryproxy/forwarding/view/directoryevent.py
@@ -4,7 +4,7 @@
 
 from msgspec import Struct
 
-from chicoryproxy.forwarding.lifetime import Lifetime
+from chicoryproxy.forwarding.view.lifetime import Lifetime
 
 
 @unique
--- a/src/chicoryproxy/forwarding/lifetime.py
+++ b/src/chicoryproxy/forwarding/view/lifetime.py
@@ -1,12 +1,12 @@
 """Lifetimes of upstreams: what an entry knows of one upstream from its start to its end."""
 
-from chicoryproxy.forwarding.marks import compute_mark, get_identity
 from chicoryproxy.forwarding.model import (
     Revision,
     UnreachableCause,
     UpstreamEntry,
     UpstreamPhase,
 )
+from chicoryproxy.forwarding.view.marks import compute_mark, get_identity
 
 _REPLACED = frozenset({UnreachableCause.NEWER_LIFETIME, UnreachableCause.ADDRESS_REASSIGNED})
 
--- a/src/chicoryproxy/forwarding/readerpolicy.py
+++ b/src/chicoryproxy/forwarding/view/readerpolicy.py
@@ -6,7 +6,7 @@
 """
 
 from chicoryproxy.forwarding.model import NO_REVISION, Revision
-from chicoryproxy.forwarding.peering import PeerGroup
+from chicoryproxy.forwarding.peers.peering import PeerGroup
 
 READERS_PER_DOMAIN = 1
 """Number of readers in each failure domain."""
--- a/src/chicoryproxy/node/dataplane.py
+++ b/src/chicoryproxy/node/dataplane.py
@@ -6,11 +6,12 @@
 
 from chicoryproxy.eventloop.loop import Loop
 from chicoryproxy.eventloop.packetsocket import PacketSocket
-from chicoryproxy.forwarding.admission import PRESSURE_LIMIT
-from chicoryproxy.forwarding.directory import Directory
-from chicoryproxy.forwarding.directoryevent import DirectoryEvent, DirectoryEventKind
+from chicoryproxy.forwarding.balancing.ramp import RampCause, RampEvent
+from chicoryproxy.forwarding.balancing.recovery import begin_ramps
 from chicoryproxy.forwarding.forwarder import create_forwarder
-from chicoryproxy.forwarding.lifetime import Lifetime
+from chicoryproxy.forwarding.health.reachability import ProbeResult
+from chicoryproxy.forwarding.health.upstreamfailures import BrokenFlow
+from chicoryproxy.forwarding.load.admission import PRESSURE_LIMIT
 from chicoryproxy.forwarding.model import (
     Drop,
     EntrySettings,
@@ -19,11 +20,10 @@
     UpstreamPhase,
 )
 from chicoryproxy.forwarding.packet import CallerPacket
-from chicoryproxy.forwarding.ramp import RampCause, RampEvent
-from chicoryproxy.forwarding.reachability import ProbeResult
-from chicoryproxy.forwarding.recovery import begin_ramps
 from chicoryproxy.forwarding.trafficobserver import TrafficObserver
-from chicoryproxy.forwarding.upstreamfailures import BrokenFlow
+from chicoryproxy.forwarding.view.directory import Directory
+from chicoryproxy.forwarding.view.directoryevent import DirectoryEvent, DirectoryEventKind
+from chicoryproxy.forwarding.view.lifetime import Lifetime
 from chicoryproxy.node.entrymetrics import EntryMetrics
 from chicoryproxy.node.journal import Journal
 from chicoryproxy.node.probe import probe_connection, probe_identity
--- a/src/chicoryproxy/node/entry.py
+++ b/src/chicoryproxy/node/entry.py
@@ -7,11 +7,11 @@
 
 from chicoryproxy.eventloop.http import HttpServer, ServerResponse
 from chicoryproxy.eventloop.loop import Loop
-from chicoryproxy.forwarding.directoryevent import DirectoryEvent
-from chicoryproxy.forwarding.isolation import IsolationDetector
+from chicoryproxy.forwarding.health.isolation import IsolationDetector
 from chicoryproxy.forwarding.model import EntrySettings, Mark
 from chicoryproxy.forwarding.pause import PauseEvent
-from chicoryproxy.forwarding.peermessages import Heartbeat, LoadReport, RampReport
+from chicoryproxy.forwarding.peers.peermessages import Heartbeat, LoadReport, RampReport
+from chicoryproxy.forwarding.view.directoryevent import DirectoryEvent
 from chicoryproxy.node.dataplane import DataPlane
 from chicoryproxy.node.entrymetrics import EntryMetrics
 from chicoryproxy.node.journal import Journal
--- a/src/chicoryproxy/node/entrymetrics.py
+++ b/src/chicoryproxy/node/entrymetrics.py
@@ -2,8 +2,8 @@
 
 from collections import Counter
 
+from chicoryproxy.forwarding.health.reachability import ProbeResult
 from chicoryproxy.forwarding.model import Drop, Refusal
-from chicoryproxy.forwarding.reachability import ProbeResult
 from chicoryproxy.node.exposition import (
     Histogram,
     join_lines,
--- a/src/chicoryproxy/node/peers.py
+++ b/src/chicoryproxy/node/peers.py
@@ -8,7 +8,7 @@
 from chicoryproxy.eventloop.loop import Loop
 from chicoryproxy.eventloop.packetsocket import PacketSocket
 from chicoryproxy.eventloop.stream import Listener, Stream, StreamHandler, open_stream
-from chicoryproxy.forwarding.peermessages import (
+from chicoryproxy.forwarding.peers.peermessages import (
     MAX_MESSAGE_BYTES,
     ChangesReply,
     ChangesRequest,
--- a/src/chicoryproxy/node/probe.py
+++ b/src/chicoryproxy/node/probe.py
@@ -12,7 +12,7 @@
 )
 from chicoryproxy.eventloop.loop import Loop
 from chicoryproxy.eventloop.stream import Stream, StreamHandler, open_stream
-from chicoryproxy.forwarding.reachability import ProbeResult
+from chicoryproxy.forwarding.health.reachability import ProbeResult
 from chicoryproxy.ids import UpstreamId
 from chicoryproxy.platform.health import read_identity
 
--- a/src/chicoryproxy/node/storewatch.py
+++ b/src/chicoryproxy/node/storewatch.py
@@ -5,7 +5,7 @@
 
 from chicoryproxy.eventloop.loop import Loop, Timer
 from chicoryproxy.forwarding.model import Change, Revision
-from chicoryproxy.forwarding.readerpolicy import ReaderPolicy
+from chicoryproxy.forwarding.view.readerpolicy import ReaderPolicy
 from chicoryproxy.platform.store import Listing, ReadFailure, StoreClient, WatchResult
 
 RETRY_MIN_S = 0.1
--- a/src/chicoryproxy/node/view.py
+++ b/src/chicoryproxy/node/view.py
@@ -5,13 +5,10 @@
 
 from chicoryproxy.endpoint import Endpoint
 from chicoryproxy.eventloop.loop import Loop
-from chicoryproxy.forwarding.catchup import CatchUp
-from chicoryproxy.forwarding.directory import Directory
-from chicoryproxy.forwarding.directoryevent import DirectoryEvent
-from chicoryproxy.forwarding.hosts import format_host, parse_host
 from chicoryproxy.forwarding.model import Change, EntrySettings, Mark, Revision
-from chicoryproxy.forwarding.peering import PeerGroup
-from chicoryproxy.forwarding.peermessages import (
+from chicoryproxy.forwarding.peers.hosts import format_host, parse_host
+from chicoryproxy.forwarding.peers.peering import PeerGroup
+from chicoryproxy.forwarding.peers.peermessages import (
     ChangesReply,
     ChangesRequest,
     Heartbeat,
@@ -19,8 +16,11 @@
     PeerAddress,
     RampReport,
 )
-from chicoryproxy.forwarding.readerpolicy import ReaderPolicy
-from chicoryproxy.forwarding.replica import Replica
+from chicoryproxy.forwarding.view.catchup import CatchUp
+from chicoryproxy.forwarding.view.directory import Directory
+from chicoryproxy.forwarding.view.directoryevent import DirectoryEvent
+from chicoryproxy.forwarding.view.readerpolicy import ReaderPolicy
+from chicoryproxy.forwarding.view.replica import Replica
 from chicoryproxy.node.entrymetrics import EntryMetrics
 from chicoryproxy.node.journal import Journal
 from chicoryproxy.node.peers import ChangesClient, ChangesServer, HeartbeatSocket
--- a/src/chicoryproxy/platform/header.py
+++ b/src/chicoryproxy/platform/header.py
@@ -5,9 +5,9 @@
 
 import struct
 
-from chicoryproxy.forwarding.hosts import format_host
 from chicoryproxy.forwarding.model import FlowId, Mark
 from chicoryproxy.forwarding.packet import CallerPacket
+from chicoryproxy.forwarding.peers.hosts import format_host
 
 HEADER_BYTES = 31
 MARK_OFFSET = 26
--- a/src/chicoryproxy/platform/records.py
+++ b/src/chicoryproxy/platform/records.py
@@ -7,7 +7,6 @@
 from msgspec import Meta, Struct, field
 
 from chicoryproxy.endpoint import Endpoint
-from chicoryproxy.forwarding.hosts import parse_host
 from chicoryproxy.forwarding.model import (
     Change,
     DomainBack,
@@ -26,7 +25,8 @@
     UpstreamUnreadable,
     WeightedService,
 )
-from chicoryproxy.forwarding.replica import ROUTING_KEY, get_domain_key, get_upstream_key
+from chicoryproxy.forwarding.peers.hosts import parse_host
+from chicoryproxy.forwarding.view.replica import ROUTING_KEY, get_domain_key, get_upstream_key
 from chicoryproxy.ids import DomainId, ServiceId, UpstreamId, Version
 
 SERVERS_PREFIX = "servers/"
--- a/tests/adapter/test_malformed_input.py
+++ b/tests/adapter/test_malformed_input.py
@@ -12,14 +12,14 @@
 from chicoryproxy.errors import SettingsError
 from chicoryproxy.forwarding.model import Change, Revision
 from chicoryproxy.forwarding.packet import CallerPacket
-from chicoryproxy.forwarding.peermessages import (
+from chicoryproxy.forwarding.peers.peermessages import (
     ChangesReply,
     Heartbeat,
     PeerAddress,
     decode_message,
     encode_message,
 )
-from chicoryproxy.forwarding.replica import Replica
+from chicoryproxy.forwarding.view.replica import Replica
 from chicoryproxy.platform.header import HEADER_BYTES, read_packet, read_request_id
 from chicoryproxy.platform.health import IDENTITY_HEADER, read_identity
 from chicoryproxy.platform.records import CONFIG_KEY, EVACUATE_PREFIX, SERVERS_PREFIX, decode_item
--- a/tests/forwarding/harness.py
+++ b/tests/forwarding/harness.py
@@ -2,11 +2,8 @@
 
 import itertools
 
-from chicoryproxy.forwarding.coldstart import DomainShare
-from chicoryproxy.forwarding.directory import Directory
-from chicoryproxy.forwarding.directoryevent import DirectoryEvent
+from chicoryproxy.forwarding.balancing.coldstart import DomainShare
 from chicoryproxy.forwarding.forwarder import Forwarder, create_forwarder
-from chicoryproxy.forwarding.lifetime import Lifetime
 from chicoryproxy.forwarding.model import (
     NO_REVISION,
     Bounds,
@@ -27,9 +24,12 @@
     WeightedService,
 )
 from chicoryproxy.forwarding.packet import CallerPacket
-from chicoryproxy.forwarding.peermessages import Heartbeat, PeerAddress
-from chicoryproxy.forwarding.replica import ROUTING_KEY, get_domain_key, get_upstream_key
+from chicoryproxy.forwarding.peers.peermessages import Heartbeat, PeerAddress
 from chicoryproxy.forwarding.trafficobserver import TrafficObserver
+from chicoryproxy.forwarding.view.directory import Directory
+from chicoryproxy.forwarding.view.directoryevent import DirectoryEvent
+from chicoryproxy.forwarding.view.lifetime import Lifetime
+from chicoryproxy.forwarding.view.replica import ROUTING_KEY, get_domain_key, get_upstream_key
 from chicoryproxy.ids import DomainId, ServiceId, UpstreamId, Version
 from chicoryproxy.model import Endpoint
 
--- a/tests/forwarding/probenetwork.py
+++ b/tests/forwarding/probenetwork.py
@@ -4,7 +4,7 @@
 import itertools
 import math
 
-from chicoryproxy.forwarding.reachability import ProbeResult
+from chicoryproxy.forwarding.health.reachability import ProbeResult
 from chicoryproxy.node.probe import CONNECT_TIMEOUT_S, IDENTITY_TIMEOUT_S, SLOW_CONNECT_S
 
 TICK_S = 0.05
--- a/tests/forwarding/replicanode.py
+++ b/tests/forwarding/replicanode.py
@@ -1,10 +1,10 @@
 """State of an entry without its network, to test the exchange of changes between entries."""
 
-from chicoryproxy.forwarding.catchup import CatchUp
-from chicoryproxy.forwarding.directory import Directory
 from chicoryproxy.forwarding.model import Bounds, Change, Revision, RoutingPublished
-from chicoryproxy.forwarding.peermessages import decode_message, encode_message
-from chicoryproxy.forwarding.replica import ROUTING_KEY, Replica
+from chicoryproxy.forwarding.peers.peermessages import decode_message, encode_message
+from chicoryproxy.forwarding.view.catchup import CatchUp
+from chicoryproxy.forwarding.view.directory import Directory
+from chicoryproxy.forwarding.view.replica import ROUTING_KEY, Replica
 
 
 class ReplicaNode:
--- a/tests/forwarding/test_addressowners.py
+++ b/tests/forwarding/test_addressowners.py
@@ -1,6 +1,6 @@
 """Lifetimes by address."""
 
-from chicoryproxy.forwarding.addressowners import AddressOwners
+from chicoryproxy.forwarding.view.addressowners import AddressOwners
 from chicoryproxy.model import Endpoint
 
 ADDRESS = Endpoint("10.1.0.9", 8000)
--- a/tests/forwarding/test_admission.py
+++ b/tests/forwarding/test_admission.py
@@ -9,26 +9,26 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from chicoryproxy.forwarding.admission import (
+from chicoryproxy.forwarding.health.domainreachability import DomainReachability
+from chicoryproxy.forwarding.health.failuredetector import SUSPICION_FAILURES
+from chicoryproxy.forwarding.health.unreachablereports import UnreachableReports
+from chicoryproxy.forwarding.load.admission import (
     EVIDENCE_HALF_LIFE_S,
     FLOOR_SHARE,
     PRESSURE_LIMIT,
     PRESSURE_RANGE,
     compute_refused_share,
 )
-from chicoryproxy.forwarding.domainreachability import DomainReachability
-from chicoryproxy.forwarding.failuredetector import SUSPICION_FAILURES
-from chicoryproxy.forwarding.lifetime import Lifetime
-from chicoryproxy.forwarding.model import FlowId, Refusal, RouteKey, WeightedService
-from chicoryproxy.forwarding.overload import LATE_RESPONSE_S
-from chicoryproxy.forwarding.peermessages import Heartbeat, LoadReport, PeerAddress
-from chicoryproxy.forwarding.pressure import SAMPLE_INTERVAL_S, PressureEstimator
-from chicoryproxy.forwarding.priorityshares import (
+from chicoryproxy.forwarding.load.overload import LATE_RESPONSE_S
+from chicoryproxy.forwarding.load.pressure import SAMPLE_INTERVAL_S, PressureEstimator
+from chicoryproxy.forwarding.load.priorityshares import (
     AVERAGING_S,
     PRIORITY_RETENTION_S,
     PriorityShares,
 )
-from chicoryproxy.forwarding.unreachablereports import UnreachableReports
+from chicoryproxy.forwarding.model import FlowId, Refusal, RouteKey, WeightedService
+from chicoryproxy.forwarding.peers.peermessages import Heartbeat, LoadReport, PeerAddress
+from chicoryproxy.forwarding.view.lifetime import Lifetime
 from tests.forwarding.harness import (
     OTHER_DOMAIN,
     OWN_DOMAIN,
--- a/tests/forwarding/test_answered_openings.py
+++ b/tests/forwarding/test_answered_openings.py
@@ -4,8 +4,8 @@
 resets the caller if a packet of the open flow reaches it.
 """
 
+from chicoryproxy.forwarding.health.reachability import ProbeResult
 from chicoryproxy.forwarding.model import Drop
-from chicoryproxy.forwarding.reachability import ProbeResult
 from tests.forwarding.harness import ForwarderHarness, create_packet
 
 PORT = 2048
--- a/tests/forwarding/test_catchup.py
+++ b/tests/forwarding/test_catchup.py
@@ -12,8 +12,8 @@
     UpstreamPhase,
     UpstreamUnlisted,
 )
-from chicoryproxy.forwarding.peermessages import encode_message
-from chicoryproxy.forwarding.replica import get_domain_key, get_upstream_key
+from chicoryproxy.forwarding.peers.peermessages import encode_message
+from chicoryproxy.forwarding.view.replica import get_domain_key, get_upstream_key
 from chicoryproxy.ids import DomainId, UpstreamId
 from chicoryproxy.model import Endpoint
 from tests.forwarding.harness import OTHER_DOMAIN, ForwarderHarness
--- a/tests/forwarding/test_coldstart.py
+++ b/tests/forwarding/test_coldstart.py
@@ -2,9 +2,9 @@
 
 import pytest
 
-from chicoryproxy.forwarding.coldstart import DomainShare
-from chicoryproxy.forwarding.lifetime import Lifetime
+from chicoryproxy.forwarding.balancing.coldstart import DomainShare
 from chicoryproxy.forwarding.model import Bounds, Refusal
+from chicoryproxy.forwarding.view.lifetime import Lifetime
 from tests.forwarding.harness import OTHER_DOMAIN, OWN_DOMAIN, ForwarderHarness
 
 
--- a/tests/forwarding/test_directory.py
+++ b/tests/forwarding/test_directory.py
@@ -4,12 +4,12 @@
 
 import pytest
 
-from chicoryproxy.forwarding import lifetime as lifetime_module
-from chicoryproxy.forwarding.directory import RETURN_GRACE_S
-from chicoryproxy.forwarding.directoryevent import DirectoryEventKind
-from chicoryproxy.forwarding.marks import compute_mark
 from chicoryproxy.forwarding.model import Mark, UpstreamPhase, UpstreamUnreadable
-from chicoryproxy.forwarding.replica import get_upstream_key
+from chicoryproxy.forwarding.view import lifetime as lifetime_module
+from chicoryproxy.forwarding.view.directory import RETURN_GRACE_S
+from chicoryproxy.forwarding.view.directoryevent import DirectoryEventKind
+from chicoryproxy.forwarding.view.marks import compute_mark
+from chicoryproxy.forwarding.view.replica import get_upstream_key
 from chicoryproxy.ids import UpstreamId
 from chicoryproxy.model import Endpoint
 from tests.forwarding.harness import ARCHIVE, OTHER_DOMAIN, ROUTE, SERVICE, create_packet
--- a/tests/forwarding/test_domainreachability.py
+++ b/tests/forwarding/test_domainreachability.py
@@ -6,9 +6,9 @@
 
 import pytest
 
-from chicoryproxy.forwarding.domainreachability import MIN_SAMPLE_INTERVAL_S, SAMPLE_SIZE
+from chicoryproxy.forwarding.health.domainreachability import MIN_SAMPLE_INTERVAL_S, SAMPLE_SIZE
+from chicoryproxy.forwarding.health.reachability import RECHECK_MAX_S, TIMEOUTS_TO_CONFIRM
 from chicoryproxy.forwarding.model import Refusal
-from chicoryproxy.forwarding.reachability import RECHECK_MAX_S, TIMEOUTS_TO_CONFIRM
 from chicoryproxy.node.probe import CONNECT_TIMEOUT_S
 from tests.forwarding.harness import OTHER_DOMAIN, OWN_DOMAIN, create_packet
 from tests.forwarding.probenetwork import NEVER_S, TICK_S
--- a/tests/forwarding/test_failuredetector.py
+++ b/tests/forwarding/test_failuredetector.py
@@ -1,6 +1,6 @@
 """Repeated failures make an upstream suspected; answers clear them."""
 
-from chicoryproxy.forwarding.failuredetector import (
+from chicoryproxy.forwarding.health.failuredetector import (
     BACKOFF_MAX_S,
     BACKOFF_MIN_S,
     RETENTION_S,
--- a/tests/forwarding/test_forwarder.py
+++ b/tests/forwarding/test_forwarder.py
@@ -1,7 +1,7 @@
 """Packets go to the upstream of their flow; flows of live upstreams are never reset."""
 
+from chicoryproxy.forwarding.health.reachability import ProbeResult
 from chicoryproxy.forwarding.model import Drop, Refusal, RouteKey, WeightedService
-from chicoryproxy.forwarding.reachability import ProbeResult
 from tests.forwarding.harness import (
     ARCHIVE,
     ARCHIVE_ROUTE,
--- a/tests/forwarding/test_isolation.py
+++ b/tests/forwarding/test_isolation.py
@@ -6,19 +6,19 @@
 
 import pytest
 
-from chicoryproxy.forwarding.isolation import (
+from chicoryproxy.forwarding.health.isolation import (
     ANSWER_VALID_S,
     REROUTING_S,
     WINDOW_S,
     IsolationDetector,
 )
 from chicoryproxy.forwarding.model import Drop, Mark, Refusal, Revision
-from chicoryproxy.forwarding.peering import (
+from chicoryproxy.forwarding.peers.peering import (
     ISOLATION_REPORT_VALID_S,
     PARTITION_TIMEOUT_S,
     PeerGroup,
 )
-from chicoryproxy.forwarding.peermessages import Heartbeat, PeerAddress
+from chicoryproxy.forwarding.peers.peermessages import Heartbeat, PeerAddress
 from tests.forwarding.harness import ARCHIVE, ARCHIVE_ROUTE, OTHER_DOMAIN, OWN_DOMAIN
 from tests.forwarding.probenetwork import NEVER_S
 
--- a/tests/forwarding/test_leaving.py
+++ b/tests/forwarding/test_leaving.py
@@ -2,8 +2,8 @@
 
 import pytest
 
-from chicoryproxy.forwarding.directoryevent import DirectoryEventKind
 from chicoryproxy.forwarding.model import Drop, Refusal, UpstreamPhase, WeightedService
+from chicoryproxy.forwarding.view.directoryevent import DirectoryEventKind
 from tests.forwarding.harness import (
     ARCHIVE,
     OWN_DOMAIN,
--- a/tests/forwarding/test_overload.py
+++ b/tests/forwarding/test_overload.py
@@ -2,18 +2,18 @@
 
 import pytest
 
-from chicoryproxy.forwarding.overload import (
-    LATE_RESPONSE_S,
-    OVERLOAD_CONFIRMATION_S,
-    LateResponseDetector,
-)
-from chicoryproxy.forwarding.reachability import (
+from chicoryproxy.forwarding.health.reachability import (
     DRAIN_FINISHING_S,
     FINISHING_RECHECK_S,
     OVERLOAD_RETRY_S,
     OVERLOAD_SUCCESS_VALID_S,
     ProbeResult,
 )
+from chicoryproxy.forwarding.load.overload import (
+    LATE_RESPONSE_S,
+    OVERLOAD_CONFIRMATION_S,
+    LateResponseDetector,
+)
 from chicoryproxy.node.probe import CONNECT_TIMEOUT_S
 from tests.forwarding.harness import OTHER_DOMAIN, ForwarderHarness, create_packet
 from tests.forwarding.probenetwork import NEVER_S, TICK_S, Network
--- a/tests/forwarding/test_peering.py
+++ b/tests/forwarding/test_peering.py
@@ -2,19 +2,24 @@
 
 import pytest
 
-from chicoryproxy.forwarding.coldstart import ColdBudget
-from chicoryproxy.forwarding.hosts import parse_host
+from chicoryproxy.forwarding.balancing.coldstart import ColdBudget
+from chicoryproxy.forwarding.balancing.slowstart import REPORTS_IN_HEARTBEAT
 from chicoryproxy.forwarding.model import Mark, Revision
-from chicoryproxy.forwarding.peering import (
+from chicoryproxy.forwarding.peers.hosts import parse_host
+from chicoryproxy.forwarding.peers.peering import (
     ALIVE_TIMEOUT_S,
     DISCOVERY_S,
     FANOUT,
     PARTITION_TIMEOUT_S,
     PeerGroup,
 )
-from chicoryproxy.forwarding.peermessages import LoadReport, PeerAddress, RampReport, encode_message
-from chicoryproxy.forwarding.readerpolicy import MAX_BEHIND_S, PEER_SILENCE_S, ReaderPolicy
-from chicoryproxy.forwarding.slowstart import REPORTS_IN_HEARTBEAT
+from chicoryproxy.forwarding.peers.peermessages import (
+    LoadReport,
+    PeerAddress,
+    RampReport,
+    encode_message,
+)
+from chicoryproxy.forwarding.view.readerpolicy import MAX_BEHIND_S, PEER_SILENCE_S, ReaderPolicy
 
 DOMAINS = 3
 INTERVAL_S = 0.4
--- a/tests/forwarding/test_peerloads.py
+++ b/tests/forwarding/test_peerloads.py
@@ -3,10 +3,10 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from chicoryproxy.forwarding.balancing.peerloads import LOAD_AGE_S, PeerLoads
 from chicoryproxy.forwarding.model import Mark, Revision
-from chicoryproxy.forwarding.peering import PeerGroup
-from chicoryproxy.forwarding.peerloads import LOAD_AGE_S, PeerLoads
-from chicoryproxy.forwarding.peermessages import Heartbeat, LoadReport, PeerAddress
+from chicoryproxy.forwarding.peers.peering import PeerGroup
+from chicoryproxy.forwarding.peers.peermessages import Heartbeat, LoadReport, PeerAddress
 
 MARKS = [Mark(1), Mark(2), Mark(3)]
 
--- a/tests/forwarding/test_performance.py
+++ b/tests/forwarding/test_performance.py
@@ -6,8 +6,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from chicoryproxy.forwarding import performance
-from chicoryproxy.forwarding.performance import (
+from chicoryproxy.forwarding.balancing import performance
+from chicoryproxy.forwarding.balancing.performance import (
     MAX_FACTOR,
     MIN_FACTOR,
     RETENTION_S,
--- a/tests/forwarding/test_placement.py
+++ b/tests/forwarding/test_placement.py
@@ -5,7 +5,7 @@
 import pytest
 
 from chicoryproxy.forwarding.model import Refusal, WeightedService
-from chicoryproxy.forwarding.peermessages import LoadReport
+from chicoryproxy.forwarding.peers.peermessages import LoadReport
 from tests.forwarding.harness import (
     ARCHIVE,
     OTHER_DOMAIN,
--- a/tests/forwarding/test_probecontrol.py
+++ b/tests/forwarding/test_probecontrol.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from chicoryproxy.forwarding.probecontrol import (
+from chicoryproxy.forwarding.health.probecontrol import (
     MIN_SEARCH_INTERVAL_S,
     RECENT_ANSWER_S,
     ControlProbeSelector,
--- a/tests/forwarding/test_proofs.py
+++ b/tests/forwarding/test_proofs.py
@@ -6,13 +6,13 @@
 
 import pytest
 
-from chicoryproxy.forwarding.directory import RETURN_GRACE_S
-from chicoryproxy.forwarding.model import Refusal, UpstreamPhase
-from chicoryproxy.forwarding.reachability import (
+from chicoryproxy.forwarding.health.reachability import (
     DRAIN_FINISHING_S,
     FINISHING_RECHECK_S,
     ProbeResult,
 )
+from chicoryproxy.forwarding.model import Refusal, UpstreamPhase
+from chicoryproxy.forwarding.view.directory import RETURN_GRACE_S
 from chicoryproxy.node.probe import CONNECT_TIMEOUT_S, IDENTITY_TIMEOUT_S
 from tests.forwarding.harness import OTHER_DOMAIN, OWN_DOMAIN, create_packet
 from tests.forwarding.probenetwork import NEVER_S, TICK_S
--- a/tests/forwarding/test_reachability.py
+++ b/tests/forwarding/test_reachability.py
@@ -1,6 +1,10 @@
 """Upstreams become unreachable only if connections prove it."""
 
-from chicoryproxy.forwarding.reachability import RECHECK_MIN_S, ProbeResult, ReachabilityMonitor
+from chicoryproxy.forwarding.health.reachability import (
+    RECHECK_MIN_S,
+    ProbeResult,
+    ReachabilityMonitor,
+)
 from tests.forwarding.harness import OTHER_DOMAIN
 
 
--- a/tests/forwarding/test_registration_order.py
+++ b/tests/forwarding/test_registration_order.py
@@ -5,13 +5,13 @@
 
 import pytest
 
-from chicoryproxy.forwarding import replica as replica_module
-from chicoryproxy.forwarding.directory import RETURN_GRACE_S
-from chicoryproxy.forwarding.lifetime import find_later
-from chicoryproxy.forwarding.marks import compute_mark
 from chicoryproxy.forwarding.model import NO_REVISION, Mark, Refusal, Revision, UpstreamPhase
-from chicoryproxy.forwarding.peermessages import encode_message
-from chicoryproxy.forwarding.replica import Replica, get_upstream_key
+from chicoryproxy.forwarding.peers.peermessages import encode_message
+from chicoryproxy.forwarding.view import replica as replica_module
+from chicoryproxy.forwarding.view.directory import RETURN_GRACE_S
+from chicoryproxy.forwarding.view.lifetime import find_later
+from chicoryproxy.forwarding.view.marks import compute_mark
+from chicoryproxy.forwarding.view.replica import Replica, get_upstream_key
 from chicoryproxy.ids import ServiceId
 from chicoryproxy.model import Endpoint
 from tests.forwarding.harness import (
@@ -142,7 +142,7 @@
 
 # The owner of a shared mark ends while the other lifetime is gone, too.
 def test_a_lifetime_that_returns_after_the_owner_of_its_mark_ended_owns_it(harness, monkeypatch):
-    module = "chicoryproxy.forwarding.lifetime.compute_mark"
+    module = "chicoryproxy.forwarding.view.lifetime.compute_mark"
     monkeypatch.setattr(module, lambda identity: Mark(compute_mark("same")))
     harness.publish_upstream("i-1")
     other = harness.publish_upstream("i-2")
--- a/tests/forwarding/test_replica.py
+++ b/tests/forwarding/test_replica.py
@@ -3,7 +3,6 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from chicoryproxy.forwarding import replica as replica_module
 from chicoryproxy.forwarding.model import (
     NO_REVISION,
     Change,
@@ -13,7 +12,8 @@
     UpstreamListed,
     UpstreamUnlisted,
 )
-from chicoryproxy.forwarding.replica import Replica, get_domain_key, get_upstream_key
+from chicoryproxy.forwarding.view import replica as replica_module
+from chicoryproxy.forwarding.view.replica import Replica, get_domain_key, get_upstream_key
 from chicoryproxy.ids import DomainId, UpstreamId
 from tests.forwarding.harness import ForwarderHarness
 
--- a/tests/forwarding/test_routingpatch.py
+++ b/tests/forwarding/test_routingpatch.py
@@ -13,7 +13,7 @@
     ServiceLimits,
     WeightedService,
 )
-from chicoryproxy.forwarding.routingpatch import (
+from chicoryproxy.forwarding.view.routingpatch import (
     MAX_PATCHES,
     RoutingHistory,
     apply_patch,
--- a/tests/forwarding/test_slowstart.py
+++ b/tests/forwarding/test_slowstart.py
@@ -11,25 +11,25 @@
 from hypothesis import strategies as st
 
 from chicoryproxy.endpoint import Endpoint
-from chicoryproxy.forwarding.coldstart import DomainShare
-from chicoryproxy.forwarding.lifetime import Lifetime
-from chicoryproxy.forwarding.marks import get_identity
+from chicoryproxy.forwarding.balancing.coldstart import DomainShare
+from chicoryproxy.forwarding.balancing.ramp import INITIAL_SHARE, Ramp, RampCause
+from chicoryproxy.forwarding.balancing.recovery import begin_ramps
+from chicoryproxy.forwarding.balancing.slowstart import (
+    MAX_RAMPS,
+    REMOTE_DELAY_S,
+    REPORTS_IN_HEARTBEAT,
+    create_slow_start,
+)
 from chicoryproxy.forwarding.model import NO_REVISION, Bounds, Revision, UpstreamEntry
-from chicoryproxy.forwarding.peermessages import (
+from chicoryproxy.forwarding.peers.peermessages import (
     Heartbeat,
     PeerAddress,
     RampReport,
     decode_message,
     encode_message,
 )
-from chicoryproxy.forwarding.ramp import INITIAL_SHARE, Ramp, RampCause
-from chicoryproxy.forwarding.recovery import begin_ramps
-from chicoryproxy.forwarding.slowstart import (
-    MAX_RAMPS,
-    REMOTE_DELAY_S,
-    REPORTS_IN_HEARTBEAT,
-    create_slow_start,
-)
+from chicoryproxy.forwarding.view.lifetime import Lifetime
+from chicoryproxy.forwarding.view.marks import get_identity
 from chicoryproxy.ids import UpstreamId
 from tests.forwarding.harness import (
     OTHER_DOMAIN,
--- a/tests/forwarding/test_unreachablereports.py
+++ b/tests/forwarding/test_unreachablereports.py
@@ -8,20 +8,20 @@
 
 import pytest
 
-from chicoryproxy.forwarding.model import Mark, Revision
-from chicoryproxy.forwarding.peering import (
-    DISCOVERY_S,
-    UNREACHABLE_IN_HEARTBEAT,
-    PeerGroup,
-)
-from chicoryproxy.forwarding.peermessages import PeerAddress, encode_message
-from chicoryproxy.forwarding.reachability import ProbeResult
-from chicoryproxy.forwarding.unreachablereports import (
+from chicoryproxy.forwarding.health.reachability import ProbeResult
+from chicoryproxy.forwarding.health.unreachablereports import (
     AVOIDANCE_S,
     FORWARDING_S,
     MEMORY_S,
     UnreachableReports,
 )
+from chicoryproxy.forwarding.model import Mark, Revision
+from chicoryproxy.forwarding.peers.peering import (
+    DISCOVERY_S,
+    UNREACHABLE_IN_HEARTBEAT,
+    PeerGroup,
+)
+from chicoryproxy.forwarding.peers.peermessages import PeerAddress, encode_message
 from tests.forwarding.harness import OTHER_DOMAIN, create_packet
 
 HEARTBEAT_INTERVAL_S = 0.4
--- a/tests/node/test_dataplane.py
+++ b/tests/node/test_dataplane.py
@@ -1,8 +1,8 @@
 """The data plane goes on probing when a probe can't be started."""
 
-from chicoryproxy.forwarding.directory import Directory
+from chicoryproxy.forwarding.health.reachability import MAX_CONCURRENT_PROBES, ProbeResult
 from chicoryproxy.forwarding.model import Bounds, EntrySettings
-from chicoryproxy.forwarding.reachability import MAX_CONCURRENT_PROBES, ProbeResult
+from chicoryproxy.forwarding.view.directory import Directory
 from chicoryproxy.ids import DomainId, InstanceId, RegionId
 from chicoryproxy.model import Endpoint
 from chicoryproxy.node.dataplane import DataPlane
--- a/tests/node/test_probe.py
+++ b/tests/node/test_probe.py
@@ -8,7 +8,7 @@
 import pytest
 
 from chicoryproxy.eventloop.stream import Listener, Stream, StreamHandler
-from chicoryproxy.forwarding.reachability import ProbeResult
+from chicoryproxy.forwarding.health.reachability import ProbeResult
 from chicoryproxy.ids import UpstreamId
 from chicoryproxy.model import Endpoint
 from chicoryproxy.node.probe import (
--- a/tests/node/test_view.py
+++ b/tests/node/test_view.py
@@ -5,7 +5,6 @@
 
 import pytest
 
-from chicoryproxy.forwarding.hosts import parse_host
 from chicoryproxy.forwarding.model import (
     Bounds,
     Change,
@@ -16,15 +15,16 @@
     UpstreamPhase,
     UpstreamUnlisted,
 )
-from chicoryproxy.forwarding.peermessages import (
+from chicoryproxy.forwarding.peers.hosts import parse_host
+from chicoryproxy.forwarding.peers.peermessages import (
     ChangesReply,
     ChangesRequest,
     Heartbeat,
     PeerAddress,
     encode_message,
 )
-from chicoryproxy.forwarding.readerpolicy import MAX_BEHIND_S
-from chicoryproxy.forwarding.replica import ROUTING_KEY, get_upstream_key
+from chicoryproxy.forwarding.view.readerpolicy import MAX_BEHIND_S
+from chicoryproxy.forwarding.view.replica import ROUTING_KEY, get_upstream_key
 from chicoryproxy.ids import DomainId, InstanceId, RegionId, UpstreamId, Version
 from chicoryproxy.model import Endpoint
 from chicoryproxy.node.journal import Journal
--- a/tests/soak/deployment.py
+++ b/tests/soak/deployment.py
@@ -2,7 +2,7 @@
 
 import os
 
-from chicoryproxy.forwarding.hosts import parse_host
+from chicoryproxy.forwarding.peers.hosts import parse_host
 from tests.childprocess import reserve_network
 
 SERVICES = ("desk", "vault")
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -4,7 +4,7 @@
 import random
 
 from chicoryproxy.eventloop.loop import Loop
-from chicoryproxy.forwarding.hosts import format_host
+from chicoryproxy.forwarding.peers.hosts import format_host
 from tests.node.fakestore import FakeStore, pick_ports
 from tests.soak.deployment import (
     EXTRA_ROUTE,
--- a/tests/soak/traffic.py
+++ b/tests/soak/traffic.py
@@ -5,7 +5,7 @@
 
 from chicoryproxy.eventloop.packetsocket import PacketSocket
 from chicoryproxy.eventloop.stream import Listener, Stream, StreamHandler
-from chicoryproxy.forwarding.hosts import format_host, parse_host
+from chicoryproxy.forwarding.peers.hosts import format_host, parse_host
 from chicoryproxy.model import Endpoint
 from chicoryproxy.platform.header import FLAG_ACK, FLAG_FIN, FLAG_RST, FLAG_SYN, HEADER_BYTES
 
