--- a/review/world.py
+++ b/review/world.py
@@ -987,7 +987,7 @@
     raise CannotRun("no free network")
 
 
-def build_config(version, routes, services, cold_s=2.0, cold_per_s=0.0):
+def build_config(version, routes, services, cold_s=2.0, cold_per_s=0.0, timeout_ms=1500):
     """Return a configuration.
 
     :param routes: service by destination, which is a pair of number and port.
@@ -1000,7 +1000,7 @@
                 "Hostname": to_host(host),
                 "Prefix": f"/{port}/",
                 "Type": "idempotent",
-                "TimeoutMs": 1500,
+                "TimeoutMs": timeout_ms,
                 "TargetLatencyMs": 100,
                 "Priority": 1,
                 "MaxAttempts": 1,
