Review: a repeated handshake moves an open flow to another server

Cause: a repeated opening goes to a second server, and an entry without a record of the flow takes the mark of either handshake for the flow's server.

--- a/review/world.py
+++ b/review/world.py
@@ -28,6 +28,9 @@
 MASK = 0xFFFFFFFF
 SYN_COPIES_S = (0.0, 0.2, 0.6)
 SYN_TIMEOUT_S = 1.4
+RETRANSMISSIONS_S = (0.2, 0.4, 0.8, 1.6, 1.6, 1.6, 1.6, 1.6)
+"""Pauses before the retransmissions of a packet that a server misses the acknowledgement of."""
+
 BEAT_S = 1.2
 READY_INTERVAL_S = 0.5
 READY_TIMEOUT_S = 0.5
@@ -321,9 +324,9 @@
         self.born = int(time.time() * 1000)
         self.sequence = 0
         self.flows = {}
+        self.reset_keys = set()
         self.is_alive = True
         self.work_s = 0.02
-        self.drop_syn_acks = 0
         self._sockets = None
         self._health = None
         self._task = None
@@ -414,6 +417,7 @@
         elif packet.flags & RST:
             self.flows.pop(key, None)
         elif flow is None or (not flow.is_open and packet.ack != (flow.seq + 1) & MASK):
+            self.reset_keys.add(key)
             self.world.log("reset", server=self.name, flow=describe(key))
             self._send(key, 0, packet.ack, RST, b"", packet.echo, seq=packet.ack)
         else:
@@ -424,12 +428,19 @@
             flow = ServerFlow(random.getrandbits(32), packet.seq + 1)
             self.flows[key] = flow
             self.world.on_opening(self, key, addr)
+            self.world.spawn(self._repeat_syn_ack(key, flow))
         flow.echo = packet.echo
-        if self.drop_syn_acks:
-            self.drop_syn_acks -= 1
-            return
         self._send(key, flow.seq, flow.expected, SYN | ACK, b"", flow.echo)
 
+    async def _repeat_syn_ack(self, key, flow):
+        for pause in RETRANSMISSIONS_S:
+            await asyncio.sleep(pause)
+            if flow.is_open or self.flows.get(key) is not flow or not self.is_alive:
+                return
+            self._send(key, flow.seq, flow.expected, SYN | ACK, b"", flow.echo)
+        if not flow.is_open and self.flows.get(key) is flow:
+            del self.flows[key]
+
     def _handle(self, key, flow, packet, addr):
         flow.echo = packet.echo
         if not flow.is_open:
@@ -472,6 +483,8 @@
         src, sport, dst, dport = key
         number = number if seq is None else seq
         packet = Packet(number, ack, dst, src, sport, dport, flags, data, echo)
+        if self.world.loses_datagram():
+            return
         self._sockets.transport.sendto(packet.encode(), (to_host(src), self.world.packet_port))
 
 
@@ -846,8 +859,9 @@
         self.reset_listeners = []
         self.run_counts = {}
         self.open_at = {}
+        self.loss_share = 0.0
         self._requests = 0
-        self._tasks = []
+        self._tasks = set()
         for zone_number, zone in enumerate(self.zones):
             for number in range(entries):
                 host = f"127.{self.network}.{10 + zone_number}.{1 + number}"
@@ -864,6 +878,10 @@
         self.violations.append((rule, fields))
         self.log("BROKEN", rule=rule, **fields)
 
+    def loses_datagram(self):
+        """Return whether a datagram between servers and consumers is lost."""
+        return random.random() < self.loss_share
+
     def next_request(self):
         """Return a new request id."""
         self._requests += 1
@@ -926,7 +944,9 @@
 
     def spawn(self, coroutine):
         """Run a coroutine in the background until the case ends."""
-        self._tasks.append(asyncio.create_task(coroutine))
+        task = asyncio.create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
 
     async def start_entries(self):
         """Start all entries and wait until they are ready."""
@@ -954,7 +974,7 @@
 
     async def stop(self):
         """End everything that the case started, and write the record."""
-        for task in self._tasks:
+        for task in list(self._tasks):
             task.cancel()
         await asyncio.gather(*(entry.stop() for entry in self.entries))
         self.log("total", answered=self.answered, unanswered=self.unanswered)
