--- a/review/world.py
+++ b/review/world.py
@@ -483,7 +483,7 @@
         src, sport, dst, dport = key
         number = number if seq is None else seq
         packet = Packet(number, ack, dst, src, sport, dport, flags, data, echo)
-        if self.world.loses_datagram():
+        if flags & SYN and self.world.loses_handshake():
             return
         self._sockets.transport.sendto(packet.encode(), (to_host(src), self.world.packet_port))
 
@@ -859,7 +859,8 @@
         self.reset_listeners = []
         self.run_counts = {}
         self.open_at = {}
-        self.loss_share = 0.0
+        self.loss_interval = 0
+        self._handshakes = 0
         self._requests = 0
         self._tasks = set()
         for zone_number, zone in enumerate(self.zones):
@@ -878,9 +879,10 @@
         self.violations.append((rule, fields))
         self.log("BROKEN", rule=rule, **fields)
 
-    def loses_datagram(self):
-        """Return whether a datagram between servers and consumers is lost."""
-        return random.random() < self.loss_share
+    def loses_handshake(self):
+        """Return whether the next SYN+ACK is lost on its way to the consumer."""
+        self._handshakes += 1
+        return bool(self.loss_interval) and self._handshakes % self.loss_interval == 0
 
     def next_request(self):
         """Return a new request id."""
