--- a/review/5/case.py
+++ b/review/5/case.py
@@ -7,7 +7,7 @@
 import time
 from pathlib import Path
 
-from world import CannotRun, World, build_config, describe, has_trouble, run_case, to_number
+from world import CannotRunError, World, build_config, describe, has_trouble, run_case, to_number
 
 ROUTE = (to_number("127.0.9.1"), 443)
 ZONES = ("zone-a", "zone-b")
@@ -68,7 +68,7 @@
             await asyncio.sleep(ROLL_GAP_S)
         await asyncio.sleep(4.0)
         if not has_trouble() and world.routers.changes:
-            raise CannotRun("a node left the rotation although nothing disturbed it")
+            raise CannotRunError("a node left the rotation although nothing disturbed it")
     finally:
         await world.stop()
     print(f"answered {world.answered}, open flows reset by other servers: {len(broken)}")
--- a/review/world.py
+++ b/review/world.py
@@ -64,7 +64,7 @@
 """The bounds of the site mtc-vault."""
 
 
-class CannotRun(Exception):
+class CannotRunError(Exception):
     """The case could not be played."""
 
 
@@ -975,7 +975,7 @@
         end = time.monotonic() + seconds
         while not condition():
             if time.monotonic() > end:
-                raise CannotRun("a condition did not hold in time")
+                raise CannotRunError("a condition did not hold in time")
             await asyncio.sleep(0.05)
 
     async def use_fresh_flows(self, consumer, route, pause_s, budget_s=1.5):
@@ -1004,7 +1004,7 @@
     for line in (ROOT / "deploy" / "system.toml").read_text().splitlines():
         if line.startswith("run = "):
             return line.partition("=")[2].strip().strip('"').split()
-    raise CannotRun("deploy/system.toml names no command")
+    raise CannotRunError("deploy/system.toml names no command")
 
 
 def reserve_network():
@@ -1019,7 +1019,7 @@
             return number, lock
         except OSError:
             lock.close()
-    raise CannotRun("no free network")
+    raise CannotRunError("no free network")
 
 
 def pick_ports(host, count):
@@ -1093,7 +1093,7 @@
         try:
             async with asyncio.timeout(limit_s):
                 return HELD if await play() else BROKEN
-        except CannotRun as error:
+        except CannotRunError as error:
             print(f"can't run: {error}")
             return CANNOT_RUN
         except TimeoutError:
