Review: keep the restarts of case 5 inside the share of the site file

Cause: 4 of 6 machines were restarted, and the site file gives a share of 0.45. Change: 4 of 10 machines.

--- a/review/5/case.py
+++ b/review/5/case.py
@@ -16,13 +16,15 @@
 
 FLOWS_PER_CONSUMER = 20
 FLOW_S = 8.0
-ROLLED = (0, 3, 1, 4)
+ROLLED = (0, 5, 1, 6)
+"""4 of 10 machines, a share of 0.4; the site file gives 0.45."""
+
 ROLL_GAP_S = 5.0
 
 
 async def play():
     """Play the case; return whether the rule held."""
-    world = World(Path(__file__).parent, ZONES, entries=3)
+    world = World(Path(__file__).parent, ZONES, entries=5)
     broken = []
 
     def check_reset(flow, sender):
