Read the store on after a value that is nested too deeply

An evacuation that was acknowledged later was never followed; an entry that started while the value was there never became ready.

Cause: for nested values the decoder raises RecursionError, which was not among the caught errors. It left the client of the store before the reader was called back, and the reader starts its next read only when it is called back. Any other error on that way did the same: text that is not ASCII in place of base64, a later page that can't be requested.

Ruled out: that the error ends the process (it is logged, the process stays ready), and that only the one key is concerned (no call to the store came after it).

Fix: one decoder with one error for all that can be wrong with a value, and a read that calls back once, whatever is raised in between; an unexpected error counts as a failed read and is repeated. The list of instances and the health checks of the product's own interface had the same gap.

--- a/src/chicoryproxy/platform/records.py
+++ b/src/chicoryproxy/platform/records.py
@@ -3,7 +3,6 @@
 from collections.abc import Collection
 from typing import Annotated
 
-import msgspec
 from msgspec import Meta, Struct, field
 
 from chicoryproxy.endpoint import Endpoint
@@ -28,6 +27,7 @@
 from chicoryproxy.forwarding.peers.hosts import parse_host
 from chicoryproxy.forwarding.view.replica import ROUTING_KEY, get_domain_key, get_upstream_key
 from chicoryproxy.ids import DomainId, ServiceId, UpstreamId, Version
+from chicoryproxy.platform.jsonvalue import decode_json
 
 SERVERS_PREFIX = "servers/"
 CONFIG_KEY = "op/config"
@@ -131,9 +131,9 @@
     upstream: UpstreamId, value: bytes, domains: Collection[DomainId]
 ) -> UpstreamListed | UpstreamUnreadable:
     try:
-        server = msgspec.json.decode(value, type=_Server)
+        server = decode_json(value, _Server)
         entry = _convert_server(upstream, server, domains)
-    except (ValueError, msgspec.MsgspecError) as error:
+    except ValueError as error:
         return UpstreamUnreadable(upstream, str(error))
     return UpstreamListed(entry)
 
@@ -184,9 +184,9 @@
 
 def _decode_config(value: bytes) -> RoutingPublished | RoutingUnreadable:
     try:
-        config = msgspec.json.decode(value, type=_Config)
+        config = decode_json(value, _Config)
         routes = tuple(_convert_route(route) for route in config.routes)
-    except (ValueError, msgspec.MsgspecError) as error:
+    except ValueError as error:
         return RoutingUnreadable(str(error))
     services = tuple(
         ServiceLimits(
--- a/src/chicoryproxy/platform/settings.py
+++ b/src/chicoryproxy/platform/settings.py
@@ -2,7 +2,6 @@
 
 import os
 
-import msgspec
 from msgspec import Struct, field
 
 from chicoryproxy.endpoint import Endpoint
@@ -10,6 +9,7 @@
 from chicoryproxy.finding import FindingList, Place
 from chicoryproxy.forwarding.model import Bounds, EntrySettings
 from chicoryproxy.ids import DomainId, InstanceId, RegionId
+from chicoryproxy.platform.jsonvalue import decode_json
 from chicoryproxy.platform.packetaddress import LISTEN_KEY, PACKETS_KEY, SETTINGS_VARIABLE
 from chicoryproxy.platform.records import parse_endpoint
 
@@ -75,11 +75,11 @@
     """
     try:
         with open(path, "rb") as file:
-            node = msgspec.json.decode(file.read(), type=_Node)
+            node = decode_json(file.read(), _Node)
         return _convert(node)
     except OSError as error:
         raise _create_error(path, str(error), "make the file readable") from error
-    except (ValueError, msgspec.MsgspecError) as error:
+    except ValueError as error:
         raise _create_error(path, str(error), "correct the value at this place") from error
 
 
--- a/src/chicoryproxy/platform/store.py
+++ b/src/chicoryproxy/platform/store.py
@@ -5,12 +5,10 @@
 """
 
 import base64
-import binascii
 from collections.abc import Callable, Collection
 from enum import Enum, unique
 from typing import TypeVar
 
-import msgspec
 from msgspec import Struct, field
 
 from chicoryproxy.endpoint import Endpoint
@@ -18,12 +16,14 @@
 from chicoryproxy.eventloop.loop import Loop
 from chicoryproxy.forwarding.model import NO_REVISION, Change, Revision
 from chicoryproxy.ids import DomainId
+from chicoryproxy.platform.jsonvalue import UnreadableValueError, decode_json
 from chicoryproxy.platform.records import decode_item
 
 LIST_TIMEOUT_S = 2.0
 ALL_KEYS_PREFIX = ""
 
 Body = TypeVar("Body")
+Result = TypeVar("Result")
 
 
 @unique
@@ -128,14 +128,11 @@
         wait_ms = max(1, round(wait_s * 1000))
         query = f"/-/kv-watch?Prefix={ALL_KEYS_PREFIX}&after={revision}&WaitMs={wait_ms}"
 
-        def finish(events: _Events | ReadFailure) -> None:
-            if isinstance(events, ReadFailure):
-                on_result(events)
-                return
+        def convert(events: _Events) -> WatchResult:
             changes = tuple(self._decode_items(events.events))
-            on_result(WatchResult(changes, Revision(events.revision)))
+            return WatchResult(changes, Revision(events.revision))
 
-        self._call(query, wait_s + response_timeout_s, _Events, finish)
+        self._call(query, wait_s + response_timeout_s, _Events, convert, on_result)
 
     def close(self) -> None:
         """Close the connection and cancel the pending request without calling back."""
@@ -150,10 +147,7 @@
         on_result: Callable[[Listing | ReadFailure], None],
     ) -> None:
 
-        def finish(page: _Page | ReadFailure) -> None:
-            if isinstance(page, ReadFailure):
-                on_result(page)
-                return
+        def convert(page: _Page) -> Listing | None:
             # Pages can differ in age. A watch from the lowest revision misses no change and only
             # repeats some that newer pages already contained.
             lowest = min(revision, page.revision) if revision else page.revision
@@ -161,11 +155,11 @@
             if page.has_more and page.items:
                 last = page.items[-1].key
                 self._list_page(query, last, changes, Revision(lowest), on_result)
-            else:
-                on_result(Listing(tuple(changes), Revision(lowest)))
+                return None
+            return Listing(tuple(changes), Revision(lowest))
 
         target = f"{query}&after={_percent_encode(after)}" if after else query
-        self._call(target, LIST_TIMEOUT_S, _Page, finish)
+        self._call(target, LIST_TIMEOUT_S, _Page, convert, on_result)
 
     def _decode_items(self, items: tuple[_Item, ...]) -> list[Change]:
         changes = (self._decode_item(item) for item in items)
@@ -176,7 +170,7 @@
         if not item.is_deleted:
             try:
                 value = base64.b64decode(item.value, validate=True)
-            except binascii.Error:
+            except ValueError:
                 # An empty value is not valid JSON and is reported as an unreadable entry.
                 value = b""
         return decode_item(item.key, value, Revision(item.revision), self._domains)
@@ -186,10 +180,28 @@
         target: str,
         timeout_s: float,
         kind: type[Body],
-        on_result: Callable[[Body | ReadFailure], None],
+        convert: Callable[[Body], Result | None],
+        on_result: Callable[[Result | ReadFailure], None],
     ) -> None:
+        """Send one request of a read.
+
+        :param convert: returns the result of the read, or ``None`` if it goes on with another
+            request.
+        :param on_result: called with the result. An unexpected error also ends the read and is a
+            failure, because the caller starts the next read only after this one.
+        """
+
+        def finish(response: HttpResult) -> None:
+            result: Result | ReadFailure | None = ReadFailure.UNREADABLE
+            try:
+                body = _decode_response(response, kind)
+                result = body if isinstance(body, ReadFailure) else convert(body)
+            finally:
+                if result is not None:
+                    on_result(result)
+
         self.calls += 1
-        self._http.get(target, timeout_s, lambda result: on_result(_decode_response(result, kind)))
+        self._http.get(target, timeout_s, finish)
 
 
 def _decode_response(result: HttpResult, kind: type[Body]) -> Body | ReadFailure:
@@ -200,8 +212,8 @@
     if result.status != 200:
         return _FAILURE_BY_STATUS.get(result.status, ReadFailure.UNREADABLE)
     try:
-        return msgspec.json.decode(result.body, type=kind)
-    except msgspec.MsgspecError:
+        return decode_json(result.body, kind)
+    except UnreadableValueError:
         return ReadFailure.UNREADABLE
 
 
--- a/src/chicoryproxy/processes/platformclient.py
+++ b/src/chicoryproxy/processes/platformclient.py
@@ -212,5 +212,5 @@
     def _decode_instances(self, body: bytes) -> PlatformEvent:
         try:
             return InstancesRead(msgspec.json.decode(body, type=tuple[Instance, ...]))
-        except (msgspec.MsgspecError, ValueError) as error:
+        except (msgspec.MsgspecError, ValueError, RecursionError) as error:
             return PlatformReadFailed(f"{INSTANCES_PATH}: {error}")
--- a/src/chicoryproxy/processes/probe.py
+++ b/src/chicoryproxy/processes/probe.py
@@ -79,7 +79,14 @@
             if response.status != 200:
                 return HealthReading(upstream, reachable=False)
             answer = msgspec.json.decode(body, type=HealthAnswer)
-        except (aiohttp.ClientError, OSError, TimeoutError, ValueError, msgspec.MsgspecError):
+        except (
+            aiohttp.ClientError,
+            OSError,
+            TimeoutError,
+            ValueError,
+            RecursionError,
+            msgspec.MsgspecError,
+        ):
             return HealthReading(upstream, reachable=False)
         return HealthReading(
             upstream,
--- /dev/null
+++ b/tests/adapter/test_jsonvalue.py
@@ -0,0 +1,20 @@
+"""Decoding of JSON from outside raises one error, whatever is wrong."""
+
+import pytest
+
+from chicoryproxy.platform.jsonvalue import UnreadableValueError, decode_json
+
+
+def test_a_value_of_the_type_is_decoded():
+    assert decode_json(b'{"a": 1}', dict[str, int]) == {"a": 1}
+
+
+@pytest.mark.parametrize("data", [b"", b"\xff", b"[1]", b'{"a": "1"}', b'{"a":' + b"[" * 10_000])
+def test_any_other_value_is_unreadable(data):
+    with pytest.raises(UnreadableValueError):
+        decode_json(data, dict[str, int])
+
+
+def test_the_error_names_the_place():
+    with pytest.raises(UnreadableValueError, match=r"\$\[\.\.\.\]"):
+        decode_json(b'{"a": "1"}', dict[str, int])
--- a/tests/adapter/test_malformed_input.py
+++ b/tests/adapter/test_malformed_input.py
@@ -6,11 +6,16 @@
 import json
 
 import pytest
-from hypothesis import given, settings
+from hypothesis import example, given, settings
 from hypothesis import strategies as st
 
 from chicoryproxy.errors import SettingsError
-from chicoryproxy.forwarding.model import Change, Revision
+from chicoryproxy.forwarding.model import (
+    Change,
+    Revision,
+    RoutingUnreadable,
+    UpstreamUnreadable,
+)
 from chicoryproxy.forwarding.packet import CallerPacket
 from chicoryproxy.forwarding.peers.peermessages import (
     ChangesReply,
@@ -28,6 +33,7 @@
 
 DOMAINS = (OWN_DOMAIN,)
 EXAMPLES = 300
+NESTED_TOO_DEEPLY = b'{"Note": ' + b"[" * 10_000
 KEYS = st.sampled_from(
     [SERVERS_PREFIX, SERVERS_PREFIX + "s-1f", CONFIG_KEY, EVACUATE_PREFIX, "other", ""]
 )
@@ -93,6 +99,18 @@
     decode_message(b"\x78" + data)
 
 
+@pytest.mark.parametrize("prefix", [b"", b"\x9f\xa9heartbeat", b"\x95\xa7changes"])
+def test_a_message_that_is_nested_too_deeply_is_ignored(prefix):
+    assert decode_message(prefix + b"\x91" * 10_000) is None
+
+
+@pytest.mark.parametrize("key", [SERVERS_PREFIX + "s-1f", CONFIG_KEY])
+def test_a_value_that_is_nested_too_deeply_is_unreadable(key):
+    change = decode_item(key, NESTED_TOO_DEEPLY, Revision(1), DOMAINS)
+    assert isinstance(change.fact, UpstreamUnreadable | RoutingUnreadable)
+    assert change.fact.reason == "nested too deeply"
+
+
 @given(position=st.integers(0, 400), byte=st.integers(0, 255))
 @settings(max_examples=EXAMPLES, deadline=None, derandomize=True)
 def test_a_damaged_heartbeat_is_decoded_or_ignored(position, byte, harness):
@@ -140,6 +158,7 @@
 
 
 @given(data=st.binary(max_size=60) | JSON.map(lambda item: json.dumps(item).encode()))
+@example(data=NESTED_TOO_DEEPLY)
 @settings(max_examples=EXAMPLES, deadline=None, derandomize=True)
 def test_an_invalid_settings_file_is_a_settings_error(data, tmp_path_factory):
     path = tmp_path_factory.getbasetemp() / "node.json"
--- a/tests/adapter/test_records.py
+++ b/tests/adapter/test_records.py
@@ -58,6 +58,7 @@
     [
         b"\xff\x00",
         b"",
+        b'{"Note": ' + b"[" * 4000,
         [],
         {},
         create_server_entry(State="sleeping"),
--- a/tests/node/fakestore.py
+++ b/tests/node/fakestore.py
@@ -119,6 +119,10 @@
         data = value if isinstance(value, bytes) else json.dumps(value).encode()
         self._add({"Key": key, "Value": base64.b64encode(data).decode()})
 
+    def add_raw(self, key, text):
+        """Write a key whose value is this text, which need not be base64."""
+        self._add({"Key": key, "Value": text})
+
     def delete(self, key):
         """Delete a key."""
         self._add({"Key": key, "Deleted": True})
--- a/tests/node/test_storewatch.py
+++ b/tests/node/test_storewatch.py
@@ -5,10 +5,12 @@
 from chicoryproxy.forwarding.model import NO_REVISION
 from chicoryproxy.ids import DomainId
 from chicoryproxy.node.storewatch import IDLE_POLL_S, StoreListener, StoreWatch
+from chicoryproxy.platform import store as store_module
 from chicoryproxy.platform.store import ReadFailure, StoreClient
 from tests.node.fakestore import create_config, create_server_entry, run_until
 
 DOMAINS = {DomainId("shah-alam")}
+NESTED_TOO_DEEPLY = b'{"Note": ' + b"[" * 4000
 
 
 class Policy:
@@ -304,3 +306,78 @@
     loop.call_later(0.0, watch.start)
     run_until(loop, lambda: listener.changes)
     assert len(reported) == 1
+
+
+# EVAC: one value that was nested too deeply ended the reading of the store at all entries, and an
+# entry that started while the value was there never became ready.
+@pytest.mark.parametrize("key", ["servers/i-0f0f", "op/config"])
+@pytest.mark.parametrize("is_there_at_start", [True, False])
+def test_a_value_that_is_nested_too_deeply_does_not_end_the_reading_of_the_store(
+    loop, store, listener, watch, key, is_there_at_start
+):
+    reported = []
+    loop.on_error = reported.append
+    if is_there_at_start:
+        store.put(key, NESTED_TOO_DEEPLY)
+    watch.start()
+    run_until(loop, lambda: listener.confirmations)
+    store.put(key, NESTED_TOO_DEEPLY)
+    run_until(loop, lambda: listener.synced == store.revision)
+    store.put("op/evacuate/shah-alam", {})
+    run_until(loop, lambda: "domain/shah-alam" in listener.changes)
+    assert not reported
+
+
+# EVAC: any unexpected error between an answer of the store and the next read ended the reading.
+@pytest.mark.parametrize("errors", [1, 3])
+def test_the_store_is_read_again_after_an_error_of_the_decoder(
+    loop, store, listener, watch, monkeypatch, errors
+):
+    reported = []
+    loop.on_error = reported.append
+    decode = store_module.decode_item
+    remaining = iter(range(2 * errors))
+
+    def decode_item(*arguments):
+        for _ in remaining:
+            raise LookupError("fault")
+        return decode(*arguments)
+
+    store.put("servers/i-0001", create_server_entry())
+    monkeypatch.setattr(store_module, "decode_item", decode_item)
+    watch.start()
+    run_until(loop, lambda: len(reported) >= errors)
+    store.put("op/config", create_config(3))
+    run_until(loop, lambda: "routing" in listener.changes)
+    assert listener.failures.count(ReadFailure.UNREADABLE) == 2 * errors
+
+
+# EVAC: a later page of a listing could not be requested, and the store was never read again.
+def test_the_store_is_listed_again_if_a_later_page_can_not_be_requested(
+    loop, store, listener, watch, monkeypatch
+):
+    reported = []
+    loop.on_error = reported.append
+    store.page_size = 2
+    for number in range(5):
+        store.put(f"servers/i-{number:04x}", create_server_entry())
+    send = watch._client._http.get
+    failures = iter([None, OSError(24, "too many open files")])
+
+    def get(*arguments):
+        failure = next(failures, None)
+        if failure is not None:
+            raise failure
+        send(*arguments)
+
+    monkeypatch.setattr(watch._client._http, "get", get)
+    watch.start()
+    run_until(loop, lambda: len(listener.changes) == 5)
+    assert len(reported) == 1
+
+
+def test_a_value_that_is_not_base64_is_reported_as_unreadable(loop, store, listener, watch):
+    store.add_raw("servers/i-0001", "\u00e9")
+    watch.start()
+    run_until(loop, lambda: listener.confirmations)
+    assert "upstream/i-0001" in listener.changes
--- a/tests/test_platformclient.py
+++ b/tests/test_platformclient.py
@@ -4,7 +4,7 @@
 import time
 
 import pytest
-from hypothesis import given, settings
+from hypothesis import example, given, settings
 from hypothesis import strategies as st
 from msgspec import structs
 
@@ -156,8 +156,10 @@
     with_harness(check)
 
 
+# One value that was nested too deeply ended the task that watches the list of instances.
 @settings(derandomize=True, deadline=None)
 @given(st.binary(max_size=200))
+@example(b'[{"note": ' + b"[" * 10_000)
 def test_arbitrary_values_raise_no_error(body):
     watch = PlatformWatcher(None, None, Metrics(None), 1)
     for decode in (watch._read_index, watch._decode_instances):
