Follow a store that comes back from an older copy

Cause: changes are ordered by the store's revision alone. A restored store gives out the same revisions again, so that each newer change of a known key counted as old, at readers and peers, and watches continued from a revision that the store no longer had. Nothing read the header by which it tells.

Ruled out: that the store is no longer read (the record shows a refused watch and a listing each 0.8 s), and that only the passing on between peers fails.

Fix: a revision is epoch and store revision in one number that the adapter composes; all comparisons stay. Other paths of the same cause, each with a test: a watch that goes on in the new epoch, a listing across the restore, a patch under a former revision, evacuations, drains and registrations that the copy lacks.

--- a/src/chicoryproxy/forwarding/model.py
+++ b/src/chicoryproxy/forwarding/model.py
@@ -12,7 +12,8 @@
 from chicoryproxy.ids import DomainId, InstanceId, RegionId, ServiceId, UpstreamId, Version
 
 Revision = NewType("Revision", int)
-"""Revision of the platform's store; increases with each change of any key."""
+"""Revision of the platform's store with its epoch (``view/epoch``); increases with each change of
+any key."""
 
 Mark = NewType("Mark", int)
 """Unsigned 32-bit identifier of an upstream's lifetime, carried in the packets; never zero."""
--- a/src/chicoryproxy/forwarding/view/catchup.py
+++ b/src/chicoryproxy/forwarding/view/catchup.py
@@ -1,5 +1,7 @@
 """Requests and replies by which an entry fetches missed changes from a peer."""
 
+from msgspec import structs
+
 from chicoryproxy.forwarding.model import NO_REVISION, Change, RoutingPublished
 from chicoryproxy.forwarding.peers.peermessages import ChangesReply, ChangesRequest
 from chicoryproxy.forwarding.view.directory import Directory
@@ -35,11 +37,14 @@
         else:
             since = self._replica.complete_since
             changes = self._replica.get_since(NO_REVISION)
+        published = next((item for item in changes if self._publishes_current_version(item)), None)
         patch = None
-        if any(self._publishes_current_version(change) for change in changes):
+        if published is not None:
             patch = self._directory.history.create_patch(request.version)
-        if patch is not None:
-            changes = [change for change in changes if not self._publishes_current_version(change)]
+        if patch is not None and published is not None:
+            changes.remove(published)
+            # The version may have been published again since the patch was recorded.
+            patch = structs.replace(patch, revision=published.revision)
         return ChangesReply(tuple(changes), self._replica.synced, age_s, patch, since)
 
     def restore_changes(self, request: ChangesRequest, reply: ChangesReply) -> list[Change]:
--- a/src/chicoryproxy/forwarding/view/directory.py
+++ b/src/chicoryproxy/forwarding/view/directory.py
@@ -35,13 +35,15 @@
     DirectoryEventKind,
     create_phase_event,
 )
+from chicoryproxy.forwarding.view.disableddomains import DisabledDomains
 from chicoryproxy.forwarding.view.lifetime import Lifetime, find_later, is_outdated
 from chicoryproxy.forwarding.view.marks import get_identity
 from chicoryproxy.forwarding.view.routingpatch import RoutingHistory
 from chicoryproxy.ids import NO_VERSION, DomainId, ServiceId, UpstreamId, Version
 
 RETURN_GRACE_S = 2.5
-"""Registrations that expired during an outage of the store return within two seconds after it."""
+"""Registrations that expired during an outage of the store return within two seconds after it, and
+so does what it lost if it came back from an older copy."""
 
 STORE_RECOVERY_S = 3.0
 """For this long after a failed read, a removed registration may merely have expired."""
@@ -79,7 +81,7 @@
         self._addresses = AddressOwners()
         self._missing: dict[UpstreamId, Lifetime] = {}
         self._ended: dict[str, Lifetime] = {}
-        self._domains_out: set[DomainId] = set()
+        self._disabled_domains = DisabledDomains(RETURN_GRACE_S)
         self._store_failed_s = float("-inf")
 
     @property
@@ -122,12 +124,20 @@
 
     def is_domain_out(self, domain: DomainId) -> bool:
         """Return whether operators have taken a failure domain out of service."""
-        return domain in self._domains_out
+        return domain in self._disabled_domains
 
     def record_store_failure(self, now: float) -> None:
         """Record a failed read of the store; later removals may be expired registrations."""
         self._store_failed_s = now
 
+    def record_store_restored(self, now: float) -> None:
+        """Record that the store came back from an older copy.
+
+        What was written since the copy is missing there until it is written again.
+        """
+        self.record_store_failure(now)
+        self._disabled_domains.record_restore(now)
+
     def may_have_expired(self, lifetime: Lifetime, now: float) -> bool:
         """Return whether a missing lifetime is probably alive: the store was unavailable.
 
@@ -168,6 +178,8 @@
     def expire(self, now: float) -> list[DirectoryEvent]:
         """End lifetimes that are missing for too long, and discard old ended ones."""
         events: list[DirectoryEvent] = []
+        for domain, revision in self._disabled_domains.pop_returned(now).items():
+            events.append(self._create_domain_back(domain, revision, now))
         for lifetime in list(self._missing.values()):
             if now - lifetime.phase_since_s >= RETURN_GRACE_S:
                 events.append(self._end(lifetime, "missing for too long", 0, now))
@@ -187,9 +199,10 @@
         identity = get_identity(entry)
         known = self._current.get(entry.id)
         events: list[DirectoryEvent] = []
-        if known is not None and is_outdated(entry, known):
-            known.keep_cold(entry, now)
-            detail = f"registration precedes the one of revision {known.revision}"
+        former = known or self._ended.get(identity)
+        if former is not None and is_outdated(entry, former):
+            former.keep_cold(entry, now)
+            detail = f"registration precedes the one of revision {former.revision}"
             kind = DirectoryEventKind.UPSTREAM_OUTDATED
             return [DirectoryEvent(kind, entry.id, detail, revision)]
         if known is not None and known.identity != identity:
@@ -245,27 +258,30 @@
         return events
 
     def _apply_domain(
-        self, fact: DomainOut | DomainBack, revision: int, now: float
+        self, fact: DomainOut | DomainBack, revision: Revision, now: float
     ) -> list[DirectoryEvent]:
         if isinstance(fact, DomainOut):
-            self._domains_out.add(fact.domain)
+            self._disabled_domains.take_out(fact.domain)
             return [
                 DirectoryEvent(
                     DirectoryEventKind.DOMAIN_OUT, fact.domain, "gets no openings", revision
                 )
             ]
-        if fact.domain not in self._domains_out and not self._was_out_unseen(revision):
+        if fact.domain not in self._disabled_domains and not self._was_out_unseen(revision):
             return []
-        self._domains_out.discard(fact.domain)
-        # The upstreams of the domain may have lost their caches while it was out of service.
+        if not self._disabled_domains.bring_back(fact.domain, revision, now):
+            return []
+        return [self._create_domain_back(fact.domain, revision, now)]
+
+    def _create_domain_back(
+        self, domain: DomainId, revision: Revision, now: float
+    ) -> DirectoryEvent:
+        """Mark the upstreams of a domain as cold, since they may have lost their caches."""
         for lifetime in self._current.values():
-            if lifetime.entry.domain == fact.domain:
+            if lifetime.entry.domain == domain:
                 self._mark_cold(lifetime, now)
-        return [
-            DirectoryEvent(
-                DirectoryEventKind.DOMAIN_BACK, fact.domain, "upstreams are cold", revision
-            )
-        ]
+        kind = DirectoryEventKind.DOMAIN_BACK
+        return DirectoryEvent(kind, domain, "upstreams are cold", revision)
 
     def _was_out_unseen(self, revision: int) -> bool:
         """Return whether a domain that is back was out between the last view and a change.
--- a/src/chicoryproxy/node/storewatch.py
+++ b/src/chicoryproxy/node/storewatch.py
@@ -8,6 +8,9 @@
 from chicoryproxy.forwarding.view.readerpolicy import ReaderPolicy
 from chicoryproxy.platform.store import Listing, ReadFailure, StoreClient, WatchResult
 
+NEEDS_LISTING = (ReadFailure.HISTORY_LOST, ReadFailure.RESTORED)
+"""After these failures a watch can't continue from the known revision."""
+
 RETRY_MIN_S = 0.1
 RETRY_MAX_S = 0.8
 RESPONSE_TIMEOUT_S = 1.0
@@ -50,7 +53,7 @@
     """Lists the store, then watches its changes while the policy selects this entry as a reader.
 
     The store is listed at the start, and again when it no longer has the history that a watch
-    needs.
+    needs, or has come back from an older copy.
 
     :param policy: decides whether this entry reads now, and how long a watch may wait.
     """
@@ -136,7 +139,7 @@
         self._schedule(BATCH_DELAY_S if result.changes else 0.0)
 
     def _handle_failure(self, failure: ReadFailure) -> None:
-        if failure is ReadFailure.HISTORY_LOST:
+        if failure in NEEDS_LISTING:
             self._needs_listing = True
         self._is_following = False
         self._has_timed_out = failure is ReadFailure.TIMEOUT and not self._has_timed_out
--- a/src/chicoryproxy/node/view.py
+++ b/src/chicoryproxy/node/view.py
@@ -19,6 +19,7 @@
 from chicoryproxy.forwarding.view.catchup import CatchUp
 from chicoryproxy.forwarding.view.directory import Directory
 from chicoryproxy.forwarding.view.directoryevent import DirectoryEvent
+from chicoryproxy.forwarding.view.epoch import get_epoch
 from chicoryproxy.forwarding.view.readerpolicy import ReaderPolicy
 from chicoryproxy.forwarding.view.replica import Replica
 from chicoryproxy.node.entrymetrics import EntryMetrics
@@ -196,6 +197,7 @@
             # unavailable, although this entry didn't read it. Upstreams that vanish now may still
             # run: their records may have lapsed.
             self.directory.record_store_failure(now)
+        self._handle_restore(revision, now)
         self.directory.confirmed_s = self.peers.confirmed_s
         is_newer_whole = since > self.replica.synced
         for change in changes:
@@ -208,6 +210,14 @@
         if has_more:
             self.announce()
 
+    def _handle_restore(self, revision: Revision, now: float) -> None:
+        """Follow that the store has come back from an older copy, if a new revision shows it."""
+        synced = self.replica.synced
+        if not synced or get_epoch(revision) <= get_epoch(synced):
+            return
+        self.directory.record_store_restored(now)
+        self._journal.write("store_restored", former=synced, revision=revision)
+
     def _apply(self, change: Change, now: float) -> None:
         """Apply a change; an unexpected error in one must not hold up the changes of other keys."""
         self._loop.call(lambda: self._report_view_changes(self.directory.apply(change, now)))
--- a/src/chicoryproxy/platform/store.py
+++ b/src/chicoryproxy/platform/store.py
@@ -7,14 +7,21 @@
 import base64
 from collections.abc import Callable, Collection
 from enum import Enum, unique
-from typing import TypeVar
+from typing import Generic, TypeVar
 
 from msgspec import Struct, field
 
 from chicoryproxy.endpoint import Endpoint
-from chicoryproxy.eventloop.http import HttpClient, HttpFailure, HttpResult, HttpTimeout
+from chicoryproxy.eventloop.http import (
+    HttpClient,
+    HttpFailure,
+    HttpResponse,
+    HttpResult,
+    HttpTimeout,
+)
 from chicoryproxy.eventloop.loop import Loop
-from chicoryproxy.forwarding.model import NO_REVISION, Change, Revision
+from chicoryproxy.forwarding.model import Change, Revision
+from chicoryproxy.forwarding.view.epoch import create_revision, get_epoch, get_number
 from chicoryproxy.ids import DomainId
 from chicoryproxy.platform.jsonvalue import UnreadableValueError, decode_json
 from chicoryproxy.platform.records import decode_item
@@ -22,19 +29,26 @@
 LIST_TIMEOUT_S = 2.0
 ALL_KEYS_PREFIX = ""
 
+EPOCH_HEADER = b"store-era"
+"""Present in each answer; a store without it has never come back from an older copy."""
+
 Body = TypeVar("Body")
 Result = TypeVar("Result")
 
 
 @unique
 class ReadFailure(Enum):
-    """Why a read failed."""
+    """Why a read failed.
+
+    ``RESTORED``: the store has come back from an older copy since the last read or during this one.
+    """
 
     UNREACHABLE = "unreachable"
     TIMEOUT = "timeout"
     BUSY = "busy"
     UNAVAILABLE = "unavailable"
     HISTORY_LOST = "history_lost"
+    RESTORED = "restored"
     UNREADABLE = "unreadable"
 
 
@@ -77,6 +91,16 @@
     events: tuple[_Item, ...] = ()
 
 
+class _Answer(Struct, Generic[Body], frozen=True):
+    """A successful answer.
+
+    :param epoch: epoch of the store that gave it.
+    """
+
+    body: Body
+    epoch: int
+
+
 _FAILURE_BY_STATUS = {
     410: ReadFailure.HISTORY_LOST,
     429: ReadFailure.BUSY,
@@ -111,7 +135,7 @@
         """
         prefix = f"/-/kv-range?Prefix={ALL_KEYS_PREFIX}"
         query = f"{prefix}&AllowStale=1" if allow_stale else prefix
-        self._list_page(query, "", [], NO_REVISION, on_result)
+        self._list_page(query, "", (), on_result)
 
     def watch(
         self,
@@ -126,11 +150,15 @@
         :param response_timeout_s: time that the response may take beyond the wait, in seconds.
         """
         wait_ms = max(1, round(wait_s * 1000))
-        query = f"/-/kv-watch?Prefix={ALL_KEYS_PREFIX}&after={revision}&WaitMs={wait_ms}"
+        after = get_number(revision)
+        query = f"/-/kv-watch?Prefix={ALL_KEYS_PREFIX}&after={after}&WaitMs={wait_ms}"
 
-        def convert(events: _Events) -> WatchResult:
-            changes = tuple(self._decode_items(events.events))
-            return WatchResult(changes, Revision(events.revision))
+        def convert(events: _Events, epoch: int) -> WatchResult | ReadFailure:
+            if epoch != get_epoch(revision):
+                # The same number means another revision; changes before it may be unknown.
+                return ReadFailure.RESTORED
+            changes = tuple(self._decode_items(events.events, epoch))
+            return WatchResult(changes, create_revision(epoch, events.revision))
 
         self._call(query, wait_s + response_timeout_s, _Events, convert, on_result)
 
@@ -142,30 +170,26 @@
         self,
         query: str,
         after: str,
-        changes: list[Change],
-        revision: Revision,
+        earlier: tuple[Listing, ...],
         on_result: Callable[[Listing | ReadFailure], None],
     ) -> None:
 
-        def convert(page: _Page) -> Listing | None:
-            # Pages can differ in age. A watch from the lowest revision misses no change and only
-            # repeats some that newer pages already contained.
-            lowest = min(revision, page.revision) if revision else page.revision
-            changes.extend(self._decode_items(page.items))
+        def convert(page: _Page, epoch: int) -> Listing | ReadFailure | None:
+            changes = tuple(self._decode_items(page.items, epoch))
+            pages = (*earlier, Listing(changes, create_revision(epoch, page.revision)))
             if page.has_more and page.items:
-                last = page.items[-1].key
-                self._list_page(query, last, changes, Revision(lowest), on_result)
+                self._list_page(query, page.items[-1].key, pages, on_result)
                 return None
-            return Listing(tuple(changes), Revision(lowest))
+            return _join_pages(pages)
 
         target = f"{query}&after={_percent_encode(after)}" if after else query
         self._call(target, LIST_TIMEOUT_S, _Page, convert, on_result)
 
-    def _decode_items(self, items: tuple[_Item, ...]) -> list[Change]:
-        changes = (self._decode_item(item) for item in items)
+    def _decode_items(self, items: tuple[_Item, ...], epoch: int) -> list[Change]:
+        changes = (self._decode_item(item, epoch) for item in items)
         return [change for change in changes if change is not None]
 
-    def _decode_item(self, item: _Item) -> Change | None:
+    def _decode_item(self, item: _Item, epoch: int) -> Change | None:
         value: bytes | None = None
         if not item.is_deleted:
             try:
@@ -173,20 +197,21 @@
             except ValueError:
                 # An empty value is not valid JSON and is reported as an unreadable entry.
                 value = b""
-        return decode_item(item.key, value, Revision(item.revision), self._domains)
+        revision = create_revision(epoch, item.revision)
+        return decode_item(item.key, value, revision, self._domains)
 
     def _call(
         self,
         target: str,
         timeout_s: float,
         kind: type[Body],
-        convert: Callable[[Body], Result | None],
+        convert: Callable[[Body, int], Result | ReadFailure | None],
         on_result: Callable[[Result | ReadFailure], None],
     ) -> None:
         """Send one request of a read.
 
         :param convert: returns the result of the read, or ``None`` if it goes on with another
-            request.
+            request. Its arguments are the body and the epoch of the answer.
         :param on_result: called with the result. An unexpected error also ends the read and is a
             failure, because the caller starts the next read only after this one.
         """
@@ -194,8 +219,11 @@
         def finish(response: HttpResult) -> None:
             result: Result | ReadFailure | None = ReadFailure.UNREADABLE
             try:
-                body = _decode_response(response, kind)
-                result = body if isinstance(body, ReadFailure) else convert(body)
+                answer = _decode_response(response, kind)
+                if isinstance(answer, ReadFailure):
+                    result = answer
+                else:
+                    result = convert(answer.body, answer.epoch)
             finally:
                 if result is not None:
                     on_result(result)
@@ -204,7 +232,7 @@
         self._http.get(target, timeout_s, finish)
 
 
-def _decode_response(result: HttpResult, kind: type[Body]) -> Body | ReadFailure:
+def _decode_response(result: HttpResult, kind: type[Body]) -> _Answer[Body] | ReadFailure:
     if isinstance(result, HttpTimeout):
         return ReadFailure.TIMEOUT
     if isinstance(result, HttpFailure):
@@ -212,11 +240,36 @@
     if result.status != 200:
         return _FAILURE_BY_STATUS.get(result.status, ReadFailure.UNREADABLE)
     try:
-        return decode_json(result.body, kind)
+        return _Answer(decode_json(result.body, kind), _read_epoch(result))
     except UnreadableValueError:
         return ReadFailure.UNREADABLE
 
 
+def _read_epoch(response: HttpResponse) -> int:
+    """Return the epoch of the store that gave an answer, zero if it names none.
+
+    :raises UnreadableValueError: if it is not a number.
+    """
+    text = response.headers.get(EPOCH_HEADER, b"0")
+    if not text.isdigit():
+        raise UnreadableValueError(f"header {EPOCH_HEADER!r} is {text!r}, not a number")
+    return int(text)
+
+
+def _join_pages(pages: tuple[Listing, ...]) -> Listing | ReadFailure:
+    """Join the pages of a listing, which can differ in age.
+
+    A watch from the lowest revision misses no change and only repeats some that newer pages already
+    contained.
+
+    :returns: a failure if the store has come back from an older copy between two pages.
+    """
+    if len({get_epoch(page.revision) for page in pages}) > 1:
+        return ReadFailure.RESTORED
+    changes = tuple(change for page in pages for change in page.changes)
+    return Listing(changes, min(page.revision for page in pages))
+
+
 def _percent_encode(key: str) -> str:
     """Percent-encode a key for use in a query."""
     return "".join(
--- a/tests/forwarding/test_catchup.py
+++ b/tests/forwarding/test_catchup.py
@@ -13,11 +13,13 @@
     UpstreamUnlisted,
 )
 from chicoryproxy.forwarding.peers.peermessages import encode_message
+from chicoryproxy.forwarding.view.epoch import create_revision, get_epoch, get_number
 from chicoryproxy.forwarding.view.replica import get_domain_key, get_upstream_key
 from chicoryproxy.ids import DomainId, UpstreamId
 from chicoryproxy.model import Endpoint
 from tests.forwarding.harness import OTHER_DOMAIN, ForwarderHarness
 from tests.forwarding.replicanode import ReplicaNode
+from tests.forwarding.test_routingpatch import create_routing
 
 ENTRIES = 3
 NAMES = ("i-1", "i-2", "i-3")
@@ -43,29 +45,46 @@
 
 
 class FakeStore:
-    """All changes since the first revision."""
+    """All changes since the first revision, each with its number.
+
+    :ivar epoch: how often the store came back from an older copy.
+    """
 
     def __init__(self):
-        self.changes = []
+        self.epoch = 0
+        self._changes = []
 
     @property
     def revision(self):
         """Revision of the last change."""
-        return len(self.changes)
+        return self.get_revision(len(self._changes))
+
+    def get_revision(self, number):
+        """Return a revision of the present epoch, the first one if the number is negative."""
+        return create_revision(self.epoch, max(0, number))
 
     def toggle(self, name):
         """Register or remove an upstream."""
         is_present = any(item.key == get_upstream_key(name) for item in self.list_at(self.revision))
-        self.changes.append((remove if is_present else add)(name, self.revision + 1))
+        change = remove if is_present else add
+        self._changes.append(lambda revision: change(name, revision))
+
+    def restore(self, lost):
+        """Come back from a copy that lacks the last changes."""
+        self.epoch += 1
+        del self._changes[max(0, len(self._changes) - lost) :]
 
     def list_at(self, revision):
         """Return the keys that existed at a revision."""
-        newest = {change.key: change for change in self.changes[:revision]}
+        newest = {item.key: item for item in self._read(0, get_number(revision))}
         return [item for item in newest.values() if isinstance(item.fact, UpstreamListed)]
 
     def watch(self, revision):
-        """Return the changes after a revision."""
-        return self.changes[revision:]
+        """Return the changes after a revision of the present epoch."""
+        return self._read(get_number(revision), len(self._changes))
+
+    def _read(self, after, last):
+        return [self._changes[n](self.get_revision(n + 1)) for n in range(after, last)]
 
 
 def test_a_removal_reaches_entries_that_are_behind_a_newly_started_one():
@@ -122,9 +141,27 @@
     assert [item.revision for item in reply.changes] == [17]
 
 
+# CONFIG: the version was published again after the store had lost it; its patch brought it under
+# its former revision, so that entries that asked for later changes did not get it.
+def test_a_version_that_was_published_again_is_passed_on_under_its_later_revision():
+    """The second entry learns the version by a patch, and the third one from the second."""
+    routings = {version: create_routing(version, {1: version, 2: 1, 3: 1}) for version in (1, 3)}
+    first, second, third = ReplicaNode(), ReplicaNode(), ReplicaNode()
+    for node in (first, second, third):
+        node.publish(routings[1], 1)
+    first.publish(routings[3], 2)
+    first.publish(routings[3], 5)
+    third.watch([], 4)
+    second.fetch_changes(first)
+    third.fetch_changes(second)
+    assert third.replica.synced == 5
+    assert third.directory.version == 3
+
+
 steps = st.lists(
     st.one_of(
         st.tuples(st.just("toggle"), st.sampled_from(NAMES)),
+        st.tuples(st.just("restore"), st.integers(0, 4)),
         st.tuples(st.just("start"), st.integers(0, ENTRIES - 1)),
         st.tuples(st.just("list"), st.integers(0, ENTRIES - 1), st.integers(0, 4)),
         st.tuples(st.just("watch"), st.integers(0, ENTRIES - 1)),
@@ -140,14 +177,19 @@
     kind, *values = step
     if kind == "toggle":
         store.toggle(values[0])
+    elif kind == "restore":
+        store.restore(values[0])
     elif kind == "start":
         nodes[values[0]] = ReplicaNode()
     elif kind == "list":
-        revision = max(0, store.revision - values[1])
+        revision = store.get_revision(get_number(store.revision) - values[1])
         nodes[values[0]].list_store(store.list_at(revision), revision)
     elif kind == "watch" and nodes[values[0]].replica.synced:
         node = nodes[values[0]]
-        node.watch(store.watch(node.replica.synced), store.revision)
+        if get_epoch(node.replica.synced) == store.epoch:
+            node.watch(store.watch(node.replica.synced), store.revision)
+        else:
+            node.list_store(store.list_at(store.revision), store.revision)
     elif kind == "fetch" and values[0] != values[1]:
         nodes[values[0]].fetch_changes(nodes[values[1]])
 
@@ -155,13 +197,18 @@
 @settings(max_examples=300, deadline=None)
 @given(steps)
 def test_an_entry_holds_what_the_store_held_at_its_revision(history):
-    """Entries start, list, watch and ask each other in any order; none keeps a removed upstream."""
+    """Entries start, list, watch and ask each other in any order; none keeps a removed upstream.
+
+    The store comes back from older copies meanwhile, of which not all entries know at once.
+    """
     store, nodes = FakeStore(), [ReplicaNode() for _ in range(ENTRIES)]
     for step in history:
         take_step(store, nodes, step)
         for node in nodes:
             synced = node.replica.synced
-            later = {change.key for change in store.changes[synced:]}
+            if get_epoch(synced) < store.epoch:
+                continue
+            later = {change.key for change in store.watch(synced)}
             held = {item.key for item in store.list_at(synced)} - later
             names = {get_upstream_key(name) for name in list_present(node)} - later
             assert names == held
--- a/tests/node/fakestore.py
+++ b/tests/node/fakestore.py
@@ -77,8 +77,8 @@
     def reply(self, status, body):
         """Send a response with a JSON body."""
         data = json.dumps(body).encode()
-        head = f"HTTP/1.1 {status} X\r\nContent-Length: {len(data)}\r\n\r\n".encode()
-        self.stream.write(head + data)
+        head = f"HTTP/1.1 {status} X\r\n{self._store.get_epoch_header()}"
+        self.stream.write(f"{head}Content-Length: {len(data)}\r\n\r\n".encode() + data)
         self._store.on_reply()
 
 
@@ -92,6 +92,8 @@
     :ivar delay_s: time that each response takes, in seconds.
     :ivar stale_revision: revision that listings with ``AllowStale`` show, if not ``None``.
     :ivar page_size: maximum number of items of a page.
+    :ivar epoch: rises when the store comes back from a copy; text if the header is malformed, and
+        ``None`` if answers have none.
     """
 
     def __init__(self, loop: Loop) -> None:
@@ -102,6 +104,7 @@
         self.delay_s = 0.0
         self.stale_revision = None
         self.page_size = 50
+        self.epoch = None
         self.history_from = 0
         self.revision = 0
         self._loop = loop
@@ -131,6 +134,20 @@
         """Compact the history; watches from an earlier revision get status 410."""
         self.history_from = self.revision
 
+    def copy(self):
+        """Return a copy of what the store holds now."""
+        return list(self._events)
+
+    def restore(self, copy):
+        """Come back from a copy in a new epoch; later changes are lost, their revisions free."""
+        self._events = list(copy)
+        self.revision = copy[-1]["Revision"]
+        self.epoch = (self.epoch or 0) + 1
+
+    def get_epoch_header(self):
+        """Return the line of the header that names the epoch."""
+        return "" if self.epoch is None else f"Store-Era: {self.epoch}\r\n"
+
     def silence_connections(self):
         """Answer no further request on the open connections; new ones work."""
         for connection in self._connections:
@@ -182,7 +199,7 @@
         connection.reply(200, body)
 
     def _answer_watch(self, connection, after, due_s):
-        if after < self.history_from:
+        if after < self.history_from or after > self.revision:
             connection.reply(410, {})
             return
         events = [event for event in self._events if event["Revision"] > after]
--- a/tests/node/test_storewatch.py
+++ b/tests/node/test_storewatch.py
@@ -381,3 +381,71 @@
     watch.start()
     run_until(loop, lambda: listener.confirmations)
     assert "upstream/i-0001" in listener.changes
+
+
+# CONFIG: a store that came back from an older copy gave out the same revisions again; what it
+# acknowledged afterwards counted as old and was never applied.
+@pytest.mark.parametrize("lost", [12, 1])
+@pytest.mark.parametrize("epoch", [None, 1])
+def test_a_store_that_comes_back_from_an_older_copy_is_followed(
+    loop, store, listener, watch, lost, epoch
+):
+    store.epoch = epoch
+    store.put("op/config", create_config(3))
+    copy = store.copy()
+    for number in range(lost):
+        store.put("op/config", create_config(4 + number))
+    watch.start()
+    run_until(loop, lambda: listener.confirmations)
+    former = listener.synced
+    store.restore(copy)
+    store.put("op/evacuate/shah-alam", {})
+    run_until(loop, lambda: "domain/shah-alam" in listener.changes)
+    assert listener.synced > former
+    before = listener.confirmations
+    store.put("servers/i-0001", create_server_entry())
+    run_until(loop, lambda: "upstream/i-0001" in listener.changes)
+    assert listener.confirmations > before
+
+
+# CONFIG: once its revisions had passed the known one, a watch went on from there and skipped what
+# had been written in between.
+def test_a_restored_store_is_listed_also_if_its_revisions_have_passed_the_known_one(
+    loop, store, listener, watch
+):
+    store.put("op/config", create_config(3))
+    copy = store.copy()
+    store.put("op/config", create_config(4))
+    watch.start()
+    run_until(loop, lambda: listener.confirmations)
+    store.restore(copy)
+    store.put("op/evacuate/shah-alam", {})
+    for number in range(9):
+        store.put(f"servers/i-{number:04x}", create_server_entry())
+    run_until(loop, lambda: "domain/shah-alam" in listener.changes)
+    assert ReadFailure.RESTORED in listener.failures
+
+
+def test_a_listing_during_which_the_store_is_restored_is_repeated(loop, store, listener, watch):
+    """The pages before and after it are of two histories, and no revision joins them."""
+    store.page_size = 2
+    store.put("servers/i-0009", create_server_entry())
+    copy = store.copy()
+    for number in range(4):
+        store.put(f"servers/i-{number:04x}", create_server_entry())
+    answers = iter([lambda: store.restore(copy)])
+    store.on_reply = lambda: next(answers, lambda: None)()
+    watch.start()
+    run_until(loop, lambda: listener.confirmations)
+    assert ReadFailure.RESTORED in listener.failures
+    assert set(listener.changes) == {"upstream/i-0009"}
+
+
+def test_an_answer_whose_epoch_is_not_a_number_is_unreadable(loop, store, listener, watch):
+    store.put("op/config", create_config(3))
+    store.epoch = "first"
+    watch.start()
+    run_until(loop, lambda: ReadFailure.UNREADABLE in listener.failures)
+    assert not listener.changes
+    store.epoch = 1
+    run_until(loop, lambda: listener.confirmations)
--- a/tests/node/test_view.py
+++ b/tests/node/test_view.py
@@ -23,6 +23,7 @@
     PeerAddress,
     encode_message,
 )
+from chicoryproxy.forwarding.view.directory import RETURN_GRACE_S
 from chicoryproxy.forwarding.view.readerpolicy import MAX_BEHIND_S
 from chicoryproxy.forwarding.view.replica import ROUTING_KEY, get_upstream_key
 from chicoryproxy.ids import DomainId, InstanceId, RegionId, UpstreamId, Version
@@ -33,7 +34,13 @@
 from tests.forwarding.harness import OWN_DOMAIN, ForwarderHarness
 from tests.forwarding.replicanode import ReplicaNode
 from tests.forwarding.test_routingpatch import create_routing
-from tests.node.fakestore import HOST, create_config, pick_port, run_until
+from tests.node.fakestore import (
+    HOST,
+    create_config,
+    create_server_entry,
+    pick_port,
+    run_until,
+)
 
 
 class NoTraffic(TrafficReports):
@@ -198,3 +205,98 @@
     assert view.directory.find_present(entry.id).is_leaving
     assert view.replica.synced == known_version
     assert view.directory.version == known_version
+
+
+class RestoredStore:
+    """A store with an upstream, a version and a domain that is out; it comes back without some.
+
+    :ivar view: a view that has read all of it.
+    """
+
+    def __init__(self, loop, store, view):
+        self.view = view
+        self._store = store
+        self._copies = {}
+        store.put("op/config", create_config(3))
+        self._copies["without the upstream"] = store.copy()
+        store.put("servers/i-0001", create_server_entry(zone=OWN_DOMAIN))
+        self._copies["without the domain"] = store.copy()
+        store.put(f"op/evacuate/{OWN_DOMAIN}", {})
+        self._copies["without the drain"] = store.copy()
+        store.put(
+            "servers/i-0001",
+            create_server_entry(zone=OWN_DOMAIN, State="draining", Sequence=9),
+        )
+        store.put("op/config", create_config(5))
+        view.start()
+        run_until(loop, lambda: view.is_complete and view.directory.version == 5)
+
+    def restore(self, name):
+        """Come back from one of the copies."""
+        self._store.restore(self._copies[name])
+
+
+@pytest.fixture
+def restored(loop, store, view):
+    """A store that a view has read, before it is restored."""
+    return RestoredStore(loop, store, view)
+
+
+# CONFIG: versions and evacuations that were acknowledged after the store came back were not seen.
+def test_a_version_that_is_published_after_a_restore_is_applied(loop, store, restored):
+    restored.restore("without the upstream")
+    store.put("op/config", create_config(8))
+    run_until(loop, lambda: restored.view.directory.version == 8)
+    assert restored.view.is_complete
+
+
+def test_the_newest_version_stays_in_force_while_a_restored_store_has_an_older_one(
+    loop, store, restored
+):
+    restored.restore("without the upstream")
+    former = restored.view.replica.synced
+    run_until(loop, lambda: restored.view.replica.synced > former)
+    assert restored.view.directory.version == 5
+
+
+def test_a_domain_stays_out_while_a_restored_store_may_have_lost_it(loop, store, restored):
+    """EVAC: openings would go there until operators have written it again."""
+    restored.restore("without the domain")
+    former = restored.view.replica.synced
+    run_until(loop, lambda: restored.view.replica.synced > former)
+    assert restored.view.directory.is_domain_out(DomainId(OWN_DOMAIN))
+    restored.view.expire(loop.read_clock() + RETURN_GRACE_S)
+    assert not restored.view.directory.is_domain_out(DomainId(OWN_DOMAIN))
+
+
+def test_an_upstream_that_leaves_does_so_also_if_a_restored_store_has_lost_it(
+    loop, store, restored
+):
+    """DRAIN: its registration from before the drain is older by its sequence number."""
+    restored.restore("without the drain")
+    former = restored.view.replica.synced
+    run_until(loop, lambda: restored.view.replica.synced > former)
+    (lifetime,) = restored.view.directory.iterate_present()
+    assert lifetime.is_leaving
+
+
+def test_an_upstream_that_has_left_is_not_restored_with_the_store(loop, store, restored):
+    store.delete("servers/i-0001")
+    run_until(loop, lambda: not list(restored.view.directory.iterate_present()))
+    restored.restore("without the drain")
+    former = restored.view.replica.synced
+    run_until(loop, lambda: restored.view.replica.synced > former)
+    assert not list(restored.view.directory.iterate_present())
+
+
+def test_an_upstream_that_a_restored_store_has_lost_may_be_alive(loop, store, restored):
+    store.put(
+        "servers/i-0002",
+        create_server_entry(zone=OWN_DOMAIN, Address="10.128.0.10:8080"),
+    )
+    run_until(loop, lambda: restored.view.directory.find_present(UpstreamId("i-0002")))
+    restored.restore("without the drain")
+    former = restored.view.replica.synced
+    run_until(loop, lambda: restored.view.replica.synced > former)
+    lifetime = restored.view.directory.find_present(UpstreamId("i-0002"))
+    assert restored.view.directory.may_have_expired(lifetime, loop.read_clock())
