--- a/tests/forwarding/test_registration_order.py
+++ b/tests/forwarding/test_registration_order.py
@@ -9,6 +9,7 @@
 from chicoryproxy.forwarding.peers.peermessages import encode_message
 from chicoryproxy.forwarding.view import replica as replica_module
 from chicoryproxy.forwarding.view.directory import RETURN_GRACE_S
+from chicoryproxy.forwarding.view.epoch import get_epoch, get_number
 from chicoryproxy.forwarding.view.lifetime import find_later
 from chicoryproxy.forwarding.view.marks import compute_mark
 from chicoryproxy.forwarding.view.replica import Replica, get_upstream_key
@@ -28,7 +29,7 @@
 FOREIGN = ServiceId("of-another-writer")
 
 ENTRIES = 4
-KINDS = ("toggle", "start", "list", "watch", "reply", "deliver")
+KINDS = ("toggle", "start", "list", "watch", "reply", "deliver", "restore")
 WEIGHTS = (35, 5, 12, 10, 18, 20)
 
 
@@ -198,13 +199,14 @@
             request = node.create_request()
             reply = encode_message(self.nodes[peer].exchange.create_reply(request, 0.0))
             self.in_flight.append((entry, lambda: node.handle_reply(request, reply)))
-        elif kind == "watch" and synced:
+        elif kind == "watch" and synced and get_epoch(synced) == store.epoch:
             changes, revision = store.watch(synced), store.revision
             self.in_flight.append((entry, lambda: node.watch(changes, revision)))
         elif kind == "list":
             # Only the first listing may be stale, and its pages differ in age.
             ages = [0, 0, 0] if synced else [age, 0, age // 2]
-            revisions = [max(0, store.revision - item) for item in ages]
+            newest = get_number(store.revision)
+            revisions = [store.get_revision(newest - item) for item in ages]
             keys = [get_upstream_key(name) for name in NAMES]
             pages = zip(keys, revisions, strict=True)
             items = [item for key, at in pages for item in store.list_at(at) if item.key == key]
@@ -226,7 +228,9 @@
         wrong = []
         for node in self.nodes:
             synced = node.replica.synced
-            later = {item.key for item in self.store.changes[synced:]}
+            if get_epoch(synced) < self.store.epoch:
+                continue
+            later = {item.key for item in self.store.watch(synced)}
             held = {item.key for item in self.store.list_at(synced)} - later
             if {get_upstream_key(name) for name in list_present(node)} - later != held:
                 wrong.append(node)
@@ -234,14 +238,17 @@
 
 
 # Random histories from fixed seeds, since a search by hypothesis rarely goes that deep.
-def test_answers_that_arrive_late_leave_no_entry_wrong():
+@pytest.mark.parametrize("restores", [0, 6])
+def test_answers_that_arrive_late_leave_no_entry_wrong(restores):
     for seed in range(400):
         prng, network = random.Random(seed), LateNetwork()
         for _ in range(60):
-            kind = prng.choices(KINDS, WEIGHTS)[0]
+            kind = prng.choices(KINDS, (*WEIGHTS, restores))[0]
             entry, peer = prng.randrange(ENTRIES), prng.randrange(ENTRIES)
             if kind == "toggle":
                 network.store.toggle(prng.choice(NAMES))
+            elif kind == "restore":
+                network.store.restore(prng.randrange(5))
             elif kind == "start":
                 network.restart(entry)
             elif kind == "deliver":
