Let unused upstreams repeat the mark of the flow's upstream

Cause: the copy of the opening goes to a second upstream, and both answer. The unused one repeats its answer for about 9 s, and the caller echoes the mark that came last. An entry without a record of the flow has nothing but that mark.

Ruled out: resets by the entries (each came from an upstream that had got a copy), and the entry with the record (without restarts no flow is reset).

Fix: when the flow is open, the upstreams that it does not use get the opening once more, the caller's own packet with the mark of the flow's upstream, which they echo from then on.

--- a/src/chicoryproxy/forwarding/flows.py
+++ b/src/chicoryproxy/forwarding/flows.py
@@ -25,6 +25,9 @@
     :ivar upstream: where its packets go; ``None`` before the first is assigned.
     :ivar tried: upstreams that got a copy of its opening.
     :ivar tried_s: when the last of these upstreams got its first copy.
+    :ivar opening: the last copy of its opening that an upstream got; empty if it isn't needed.
+    :ivar corrected_s: when the opening was last sent again to upstreams that the flow doesn't use.
+    :ivar corrected_to: whose mark it had then.
     :ivar opened_s: time of its first packet at this entry.
     :ivar seen_s: time of its last packet at this entry.
     :ivar sent: highest offset of the caller's opening or data seen; negative before the first.
@@ -42,6 +45,9 @@
         "upstream",
         "tried",
         "tried_s",
+        "opening",
+        "corrected_s",
+        "corrected_to",
         "opened_s",
         "seen_s",
         "sent",
@@ -59,6 +65,9 @@
         self.upstream: Lifetime | None = None
         self.tried: list[Lifetime] = []
         self.tried_s = now
+        self.opening = b""
+        self.corrected_s = float("-inf")
+        self.corrected_to: Lifetime | None = None
         self.opened_s = now
         self.seen_s = now
         self.sent = -1
--- a/src/chicoryproxy/forwarding/forwarder.py
+++ b/src/chicoryproxy/forwarding/forwarder.py
@@ -19,7 +19,6 @@
     OpeningPolicy,
     create_opening_policy,
 )
-from chicoryproxy.forwarding.balancing.ramp import RampCause
 from chicoryproxy.forwarding.balancing.slowstart import SlowStart, create_slow_start
 from chicoryproxy.forwarding.flows import Flow, FlowTable
 from chicoryproxy.forwarding.health.domainreachability import DomainReachability
@@ -43,7 +42,9 @@
     is_same_flow,
     is_sequence_after,
 )
+from chicoryproxy.forwarding.trafficevidence import TrafficEvidence
 from chicoryproxy.forwarding.trafficobserver import TrafficObserver
+from chicoryproxy.forwarding.unusedhandshakes import RepeatedOpening, UnusedHandshakes
 from chicoryproxy.forwarding.view.directory import Directory
 from chicoryproxy.forwarding.view.lifetime import Lifetime
 from chicoryproxy.ids import DomainId
@@ -103,7 +104,6 @@
         self.failures = parts.failures
         self.slow_start = parts.slow_start
         self.performance = parts.performance
-        self._overload = parts.overload
         self.admission = parts.admission
         self._domains = parts.domains
         self.recent_openings = RecentOpenings()
@@ -113,6 +113,17 @@
         self.is_rerouting = False
         self._directory = parts.directory
         self.policy = parts.policy
+        self._unused_handshakes = UnusedHandshakes()
+        self._evidence = TrafficEvidence(
+            parts.failure_detector,
+            parts.reachability,
+            parts.failures,
+            parts.overload,
+            parts.slow_start,
+            parts.performance,
+            parts.admission,
+            parts.observer,
+        )
 
     def handle(self, packet: CallerPacket, now: float) -> Decision:
         """Choose the upstream of one packet, or why it is not forwarded."""
@@ -120,6 +131,10 @@
             return self._handle_opening(packet, now)
         return self._handle_established(packet, now)
 
+    def pop_repeated_openings(self) -> list[RepeatedOpening]:
+        """Return the openings that the last packets make necessary to send once more."""
+        return self._unused_handshakes.pop_repeated()
+
     def count_exclusions(self, packet: CallerPacket, now: float) -> Counter[Exclusion]:
         """Count the upstreams of a packet's route that can't accept an opening, by reason."""
         route = self._directory.find_route(packet.route_key)
@@ -187,6 +202,7 @@
         if upstream not in flow.tried:
             flow.tried.append(upstream)
             flow.tried_s = now
+        flow.opening = packet.data
         if upstream.is_cold(now):
             self.cold_budget.record_opening(upstream, now)
         self.flows.assign(flow, upstream)
@@ -216,7 +232,7 @@
 
     def _record_retransmission(self, packet: CallerPacket, flow: Flow, now: float) -> None:
         if packet.acknowledged and flow.tried:
-            self._record_failure(flow.tried[-1], now)
+            self._evidence.record_failure(flow.tried[-1], now)
 
     def _handle_established(self, packet: CallerPacket, now: float) -> Decision:
         flow = self._find_flow(packet)
@@ -241,6 +257,7 @@
             self.flows.assign(flow, upstream)
         else:
             self._record_progress(packet, flow, upstream, now)
+            self._correct_unused_handshakes(packet, flow, now)
         self._record_data(packet, flow, upstream, now)
         return upstream
 
@@ -285,13 +302,22 @@
             self.flows.assign(flow, upstream)
             self.observer.record_handshake(now - flow.opened_s)
             self.recent_openings.record_answer(now)
-            self._record_answer(upstream, now)
+            self._evidence.record_answer(upstream, now)
         elif is_sequence_after(packet.acknowledged, flow.acknowledged):
             flow.acknowledged = packet.acknowledged
             if flow.waiting_since_s is not None:
-                self._record_response(packet, flow, upstream, now - flow.waiting_since_s, now)
+                route = self._directory.find_route(packet.route_key)
+                duration_s = now - flow.waiting_since_s
+                self._evidence.record_response(route, flow, upstream, duration_s, now)
             self.flows.end_wait(flow)
-            self._record_answer(upstream, now)
+            self._evidence.record_answer(upstream, now)
+
+    def _correct_unused_handshakes(self, packet: CallerPacket, flow: Flow, now: float) -> None:
+        route = self._directory.find_route(packet.route_key)
+        if route is not None:
+            self._unused_handshakes.handle_packet(
+                flow, packet.mark, lambda item: self.policy.may_open(item, route), now
+            )
 
     def _record_data(
         self, packet: CallerPacket, flow: Flow, upstream: Lifetime, now: float
@@ -307,39 +333,10 @@
         flow.retransmissions += 1
         flow.retransmitted_s = now
         if flow.retransmissions >= FAILURE_RETRANSMISSIONS:
-            self._record_failure(upstream, now)
+            self._evidence.record_failure(upstream, now)
         else:
             self.reachability.suspect(upstream, now)
 
-    def _record_failure(self, upstream: Lifetime, now: float) -> None:
-        self.reachability.suspect(upstream, now)
-        self.slow_start.record_failure(upstream, now)
-        if self.failure_detector.record_failure(upstream, now):
-            self.slow_start.begin(upstream, RampCause.SUSPECTED, now)
-            self.observer.record_suspicion(upstream, self.failure_detector.get_failures(upstream))
-
-    def _record_response(
-        self, packet: CallerPacket, flow: Flow, upstream: Lifetime, duration_s: float, now: float
-    ) -> None:
-        self.observer.record_response(duration_s)
-        self.slow_start.record_response(upstream, duration_s, now)
-        if not flow.retransmissions:
-            self.performance.record_response(upstream, duration_s, now)
-        route = self._directory.find_route(packet.route_key)
-        if route is not None:
-            retransmission_age_s = now - flow.retransmitted_s if flow.retransmissions else None
-            self._overload.record_response(
-                duration_s, now, route.latency_target_s, retransmission_age_s
-            )
-            self.admission.record_response(
-                route, upstream.entry.service, duration_s, now, retransmission_age_s
-            )
-
-    def _record_answer(self, upstream: Lifetime, now: float) -> None:
-        upstream.answered_s = now
-        self.failure_detector.record_answer(upstream)
-        self.failures.record_success(upstream.entry.domain, now)
-
 
 def create_forwarder(
     domain: DomainId,
--- a/src/chicoryproxy/forwarding/packet.py
+++ b/src/chicoryproxy/forwarding/packet.py
@@ -8,6 +8,7 @@
 class CallerPacket(Struct, gc=False):
     """Header of one packet from a caller.
 
+    :ivar data: the whole packet as the caller sent it.
     :ivar flow: both addresses and ports.
     :ivar host: destination address as an unsigned 32-bit number.
     :ivar port: destination port.
@@ -18,6 +19,7 @@
     :ivar size: bytes of data.
     """
 
+    data: bytes
     flow: FlowId
     host: int
     port: int
--- a/src/chicoryproxy/node/dataplane.py
+++ b/src/chicoryproxy/node/dataplane.py
@@ -139,12 +139,23 @@
             marked = write_mark(data, decision.mark_bytes)
             self._socket.send(decision.prefix + marked, decision.target)
             self._log_forwarded(packet, data, decision)
+            self._repeat_openings(packet.flow)
         elif isinstance(decision, Refusal):
             self._send_reset(packet.flow, packet.acknowledged)
             self._log_refused(packet, decision)
         else:
             self._log_dropped(packet, decision)
 
+    def _repeat_openings(self, flow: FlowId) -> None:
+        for opening in self.forwarder.pop_repeated_openings():
+            upstream = opening.target
+            marked = write_mark(opening.data, opening.mark_bytes)
+            self._socket.send(upstream.prefix + marked, upstream.target)
+            self._metrics.corrected_handshakes += 1
+            self._journal.write_rate_limited(
+                "unused_handshake", flow=describe_flow(flow), upstream=upstream.entry.id
+            )
+
     def _count(self, packet: CallerPacket) -> None:
         if not packet.is_opening:
             self._metrics.packets += 1
--- a/src/chicoryproxy/node/entrymetrics.py
+++ b/src/chicoryproxy/node/entrymetrics.py
@@ -19,6 +19,7 @@
 
     :ivar repeated_openings: retransmitted first packets of flows.
     :ivar leaving_openings: first packets of flows sent to upstreams that aren't serving.
+    :ivar corrected_handshakes: openings sent again to upstreams that their flows don't use.
     :ivar handshakes: time from the first packet of a flow to the caller's acknowledgement.
     :ivar responses: time from a request to the first acknowledged byte of its response.
     """
@@ -33,6 +34,7 @@
         self.broken_flows = 0
         self.unexpected_errors = 0
         self.moved_flows = 0
+        self.corrected_handshakes = 0
         self.probes: Counter[ProbeResult] = Counter()
         self.store_calls = 0
         self.store_failures = 0
@@ -70,6 +72,10 @@
             "packets_total": ("packets of open flows", self.packets),
             "broken_flows_total": ("flows reset without a packet", self.broken_flows),
             "moved_flows_total": ("open flows that changed their upstream", self.moved_flows),
+            "corrected_handshakes_total": (
+                "openings sent again to upstreams that their flows don't use",
+                self.corrected_handshakes,
+            ),
             "store_calls_total": ("calls to the platform's store", self.store_calls),
             "store_failures_total": ("failed calls to the store", self.store_failures),
             "heartbeat_bytes_total": ("bytes of heartbeats sent", self.heartbeat_bytes),
--- a/src/chicoryproxy/platform/header.py
+++ b/src/chicoryproxy/platform/header.py
@@ -42,6 +42,7 @@
     if len(data) != HEADER_BYTES + size or flags & _SYN_ACK == _SYN_ACK:
         return None
     return CallerPacket(
+        data,
         FlowId(data[FLOW_OFFSET:FLOW_END]),
         host,
         port,
--- a/tests/forwarding/harness.py
+++ b/tests/forwarding/harness.py
@@ -209,6 +209,7 @@
         + port.to_bytes(2, "little")
     )
     return CallerPacket(
+        b"opening" if is_opening else b"",
         flow,
         route.host,
         route.port,
