--- a/src/chicoryproxy/forwarding/view/directory.py
+++ b/src/chicoryproxy/forwarding/view/directory.py
@@ -37,6 +37,7 @@
 )
 from chicoryproxy.forwarding.view.disableddomains import DisabledDomains
 from chicoryproxy.forwarding.view.lifetime import Lifetime, find_later, is_outdated
+from chicoryproxy.forwarding.view.markowners import MarkOwners
 from chicoryproxy.forwarding.view.marks import get_identity
 from chicoryproxy.forwarding.view.routingpatch import RoutingHistory
 from chicoryproxy.ids import NO_VERSION, DomainId, ServiceId, UpstreamId, Version
@@ -77,7 +78,7 @@
         self._limits: dict[ServiceId, ServiceLimits] = {}
         self._current: dict[UpstreamId, Lifetime] = {}
         self._services: dict[ServiceId, dict[UpstreamId, Lifetime]] = {}
-        self._marks: dict[Mark, Lifetime] = {}
+        self._marks = MarkOwners()
         self._addresses = AddressOwners()
         self._missing: dict[UpstreamId, Lifetime] = {}
         self._ended: dict[str, Lifetime] = {}
@@ -104,7 +105,7 @@
 
     def find_by_mark(self, mark: Mark) -> Lifetime | None:
         """Return the lifetime with a mark, including ended ones."""
-        return self._marks.get(mark)
+        return self._marks.find(mark)
 
     def find_present(self, upstream: UpstreamId) -> Lifetime | None:
         """Return the lifetime of an upstream that has not ended."""
@@ -189,8 +190,7 @@
             del self._ended[identity]
             if not lifetime.is_replaced:
                 self._addresses.discard(lifetime)
-            if self._marks.get(lifetime.mark) is lifetime:
-                del self._marks[lifetime.mark]
+            self._marks.discard(lifetime)
         return events
 
     def _apply_listed(
@@ -313,19 +313,12 @@
         ]
 
     def _claim_mark(self, lifetime: Lifetime, revision: int) -> list[DirectoryEvent]:
-        """Decide whether a new lifetime or another one with the same mark owns it."""
-        owner = self._marks.get(lifetime.mark)
-        if owner is None or owner is lifetime or owner.phase is UpstreamPhase.GONE:
-            self._marks[lifetime.mark] = lifetime
+        claimants = self._marks.claim(lifetime)
+        if claimants is None:
             return []
-        lesser, greater = sorted((owner, lifetime), key=lambda item: item.identity)
-        self._marks[lifetime.mark] = lesser
-        lesser.is_mark_taken = False
-        greater.is_mark_taken = True
-        detail = f"mark {lifetime.mark:08x} belongs to {lesser.identity}"
-        return [
-            DirectoryEvent(DirectoryEventKind.MARK_COLLISION, greater.entry.id, detail, revision)
-        ]
+        owner, other = claimants
+        detail = f"mark {lifetime.mark:08x} belongs to {owner.identity}"
+        return [DirectoryEvent(DirectoryEventKind.MARK_COLLISION, other.entry.id, detail, revision)]
 
     def _claim_addresses(
         self, service: ServiceId, revision: int, now: float
@@ -383,17 +376,9 @@
         if lifetime.is_replaced:
             self._addresses.discard(lifetime)
         self._ended[lifetime.identity] = lifetime
-        self._pass_on_mark(lifetime)
+        self._marks.pass_on(lifetime, self._current.values())
         return self._set_phase(lifetime, UpstreamPhase.GONE, reason, revision, now)
 
-    def _pass_on_mark(self, ended: Lifetime) -> None:
-        """Assign the mark of an ended lifetime to another one that shares it."""
-        for lifetime in self._current.values():
-            if lifetime.mark == ended.mark and lifetime.is_mark_taken:
-                lifetime.is_mark_taken = False
-                self._marks[lifetime.mark] = lifetime
-                return
-
     def _set_phase(
         self, lifetime: Lifetime, phase: UpstreamPhase, reason: str, revision: int, now: float
     ) -> DirectoryEvent:
