Let registrations of unnamed services replace no upstream

Cause: another identity with a later start replaces the known lifetime, whatever its service. Then the upstream's own registration counts as outdated, since it started earlier.

Ruled out: the decoder (the entry has all fields), and addresses, which asked for a named service.

Fix: a registration under a known id waits until a version names its service. One that was known first gives way to the upstream's own.

--- a/src/chicoryproxy/forwarding/view/directory.py
+++ b/src/chicoryproxy/forwarding/view/directory.py
@@ -40,6 +40,7 @@
 from chicoryproxy.forwarding.view.markowners import MarkOwners
 from chicoryproxy.forwarding.view.marks import get_identity
 from chicoryproxy.forwarding.view.routingpatch import RoutingHistory
+from chicoryproxy.forwarding.view.unnamedservices import UnnamedServices
 from chicoryproxy.ids import NO_VERSION, DomainId, ServiceId, UpstreamId, Version
 
 RETURN_GRACE_S = 2.5
@@ -80,6 +81,7 @@
         self._services: dict[ServiceId, dict[UpstreamId, Lifetime]] = {}
         self._marks = MarkOwners()
         self._addresses = AddressOwners()
+        self._unnamed_services = UnnamedServices()
         self._missing: dict[UpstreamId, Lifetime] = {}
         self._ended: dict[str, Lifetime] = {}
         self._disabled_domains = DisabledDomains(RETURN_GRACE_S)
@@ -154,26 +156,19 @@
     def apply(self, change: Change, now: float) -> list[DirectoryEvent]:
         """Apply a new change and return the resulting events."""
         fact = change.fact
+        if isinstance(fact, UpstreamUnlisted | UpstreamUnreadable):
+            self._unnamed_services.discard(fact.id)
         if isinstance(fact, UpstreamListed):
             return self._apply_listed(fact.entry, change.revision, now)
         if isinstance(fact, UpstreamUnlisted):
             return self._apply_unlisted(fact.id, change.revision, now)
         if isinstance(fact, UpstreamUnreadable):
-            subject = DirectoryEvent(
-                DirectoryEventKind.UPSTREAM_UNREADABLE, fact.id, fact.reason, change.revision
-            )
-            return [subject, *self._apply_unlisted(fact.id, change.revision, now)]
+            return self._apply_unreadable(fact.id, fact.reason, change.revision, now)
         if isinstance(fact, RoutingPublished):
             return self._apply_routing(fact.routing, change.revision, now)
         if isinstance(fact, RoutingUnreadable):
-            return [
-                DirectoryEvent(
-                    DirectoryEventKind.VERSION_UNREADABLE,
-                    str(self.version),
-                    fact.reason,
-                    change.revision,
-                )
-            ]
+            kind = DirectoryEventKind.VERSION_UNREADABLE
+            return [DirectoryEvent(kind, str(self.version), fact.reason, change.revision)]
         return self._apply_domain(fact, change.revision, now)
 
     def expire(self, now: float) -> list[DirectoryEvent]:
@@ -199,8 +194,14 @@
         identity = get_identity(entry)
         known = self._current.get(entry.id)
         events: list[DirectoryEvent] = []
+        self._unnamed_services.discard(entry.id)
+        is_replacement = known is not None and known.identity != identity
+        if is_replacement and self._is_unnamed(entry.service):
+            self._unnamed_services.hold(entry, revision)
+            reason = f"no version has named its service {entry.service}"
+            return self._apply_unreadable(entry.id, reason, revision, now)
         former = known or self._ended.get(identity)
-        if former is not None and is_outdated(entry, former):
+        if former is not None and self._is_outdated(entry, former):
             former.keep_cold(entry, now)
             detail = f"registration precedes the one of revision {former.revision}"
             kind = DirectoryEventKind.UPSTREAM_OUTDATED
@@ -225,13 +226,28 @@
             events.append(self._set_phase(known, phase, "published", revision, now))
         return events
 
+    def _is_unnamed(self, service: ServiceId) -> bool:
+        """Return whether versions are known, and none of them has named a service."""
+        return self.routing is not None and not self._unnamed_services.is_named(service)
+
+    def _is_outdated(self, entry: UpstreamEntry, known: Lifetime) -> bool:
+        """Return whether a registration precedes the known one, which is not another writer's."""
+        return not self._is_unnamed(known.entry.service) and is_outdated(entry, known)
+
+    def _apply_unreadable(
+        self, upstream: UpstreamId, reason: str, revision: Revision, now: float
+    ) -> list[DirectoryEvent]:
+        event = DirectoryEvent(DirectoryEventKind.UPSTREAM_UNREADABLE, upstream, reason, revision)
+        return [event, *self._apply_unlisted(upstream, revision, now)]
+
     def _apply_unlisted(
         self, upstream: UpstreamId, revision: int, now: float
     ) -> list[DirectoryEvent]:
         known = self._current.get(upstream)
         if known is None or known.phase is UpstreamPhase.MISSING:
             return []
-        if known.phase is UpstreamPhase.DRAINING and not self._is_store_recovering(now):
+        is_store_recovering = now - self._store_failed_s < STORE_RECOVERY_S
+        if known.phase is UpstreamPhase.DRAINING and not is_store_recovering:
             return [self._end(known, "registration removed after the drain", revision, now)]
         return [self._set_phase(known, UpstreamPhase.MISSING, "entry vanished", revision, now)]
 
@@ -249,12 +265,14 @@
         self._removed_routes = (self._removed_routes | before) - self._routes.keys()
         known_services = self._limits.keys()
         self._limits = {limits.service: limits for limits in routing.services}
+        waiting = self._unnamed_services.pop_named(self._limits)
         detail = f"{len(routing.routes)} routes, {len(routing.services)} services"
-        events = [
-            DirectoryEvent(DirectoryEventKind.VERSION, str(routing.version), detail, revision)
-        ]
+        kind = DirectoryEventKind.VERSION
+        events = [DirectoryEvent(kind, str(routing.version), detail, revision)]
         for service in self._limits.keys() - known_services:
             events.extend(self._claim_addresses(service, revision, now))
+        for entry, published in waiting:
+            events.extend(self._apply_listed(entry, published, now))
         return events
 
     def _apply_domain(
@@ -262,11 +280,8 @@
     ) -> list[DirectoryEvent]:
         if isinstance(fact, DomainOut):
             self._disabled_domains.take_out(fact.domain)
-            return [
-                DirectoryEvent(
-                    DirectoryEventKind.DOMAIN_OUT, fact.domain, "gets no openings", revision
-                )
-            ]
+            kind = DirectoryEventKind.DOMAIN_OUT
+            return [DirectoryEvent(kind, fact.domain, "gets no openings", revision)]
         if fact.domain not in self._disabled_domains and not self._was_out_unseen(revision):
             return []
         if not self._disabled_domains.bring_back(fact.domain, revision, now):
@@ -296,9 +311,6 @@
         if limits is not None:
             lifetime.cold_until_s = max(lifetime.cold_until_s, now + limits.cold_start_s)
 
-    def _is_store_recovering(self, now: float) -> bool:
-        return now - self._store_failed_s < STORE_RECOVERY_S
-
     def _add(self, lifetime: Lifetime, revision: int, now: float) -> list[DirectoryEvent]:
         entry = lifetime.entry
         self._current[entry.id] = lifetime
@@ -342,7 +354,7 @@
             later = find_later(other, lifetime)
             if other.phase is UpstreamPhase.GONE and later is not lifetime:
                 continue
-            if later is None or later.entry.service not in self._limits:
+            if later is None or not self._unnamed_services.is_named(later.entry.service):
                 detail = f"address of {other.entry.id} too, and it is unclear which one is later"
                 kind = DirectoryEventKind.ADDRESS_CONFLICT
                 events.append(DirectoryEvent(kind, lifetime.entry.id, detail, revision))
--- a/tests/forwarding/test_registration_order.py
+++ b/tests/forwarding/test_registration_order.py
@@ -69,6 +69,52 @@
     assert upstream.can_open
 
 
+# FLOW: another writer used the id of a living upstream, with a service that no version names and a
+# later start. The upstream counted as replaced, its flows were reset, and its own registration was
+# outdated from then on.
+@pytest.mark.parametrize("started_ms", [4, 5, 9, 0])
+def test_a_registration_of_an_unknown_service_under_its_id_ends_no_upstream(harness, started_ms):
+    upstream = register(harness, "i-1", 5, 10, sequence=1)
+    _, port = harness.open_flow()
+    register(harness, "i-1", started_ms, 11, service=FOREIGN, sequence=1)
+    assert upstream.phase is not UpstreamPhase.GONE
+    assert not upstream.is_unreachable
+    packet = create_packet(port=port, mark=upstream.mark, acknowledged=1, size=10)
+    assert harness.send(packet) is upstream
+    assert register(harness, "i-1", 5, 12, sequence=2) is upstream
+    assert upstream.can_open
+
+
+# The other writer came first, so that its registration is the known one.
+def test_an_upstream_replaces_an_earlier_registration_of_an_unknown_service(harness):
+    register(harness, "i-1", 9, 10, service=FOREIGN)
+    upstream = register(harness, "i-1", 5, 11)
+    assert upstream.entry.service == SERVICE
+    assert upstream.can_open
+
+
+# An upstream starts again under its id for a service that the next version names.
+def test_an_upstream_of_a_service_that_is_named_later_replaces_its_former_lifetime(harness):
+    former = register(harness, "i-1", 5, 10)
+    register(harness, "i-1", 9, 11, service=FOREIGN)
+    harness.publish_routing(2, services=(SERVICE, ARCHIVE, FOREIGN))
+    assert harness.find_upstream("i-1").entry.service == FOREIGN
+    assert former.phase is UpstreamPhase.GONE
+
+
+@pytest.mark.parametrize("is_removed", [True, False])
+def test_a_registration_that_waits_for_its_service_is_forgotten_with_its_key(harness, is_removed):
+    register(harness, "i-1", 5, 10)
+    register(harness, "i-1", 9, 11, service=FOREIGN)
+    if is_removed:
+        harness.remove_upstream("i-1")
+    else:
+        register(harness, "i-1", 5, 12)
+    harness.publish_routing(2, services=(SERVICE, ARCHIVE, FOREIGN))
+    present = [item.entry.service for item in harness.directory.iterate_present()]
+    assert FOREIGN not in present
+
+
 # A peer's reply is sorted by revision: the version that names the service comes last.
 def test_an_address_is_claimed_when_a_configuration_names_the_service(harness):
     former = register(harness, "i-1", 5, 10)
