Log a view that nobody confirms

An entry that no longer reads the store went on as ready, and only a gauge told. The lines name the version in force, the age of the view and the calls to the store, so that a read that never ends, a store that fails and a change that is refused can be told apart in a log.

--- a/src/chicoryproxy/node/view.py
+++ b/src/chicoryproxy/node/view.py
@@ -105,6 +105,7 @@
         self._server = ChangesServer(loop, settings.peers, self._answer_changes)
         self._store_failure: ReadFailure | None = None
         self._store_failures = 0
+        self._is_overdue = False
         self._last_request_s = float("-inf")
         self._last_heartbeat_s = float("-inf")
 
@@ -157,8 +158,12 @@
         metrics.peers = self.peers.count_alive(now)
 
     def expire(self, now: float) -> None:
-        """End the lifetimes of upstreams that have been missing for too long."""
+        """End the lifetimes of upstreams that are missing for too long, and log an old view."""
         self._report_view_changes(self.directory.expire(now))
+        is_overdue = self.is_confirmed and self._reader_policy.is_overdue(now)
+        if is_overdue is not self._is_overdue:
+            self._is_overdue = is_overdue
+            self._log_age(now)
 
     def handle_listing(self, listing: Listing) -> None:
         """Merge a listing and the removals that follow from it; it may be seconds old."""
@@ -181,6 +186,17 @@
             self._store_failure = failure
             self._journal.write("store_lost", reason=failure.value, revision=self.replica.synced)
 
+    def _log_age(self, now: float) -> None:
+        """Log that nobody has confirmed the view for too long, or that it is current again."""
+        self._journal.write(
+            "view_overdue" if self._is_overdue else "view_current",
+            version=self.directory.version,
+            revision=self.replica.synced,
+            age_s=round(self.peers.get_age(now), 3),
+            store_calls=self.client.calls,
+            store_failures=self._store_failures,
+        )
+
     def get_synced_revision(self) -> Revision:
         """Return the revision up to which all changes are known."""
         return self.replica.synced
--- a/tests/node/test_view.py
+++ b/tests/node/test_view.py
@@ -1,5 +1,6 @@
 """The view of an entry that learns changes from peers."""
 
+import json
 import socket
 import time
 
@@ -300,3 +301,29 @@
     run_until(loop, lambda: restored.view.replica.synced > former)
     lifetime = restored.view.directory.find_present(UpstreamId("i-0002"))
     assert restored.view.directory.may_have_expired(lifetime, loop.read_clock())
+
+
+def read_log(path, *events):
+    """Return the log lines of some events."""
+    lines = [json.loads(line) for line in path.read_text().splitlines()]
+    return [line for line in lines if line["event"] in events]
+
+
+# CONFIG: entries that read nothing any more ran openings by an old version for a long time, and
+# their logs did not tell.
+def test_a_view_that_nobody_confirms_is_logged_once_and_again_when_it_is_current(
+    loop, store, view, tmp_path
+):
+    store.put("op/config", create_config(3))
+    view.start()
+    run_until(loop, lambda: view.is_complete)
+    now = loop.read_clock()
+    for age_s in (0.5, 2.5, 2.6):
+        view.expire(now + age_s)
+    view._note_confirmation(now + 2.7)
+    view.expire(now + 2.8)
+    view._journal.flush()
+    overdue, current = read_log(tmp_path / "log", "view_overdue", "view_current")
+    assert (overdue["event"], current["event"]) == ("view_overdue", "view_current")
+    assert overdue["version"] == 3
+    assert overdue["store_calls"] == view.client.calls
