Let the soak restore the store, storm versions and judge added routes

The checks that were missing: openings of a removed route (callers no longer tried one, so that the check saw only copies), refusals of an added route, entries of other writers that are nested, lack a field or stand under a living id, series of versions, and a store that comes back from a copy.

One check is replaced: resets of open flows were not judged while any route was removed.

In the directory a waiting registration is forgotten in one place.

--- a/src/chicoryproxy/forwarding/view/directory.py
+++ b/src/chicoryproxy/forwarding/view/directory.py
@@ -156,8 +156,6 @@
     def apply(self, change: Change, now: float) -> list[DirectoryEvent]:
         """Apply a new change and return the resulting events."""
         fact = change.fact
-        if isinstance(fact, UpstreamUnlisted | UpstreamUnreadable):
-            self._unnamed_services.discard(fact.id)
         if isinstance(fact, UpstreamListed):
             return self._apply_listed(fact.entry, change.revision, now)
         if isinstance(fact, UpstreamUnlisted):
@@ -193,19 +191,20 @@
     ) -> list[DirectoryEvent]:
         identity = get_identity(entry)
         known = self._current.get(entry.id)
-        events: list[DirectoryEvent] = []
         self._unnamed_services.discard(entry.id)
         is_replacement = known is not None and known.identity != identity
         if is_replacement and self._is_unnamed(entry.service):
-            self._unnamed_services.hold(entry, revision)
             reason = f"no version has named its service {entry.service}"
-            return self._apply_unreadable(entry.id, reason, revision, now)
+            unreadable = self._apply_unreadable(entry.id, reason, revision, now)
+            self._unnamed_services.hold(entry, revision)
+            return unreadable
         former = known or self._ended.get(identity)
         if former is not None and self._is_outdated(entry, former):
             former.keep_cold(entry, now)
             detail = f"registration precedes the one of revision {former.revision}"
             kind = DirectoryEventKind.UPSTREAM_OUTDATED
             return [DirectoryEvent(kind, entry.id, detail, revision)]
+        events: list[DirectoryEvent] = []
         if known is not None and known.identity != identity:
             known.mark_unreachable(UnreachableCause.NEWER_LIFETIME, now)
             events.append(self._end(known, "replaced by a newer lifetime", revision, now))
@@ -243,6 +242,7 @@
     def _apply_unlisted(
         self, upstream: UpstreamId, revision: int, now: float
     ) -> list[DirectoryEvent]:
+        self._unnamed_services.discard(upstream)
         known = self._current.get(upstream)
         if known is None or known.phase is UpstreamPhase.MISSING:
             return []
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -6,6 +6,10 @@
 from chicoryproxy.eventloop.stream import Listener, Stream, StreamHandler, open_stream
 from chicoryproxy.model import Endpoint
 
+VERSION_INTERVAL_S = 0.33
+HEARTBEAT_INTERVAL_S = 1.2
+MALFORMED_VALUES = (b"\xff", b"{}", b'{"Service": 4}', b"[]", b'{"Note": ' + b"[" * 4000)
+
 
 class _ProxiedStream(StreamHandler):
     """One of the two streams of a proxied connection."""
@@ -93,8 +97,11 @@
             self._restart_server,
             self._change_config,
             self._change_config,
+            self._publish_versions,
+            self._restore_copy_of_store,
             self._take_domain_out,
             self._write_malformed_entry,
+            self._write_malformed_entry_of_server,
         )
         if names:
             self._faults = tuple(getattr(self, f"_{name}") for name in names)
@@ -176,6 +183,39 @@
     def _take_domain_out(self):
         self._soak.take_out(self._random.choice(self._soak.zones))
 
+    def _publish_versions(self):
+        for number in range(self._random.randint(3, 12)):
+            self._soak.loop.call_later(
+                number * VERSION_INTERVAL_S, lambda: self._soak.change_config(True)
+            )
+
+    def _restore_copy_of_store(self):
+        store, loop = self._soak.store, self._soak.loop
+        copy = store.copy()
+        away_s = self._random.uniform(0.5, 4.0)
+
+        def take_away():
+            self._soak.invariants.record_disturbance()
+            store.status = 503
+
+        def restore():
+            self._soak.invariants.record_disturbance()
+            self._soak.restore_store(copy)
+
+        loop.call_later(away_s, take_away)
+        loop.call_later(away_s + self._random.uniform(0.1, 1.0), restore)
+
     def _write_malformed_entry(self):
-        value = self._random.choice((b"\xff", b"{}", b'{"Service": 4}', b"[]"))
+        server = self._random.choice(self._soak.list_servers())
+        own = server.describe()
+        incomplete = {name: value for name, value in own.items() if name != "Version"}
+        value = self._random.choice((*MALFORMED_VALUES, incomplete))
         self._soak.store.put(f"servers/x-{self._random.getrandbits(16):04x}", value)
+
+    def _write_malformed_entry_of_server(self):
+        """Another writer uses the id of a server, which writes again with its next heartbeat."""
+        server = self._random.choice(self._soak.list_servers())
+        unnamed = {**server.describe(), "Service": "elsewhere", "born": server.started_ms + 60_000}
+        value = self._random.choice((*MALFORMED_VALUES, unnamed))
+        self._soak.store.put(f"servers/{server.name}", value)
+        self._soak.loop.call_later(HEARTBEAT_INTERVAL_S, lambda: self._soak.publish_server(server))
--- a/tests/soak/invariants.py
+++ b/tests/soak/invariants.py
@@ -20,12 +20,15 @@
     :ivar violations: violated invariants, each with its time.
     :ivar domains_out_since_s: time since which each failure domain that is out has been out.
     :ivar routes_dropped_s: time at which each removed route was removed.
+    :ivar routes_added_s: time at which each added route was added.
     """
 
     def __init__(self, loop, servers):
         self.violations = []
         self.domains_out_since_s = {}
         self.routes_dropped_s = {}
+        self.routes_added_s = {}
+        self._last_dropped_s = {}
         self._loop = loop
         self._servers = servers
         self._sent = {}
@@ -77,12 +80,36 @@
         if route in self.routes_dropped_s and now - self.routes_dropped_s[route] > CONFIG_BOUND_S:
             self.record_violation(f"{server.name} got an opening of a removed route")
 
-    def check_reset(self, caller, server_name, state, now):
-        """Check that a reset did not hit an open flow of a running server with a current route."""
+    def check_refusal(self, route, opened_s):
+        """Check that an entry did not refuse an opening although its route was added before."""
+        now = self._loop.read_clock()
+        if now - self._last_disturbance_s < QUIET_PERIOD_S or route not in self.routes_added_s:
+            return
+        age_s = opened_s - self.routes_added_s[route]
+        if age_s > CONFIG_BOUND_S:
+            self.record_violation(f"an opening was refused {age_s:.1f} s after its route was added")
+
+    def record_dropped_route(self, route):
+        """Record that a route was removed."""
+        self.routes_dropped_s[route] = self._last_dropped_s[route] = self._loop.read_clock()
+        self.routes_added_s.pop(route, None)
+
+    def record_added_route(self, route):
+        """Record that a route was added."""
+        self.routes_added_s[route] = self._loop.read_clock()
+        self.routes_dropped_s.pop(route, None)
+
+    def check_reset(self, route, opened_s, server_name, state, now):
+        """Check that a reset did not hit an open flow of a running server.
+
+        A flow whose route was removed since it was opened is reset, also if the route is back.
+        """
         if state not in ("waiting", "pausing") or server_name is None:
             return
+        if self._last_dropped_s.get(route, opened_s) > opened_s:
+            return
         living = [item for item in self._servers if item.name == server_name and item.is_alive]
-        if not living or now - living[-1].state_changed_s < QUIET_PERIOD_S or self.routes_dropped_s:
+        if not living or now - living[-1].state_changed_s < QUIET_PERIOD_S:
             return
         if now - self._last_unplanned_s > QUIET_PERIOD_S:
             self.record_violation(f"an open flow of {server_name} was reset")
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -25,8 +25,12 @@
 MIN_ANSWERED_SHARE = 0.9
 
 MAX_SERVER_NUMBER = 0xFFFF
-PLANNED_FAULTS = ("config", "drain", "domain", "terminate", "reload")
-"""Words in the names of the faults that are planned work."""
+PLANNED_FAULTS = ("config", "versions", "drain", "domain", "terminate", "reload", "malformed")
+"""Words in the names of the faults during which all bounds hold: planned work, and entries of other
+writers."""
+
+REGISTRATION_LAPSE_S = 3.6
+"""Time after which the registration of a server that has ended is removed."""
 
 
 class Soak:
@@ -91,7 +95,9 @@
         """
         self.invariants.record_disturbance()
         server.end()
-        self.loop.call_later(3.6, lambda: self.store.delete(f"servers/{server.name}"))
+        self.loop.call_later(
+            REGISTRATION_LAPSE_S, lambda: self.store.delete(f"servers/{server.name}")
+        )
         service = SERVICES[server.service == SERVICES[0]] if reuse else server.service
         host = server.host if reuse else None
         self.loop.call_later(2.2, lambda: self._add_server(service, server.zone, host))
@@ -120,8 +126,25 @@
     def publish_servers(self):
         """Write the store entries of all running servers."""
         for server in self._servers:
-            if server.is_alive:
-                self.store.put(f"servers/{server.name}", server.describe())
+            self.publish_server(server)
+
+    def restore_store(self, copy):
+        """Let the store come back from a copy; what was written since is written again."""
+        self.store.restore(copy)
+        self.store.status = None
+        self.store.put("op/config", self._build_config())
+        for zone in self.zones:
+            if zone in self.invariants.domains_out_since_s:
+                self.store.put(f"op/evacuate/{zone}", {})
+            else:
+                self.store.delete(f"op/evacuate/{zone}")
+        self.loop.call_later(0.5, self.publish_servers)
+        self.loop.call_later(REGISTRATION_LAPSE_S, self._remove_ended_servers)
+
+    def publish_server(self, server):
+        """Write the store entry of a server if it still runs."""
+        if server.is_alive:
+            self.store.put(f"servers/{server.name}", server.describe())
 
     def change_config(self, toggles_route):
         """Publish the next configuration version, optionally with a route added or removed."""
@@ -133,10 +156,10 @@
     def _toggle_extra_route(self):
         if EXTRA_ROUTE in self.routes:
             self.routes.remove(EXTRA_ROUTE)
-            self.invariants.routes_dropped_s[EXTRA_ROUTE] = self.loop.read_clock()
+            self.invariants.record_dropped_route(EXTRA_ROUTE)
         else:
             self.routes.append(EXTRA_ROUTE)
-            self.invariants.routes_dropped_s.pop(EXTRA_ROUTE, None)
+            self.invariants.record_added_route(EXTRA_ROUTE)
 
     def _build_config(self):
         services = [
@@ -188,6 +211,11 @@
         self._servers.append(server)
         self.store.put(f"servers/{name}", server.describe())
 
+    def _remove_ended_servers(self):
+        living = {server.name for server in self._servers if server.is_alive}
+        for name in {server.name for server in self._servers} - living:
+            self.store.delete(f"servers/{name}")
+
     def _leave(self, server):
         if server.is_alive:
             server.end()
--- a/tests/soak/traffic.py
+++ b/tests/soak/traffic.py
@@ -8,9 +8,13 @@
 from chicoryproxy.forwarding.peers.hosts import format_host, parse_host
 from chicoryproxy.model import Endpoint
 from chicoryproxy.platform.header import FLAG_ACK, FLAG_FIN, FLAG_RST, FLAG_SYN, HEADER_BYTES
+from tests.soak.deployment import EXTRA_ROUTE
 
 HEADER = struct.Struct("<IIIIHHHIIB")
 DRAIN_BOUND_S = 3.0
+REMOVED_ROUTE_SHARE = 0.1
+"""Share of the openings that go to a removed route while it is removed; they should be refused."""
+
 RETRANSMIT_DELAYS_S = (0.2, 0.4)
 OPENING_TIMEOUT_S = 1.4
 REQUEST_TIMEOUT_S = 2.0
@@ -147,13 +151,15 @@
         """Open a flow from the next source port."""
         self._port = 1024 + (self._port - 1023) % 60_000
         self._route = self._random.choice(self._soak.routes)
+        if EXTRA_ROUTE not in self._soak.routes and self._random.random() < REMOVED_ROUTE_SHARE:
+            self._route = EXTRA_ROUTE
         self._state = "opening"
         self._server = None
         self._mark = 0
         self._sequence = self._random.getrandbits(30)
         self._acknowledged = 0
         self._opened_s = self._soak.loop.read_clock()
-        self._soak.attempted += 1
+        self._soak.attempted += self._route in self._soak.routes
         self._cancel_timers()
         for copy, delay in enumerate((0.0, 0.2, 0.6)):
             self._schedule(delay, lambda copy=copy: self._send(FLAG_SYN, b"", copy))
@@ -189,13 +195,19 @@
         self._udp.send(packet, (entry, self._soak.packet_port))
 
     def _receive(self, data):
-        sequence, _, _, _, port, source_port, size, _, mark, flags = HEADER.unpack_from(data)
+        sequence, _, _, _, port, source_port, size, total, mark, flags = HEADER.unpack_from(data)
         if port != self._port and source_port != self._port:
             return
         now = self._soak.loop.read_clock()
         if flags & FLAG_RST:
-            self._soak.invariants.check_reset(self, self._server, self._state, now)
-            self._soak.refused += self._state == "opening"
+            self._soak.invariants.check_reset(
+                self._route, self._opened_s, self._server, self._state, now
+            )
+            if self._state == "opening":
+                self._soak.refused += self._route in self._soak.routes
+                # Resets of entries have no sum.
+                if not total:
+                    self._soak.invariants.check_refusal(self._route, self._opened_s)
             self._restart()
             return
         if flags & FLAG_SYN:
