--- a/tests/node/test_dataplane.py
+++ b/tests/node/test_dataplane.py
@@ -2,12 +2,14 @@
 
 from chicoryproxy.forwarding.health.reachability import MAX_CONCURRENT_PROBES, ProbeResult
 from chicoryproxy.forwarding.model import Bounds, EntrySettings
+from chicoryproxy.forwarding.unusedhandshakes import RepeatedOpening
 from chicoryproxy.forwarding.view.directory import Directory
 from chicoryproxy.ids import DomainId, InstanceId, RegionId
 from chicoryproxy.model import Endpoint
 from chicoryproxy.node.dataplane import DataPlane
 from chicoryproxy.node.entrymetrics import EntryMetrics
 from chicoryproxy.node.journal import Journal
+from chicoryproxy.platform.header import HEADER_BYTES, MARK_END, MARK_OFFSET
 from tests.forwarding.harness import OWN_DOMAIN, ForwarderHarness, create_packet
 from tests.node.fakestore import HOST, pick_port
 
@@ -76,3 +78,26 @@
             plane._log_forwarded(opening, b"", upstream)
         plane.stop()
     assert plane._metrics.leaving_openings == 2
+
+
+# FLOW: an upstream that answered an opening in vain must repeat the mark of the flow's upstream.
+def test_an_opening_that_is_sent_again_differs_only_in_its_mark(loop, tmp_path):
+    with (tmp_path / "log").open("wb") as log:
+        plane = create_data_plane(loop, log)
+        harness = ForwarderHarness()
+        used, unused = harness.publish_upstream("i-1"), harness.publish_upstream("i-2")
+        opening = bytes(range(HEADER_BYTES))
+        repeated = RepeatedOpening(opening, unused, used.mark_bytes)
+        plane.forwarder.pop_repeated_openings = lambda: [repeated]
+        sent = []
+        plane._socket.send = lambda data, target: sent.append((data, target))
+        plane._repeat_openings(create_packet().flow)
+        del plane._socket.send
+        plane.stop()
+    ((data, target),) = sent
+    assert target == unused.target
+    assert data[: len(unused.prefix)] == unused.prefix
+    packet = data[len(unused.prefix) :]
+    assert packet[MARK_OFFSET:MARK_END] == used.mark_bytes
+    assert packet[:MARK_OFFSET] + packet[MARK_END:] == opening[:MARK_OFFSET] + opening[MARK_END:]
+    assert plane._metrics.corrected_handshakes == 1
