--- a/src/chicoryproxy/forwarding/forwarder.py
+++ b/src/chicoryproxy/forwarding/forwarder.py
@@ -257,7 +257,8 @@
             self.flows.assign(flow, upstream)
         else:
             self._record_progress(packet, flow, upstream, now)
-            self._correct_unused_handshakes(packet, flow, now)
+            if flow.opening:
+                self._correct_unused_handshakes(packet, flow, now)
         self._record_data(packet, flow, upstream, now)
         return upstream
 
--- a/src/chicoryproxy/forwarding/unusedhandshakes.py
+++ b/src/chicoryproxy/forwarding/unusedhandshakes.py
@@ -55,12 +55,12 @@
     def handle_packet(
         self, flow: Flow, mark: Mark, may_open: Callable[[Lifetime], bool], now: float
     ) -> None:
-        """Handle a packet of an open flow, of which this entry may have sent copies of the opening.
+        """Handle a packet of an open flow of which this entry has sent copies of the opening.
 
         :param mark: mark in the packet, as its caller sent it.
         :param may_open: returns whether an upstream may get the opening of this flow.
         """
-        if not flow.opening or flow.upstream is None:
+        if flow.upstream is None:
             return
         unused = [upstream for upstream in flow.tried if upstream is not flow.upstream]
         if not unused or now - flow.tried_s >= HANDSHAKE_S:
--- a/src/chicoryproxy/forwarding/view/directory.py
+++ b/src/chicoryproxy/forwarding/view/directory.py
@@ -171,9 +171,8 @@
 
     def expire(self, now: float) -> list[DirectoryEvent]:
         """End lifetimes that are missing for too long, and discard old ended ones."""
-        events: list[DirectoryEvent] = []
-        for domain, revision in self._disabled_domains.pop_returned(now).items():
-            events.append(self._create_domain_back(domain, revision, now))
+        returned = self._disabled_domains.pop_returned(now).items()
+        events = [self._create_domain_back(domain, revision, now) for domain, revision in returned]
         for lifetime in list(self._missing.values()):
             if now - lifetime.phase_since_s >= RETURN_GRACE_S:
                 events.append(self._end(lifetime, "missing for too long", 0, now))
@@ -192,8 +191,7 @@
         identity = get_identity(entry)
         known = self._current.get(entry.id)
         self._unnamed_services.discard(entry.id)
-        is_replacement = known is not None and known.identity != identity
-        if is_replacement and self._is_unnamed(entry.service):
+        if known is not None and known.identity != identity and self._is_unnamed(entry.service):
             reason = f"no version has named its service {entry.service}"
             unreadable = self._apply_unreadable(entry.id, reason, revision, now)
             self._unnamed_services.hold(entry, revision)
@@ -284,9 +282,8 @@
             return [DirectoryEvent(kind, fact.domain, "gets no openings", revision)]
         if fact.domain not in self._disabled_domains and not self._was_out_unseen(revision):
             return []
-        if not self._disabled_domains.bring_back(fact.domain, revision, now):
-            return []
-        return [self._create_domain_back(fact.domain, revision, now)]
+        is_back = self._disabled_domains.bring_back(fact.domain, revision, now)
+        return [self._create_domain_back(fact.domain, revision, now)] if is_back else []
 
     def _create_domain_back(
         self, domain: DomainId, revision: Revision, now: float
