--- a/src/chicoryproxy/node/dataplane.py
+++ b/src/chicoryproxy/node/dataplane.py
@@ -268,6 +268,7 @@
                     request=request,
                     flow=describe_flow(packet.flow),
                     upstream=upstream.entry.id,
+                    version=self._directory.version,
                 )
 
     def _log_dropped(self, packet: CallerPacket, drop: Drop) -> None:
--- a/src/chicoryproxy/node/view.py
+++ b/src/chicoryproxy/node/view.py
@@ -2,6 +2,7 @@
 
 from abc import ABC, abstractmethod
 from collections.abc import Callable, Iterable
+from enum import Enum, unique
 
 from chicoryproxy.endpoint import Endpoint
 from chicoryproxy.eventloop.loop import Loop
@@ -36,6 +37,19 @@
 """Minimum interval between requests for changes to peers."""
 
 
+@unique
+class NewsSource(Enum):
+    """How an entry learned of a change.
+
+    ``TIME``: nobody reported it; a time limit has passed.
+    """
+
+    WATCH = "watch"
+    LISTING = "listing"
+    PEER = "peer"
+    TIME = "time"
+
+
 class TrafficReports(ABC):
     """Source and receiver of the traffic data in heartbeats."""
 
@@ -159,7 +173,7 @@
 
     def expire(self, now: float) -> None:
         """End the lifetimes of upstreams that are missing for too long, and log an old view."""
-        self._report_view_changes(self.directory.expire(now))
+        self._report_view_changes(self.directory.expire(now), NewsSource.TIME)
         is_overdue = self.is_confirmed and self._reader_policy.is_overdue(now)
         if is_overdue is not self._is_overdue:
             self._is_overdue = is_overdue
@@ -168,11 +182,12 @@
     def handle_listing(self, listing: Listing) -> None:
         """Merge a listing and the removals that follow from it; it may be seconds old."""
         removals = self.replica.infer_removals(listing.changes, listing.revision)
-        self._merge([*listing.changes, *removals], listing.revision, listing.revision)
+        changes = [*listing.changes, *removals]
+        self._merge(changes, listing.revision, listing.revision, NewsSource.LISTING)
 
     def handle_changes(self, changes: Iterable[Change], revision: Revision) -> None:
         """Merge changes from the store, which confirm that the view is current."""
-        self._merge(changes, revision, self.replica.synced)
+        self._merge(changes, revision, self.replica.synced, NewsSource.WATCH)
         self._note_confirmation(self._loop.get_arrival_s())
         if self._store_failure is not None:
             self._journal.write("store_back", revision=revision, after=self._store_failure.value)
@@ -205,7 +220,13 @@
         self.is_confirmed = True
         self.peers.record_confirmation(confirmed_s)
 
-    def _merge(self, changes: Iterable[Change], revision: Revision, since: Revision) -> None:
+    def _merge(
+        self,
+        changes: Iterable[Change],
+        revision: Revision,
+        since: Revision,
+        source: NewsSource,
+    ) -> None:
         """Merge all changes after one revision and up to another one."""
         now = self._loop.read_clock()
         if self.is_confirmed and self._reader_policy.is_overdue(now):
@@ -218,7 +239,7 @@
         is_newer_whole = since > self.replica.synced
         for change in changes:
             if self.replica.merge(change, is_newer_whole):
-                self._apply(change, now)
+                self._apply(change, source, now)
         has_more = revision > self.replica.synced
         self.replica.advance_synced(revision, since)
         self.directory.known_revision = self.replica.synced
@@ -234,11 +255,13 @@
         self.directory.record_store_restored(now)
         self._journal.write("store_restored", former=synced, revision=revision)
 
-    def _apply(self, change: Change, now: float) -> None:
+    def _apply(self, change: Change, source: NewsSource, now: float) -> None:
         """Apply a change; an unexpected error in one must not hold up the changes of other keys."""
-        self._loop.call(lambda: self._report_view_changes(self.directory.apply(change, now)))
+        self._loop.call(
+            lambda: self._report_view_changes(self.directory.apply(change, now), source)
+        )
 
-    def _report_view_changes(self, beliefs: Iterable[DirectoryEvent]) -> None:
+    def _report_view_changes(self, beliefs: Iterable[DirectoryEvent], source: NewsSource) -> None:
         for belief in beliefs:
             self._journal.write(
                 "belief",
@@ -246,6 +269,7 @@
                 subject=belief.subject,
                 detail=belief.detail,
                 revision=belief.revision,
+                source=source.value,
                 age_s=round(self.peers.get_age(self._loop.read_clock()), 3),
             )
             self._on_view_change(belief)
@@ -324,7 +348,8 @@
             # The configuration version changed while the reply was in transit, so that its patch
             # no longer applies. Its other changes hold, but the revision is not reached with them.
             self._journal.write("reply_unfit", host=peer.host, reason=str(error))
-            self._merge(reply.changes, self.replica.synced, self.replica.synced)
+            synced = self.replica.synced
+            self._merge(reply.changes, synced, synced, NewsSource.PEER)
             return
         self._journal.write_rate_limited(
             "catch_up",
@@ -333,7 +358,7 @@
             revision=reply.synced,
             changes=len(changes),
         )
-        self._merge(changes, reply.synced, reply.since)
+        self._merge(changes, reply.synced, reply.since, NewsSource.PEER)
         if reply.age_s >= 0:
             self._note_confirmation(self._loop.get_arrival_s() - reply.age_s)
 
--- a/tests/node/test_dataplane.py
+++ b/tests/node/test_dataplane.py
@@ -1,5 +1,7 @@
 """The data plane goes on probing when a probe can't be started."""
 
+import json
+
 from chicoryproxy.forwarding.health.reachability import MAX_CONCURRENT_PROBES, ProbeResult
 from chicoryproxy.forwarding.model import Bounds, EntrySettings
 from chicoryproxy.forwarding.unusedhandshakes import RepeatedOpening
@@ -9,8 +11,14 @@
 from chicoryproxy.node.dataplane import DataPlane
 from chicoryproxy.node.entrymetrics import EntryMetrics
 from chicoryproxy.node.journal import Journal
-from chicoryproxy.platform.header import HEADER_BYTES, MARK_END, MARK_OFFSET
+from chicoryproxy.platform.header import (
+    HEADER_BYTES,
+    MARK_END,
+    MARK_OFFSET,
+    REQUEST_ID_HEADER,
+)
 from tests.forwarding.harness import OWN_DOMAIN, ForwarderHarness, create_packet
+from tests.forwarding.test_routingpatch import create_routing
 from tests.node.fakestore import HOST, pick_port
 
 
@@ -80,6 +88,21 @@
     assert plane._metrics.leaving_openings == 2
 
 
+# CONFIG: an entry ran openings that only an older version allows, and the log of the requests did
+# not tell whether it had the newer one.
+def test_the_log_of_a_request_names_the_version_in_force(loop, tmp_path):
+    with (tmp_path / "log").open("wb") as log:
+        plane = create_data_plane(loop, log)
+        plane._directory.routing = create_routing(7, {1: 1})
+        upstream = ForwarderHarness().publish_upstream("i-1")
+        data = bytes(HEADER_BYTES) + REQUEST_ID_HEADER + b"0a1b\r\n\r\n"
+        plane._log_forwarded(create_packet(size=9), data, upstream)
+        plane._journal.flush()
+        plane.stop()
+    (line,) = [json.loads(text) for text in (tmp_path / "log").read_text().splitlines()]
+    assert (line["event"], line["request"], line["version"]) == ("request", "0a1b", 7)
+
+
 # FLOW: an upstream that answered an opening in vain must repeat the mark of the flow's upstream.
 def test_an_opening_that_is_sent_again_differs_only_in_its_mark(loop, tmp_path):
     with (tmp_path / "log").open("wb") as log:
--- a/tests/node/test_view.py
+++ b/tests/node/test_view.py
@@ -31,7 +31,7 @@
 from chicoryproxy.model import Endpoint
 from chicoryproxy.node.journal import Journal
 from chicoryproxy.node.peers import ChangesServer
-from chicoryproxy.node.view import HEARTBEAT_INTERVAL_S, TrafficReports, View
+from chicoryproxy.node.view import HEARTBEAT_INTERVAL_S, NewsSource, TrafficReports, View
 from tests.forwarding.harness import OWN_DOMAIN, ForwarderHarness
 from tests.forwarding.replicanode import ReplicaNode
 from tests.forwarding.test_routingpatch import create_routing
@@ -98,7 +98,7 @@
 def merge(view, fact, name, revision, confirmed_s):
     """Merge a change into the view as if a peer had sent it."""
     change = Change(get_upstream_key(UpstreamId(name)), Revision(revision), fact)
-    view._merge([change], Revision(revision), view.replica.synced)
+    view._merge([change], Revision(revision), view.replica.synced, NewsSource.PEER)
     view._note_confirmation(confirmed_s)
 
 
@@ -201,7 +201,7 @@
     published = Change(
         ROUTING_KEY, Revision(known_version), RoutingPublished(routings[known_version])
     )
-    view._merge([published], Revision(known_version), Revision(1))
+    view._merge([published], Revision(known_version), Revision(1), NewsSource.PEER)
     view._handle_reply(request, reply, Endpoint(HOST, 1))
     assert view.directory.find_present(entry.id).is_leaving
     assert view.replica.synced == known_version
@@ -327,3 +327,22 @@
     assert (overdue["event"], current["event"]) == ("view_overdue", "view_current")
     assert overdue["version"] == 3
     assert overdue["store_calls"] == view.client.calls
+
+
+# CONFIG: an entry ran openings by an old version, and the logs of the others did not tell whether
+# they had the newer one from the store's watch, a listing or a peer.
+def test_the_log_tells_how_each_change_was_learned(loop, store, view, tmp_path):
+    store.put("op/config", create_config(3))
+    view.start()
+    run_until(loop, lambda: view.is_complete)
+    store.put("op/config", create_config(4))
+    run_until(loop, lambda: view.directory.version == 4)
+    published = Change(
+        ROUTING_KEY, Revision(9), RoutingPublished(create_routing(5, {1: 1, 2: 1, 3: 1}))
+    )
+    reply = ChangesReply((published,), Revision(9), 0.0, None, Revision(0))
+    view._handle_reply(ChangesRequest(Revision(0), Version(4)), reply, Endpoint(HOST, 1))
+    view._journal.flush()
+    beliefs = read_log(tmp_path / "log", "belief")
+    learned = [(item["subject"], item["source"]) for item in beliefs if item["kind"] == "version"]
+    assert learned == [("3", "listing"), ("4", "watch"), ("5", "peer")]
