List what a watch passes over

Suspected cause, H2a of the postmortem: while watches hear nothing, a watch reaches the end of its wait, and its answer names a CurrentRev past the silent changes. The next watch goes on behind them, and so do all peers, since a peer that knows the same revision is not asked.

Answers with a gap are followed by a listing now, neither raise the revision nor confirm the view, and are logged (changes_missed) and counted.

The two new tests fail without the change: the change was not seen at all.

--- a/src/chicoryproxy/node/entrymetrics.py
+++ b/src/chicoryproxy/node/entrymetrics.py
@@ -38,6 +38,7 @@
         self.probes: Counter[ProbeResult] = Counter()
         self.store_calls = 0
         self.store_failures = 0
+        self.missed_changes = 0
         self.heartbeat_bytes = 0
         self.unsent = 0
         self.log_lost = 0
@@ -78,6 +79,10 @@
             ),
             "store_calls_total": ("calls to the platform's store", self.store_calls),
             "store_failures_total": ("failed calls to the store", self.store_failures),
+            "missed_changes_total": (
+                "times at which watches of the store had missed a change",
+                self.missed_changes,
+            ),
             "heartbeat_bytes_total": ("bytes of heartbeats sent", self.heartbeat_bytes),
             "unsent_packets_total": ("packets that the socket refused", self.unsent),
             "unexpected_errors_total": (
--- a/src/chicoryproxy/node/storewatch.py
+++ b/src/chicoryproxy/node/storewatch.py
@@ -40,6 +40,13 @@
         :param revision: with these changes, all changes up to this revision are known.
         """
 
+    @abstractmethod
+    def handle_missed_changes(self, newest: Revision) -> None:
+        """Handle that watches have not brought all changes; a listing follows.
+
+        :param newest: a revision that the store has reached.
+        """
+
     @abstractmethod
     def handle_failure(self, failure: ReadFailure) -> None:
         """Handle a failed read."""
@@ -53,7 +60,7 @@
     """Lists the store, then watches its changes while the policy selects this entry as a reader.
 
     The store is listed at the start, and again when it no longer has the history that a watch
-    needs, or has come back from an older copy.
+    needs, has come back from an older copy, or when a watch has missed a change.
 
     :param policy: decides whether this entry reads now, and how long a watch may wait.
     """
@@ -128,6 +135,9 @@
             self._handle_failure(result)
             return
         self._schedule_retry()
+        if not result.is_complete:
+            self._list_missed(result.revision)
+            return
         self._listener.handle_changes(result.changes, result.revision)
         self._needs_confirmation = False
         self._has_timed_out = False
@@ -136,6 +146,11 @@
         # Changes often come in quick succession; a short delay lets one request return several.
         self._schedule(BATCH_DELAY_S if result.changes else 0.0)
 
+    def _list_missed(self, newest: Revision) -> None:
+        """List the store with the next read, because watches lack a change up to a revision."""
+        self._needs_listing = True
+        self._listener.handle_missed_changes(newest)
+
     def _handle_failure(self, failure: ReadFailure) -> None:
         if failure in NEEDS_LISTING:
             self._needs_listing = True
--- a/src/chicoryproxy/node/view.py
+++ b/src/chicoryproxy/node/view.py
@@ -119,6 +119,7 @@
         self._server = ChangesServer(loop, settings.peers, self._answer_changes)
         self._store_failure: ReadFailure | None = None
         self._store_failures = 0
+        self._missed_changes = 0
         self._is_overdue = False
         self._last_request_s = float("-inf")
         self._last_heartbeat_s = float("-inf")
@@ -163,6 +164,7 @@
         present = list(self.directory.iterate_present())
         metrics.store_calls = self.client.calls
         metrics.store_failures = self._store_failures
+        metrics.missed_changes = self._missed_changes
         metrics.heartbeat_bytes = self._socket.bytes_sent
         metrics.version = self.directory.version
         metrics.revision = self.replica.synced
@@ -193,6 +195,11 @@
             self._journal.write("store_back", revision=revision, after=self._store_failure.value)
             self._store_failure = None
 
+    def handle_missed_changes(self, newest: Revision) -> None:
+        """Log that the watches of the store have not brought all changes."""
+        self._missed_changes += 1
+        self._journal.write("changes_missed", known=self.replica.synced, revision=newest)
+
     def handle_failure(self, failure: ReadFailure) -> None:
         """Record a failed read, and log it if its kind is new."""
         self._store_failures += 1
--- a/src/chicoryproxy/platform/store.py
+++ b/src/chicoryproxy/platform/store.py
@@ -66,10 +66,12 @@
     """The changes after a revision.
 
     :param revision: the revision from which the next watch continues.
+    :param is_complete: the store changed at each revision up to this one, and no change is missing.
     """
 
     changes: tuple[Change, ...]
     revision: Revision
+    is_complete: bool
 
 
 class _Item(Struct):
@@ -155,7 +157,9 @@
                 # The same number means another revision; changes before it may be unknown.
                 return ReadFailure.RESTORED
             changes = tuple(self._decode_items(events.events, epoch))
-            return WatchResult(changes, create_revision(epoch, events.revision))
+            numbers = {event.revision for event in events.events}
+            is_complete = numbers.issuperset(range(after + 1, events.revision + 1))
+            return WatchResult(changes, create_revision(epoch, events.revision), is_complete)
 
         self._call(query, wait_s + response_timeout_s, _Events, convert, on_result)
 
--- a/tests/node/fakestore.py
+++ b/tests/node/fakestore.py
@@ -91,8 +91,9 @@
     :ivar on_reply: called after each response.
     :ivar delay_s: time that each response takes, in seconds.
     :ivar stale_revision: revision that listings with ``AllowStale`` show, if not ``None``.
-    :ivar names_newest: whether stale listings name the newest revision, although they lack its
-        changes.
+    :ivar names_newest: whether stale listings and silent watches name the newest revision, although
+        they lack its changes.
+    :ivar are_watches_hanging: whether silent watches get no answer, instead of one without changes.
     :ivar page_size: maximum number of items of a page.
     :ivar epoch: rises when the store comes back from a copy; text if the header is malformed, and
         ``None`` if answers have none.
@@ -106,12 +107,15 @@
         self.delay_s = 0.0
         self.stale_revision = None
         self.names_newest = False
+        self.are_watches_hanging = False
         self.page_size = 50
         self.epoch = None
         self.history_from = 0
         self.revision = 0
         self._loop = loop
         self._events = []
+        self._heard_revision = None
+        self._forgotten = set()
         self._connections = []
         self._listener = Listener(loop, Endpoint(HOST, 0), self._serve)
 
@@ -137,6 +141,18 @@
         """Compact the history; watches from an earlier revision get status 410."""
         self.history_from = self.revision
 
+    def silence_watches(self):
+        """Let watches hear of no change that is made from now on; other reads show them."""
+        self._heard_revision = self.revision
+
+    def forget_event(self, key):
+        """Let watches never bring the last change of a key; other reads show it."""
+        self._forgotten.add(max(e["Revision"] for e in self._events if e["Key"] == key))
+
+    def end_silence(self):
+        """Let watches hear of all changes again."""
+        self._heard_revision = None
+
     def copy(self):
         """Return a copy of what the store holds now."""
         return list(self._events)
@@ -192,8 +208,13 @@
         for event in self._events:
             if event["Revision"] <= revision:
                 items[event["Key"]] = event
+        prefix = query.get("Prefix", "")
         present = sorted(
-            (item for item in items.values() if not item.get("Deleted")),
+            (
+                item
+                for item in items.values()
+                if not item.get("Deleted") and item["Key"].startswith(prefix)
+            ),
             key=lambda item: item["Key"],
         )
         rest = [item for item in present if item["Key"] > query.get("after", "")]
@@ -206,9 +227,17 @@
         if after < self.history_from or after > self.revision:
             connection.reply(410, {})
             return
-        events = [event for event in self._events if event["Revision"] > after]
+        heard = self.revision if self._heard_revision is None else self._heard_revision
+        events = [
+            event
+            for event in self._events
+            if after < event["Revision"] <= heard and event["Revision"] not in self._forgotten
+        ]
+        if not events and heard < self.revision and self.are_watches_hanging:
+            return
         if events or self._loop.read_clock() >= due_s:
-            connection.reply(200, {"events": events, "CurrentRev": self.revision})
+            named = self.revision if self.names_newest else max(after, heard)
+            connection.reply(200, {"events": events, "CurrentRev": named})
             return
         self._loop.call_later(0.01, lambda: self._answer_watch(connection, after, due_s))
 
--- a/tests/node/test_storewatch.py
+++ b/tests/node/test_storewatch.py
@@ -45,6 +45,7 @@
     def __init__(self):
         self.changes = {}
         self.failures = []
+        self.missed = []
         self.confirmations = 0
         self.synced = NO_REVISION
 
@@ -61,6 +62,10 @@
         """Record a failure."""
         self.failures.append(failure)
 
+    def handle_missed_changes(self, newest):
+        """Record that changes are missing."""
+        self.missed.append((self.synced, newest))
+
     def get_synced_revision(self):
         """Return the highest recorded revision."""
         return self.synced
@@ -451,6 +456,33 @@
     run_until(loop, lambda: listener.confirmations)
 
 
+# CONFIG: the answer of a watch that had heard nothing named a revision past a new version; the next
+# watch went on behind it, and neither this entry nor its peers saw the version.
+def test_revisions_that_a_watch_passes_over_without_their_changes_are_listed(
+    loop, store, listener, watch
+):
+    store.put("op/config", create_config(3))
+    watch.start()
+    run_until(loop, lambda: listener.confirmations)
+    store.silence_watches()
+    store.names_newest = True
+    store.put("op/evacuate/shah-alam", {})
+    run_until(loop, lambda: "domain/shah-alam" in listener.changes, deadline_s=1.0)
+
+
+# CONFIG: of two changes a watch brought the later one only, and the earlier one was never seen.
+def test_a_watch_whose_answer_lacks_one_of_several_revisions_is_followed_by_a_listing(
+    loop, store, listener, watch
+):
+    store.put("op/config", create_config(3))
+    watch.start()
+    run_until(loop, lambda: listener.confirmations)
+    store.put("op/evacuate/shah-alam", {})
+    store.put("servers/i-0001", create_server_entry())
+    store.forget_event("op/evacuate/shah-alam")
+    run_until(loop, lambda: "domain/shah-alam" in listener.changes, deadline_s=1.0)
+
+
 # CONFIG: a listing of an old copy named the newest revision; what had been acknowledged since the
 # copy was never seen by an entry that had just started, nor by those that asked it.
 def test_what_an_old_copy_lacks_is_seen_by_an_entry_that_starts(loop, store, listener, watch):
