Check that the watch of the store misses nothing

A reader now reads the store's revision itself, 0.45 of the time limit of a version after the last such read: a range that holds only evacuations, so that the call is small. If the store is further than the view, the next watch doesn't wait; if that brings less than the store has, or the last watch hung, the store is listed. An answer of a watch without changes confirms the view only while such a proof is fresh. A listing of one page is a proof by itself, so that an entry is ready one round trip earlier.

The three tests with silent and hanging watches fail without the change: the evacuation was not seen at all.

--- a/src/chicoryproxy/forwarding/view/readerpolicy.py
+++ b/src/chicoryproxy/forwarding/view/readerpolicy.py
@@ -14,6 +14,10 @@
 WAIT_SHARE = 0.45
 """Maximum wait of a watch at the store, as a share of the time limit for applying changes."""
 
+PROOF_SHARE = 0.45
+"""Interval at which a reader checks that its watch misses nothing, as a share of that limit. The
+rest is for the listing that may follow, and for passing it on."""
+
 AGE_SHARE = 0.7
 """Age of the view from which an entry that is not a reader reads, as a share of that limit."""
 
@@ -46,6 +50,7 @@
     def set_config_apply_s(self, config_apply_s: float) -> None:
         """Set the time limit for applying a configuration change, in seconds."""
         self._wait_s = config_apply_s * WAIT_SHARE
+        self._proof_interval_s = config_apply_s * PROOF_SHARE
         self._max_age_s = config_apply_s * AGE_SHARE
 
     @property
@@ -90,6 +95,10 @@
         """Return the maximum wait of a watch, in seconds."""
         return NO_PEER_WAIT_S if self._hears_no_peer(now) else self._wait_s
 
+    def get_proof_interval_s(self) -> float:
+        """Return the interval, in seconds, at which to check that watches miss nothing."""
+        return self._proof_interval_s
+
     def _lags(self, now: float) -> bool:
         return self.is_behind and now - self._missing_since_s > MAX_BEHIND_S
 
--- a/src/chicoryproxy/node/storewatch.py
+++ b/src/chicoryproxy/node/storewatch.py
@@ -4,7 +4,7 @@
 from collections.abc import Iterable
 
 from chicoryproxy.eventloop.loop import Loop, Timer
-from chicoryproxy.forwarding.model import Change, Revision
+from chicoryproxy.forwarding.model import NO_REVISION, Change, Revision
 from chicoryproxy.forwarding.view.readerpolicy import ReaderPolicy
 from chicoryproxy.platform.store import Listing, ReadFailure, StoreClient, WatchResult
 
@@ -60,7 +60,8 @@
     """Lists the store, then watches its changes while the policy selects this entry as a reader.
 
     The store is listed at the start, and again when it no longer has the history that a watch
-    needs, has come back from an older copy, or when a watch has missed a change.
+    needs, or has come back from an older copy. A watch that brings nothing proves nothing: the
+    revision of the store is read from time to time, and what a watch has missed is listed.
 
     :param policy: decides whether this entry reads now, and how long a watch may wait.
     """
@@ -76,6 +77,9 @@
         self._needs_confirmation = True
         self._has_timed_out = False
         self._is_following = False
+        self._has_watch_hung = False
+        self._newest = NO_REVISION
+        self._proven_s = float("-inf")
         self._retry_s = RETRY_MIN_S
         self._timer: Timer | None = None
 
@@ -84,9 +88,10 @@
         self._read_next()
 
     def revalidate(self) -> None:
-        """Cancel the pending request and check for newer changes with a watch that doesn't wait."""
+        """Cancel the pending request and read immediately whether there are newer changes."""
         self._client.close()
         self._needs_confirmation = True
+        self._proven_s = float("-inf")
         self._schedule(0.0)
 
     def _read_next(self) -> None:
@@ -97,26 +102,42 @@
             raise
 
     def _read(self) -> None:
+        now = self._loop.read_clock()
         if self._needs_listing:
             self._client.list_all(self._handle_listing)
-        elif self._needs_confirmation or self._policy.should_read(self._loop.read_clock()):
-            self._watch()
+        elif self._needs_confirmation or self._policy.should_read(now):
+            if self._lacks_known_change() or not self._is_proof_due(now):
+                self._watch(now)
+            else:
+                revision = self._listener.get_synced_revision()
+                self._client.read_revision(revision, self._get_timeout_s(), self._handle_revision)
         else:
             # An idle connection may stop working unnoticed; a later read opens a new one.
             self._client.close()
             self._is_following = False
             self._schedule(IDLE_POLL_S)
 
-    def _watch(self) -> None:
-        now = self._loop.read_clock()
+    def _lacks_known_change(self) -> bool:
+        """Return whether the store has shown a revision that is not reached yet."""
+        return self._newest > self._listener.get_synced_revision()
+
+    def _is_proof_due(self, now: float) -> bool:
+        """Return whether the last proof that no change is missing is too old."""
+        return now - self._proven_s >= self._policy.get_proof_interval_s()
+
+    def _get_timeout_s(self) -> float:
+        return SLOW_RESPONSE_TIMEOUT_S if self._has_timed_out else RESPONSE_TIMEOUT_S
+
+    def _watch(self, now: float) -> None:
         # The first watch of an outdated view does not wait, so that it times out soon if it hangs.
-        is_urgent = self._needs_confirmation or (
-            self._policy.is_urgent(now) and not self._is_following
+        is_urgent = (
+            self._needs_confirmation
+            or self._lacks_known_change()
+            or (self._policy.is_urgent(now) and not self._is_following)
         )
         wait_s = 0.0 if is_urgent else self._policy.get_max_wait_s(now)
-        timeout_s = SLOW_RESPONSE_TIMEOUT_S if self._has_timed_out else RESPONSE_TIMEOUT_S
         revision = self._listener.get_synced_revision()
-        self._client.watch(revision, wait_s, timeout_s, self._handle_changes)
+        self._client.watch(revision, wait_s, self._get_timeout_s(), self._handle_changes)
 
     def _handle_listing(self, result: Listing | ReadFailure) -> None:
         if isinstance(result, ReadFailure):
@@ -127,22 +148,38 @@
         self._listener.handle_listing(result)
         self._needs_listing = False
         self._needs_confirmation = True
+        self._has_watch_hung = False
         self._retry_s = RETRY_MIN_S
+        if result.is_snapshot:
+            self._prove(result.revision)
+        self._schedule(0.0)
+
+    def _handle_revision(self, result: Revision | ReadFailure) -> None:
+        if isinstance(result, ReadFailure):
+            self._handle_failure(result)
+            return
+        self._schedule_retry()
+        self._has_timed_out = False
+        self._newest = max(self._newest, result)
+        if not self._lacks_known_change():
+            self._prove(result)
+        elif self._has_watch_hung:
+            self._list_missed(result)
         self._schedule(0.0)
 
     def _handle_changes(self, result: WatchResult | ReadFailure) -> None:
         if isinstance(result, ReadFailure):
+            # A watch may hang although the store has changes and answers other reads.
+            self._has_watch_hung = result is ReadFailure.TIMEOUT
             self._handle_failure(result)
             return
         self._schedule_retry()
-        if not result.is_complete:
-            self._list_missed(result.revision)
+        self._has_timed_out = self._has_watch_hung = False
+        if not result.is_complete or result.revision < self._newest:
+            self._list_missed(max(result.revision, self._newest))
             return
-        self._listener.handle_changes(result.changes, result.revision)
-        self._needs_confirmation = False
-        self._has_timed_out = False
-        self._is_following = True
-        self._retry_s = RETRY_MIN_S
+        if result.changes or not self._is_proof_due(self._loop.read_clock()):
+            self._confirm(result.changes, result.revision)
         # Changes often come in quick succession; a short delay lets one request return several.
         self._schedule(BATCH_DELAY_S if result.changes else 0.0)
 
@@ -151,6 +188,18 @@
         self._needs_listing = True
         self._listener.handle_missed_changes(newest)
 
+    def _prove(self, revision: Revision) -> None:
+        """Confirm the view by a read that is no watch, and that has shown no later revision."""
+        self._confirm((), revision)
+        self._proven_s = self._loop.read_clock()
+
+    def _confirm(self, changes: Iterable[Change], revision: Revision) -> None:
+        """Pass on all changes up to a revision that are not known yet."""
+        self._listener.handle_changes(changes, revision)
+        self._needs_confirmation = False
+        self._is_following = True
+        self._retry_s = RETRY_MIN_S
+
     def _handle_failure(self, failure: ReadFailure) -> None:
         if failure in NEEDS_LISTING:
             self._needs_listing = True
--- a/src/chicoryproxy/platform/store.py
+++ b/src/chicoryproxy/platform/store.py
@@ -24,11 +24,14 @@
 from chicoryproxy.forwarding.view.epoch import create_revision, get_epoch, get_number
 from chicoryproxy.ids import DomainId
 from chicoryproxy.platform.jsonvalue import UnreadableValueError, decode_json
-from chicoryproxy.platform.records import decode_item
+from chicoryproxy.platform.records import EVACUATE_PREFIX, decode_item
 
 LIST_TIMEOUT_S = 2.0
 ALL_KEYS_PREFIX = ""
 
+FEW_KEYS_PREFIX = EVACUATE_PREFIX
+"""A range with few keys, for reads of which only the revision of the store matters."""
+
 EPOCH_HEADER = b"store-era"
 """Present in each answer; a store without it has never come back from an older copy."""
 
@@ -56,10 +59,12 @@
     """All keys of the store.
 
     :param revision: the lowest revision that a page reported; a watch continues from it.
+    :param is_snapshot: all keys are as they were at this revision, because they fit into one page.
     """
 
     changes: tuple[Change, ...]
     revision: Revision
+    is_snapshot: bool = True
 
 
 class WatchResult(Struct, frozen=True):
@@ -136,6 +141,26 @@
         query = f"/-/kv-range?Prefix={ALL_KEYS_PREFIX}"
         self._list_page(query, "", (), on_result)
 
+    def read_revision(
+        self,
+        known: Revision,
+        timeout_s: float,
+        on_result: Callable[[Revision | ReadFailure], None],
+    ) -> None:
+        """Read the newest revision of the store, which proves what a watch only claims.
+
+        :param known: a revision of the epoch that the store should be in.
+        :param timeout_s: time that the response may take, in seconds.
+        """
+
+        def convert(page: _Page, epoch: int) -> Revision | ReadFailure:
+            if epoch != get_epoch(known):
+                return ReadFailure.RESTORED
+            return create_revision(epoch, page.revision)
+
+        query = f"/-/kv-range?Prefix={FEW_KEYS_PREFIX}"
+        self._call(query, timeout_s, _Page, convert, on_result)
+
     def watch(
         self,
         revision: Revision,
@@ -268,7 +293,7 @@
     if len({get_epoch(page.revision) for page in pages}) > 1:
         return ReadFailure.RESTORED
     changes = tuple(change for page in pages for change in page.changes)
-    return Listing(changes, min(page.revision for page in pages))
+    return Listing(changes, min(page.revision for page in pages), len(pages) == 1)
 
 
 def _percent_encode(key: str) -> str:
--- a/tests/node/test_storewatch.py
+++ b/tests/node/test_storewatch.py
@@ -19,12 +19,14 @@
     :ivar is_reader: whether the store is read.
     :ivar is_view_urgent: whether a read is urgent.
     :ivar wait_s: maximum wait of a watch, in seconds.
+    :ivar proof_interval_s: interval at which watches are checked, in seconds.
     """
 
     def __init__(self):
         self.is_reader = True
         self.is_view_urgent = False
         self.wait_s = 0.2
+        self.proof_interval_s = 0.5
 
     def is_urgent(self, now):
         """Return whether a read is urgent."""
@@ -38,6 +40,10 @@
         """Return the wait."""
         return self.wait_s
 
+    def get_proof_interval_s(self):
+        """Return the interval."""
+        return self.proof_interval_s
+
 
 class Listener(StoreListener):
     """Records the results of reads."""
@@ -117,6 +123,26 @@
     assert "AllowStale" not in store.calls[0]
 
 
+def test_a_listing_of_one_page_confirms_the_view(loop, store, listener, watch):
+    store.put("op/config", create_config(3))
+    watch.start()
+    run_until(loop, lambda: len(store.calls) == 2)
+    assert listener.confirmations
+    assert "WaitMs=200" in store.calls[1]
+
+
+def test_a_listing_of_several_pages_is_confirmed_by_another_read(loop, store, listener, watch):
+    """A change between two pages may be missing."""
+    store.page_size = 1
+    store.put("op/config", create_config(3))
+    store.put("servers/i-1", create_server_entry())
+    answers = iter([lambda: store.put("op/config", create_config(4))])
+    store.on_reply = lambda: next(answers, lambda: None)()
+    watch.start()
+    run_until(loop, lambda: listener.confirmations)
+    assert listener.changes["routing"] == store.revision
+
+
 def test_a_listing_after_a_lost_history_is_never_stale(loop, store, listener, watch):
     """After compaction, a watch from a stale listing could start before the history and get 410."""
     store.put("op/config", create_config(3))
@@ -483,6 +509,35 @@
     run_until(loop, lambda: "domain/shah-alam" in listener.changes, deadline_s=1.0)
 
 
+# CONFIG: the watches of all readers heard nothing for longer than the time limit of a version.
+@pytest.mark.parametrize("is_hanging", [False, True])
+def test_changes_that_a_silent_watch_does_not_bring_are_listed(
+    loop, store, listener, watch, is_hanging
+):
+    store.put("op/config", create_config(3))
+    watch.start()
+    run_until(loop, lambda: listener.confirmations)
+    store.silence_watches()
+    store.are_watches_hanging = is_hanging
+    store.put("op/evacuate/shah-alam", {})
+    run_until(loop, lambda: "domain/shah-alam" in listener.changes, deadline_s=2.0)
+
+
+def test_a_view_that_is_known_to_lack_a_change_is_not_confirmed_before_the_listing(
+    loop, store, listener, watch
+):
+    store.put("op/config", create_config(3))
+    watch.start()
+    run_until(loop, lambda: listener.confirmations)
+    store.silence_watches()
+    store.put("op/evacuate/shah-alam", {})
+    run_until(loop, lambda: listener.missed)
+    before = listener.confirmations
+    run_until(loop, lambda: listener.confirmations > before)
+    assert listener.missed == [(1, 2)]
+    assert listener.synced == 2
+
+
 # CONFIG: a listing of an old copy named the newest revision; what had been acknowledged since the
 # copy was never seen by an entry that had just started, nor by those that asked it.
 def test_what_an_old_copy_lacks_is_seen_by_an_entry_that_starts(loop, store, listener, watch):
