Take a removal from before a restore for one of the restored store

What callers saw (by a random history, not by users): openings go on to an upstream that a restored store doesn't have. Cause: a peer that sends all keys also sends the removals that it knows. A key of which a removal is shown counted as present, so that no removal was inferred; the shown one, from before the restore, counted as older than the registration that this entry knew from the former epoch. Neither took effect.

--- a/src/chicoryproxy/forwarding/view/replica.py
+++ b/src/chicoryproxy/forwarding/view/replica.py
@@ -92,13 +92,13 @@
     def infer_removals(self, listed: Iterable[Change], revision: Revision) -> list[Change]:
         """Return the removals implied by a complete listing of the store.
 
-        :param listed: changes of all keys in the store.
+        :param listed: changes of all keys in the store; those of a peer include removals.
         :param revision: revision of the store before the listing began.
         """
-        present = {change.key for change in listed}
+        shown = {change.key: change for change in listed}
         removals: list[Change] = []
         for key, change in self._changes.items():
-            if key in present or change.revision > revision:
+            if change.revision > revision or _shows_newest(shown.get(key), change):
                 continue
             if isinstance(change.fact, UpstreamListed):
                 removals.append(Change(key, revision, UpstreamUnlisted(change.fact.entry.id)))
@@ -131,5 +131,12 @@
                 return
 
 
+def _shows_newest(listed: Change | None, known: Change) -> bool:
+    """Return whether the key of a known change exists in a listing, or was removed after it."""
+    if listed is None:
+        return False
+    return not _is_removal(listed) or listed.revision > known.revision
+
+
 def _is_removal(change: Change) -> bool:
     return isinstance(change.fact, UpstreamUnlisted | DomainBack)
--- a/tests/forwarding/test_catchup.py
+++ b/tests/forwarding/test_catchup.py
@@ -141,6 +141,18 @@
     assert [item.revision for item in reply.changes] == [17]
 
 
+# DRAIN: a peer knew that an upstream was removed before the restored store's copy; its reply with
+# all keys named the removal, which counted as older, and the upstream went on to get openings.
+def test_an_upstream_that_a_restored_store_lacks_is_removed_although_its_removal_is_old():
+    behind, restored = ReplicaNode(), ReplicaNode()
+    behind.list_store([add("i-1", 13)], 13)
+    restored.list_store([add("i-1", 11)], 11)
+    restored.list_store([], 12)
+    restored.list_store([], create_revision(1, 12))
+    behind.fetch_changes(restored)
+    assert not list_present(behind)
+
+
 # CONFIG: the version was published again after the store had lost it; its patch brought it under
 # its former revision, so that entries that asked for later changes did not get it.
 def test_a_version_that_was_published_again_is_passed_on_under_its_later_revision():
