Don't report changes of an outage as missed by a watch

The store is still listed then, since a next watch might hang again, but the line and the count are for watches that answered. The new test fails without the change.

--- a/src/chicoryproxy/node/storewatch.py
+++ b/src/chicoryproxy/node/storewatch.py
@@ -164,12 +164,12 @@
         if not self._lacks_known_change():
             self._prove(result)
         elif self._has_watch_hung:
-            self._list_missed(result)
+            # The next watch could hang as well.
+            self._needs_listing = True
         self._schedule(0.0)
 
     def _handle_changes(self, result: WatchResult | ReadFailure) -> None:
         if isinstance(result, ReadFailure):
-            # A watch may hang although the store has changes and answers other reads.
             self._has_watch_hung = result is ReadFailure.TIMEOUT
             self._handle_failure(result)
             return
--- a/tests/node/test_storewatch.py
+++ b/tests/node/test_storewatch.py
@@ -538,6 +538,22 @@
     assert listener.synced == 2
 
 
+def test_an_outage_that_ends_with_a_change_is_not_reported_as_a_watch_that_misses_changes(
+    loop, store, listener, watch, policy
+):
+    store.put("op/config", create_config(3))
+    watch.start()
+    run_until(loop, lambda: listener.confirmations)
+    policy.proof_interval_s = 2.0
+    store.is_silent = True
+    run_until(loop, lambda: ReadFailure.TIMEOUT in listener.failures)
+    policy.proof_interval_s = 0.5
+    store.put("op/config", create_config(4))
+    store.is_silent = False
+    run_until(loop, lambda: listener.synced == store.revision)
+    assert not listener.missed
+
+
 # CONFIG: a listing of an old copy named the newest revision; what had been acknowledged since the
 # copy was never seen by an entry that had just started, nor by those that asked it.
 def test_what_an_old_copy_lacks_is_seen_by_an_entry_that_starts(loop, store, listener, watch):
