Let an entry that a peer gave the view leave listings to others

An entry whose first listing was refused went on to list the store until that succeeded, also when a peer had given it the whole view meanwhile. Since listings are never stale, and therefore count, that would keep the store from answering those that have no view yet, when many entries start at once.

The new test fails without the change.

--- a/src/chicoryproxy/node/storewatch.py
+++ b/src/chicoryproxy/node/storewatch.py
@@ -59,9 +59,10 @@
 class StoreWatch:
     """Lists the store, then watches its changes while the policy selects this entry as a reader.
 
-    The store is listed at the start, and again when it no longer has the history that a watch
-    needs, or has come back from an older copy. A watch that brings nothing proves nothing: the
-    revision of the store is read from time to time, and what a watch has missed is listed.
+    The store is listed at the start, unless a peer has given the view before the store answers. It
+    is listed again when it no longer has the history that a watch needs, or has come back from an
+    older copy. A watch that brings nothing proves nothing: the revision of the store is read from
+    time to time, and what a watch has missed is listed.
 
     :param policy: decides whether this entry reads now, and how long a watch may wait.
     """
@@ -73,7 +74,7 @@
         self._client = client
         self._listener = listener
         self._policy = policy
-        self._needs_listing = True
+        self._needs_listing = False
         self._needs_confirmation = True
         self._has_timed_out = False
         self._is_following = False
@@ -103,7 +104,7 @@
 
     def _read(self) -> None:
         now = self._loop.read_clock()
-        if self._needs_listing:
+        if self._needs_listing or not self._listener.get_synced_revision():
             self._client.list_all(self._handle_listing)
         elif self._needs_confirmation or self._policy.should_read(now):
             if self._lacks_known_change() or not self._is_proof_due(now):
--- a/tests/node/test_storewatch.py
+++ b/tests/node/test_storewatch.py
@@ -143,6 +143,20 @@
     assert listener.changes["routing"] == store.revision
 
 
+def test_an_entry_that_a_peer_gave_the_view_leaves_listings_to_others(loop, store, listener, watch):
+    """When all entries start at once, their listings exceed what the store answers."""
+    store.put("op/config", create_config(3))
+    store.status = 429
+    watch.start()
+    run_until(loop, lambda: ReadFailure.BUSY in listener.failures)
+    listener.synced = store.revision
+    store.status = None
+    store.calls.clear()
+    store.put("op/config", create_config(4))
+    run_until(loop, lambda: listener.synced == store.revision)
+    assert "/-/kv-range?Prefix=" not in store.calls
+
+
 def test_a_listing_after_a_lost_history_is_never_stale(loop, store, listener, watch):
     """After compaction, a watch from a stale listing could start before the history and get 410."""
     store.put("op/config", create_config(3))
