--- a/tests/node/fakestore.py
+++ b/tests/node/fakestore.py
@@ -5,6 +5,7 @@
 import json
 import os
 import socket
+from urllib.parse import unquote
 
 from chicoryproxy.eventloop.loop import Loop
 from chicoryproxy.eventloop.stream import Listener, Stream, StreamHandler
@@ -17,6 +18,9 @@
 
 DEADLINE_S = 5.0
 
+PAGE_BYTES = 1_000_000
+"""Size of the values from which a listing has another page."""
+
 
 def run_until(loop: Loop, condition, deadline_s=DEADLINE_S):
     """Run an event loop until a condition holds; fail after the deadline."""
@@ -183,7 +187,8 @@
             connection.reply(self.status, {})
             return
         path, _, text = target.partition("?")
-        query = dict(part.split("=") for part in text.split("&"))
+        parts = (part.split("=") for part in text.split("&"))
+        query = {name: unquote(value) for name, value in parts}
         if path == "/-/kv-range":
             self._answer_range(connection, query)
         else:
@@ -218,11 +223,20 @@
             key=lambda item: item["Key"],
         )
         rest = [item for item in present if item["Key"] > query.get("after", "")]
-        page = rest[: self.page_size]
+        page = self._cut_page(rest)
         named = self.revision if self.names_newest else revision
         body = {"items": page, "HasMore": len(rest) > len(page), "CurrentRev": named}
         connection.reply(200, body)
 
+    def _cut_page(self, items):
+        """Return the items of a page, at least one."""
+        size = 0
+        for count, item in enumerate(items[: self.page_size]):
+            size += len(item["Value"])
+            if count and size > PAGE_BYTES:
+                return items[:count]
+        return items[: self.page_size]
+
     def _answer_watch(self, connection, after, due_s):
         if after < self.history_from or after > self.revision:
             connection.reply(410, {})
--- a/tests/soak/entry.py
+++ b/tests/soak/entry.py
@@ -2,6 +2,7 @@
 
 import json
 import signal
+from pathlib import Path
 
 from chicoryproxy.eventloop.http import HttpClient, HttpResponse
 from chicoryproxy.model import Endpoint
@@ -92,6 +93,15 @@
         if self._process.poll() is None:
             self._process.send_signal(number)
 
+    def read_log(self):
+        """Return the lines that the process has written; one that isn't JSON is an error."""
+        return [json.loads(line) for line in self._log.read_text().splitlines()]
+
+    def read_peak_memory_kb(self):
+        """Return the most memory that the process has used so far, in KB."""
+        text = Path(f"/proc/{self._process.pid}/status").read_text()
+        return next(int(line.split()[1]) for line in text.splitlines() if "VmHWM" in line)
+
     def stop(self):
         """Kill the process at the end of the soak."""
         self._client.close()
