Limit the silence within an answer of the store, not its length

A value of the store may have a megabyte, which in base64 takes 2.2 s on a link of 5 Mbit/s. A page of a listing had 2.0 s in total, and a watch 1.0 s beyond its wait (2.0 s after a failure). With one such value among the servers' an entry on that link never became ready, and one that followed read the same large change again and again and got nothing after it.

The timeouts of a read now limit the silence of the store before and within its answer, so that a dead connection is noticed as soon as before, and the whole answer has 7 s, in which two of the largest values arrive on the slowest link. HttpClient has this as an option; probes keep the deadline for the whole response.

--- a/src/chicoryproxy/eventloop/http.py
+++ b/src/chicoryproxy/eventloop/http.py
@@ -44,6 +44,17 @@
     error: OSError | None
 
 
+class TransferLimits(Struct, frozen=True):
+    """Limits of a response that has begun to arrive, in seconds.
+
+    :param silence_s: longest time without another byte.
+    :param total_s: longest time until it is complete.
+    """
+
+    silence_s: float
+    total_s: float
+
+
 HttpResult = HttpResponse | HttpTimeout | HttpFailure
 
 
@@ -67,6 +78,9 @@
         self._response: HttpResponse | None = None
         self._on_result: Callable[[HttpResult], None] | None = None
         self._timer: Timer | None = None
+        self._due_s = 0.0
+        self._limits: TransferLimits | None = None
+        self._begun_s: float | None = None
 
     def set_server(self, server: Endpoint) -> None:
         """Send the next and later requests to another server."""
@@ -74,11 +88,19 @@
             self._server = server
             self._server_changed = True
 
-    def get(self, target: str, timeout_s: float, on_result: Callable[[HttpResult], None]) -> None:
+    def get(
+        self,
+        target: str,
+        timeout_s: float,
+        on_result: Callable[[HttpResult], None],
+        limits: TransferLimits | None = None,
+    ) -> None:
         """Send a GET request.
 
         :param target: the request target, which is the path and the query.
+        :param timeout_s: time until the response is complete; with ``limits`` until it begins.
         :param on_result: called once with the result, unless ``close`` is called first.
+        :param limits: limits of the response once it has begun, which may be large.
         """
         if self._server_changed and self._stream is not None:
             self._stream.close()
@@ -88,8 +110,10 @@
             self.was_connected = False
             self._stream = open_stream(self._loop, self._server, self)
         self._on_result = on_result
-        due_s = self._loop.read_clock() + timeout_s
-        self._timer = self._loop.call_later(timeout_s, lambda: self._expire(due_s))
+        self._limits = limits
+        self._begun_s = None
+        self._due_s = self._loop.read_clock() + timeout_s
+        self._timer = self._loop.call_later(timeout_s, self._expire)
         head = f"GET {target} HTTP/1.1\r\nHost: {self._server.host}:{self._server.port}\r\n\r\n"
         self._stream.write(head.encode("ascii"))
 
@@ -108,6 +132,7 @@
     def handle_data(self, data: bytes) -> None:
         """Pass received bytes to the parser; a response that can't be parsed is a failure."""
         assert self._parser is not None
+        self._extend_deadline()
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError as error:
@@ -142,8 +167,23 @@
         status = self._parser.get_status_code()
         self._response = HttpResponse(status, self._headers, bytes(self._body), keeps_alive)
 
-    def _expire(self, due_s: float) -> None:
-        self._finish(HttpTimeout(self._loop.read_clock() - due_s), keep_open=False)
+    def _extend_deadline(self) -> None:
+        """Let a response go on for which more bytes have arrived, within its limits."""
+        if self._limits is None:
+            return
+        now = self._loop.read_clock()
+        if self._begun_s is None:
+            self._begun_s = now
+        end_s = self._begun_s + self._limits.total_s
+        self._due_s = min(now + self._limits.silence_s, end_s)
+
+    def _expire(self) -> None:
+        # The deadline may have moved since the timer was set, with each part of the response.
+        late_s = self._loop.read_clock() - self._due_s
+        if late_s < 0.0:
+            self._timer = self._loop.call_later(-late_s, self._expire)
+        else:
+            self._finish(HttpTimeout(late_s), keep_open=False)
 
     def _finish(self, result: HttpResult, keep_open: bool) -> None:
         on_result, self._on_result = self._on_result, None
--- a/src/chicoryproxy/platform/store.py
+++ b/src/chicoryproxy/platform/store.py
@@ -1,7 +1,8 @@
 """Client of the platform's store: listings and watches over one connection.
 
 The store is read-only for this system. Each request has its own timeout, since an open connection
-can stop delivering data without an error.
+can stop delivering data without an error. It limits the silence before and within an answer, not
+the answer as a whole, which may be large: another writer can leave a megabyte in a value.
 """
 
 import base64
@@ -18,6 +19,7 @@
     HttpResponse,
     HttpResult,
     HttpTimeout,
+    TransferLimits,
 )
 from chicoryproxy.eventloop.loop import Loop
 from chicoryproxy.forwarding.model import Change, Revision
@@ -27,6 +29,12 @@
 from chicoryproxy.platform.records import EVACUATE_PREFIX, decode_item
 
 LIST_TIMEOUT_S = 2.0
+"""Longest silence before and within a page of a listing."""
+
+TRANSFER_TIMEOUT_S = 7.0
+"""Time that an answer may take from its first byte to its last. A page with two of the largest
+values, in base64, takes 4.5 s on a link of 5 Mbit/s."""
+
 ALL_KEYS_PREFIX = ""
 
 FEW_KEYS_PREFIX = EVACUATE_PREFIX
@@ -150,7 +158,7 @@
         """Read the newest revision of the store, which proves what a watch only claims.
 
         :param known: a revision of the epoch that the store should be in.
-        :param timeout_s: time that the response may take, in seconds.
+        :param timeout_s: longest silence of the store, in seconds.
         """
 
         def convert(page: _Page, epoch: int) -> Revision | ReadFailure:
@@ -171,7 +179,7 @@
         """Wait for changes after a revision.
 
         :param wait_s: longest time to wait, in seconds; after it the result has no changes.
-        :param response_timeout_s: time that the response may take beyond the wait, in seconds.
+        :param response_timeout_s: longest silence of the store beyond the wait, in seconds.
         """
         wait_ms = max(1, round(wait_s * 1000))
         after = get_number(revision)
@@ -186,7 +194,7 @@
             is_complete = numbers.issuperset(range(after + 1, events.revision + 1))
             return WatchResult(changes, create_revision(epoch, events.revision), is_complete)
 
-        self._call(query, wait_s + response_timeout_s, _Events, convert, on_result)
+        self._call(query, response_timeout_s, _Events, convert, on_result, wait_s)
 
     def close(self) -> None:
         """Close the connection and cancel the pending request without calling back."""
@@ -233,13 +241,16 @@
         kind: type[Body],
         convert: Callable[[Body, int], Result | ReadFailure | None],
         on_result: Callable[[Result | ReadFailure], None],
+        wait_s: float = 0.0,
     ) -> None:
         """Send one request of a read.
 
+        :param timeout_s: longest silence of the store before and within its answer, in seconds.
         :param convert: returns the result of the read, or ``None`` if it goes on with another
             request. Its arguments are the body and the epoch of the answer.
         :param on_result: called with the result. An unexpected error also ends the read and is a
             failure, because the caller starts the next read only after this one.
+        :param wait_s: time for which the request lets the store wait, in seconds.
         """
 
         def finish(response: HttpResult) -> None:
@@ -255,7 +266,8 @@
                     on_result(result)
 
         self.calls += 1
-        self._http.get(target, timeout_s, finish)
+        limits = TransferLimits(timeout_s, TRANSFER_TIMEOUT_S)
+        self._http.get(target, wait_s + timeout_s, finish, limits)
 
 
 def _decode_response(result: HttpResult, kind: type[Body]) -> _Answer[Body] | ReadFailure:
