Confirm the view as of the beginning of an answer of the store

The store makes an answer before it sends it. The view counted as confirmed when the answer was complete, so that after 2.2 s of transfer (a megabyte on 5 Mbit/s) the entry took itself and told its peers to be 2.2 s more current than it was: an old view is then noticed too late, and a server that drains counts as having published it later than it may have.

The client remembers when the first byte of an answer arrived, with the same allowance for a process that stood still, and the view is confirmed as of then.

The test failed before (confirmed 2.24 s after the store's reply) and passes now.

--- a/src/chicoryproxy/eventloop/http.py
+++ b/src/chicoryproxy/eventloop/http.py
@@ -63,6 +63,7 @@
 
     The first request opens the connection; the next request after a failure reopens it.
 
+    :ivar answered_s: when the last response began to arrive, in seconds.
     :ivar was_connected: the server accepted the last connection, whether it answered or not.
     """
 
@@ -80,7 +81,8 @@
         self._timer: Timer | None = None
         self._due_s = 0.0
         self._limits: TransferLimits | None = None
-        self._begun_s: float | None = None
+        self._has_begun = False
+        self.answered_s = float("-inf")
 
     def set_server(self, server: Endpoint) -> None:
         """Send the next and later requests to another server."""
@@ -111,7 +113,7 @@
             self._stream = open_stream(self._loop, self._server, self)
         self._on_result = on_result
         self._limits = limits
-        self._begun_s = None
+        self._has_begun = False
         self._due_s = self._loop.read_clock() + timeout_s
         self._timer = self._loop.call_later(timeout_s, self._expire)
         head = f"GET {target} HTTP/1.1\r\nHost: {self._server.host}:{self._server.port}\r\n\r\n"
@@ -132,7 +134,7 @@
     def handle_data(self, data: bytes) -> None:
         """Pass received bytes to the parser; a response that can't be parsed is a failure."""
         assert self._parser is not None
-        self._extend_deadline()
+        self._record_arrival()
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError as error:
@@ -167,15 +169,14 @@
         status = self._parser.get_status_code()
         self._response = HttpResponse(status, self._headers, bytes(self._body), keeps_alive)
 
-    def _extend_deadline(self) -> None:
-        """Let a response go on for which more bytes have arrived, within its limits."""
-        if self._limits is None:
-            return
-        now = self._loop.read_clock()
-        if self._begun_s is None:
-            self._begun_s = now
-        end_s = self._begun_s + self._limits.total_s
-        self._due_s = min(now + self._limits.silence_s, end_s)
+    def _record_arrival(self) -> None:
+        """Let a response go on for which bytes have arrived, within its limits."""
+        if not self._has_begun:
+            self._has_begun = True
+            self.answered_s = self._loop.get_arrival_s()
+        if self._limits is not None:
+            silent_until_s = self._loop.read_clock() + self._limits.silence_s
+            self._due_s = min(silent_until_s, self.answered_s + self._limits.total_s)
 
     def _expire(self) -> None:
         # The deadline may have moved since the timer was set, with each part of the response.
--- a/src/chicoryproxy/node/view.py
+++ b/src/chicoryproxy/node/view.py
@@ -190,7 +190,7 @@
     def handle_changes(self, changes: Iterable[Change], revision: Revision) -> None:
         """Merge changes from the store, which confirm that the view is current."""
         self._merge(changes, revision, self.replica.synced, NewsSource.WATCH)
-        self._note_confirmation(self._loop.get_arrival_s())
+        self._note_confirmation(self.client.answered_s)
         if self._store_failure is not None:
             self._journal.write("store_back", revision=revision, after=self._store_failure.value)
             self._store_failure = None
--- a/src/chicoryproxy/platform/store.py
+++ b/src/chicoryproxy/platform/store.py
@@ -136,6 +136,11 @@
         self._domains = domains
         self._http = HttpClient(loop, store)
 
+    @property
+    def answered_s(self) -> float:
+        """When the last answer began to arrive; the store made it before, in seconds."""
+        return self._http.answered_s
+
     def set_store(self, store: Endpoint) -> None:
         """Change the address of the store; a pending request still completes at the old one."""
         self._http.set_server(store)
