List in pages what a watch would bring in one answer over 4 MB

The store limits a page of a listing, but not the answer to a watch. All values of a megabyte that another writer had left since the last watch came in one answer, which was held as bytes, as texts and decoded, so that memory grew with their number up to the limit of the machine, where the process is killed. On a slow link such an answer also took longer than any read may, again and again.

An answer over 4 MB (a page has up to 2.8 MB) is given up as soon as its headers or its bytes show its size; the read fails with its own reason, and the entry lists the store, as it does after a lost history.

--- a/src/chicoryproxy/eventloop/http.py
+++ b/src/chicoryproxy/eventloop/http.py
@@ -10,6 +10,7 @@
 from chicoryproxy.eventloop.loop import Loop, Timer
 from chicoryproxy.eventloop.stream import Listener, Stream, StreamHandler, open_stream
 
+CONTENT_LENGTH = b"content-length"
 REASON_PHRASES = {200: "OK", 404: "Not Found", 503: "Service Unavailable"}
 
 
@@ -44,18 +45,24 @@
     error: OSError | None
 
 
+class HttpTooLarge(Struct, frozen=True):
+    """The body has more bytes than allowed; it was not received in full."""
+
+
 class TransferLimits(Struct, frozen=True):
-    """Limits of a response that has begun to arrive, in seconds.
+    """Limits of a response that has begun to arrive.
 
-    :param silence_s: longest time without another byte.
-    :param total_s: longest time until it is complete.
+    :param silence_s: longest time without another byte, in seconds.
+    :param total_s: longest time until it is complete, in seconds.
+    :param body_bytes: largest size of its body.
     """
 
     silence_s: float
     total_s: float
+    body_bytes: int
 
 
-HttpResult = HttpResponse | HttpTimeout | HttpFailure
+HttpResult = HttpResponse | HttpTimeout | HttpFailure | HttpTooLarge
 
 
 class HttpClient(StreamHandler):
@@ -82,6 +89,7 @@
         self._due_s = 0.0
         self._limits: TransferLimits | None = None
         self._has_begun = False
+        self._is_too_large = False
         self.answered_s = float("-inf")
 
     def set_server(self, server: Endpoint) -> None:
@@ -140,6 +148,10 @@
         except httptools.HttpParserError as error:
             self._finish(HttpFailure(ConnectionAbortedError(str(error))), keep_open=False)
             return
+        if self._is_too_large:
+            self._body.clear()
+            self._finish(HttpTooLarge(), keep_open=False)
+            return
         # Outside the parser, which would take an exception of the receiver for its own.
         response, self._response = self._response, None
         if response is not None:
@@ -153,14 +165,22 @@
         """Reset the state for a new response; called by the parser."""
         self._headers = {}
         self._body.clear()
+        self._is_too_large = False
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Store a header; called by the parser."""
         self._headers[name.lower()] = value
 
+    def on_headers_complete(self) -> None:
+        """Check the size that the headers name; called by the parser."""
+        size = self._headers.get(CONTENT_LENGTH, b"0")
+        self._check_size(int(size) if size.isdigit() else 0)
+
     def on_body(self, body: bytes) -> None:
         """Append a part of the body; called by the parser."""
-        self._body += body
+        if not self._is_too_large:
+            self._body += body
+            self._check_size(len(self._body))
 
     def on_message_complete(self) -> None:
         """Deliver the response; called by the parser."""
@@ -169,6 +189,10 @@
         status = self._parser.get_status_code()
         self._response = HttpResponse(status, self._headers, bytes(self._body), keeps_alive)
 
+    def _check_size(self, size: int) -> None:
+        if self._limits is not None and size > self._limits.body_bytes:
+            self._is_too_large = True
+
     def _record_arrival(self) -> None:
         """Let a response go on for which bytes have arrived, within its limits."""
         if not self._has_begun:
--- a/src/chicoryproxy/node/storewatch.py
+++ b/src/chicoryproxy/node/storewatch.py
@@ -8,8 +8,8 @@
 from chicoryproxy.forwarding.view.readerpolicy import ReaderPolicy
 from chicoryproxy.platform.store import Listing, ReadFailure, StoreClient, WatchResult
 
-NEEDS_LISTING = (ReadFailure.HISTORY_LOST, ReadFailure.RESTORED)
-"""After these failures a watch can't continue from the known revision."""
+NEEDS_LISTING = (ReadFailure.HISTORY_LOST, ReadFailure.RESTORED, ReadFailure.TOO_LARGE)
+"""After these failures a watch can't continue from the known revision. A listing comes in pages."""
 
 RETRY_MIN_S = 0.1
 RETRY_MAX_S = 0.8
--- a/src/chicoryproxy/platform/store.py
+++ b/src/chicoryproxy/platform/store.py
@@ -19,6 +19,7 @@
     HttpResponse,
     HttpResult,
     HttpTimeout,
+    HttpTooLarge,
     TransferLimits,
 )
 from chicoryproxy.eventloop.loop import Loop
@@ -35,6 +36,10 @@
 """Time that an answer may take from its first byte to its last. A page with two of the largest
 values, in base64, takes 4.5 s on a link of 5 Mbit/s."""
 
+MAX_ANSWER_BYTES = 4 * 1024 * 1024
+"""Larger answers are not read. A page of a listing has up to 2.8 MB, with two of the largest
+values; the answer to a watch has no limit at the store."""
+
 ALL_KEYS_PREFIX = ""
 
 FEW_KEYS_PREFIX = EVACUATE_PREFIX
@@ -51,6 +56,7 @@
 class ReadFailure(Enum):
     """Why a read failed.
 
+    ``TOO_LARGE``: the answer was larger than ``MAX_ANSWER_BYTES``.
     ``RESTORED``: the store has come back from an older copy since the last read or during this one.
     """
 
@@ -59,6 +65,7 @@
     BUSY = "busy"
     UNAVAILABLE = "unavailable"
     HISTORY_LOST = "history_lost"
+    TOO_LARGE = "too_large"
     RESTORED = "restored"
     UNREADABLE = "unreadable"
 
@@ -271,13 +278,15 @@
                     on_result(result)
 
         self.calls += 1
-        limits = TransferLimits(timeout_s, TRANSFER_TIMEOUT_S)
+        limits = TransferLimits(timeout_s, TRANSFER_TIMEOUT_S, MAX_ANSWER_BYTES)
         self._http.get(target, wait_s + timeout_s, finish, limits)
 
 
 def _decode_response(result: HttpResult, kind: type[Body]) -> _Answer[Body] | ReadFailure:
     if isinstance(result, HttpTimeout):
         return ReadFailure.TIMEOUT
+    if isinstance(result, HttpTooLarge):
+        return ReadFailure.TOO_LARGE
     if isinstance(result, HttpFailure):
         return ReadFailure.UNREACHABLE
     if result.status != 200:
--- a/tests/node/test_large_answers.py
+++ b/tests/node/test_large_answers.py
@@ -76,3 +76,17 @@
     watch.start()
     run_until(loop, lambda: listener.failures, LIST_TIMEOUT_S + SLACK_S)
     assert listener.failures == [ReadFailure.TIMEOUT]
+
+
+# LOST: many large values in one answer, which use up the memory.
+def test_many_large_values_are_listed_page_by_page(loop, store, listener):
+    watch = StoreWatch(loop, StoreClient(loop, store.address, DOMAINS), listener, Policy())
+    store.put("servers/i-1", create_server_entry())
+    watch.start()
+    run_until(loop, lambda: listener.confirmations)
+    for number in range(4):
+        store.put(f"servers/x-{number}", LARGE)
+    run_until(loop, lambda: len(listener.changes) == 5)
+    assert listener.failures == [ReadFailure.TOO_LARGE]
+    store.put("op/config", create_config(3))
+    run_until(loop, lambda: "routing" in listener.changes)
