Leave registrations with impossibly large numbers unread

A number that fits into 64 bits was believed. Under the id of a living server another writer's entry then prevailed for ever, whatever the server wrote: a later start ended its lifetime and made its own registrations those of a former one, so that it got no openings any more; a higher sequence made them old news, among them that it drains; a longer cold time kept it cold, with the few openings of a cold server.

The limits are far from what a server writes, since one that is wrongly left unread is worse than one that isn't.

A false number within these limits can't be told from a true one, and is believed still.

--- a/src/chicoryproxy/platform/records.py
+++ b/src/chicoryproxy/platform/records.py
@@ -58,11 +58,21 @@
 MAX_PRIORITY = 2**31 - 1
 """Higher numbers are unreadable; messages between entries can't hold those above 64 bits."""
 
+MAX_SLOTS = 2**31 - 1
+MAX_SEQUENCE = 2**53 - 1
+MAX_COLD_MS = 24 * 3600 * 1000
+MAX_STARTED_MS = 253_402_300_799_999
+"""The end of the year 9999. An entry with larger numbers is unreadable: the server could never undo
+them, since a later start or sequence and a longer cold time prevail."""
+
 _HEX_DIGITS = frozenset("0123456789abcdefABCDEF")
 
 _Text = Annotated[str, Meta(max_length=MAX_TEXT_LENGTH)]
 _Integer = Annotated[int, Meta(ge=MIN_INTEGER, le=MAX_INTEGER)]
-_Positive = Annotated[int, Meta(ge=1, le=MAX_INTEGER)]
+_Slots = Annotated[int, Meta(ge=1, le=MAX_SLOTS)]
+_Sequence = Annotated[int, Meta(ge=MIN_INTEGER, le=MAX_SEQUENCE)]
+_Started = Annotated[int, Meta(ge=MIN_INTEGER, le=MAX_STARTED_MS)]
+_Cold = Annotated[float, Meta(ge=0, le=MAX_COLD_MS)]
 _Priority = Annotated[int, Meta(ge=0, le=MAX_PRIORITY)]
 _NotNegative = Annotated[float, Meta(ge=0)]
 
@@ -74,12 +84,12 @@
     # Version of the server's software. Nothing depends on it, but an entry without it isn't one
     # that a server has written of itself.
     software: _Text = field(name="Version")
-    slots: _Positive = field(name="Concurrency")
+    slots: _Slots = field(name="Concurrency")
     state: _Text = field(name="State")
-    cold_remaining_ms: _NotNegative = field(name="ColdRemainingMs")
-    sequence: _Integer = field(name="Sequence")
+    cold_remaining_ms: _Cold = field(name="ColdRemainingMs")
+    sequence: _Sequence = field(name="Sequence")
     # Unix time of the server's start in milliseconds. The platform writes this name in lower case.
-    born: _Integer = 0
+    born: _Started = 0
 
 
 class _Split(Struct):
--- a/tests/node/oddentries.py
+++ b/tests/node/oddentries.py
@@ -51,6 +51,7 @@
     "[]",
     "{}",
 )
+HUGE_NUMBERS = ("1e300", "9223372036854775807", "9007199254740993", MANY_DIGITS, "1e999")
 ODD_TEXTS = ("4", "null", "[]", "{}", "true", '"\\ud800"', '"\\u0000"', '""', '"none of these"')
 ODD_BYTES = (
     b"",
