Leave one key unread when the decoder of values fails unexpectedly

An error of the decoder other than those known for unreadable values failed the whole read, which was repeated with the same result for as long as the value was there: an entry that started never became ready, and one that followed got no later version or evacuation.

The error now ends the decoding of that key only. It is logged (error, with its place) and counted as before, and the key is unreadable: its server gets no openings, or the current version stays in force. Errors between the answer and the next read that aren't of a value fail the read as before (test_the_store_is_read_again_after_an_error_of_the_decoder, unchanged).

--- a/src/chicoryproxy/platform/records.py
+++ b/src/chicoryproxy/platform/records.py
@@ -1,7 +1,7 @@
 """Decoder of the keys and values in the platform's store."""
 
-from collections.abc import Collection
-from typing import Annotated
+from collections.abc import Callable, Collection
+from typing import Annotated, TypeVar
 
 from msgspec import Meta, Struct, field
 
@@ -29,6 +29,8 @@
 from chicoryproxy.ids import DomainId, ServiceId, UpstreamId, Version
 from chicoryproxy.platform.jsonvalue import decode_json
 
+Value = TypeVar("Value")
+
 SERVERS_PREFIX = "servers/"
 CONFIG_KEY = "op/config"
 EVACUATE_PREFIX = "op/evacuate/"
@@ -129,42 +131,62 @@
 
 
 def decode_item(
-    key: str, value: bytes | None, revision: Revision, domains: Collection[DomainId]
+    key: str,
+    value: bytes | None,
+    revision: Revision,
+    domains: Collection[DomainId],
+    report_error: Callable[[Exception], None] | None = None,
 ) -> Change | None:
     """Decode a key of the store and its value.
 
     :param value: ``None`` if the key was deleted.
     :param domains: the known failure domains.
+    :param report_error: called with an unexpected error of the decoder, which makes this key
+        unreadable and leaves the others; ``None`` to raise it.
     :returns: ``None`` for a key that the entry doesn't use.
     """
     if key.startswith(SERVERS_PREFIX):
         upstream = UpstreamId(key.removeprefix(SERVERS_PREFIX))
         fact: Fact = UpstreamUnlisted(upstream)
         if value is not None:
-            fact = _decode_server(upstream, value, domains)
+            server = _decode(lambda: _decode_server(upstream, value, domains), report_error)
+            fact = UpstreamUnreadable(upstream, server) if isinstance(server, str) else server
         return Change(get_upstream_key(upstream), revision, fact)
     if key.startswith(EVACUATE_PREFIX):
         domain = DomainId(key.removeprefix(EVACUATE_PREFIX))
         fact = DomainBack(domain) if value is None else DomainOut(domain)
         return Change(get_domain_key(domain), revision, fact)
     if key == CONFIG_KEY and value is not None:
-        return Change(ROUTING_KEY, revision, _decode_config(value))
+        config = _decode(lambda: _decode_config(value), report_error)
+        fact = RoutingUnreadable(config) if isinstance(config, str) else config
+        return Change(ROUTING_KEY, revision, fact)
     return None
 
 
-def _decode_server(
-    upstream: UpstreamId, value: bytes, domains: Collection[DomainId]
-) -> UpstreamListed | UpstreamUnreadable:
+def _decode(
+    decode: Callable[[], Value], report_error: Callable[[Exception], None] | None
+) -> Value | str:
+    """Decode a value; return the reason if it is unreadable."""
     try:
-        server = decode_json(value, _Server)
-        entry = _convert_server(upstream, server, domains)
+        return decode()
     except ValueError as error:
-        return UpstreamUnreadable(upstream, _describe(error))
-    return UpstreamListed(entry)
+        # A reason may quote the value.
+        return str(error)[:MAX_REASON_LENGTH]
+    except Exception as error:
+        if report_error is None:
+            raise
+        report_error(error)
+        return f"unexpected {type(error).__name__}"
 
 
-def _describe(error: ValueError) -> str:
-    return str(error)[:MAX_REASON_LENGTH]
+def _decode_server(
+    upstream: UpstreamId, value: bytes, domains: Collection[DomainId]
+) -> UpstreamListed:
+    """Decode the registration of a server.
+
+    :raises ValueError: if it can't be decoded.
+    """
+    return UpstreamListed(_convert_server(upstream, decode_json(value, _Server), domains))
 
 
 def _convert_server(
@@ -227,12 +249,13 @@
     return text.isascii() and text.isdecimal()
 
 
-def _decode_config(value: bytes) -> RoutingPublished | RoutingUnreadable:
-    try:
-        config = decode_json(value, _Config)
-        routes = tuple(_convert_route(route) for route in config.routes)
-    except ValueError as error:
-        return RoutingUnreadable(_describe(error))
+def _decode_config(value: bytes) -> RoutingPublished:
+    """Decode a version of the configuration.
+
+    :raises ValueError: if it can't be decoded.
+    """
+    config = decode_json(value, _Config)
+    routes = tuple(_convert_route(route) for route in config.routes)
     services = tuple(
         ServiceLimits(
             ServiceId(item.name),
--- a/src/chicoryproxy/platform/store.py
+++ b/src/chicoryproxy/platform/store.py
@@ -140,6 +140,7 @@
 
     def __init__(self, loop: Loop, store: Endpoint, domains: Collection[DomainId]) -> None:
         self.calls = 0
+        self._loop = loop
         self._domains = domains
         self._http = HttpClient(loop, store)
 
@@ -244,7 +245,8 @@
                 # An empty value is not valid JSON and is reported as an unreadable entry.
                 value = b""
         revision = create_revision(epoch, item.revision)
-        return decode_item(item.key, value, revision, self._domains)
+        report_error = self._loop.report_error
+        return decode_item(item.key, value, revision, self._domains, report_error)
 
     def _call(
         self,
