Decode the items of an answer of the store one by one

A page or the answer to a watch was decoded as a whole: one item with a key or value of another type, without a key, or with half a character as an escape (\ud800, which JSON allows) made all of it unreadable, again and again. An entry that started never became ready, one that followed got nothing after it.

Items are decoded one by one. One that can't be is reported as an error; its revision counts, so that the watch misses nothing, and if its key can be read, that key is unreadable. Halves of characters are replaced by U+FFFD, only once an answer has turned out to be unreadable. The next page of a listing begins after the last key that can be read; a page without any is unreadable as a whole, as before.

Whether the platform's store can hold such a key isn't known.

--- a/src/chicoryproxy/platform/store.py
+++ b/src/chicoryproxy/platform/store.py
@@ -10,7 +10,7 @@
 from enum import Enum, unique
 from typing import Generic, TypeVar
 
-from msgspec import Struct, field
+from msgspec import Raw, Struct, field
 
 from chicoryproxy.endpoint import Endpoint
 from chicoryproxy.eventloop.http import (
@@ -26,7 +26,11 @@
 from chicoryproxy.forwarding.model import Change, Revision
 from chicoryproxy.forwarding.view.epoch import create_revision, get_epoch, get_number
 from chicoryproxy.ids import DomainId
-from chicoryproxy.platform.jsonvalue import UnreadableValueError, decode_json
+from chicoryproxy.platform.jsonvalue import (
+    UnreadableValueError,
+    decode_json,
+    replace_lone_surrogates,
+)
 from chicoryproxy.platform.records import EVACUATE_PREFIX, decode_item
 
 LIST_TIMEOUT_S = 2.0
@@ -48,6 +52,9 @@
 EPOCH_HEADER = b"store-era"
 """Present in each answer; a store without it has never come back from an older copy."""
 
+NO_BASE64 = "-"
+"""Stands for a value that can't be read."""
+
 Body = TypeVar("Body")
 Result = TypeVar("Result")
 
@@ -101,16 +108,23 @@
     is_deleted: bool = field(name="Deleted", default=False)
 
 
+class _Head(Struct):
+    """What can be read of an item whose other fields have the wrong type."""
+
+    revision: int = field(name="Revision")
+    key: object = field(name="Key", default="")
+
+
 class _Page(Struct):
     # The revision of the whole store, not that of an item.
     revision: int = field(name="CurrentRev")
-    items: tuple[_Item, ...] = ()
+    items: tuple[Raw, ...] = ()
     has_more: bool = field(name="HasMore", default=False)
 
 
 class _Events(Struct):
     revision: int = field(name="CurrentRev")
-    events: tuple[_Item, ...] = ()
+    events: tuple[Raw, ...] = ()
 
 
 class _Answer(Struct, Generic[Body], frozen=True):
@@ -202,8 +216,9 @@
             if epoch != get_epoch(revision):
                 # The same number means another revision; changes before it may be unknown.
                 return ReadFailure.RESTORED
-            changes = tuple(self._decode_items(events.events, epoch))
-            numbers = {event.revision for event in events.events}
+            items = self._read_items(events.events)
+            changes = tuple(self._decode_items(items, epoch))
+            numbers = {item.revision for item in items}
             is_complete = numbers.issuperset(range(after + 1, events.revision + 1))
             return WatchResult(changes, create_revision(epoch, events.revision), is_complete)
 
@@ -222,17 +237,39 @@
     ) -> None:
 
         def convert(page: _Page, epoch: int) -> Listing | ReadFailure | None:
-            changes = tuple(self._decode_items(page.items, epoch))
+            items = self._read_items(page.items)
+            changes = tuple(self._decode_items(items, epoch))
             pages = (*earlier, Listing(changes, create_revision(epoch, page.revision)))
             if page.has_more and page.items:
-                self._list_page(query, page.items[-1].key, pages, on_result)
+                keys = [item.key for item in items if item.key]
+                if not keys:
+                    # Without a key, the next page would be this one again.
+                    return ReadFailure.UNREADABLE
+                self._list_page(query, keys[-1], pages, on_result)
                 return None
             return _join_pages(pages)
 
         target = f"{query}&after={_percent_encode(after)}" if after else query
         self._call(target, LIST_TIMEOUT_S, _Page, convert, on_result)
 
-    def _decode_items(self, items: tuple[_Item, ...], epoch: int) -> list[Change]:
+    def _read_items(self, items: tuple[Raw, ...]) -> list[_Item]:
+        """Read the fields of items; one that can't be read is reported and holds up no other."""
+        read = (self._read_item(item) for item in items)
+        return [item for item in read if item is not None]
+
+    def _read_item(self, raw: Raw) -> _Item | None:
+        try:
+            return decode_json(raw, _Item)
+        except UnreadableValueError as error:
+            self._loop.report_error(error)
+        try:
+            head = decode_json(raw, _Head)
+        except UnreadableValueError:
+            return None
+        key = head.key if isinstance(head.key, str) else ""
+        return _Item(key, head.revision, NO_BASE64)
+
+    def _decode_items(self, items: list[_Item], epoch: int) -> list[Change]:
         changes = (self._decode_item(item, epoch) for item in items)
         return [change for change in changes if change is not None]
 
@@ -294,11 +331,18 @@
     if result.status != 200:
         return _FAILURE_BY_STATUS.get(result.status, ReadFailure.UNREADABLE)
     try:
-        return _Answer(decode_json(result.body, kind), _read_epoch(result))
+        return _Answer(_decode_body(result.body, kind), _read_epoch(result))
     except UnreadableValueError:
         return ReadFailure.UNREADABLE
 
 
+def _decode_body(body: bytes, kind: type[Body]) -> Body:
+    try:
+        return decode_json(body, kind)
+    except UnreadableValueError:
+        return decode_json(replace_lone_surrogates(body), kind)
+
+
 def _read_epoch(response: HttpResponse) -> int:
     """Return the epoch of the store that gave an answer, zero if it names none.
 
--- a/tests/node/fakestore.py
+++ b/tests/node/fakestore.py
@@ -80,7 +80,7 @@
 
     def reply(self, status, body):
         """Send a response with a JSON body."""
-        data = json.dumps(body).encode()
+        data = self._store.spell(json.dumps(body))
         head = f"HTTP/1.1 {status} X\r\n{self._store.get_epoch_header()}"
         self.stream.write(f"{head}Content-Length: {len(data)}\r\n\r\n".encode() + data)
         self._store.on_reply()
@@ -93,6 +93,7 @@
     :ivar status: status of every response instead of 200, if not ``None``.
     :ivar is_silent: true if requests get no response.
     :ivar on_reply: called after each response.
+    :ivar spell: encodes the text of each response.
     :ivar delay_s: time that each response takes, in seconds.
     :ivar stale_revision: revision that listings with ``AllowStale`` show, if not ``None``.
     :ivar names_newest: whether stale listings and silent watches name the newest revision, although
@@ -108,6 +109,7 @@
         self.status = None
         self.is_silent = False
         self.on_reply = lambda: None
+        self.spell = str.encode
         self.delay_s = 0.0
         self.stale_revision = None
         self.names_newest = False
