--- a/tests/node/test_odd_entries.py
+++ b/tests/node/test_odd_entries.py
@@ -22,6 +22,8 @@
 APPLY_BOUND_S = 3.0
 """``ConfigApplyMs`` of the sites."""
 
+SLOW_ANSWER_S = 0.8
+
 MEMORY_BOUND_KB = 139 * 1024 // 2
 """Half of the memory of the smallest machine."""
 
@@ -80,6 +82,14 @@
             self.store.put(f"servers/{name}", value)
         self.write_servers()
 
+    def slow_down_store(self, write):
+        """Write while the store answers slowly, which it does for a while."""
+        self.store.delay_s = SLOW_ANSWER_S
+        end_s = self.loop.read_clock() + 2 * SLOW_ANSWER_S
+        write()
+        run_until(self.loop, lambda: self.loop.read_clock() > end_s)
+        self.store.delay_s = 0.0
+
     def publish_version(self):
         """Publish the next version of the configuration."""
         self._version += 3
@@ -147,6 +157,8 @@
     deployment.check_following()
     deployment.start_entry()
     deployment.check_following()
+    deployment.slow_down_store(lambda: deployment.write_odd(values))
+    deployment.check_following()
     deployment.check_processes()
 
 
