Widen the properties of values of other writers

The properties of a registration's fields missed numbers that no generated value reaches (1e300, 5,000 digits), addresses in the digits of other scripts, and keys of any text; and what is applied was encoded for peers, but not read again. Each has a property now.

--- a/src/chicoryproxy/forwarding/peers/hosts.py
+++ b/src/chicoryproxy/forwarding/peers/hosts.py
@@ -1,11 +1,7 @@
 """Conversion of IPv4 addresses between text and the numbers used in packets and messages."""
 
-import re
-
 HOST_OCTETS = 4
-
-_OCTET = "(?:25[0-5]|2[0-4][0-9]|1[0-9][0-9]|[1-9]?[0-9])"
-_HOST = re.compile(rf"{_OCTET}(?:\.{_OCTET}){{3}}")
+MAX_OCTET = 255
 
 
 def parse_host(text: str) -> int:
@@ -16,9 +12,14 @@
 
     :raises ValueError: if the text is not an IPv4 address.
     """
-    if not _HOST.fullmatch(text):
-        raise ValueError(f"not an IPv4 address: {text!r}")
-    return int.from_bytes(bytes(int(part) for part in text.split(".")), "big")
+    parts = text.split(".")
+    if len(parts) == HOST_OCTETS and all(
+        part.isdecimal() and int(part) <= MAX_OCTET for part in parts
+    ):
+        host = int.from_bytes(bytes(int(part) for part in parts), "big")
+        if format_host(host) == text:
+            return host
+    raise ValueError(f"not an IPv4 address: {text!r}")
 
 
 def format_host(host: int) -> str:
--- a/tests/adapter/test_malformed_input.py
+++ b/tests/adapter/test_malformed_input.py
@@ -4,7 +4,9 @@
 """
 
 import json
+import socket
 
+import msgspec
 import pytest
 from hypothesis import example, given, settings
 from hypothesis import strategies as st
@@ -14,6 +16,7 @@
     Change,
     Revision,
     RoutingUnreadable,
+    UpstreamListed,
     UpstreamUnreadable,
 )
 from chicoryproxy.forwarding.packet import CallerPacket
@@ -36,7 +39,7 @@
 NESTED_TOO_DEEPLY = b'{"Note": ' + b"[" * 10_000
 KEYS = st.sampled_from(
     [SERVERS_PREFIX, SERVERS_PREFIX + "s-1f", CONFIG_KEY, EVACUATE_PREFIX, "other", ""]
-)
+) | st.builds(str.__add__, st.sampled_from([SERVERS_PREFIX, EVACUATE_PREFIX]), st.text(max_size=60))
 SERVER = {
     "Service": "qa-desk",
     "Address": "10.1.0.9:8000",
@@ -62,6 +65,10 @@
     "Services": [{"Name": "qa-desk", "ColdStartS": 2.0, "ColdPerS": 4.0}],
     "Limits": {"IdleTimeoutMs": 15000},
 }
+NUMBER_TEXTS = st.sampled_from(["9" * 400, "9" * 5_000, "1e999", "1e300", "-1e300", "1e-400"])
+DIGITS = st.text(st.characters(categories=["Nd"]), max_size=6)
+HOSTS = st.lists(DIGITS, min_size=4, max_size=4).map(".".join) | st.ip_addresses(v=4).map(str)
+ADDRESSES = st.builds("{}:{}".format, HOSTS, DIGITS | st.integers(-1, 70_000))
 JSON = st.recursive(
     st.none()
     | st.booleans()
@@ -137,6 +144,35 @@
     apply(decode_item(SERVERS_PREFIX + "s-1f", data, Revision(2), DOMAINS))
 
 
+@given(field=st.sampled_from(sorted({**SERVER, "born": 0})), text=NUMBER_TEXTS)
+@settings(max_examples=EXAMPLES, deadline=None, derandomize=True)
+def test_a_registration_with_an_extreme_number_is_applied_or_reported(field, text):
+    others = {name: value for name, value in SERVER.items() if name != field}
+    data = json.dumps(others)[:-1] + f', "{field}": {text}}}'
+    apply(decode_item(SERVERS_PREFIX + "s-1f", data.encode(), Revision(2), DOMAINS))
+
+
+@given(address=ADDRESSES)
+@settings(max_examples=EXAMPLES, deadline=None, derandomize=True)
+def test_an_address_is_read_as_a_socket_reads_it_or_not_at_all(address):
+    data = json.dumps({**SERVER, "Address": address}).encode()
+    fact = decode_item(SERVERS_PREFIX + "s-1f", data, Revision(2), DOMAINS).fact
+    if isinstance(fact, UpstreamListed):
+        host = fact.entry.address.host
+        assert socket.inet_ntoa(socket.inet_aton(host)) == host
+        assert f"{host}:{fact.entry.address.port}" in (address, _strip_zeros(address))
+
+
+@given(field=st.sampled_from(["Service", "State", "Address", "Zone"]), text=st.text(), key=KEYS)
+@settings(max_examples=EXAMPLES, deadline=None, derandomize=True)
+def test_a_value_is_logged_and_passed_on_whatever_its_text_and_key(field, text, key):
+    data = json.dumps({**SERVER, field: text}).encode()
+    change = decode_item(key, data, Revision(2), DOMAINS)
+    apply(change)
+    if change is not None:
+        msgspec.json.encode(msgspec.to_builtins(change))
+
+
 @given(field=st.sampled_from(sorted(CONFIG)), value=JSON)
 @settings(max_examples=EXAMPLES, deadline=None, derandomize=True)
 def test_a_configuration_with_one_wrong_field_is_applied_or_reported(field, value):
@@ -168,6 +204,12 @@
         read_settings(str(path))
 
 
+def _strip_zeros(address):
+    """Remove the leading zeros of the port, which change nothing."""
+    host, _, port = address.rpartition(":")
+    return f"{host}:{port.lstrip('0')}"
+
+
 def apply(change):
     """Merge, apply and pass on a change, as an entry does with what the store answers."""
     harness = ForwarderHarness()
@@ -175,4 +217,5 @@
     harness.publish_routing(1)
     if change is not None and Replica().merge(change, False):
         harness.directory.apply(change, harness.now)
-        encode_message(ChangesReply((change,), change.revision, 0.0, None))
+        reply = ChangesReply((change,), change.revision, 0.0, None)
+        assert decode_message(encode_message(reply)) == reply
