--- a/src/chicoryproxy/eventloop/http.py
+++ b/src/chicoryproxy/eventloop/http.py
@@ -10,6 +10,7 @@
 from chicoryproxy.eventloop.loop import Loop, Timer
 from chicoryproxy.eventloop.stream import Listener, Stream, StreamHandler, open_stream
 
+CONTENT_LENGTH = b"content-length"
 REASON_PHRASES = {200: "OK", 404: "Not Found", 503: "Service Unavailable"}
 
 
@@ -44,7 +45,24 @@
     error: OSError | None
 
 
-HttpResult = HttpResponse | HttpTimeout | HttpFailure
+class HttpTooLarge(Struct, frozen=True):
+    """The body has more bytes than allowed; it was not received in full."""
+
+
+class TransferLimits(Struct, frozen=True):
+    """Limits of a response that has begun to arrive.
+
+    :param silence_s: longest time without another byte, in seconds.
+    :param total_s: longest time until it is complete, in seconds.
+    :param body_bytes: largest size of its body.
+    """
+
+    silence_s: float
+    total_s: float
+    body_bytes: int
+
+
+HttpResult = HttpResponse | HttpTimeout | HttpFailure | HttpTooLarge
 
 
 class HttpClient(StreamHandler):
@@ -52,6 +70,7 @@
 
     The first request opens the connection; the next request after a failure reopens it.
 
+    :ivar answered_s: when the last response began to arrive, in seconds.
     :ivar was_connected: the server accepted the last connection, whether it answered or not.
     """
 
@@ -67,6 +86,11 @@
         self._response: HttpResponse | None = None
         self._on_result: Callable[[HttpResult], None] | None = None
         self._timer: Timer | None = None
+        self._due_s = 0.0
+        self._limits: TransferLimits | None = None
+        self._has_begun = False
+        self._is_too_large = False
+        self.answered_s = float("-inf")
 
     def set_server(self, server: Endpoint) -> None:
         """Send the next and later requests to another server."""
@@ -74,11 +98,19 @@
             self._server = server
             self._server_changed = True
 
-    def get(self, target: str, timeout_s: float, on_result: Callable[[HttpResult], None]) -> None:
+    def get(
+        self,
+        target: str,
+        timeout_s: float,
+        on_result: Callable[[HttpResult], None],
+        limits: TransferLimits | None = None,
+    ) -> None:
         """Send a GET request.
 
         :param target: the request target, which is the path and the query.
+        :param timeout_s: time until the response is complete; with ``limits`` until it begins.
         :param on_result: called once with the result, unless ``close`` is called first.
+        :param limits: limits of the response once it has begun, which may be large.
         """
         if self._server_changed and self._stream is not None:
             self._stream.close()
@@ -88,8 +120,10 @@
             self.was_connected = False
             self._stream = open_stream(self._loop, self._server, self)
         self._on_result = on_result
-        due_s = self._loop.read_clock() + timeout_s
-        self._timer = self._loop.call_later(timeout_s, lambda: self._expire(due_s))
+        self._limits = limits
+        self._has_begun = False
+        self._due_s = self._loop.read_clock() + timeout_s
+        self._timer = self._loop.call_later(timeout_s, self._expire)
         head = f"GET {target} HTTP/1.1\r\nHost: {self._server.host}:{self._server.port}\r\n\r\n"
         self._stream.write(head.encode("ascii"))
 
@@ -108,11 +142,16 @@
     def handle_data(self, data: bytes) -> None:
         """Pass received bytes to the parser; a response that can't be parsed is a failure."""
         assert self._parser is not None
+        self._record_arrival()
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError as error:
             self._finish(HttpFailure(ConnectionAbortedError(str(error))), keep_open=False)
             return
+        if self._is_too_large:
+            self._body.clear()
+            self._finish(HttpTooLarge(), keep_open=False)
+            return
         # Outside the parser, which would take an exception of the receiver for its own.
         response, self._response = self._response, None
         if response is not None:
@@ -126,14 +165,22 @@
         """Reset the state for a new response; called by the parser."""
         self._headers = {}
         self._body.clear()
+        self._is_too_large = False
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Store a header; called by the parser."""
         self._headers[name.lower()] = value
 
+    def on_headers_complete(self) -> None:
+        """Check the size that the headers name; called by the parser."""
+        size = self._headers.get(CONTENT_LENGTH, b"0")
+        self._check_size(int(size) if size.isdigit() else 0)
+
     def on_body(self, body: bytes) -> None:
         """Append a part of the body; called by the parser."""
-        self._body += body
+        if not self._is_too_large:
+            self._body += body
+            self._check_size(len(self._body))
 
     def on_message_complete(self) -> None:
         """Deliver the response; called by the parser."""
@@ -142,8 +189,26 @@
         status = self._parser.get_status_code()
         self._response = HttpResponse(status, self._headers, bytes(self._body), keeps_alive)
 
-    def _expire(self, due_s: float) -> None:
-        self._finish(HttpTimeout(self._loop.read_clock() - due_s), keep_open=False)
+    def _check_size(self, size: int) -> None:
+        if self._limits is not None and size > self._limits.body_bytes:
+            self._is_too_large = True
+
+    def _record_arrival(self) -> None:
+        """Let a response go on for which bytes have arrived, within its limits."""
+        if not self._has_begun:
+            self._has_begun = True
+            self.answered_s = self._loop.get_arrival_s()
+        if self._limits is not None:
+            silent_until_s = self._loop.read_clock() + self._limits.silence_s
+            self._due_s = min(silent_until_s, self.answered_s + self._limits.total_s)
+
+    def _expire(self) -> None:
+        # The deadline may have moved since the timer was set, with each part of the response.
+        late_s = self._loop.read_clock() - self._due_s
+        if late_s < 0.0:
+            self._timer = self._loop.call_later(-late_s, self._expire)
+        else:
+            self._finish(HttpTimeout(late_s), keep_open=False)
 
     def _finish(self, result: HttpResult, keep_open: bool) -> None:
         on_result, self._on_result = self._on_result, None
--- a/src/chicoryproxy/platform/store.py
+++ b/src/chicoryproxy/platform/store.py
@@ -1,7 +1,8 @@
 """Client of the platform's store: listings and watches over one connection.
 
 The store is read-only for this system. Each request has its own timeout, since an open connection
-can stop delivering data without an error.
+can stop delivering data without an error. It limits the silence before and within an answer, not
+the answer as a whole, which may be large: another writer can leave a megabyte in a value.
 """
 
 import base64
@@ -9,7 +10,7 @@
 from enum import Enum, unique
 from typing import Generic, TypeVar
 
-from msgspec import Struct, field
+from msgspec import Raw, Struct, field
 
 from chicoryproxy.endpoint import Endpoint
 from chicoryproxy.eventloop.http import (
@@ -18,15 +19,31 @@
     HttpResponse,
     HttpResult,
     HttpTimeout,
+    HttpTooLarge,
+    TransferLimits,
 )
 from chicoryproxy.eventloop.loop import Loop
 from chicoryproxy.forwarding.model import Change, Revision
 from chicoryproxy.forwarding.view.epoch import create_revision, get_epoch, get_number
 from chicoryproxy.ids import DomainId
-from chicoryproxy.platform.jsonvalue import UnreadableValueError, decode_json
+from chicoryproxy.platform.jsonvalue import (
+    UnreadableValueError,
+    decode_json,
+    replace_lone_surrogates,
+)
 from chicoryproxy.platform.records import EVACUATE_PREFIX, decode_item
 
 LIST_TIMEOUT_S = 2.0
+"""Longest silence before and within a page of a listing."""
+
+TRANSFER_TIMEOUT_S = 7.0
+"""Time that an answer may take from its first byte to its last. A page with two of the largest
+values, in base64, takes 4.5 s on a link of 5 Mbit/s."""
+
+MAX_ANSWER_BYTES = 4 * 1024 * 1024
+"""Larger answers are not read. A page of a listing has up to 2.8 MB, with two of the largest
+values; the answer to a watch has no limit at the store."""
+
 ALL_KEYS_PREFIX = ""
 
 FEW_KEYS_PREFIX = EVACUATE_PREFIX
@@ -35,6 +52,9 @@
 EPOCH_HEADER = b"store-era"
 """Present in each answer; a store without it has never come back from an older copy."""
 
+NO_BASE64 = "-"
+"""Stands for a value that can't be read."""
+
 Body = TypeVar("Body")
 Result = TypeVar("Result")
 
@@ -43,6 +63,7 @@
 class ReadFailure(Enum):
     """Why a read failed.
 
+    ``TOO_LARGE``: the answer was larger than ``MAX_ANSWER_BYTES``.
     ``RESTORED``: the store has come back from an older copy since the last read or during this one.
     """
 
@@ -51,6 +72,7 @@
     BUSY = "busy"
     UNAVAILABLE = "unavailable"
     HISTORY_LOST = "history_lost"
+    TOO_LARGE = "too_large"
     RESTORED = "restored"
     UNREADABLE = "unreadable"
 
@@ -86,16 +108,23 @@
     is_deleted: bool = field(name="Deleted", default=False)
 
 
+class _Head(Struct):
+    """What can be read of an item whose other fields have the wrong type."""
+
+    revision: int = field(name="Revision")
+    key: object = field(name="Key", default="")
+
+
 class _Page(Struct):
     # The revision of the whole store, not that of an item.
     revision: int = field(name="CurrentRev")
-    items: tuple[_Item, ...] = ()
+    items: tuple[Raw, ...] = ()
     has_more: bool = field(name="HasMore", default=False)
 
 
 class _Events(Struct):
     revision: int = field(name="CurrentRev")
-    events: tuple[_Item, ...] = ()
+    events: tuple[Raw, ...] = ()
 
 
 class _Answer(Struct, Generic[Body], frozen=True):
@@ -125,9 +154,15 @@
 
     def __init__(self, loop: Loop, store: Endpoint, domains: Collection[DomainId]) -> None:
         self.calls = 0
+        self._loop = loop
         self._domains = domains
         self._http = HttpClient(loop, store)
 
+    @property
+    def answered_s(self) -> float:
+        """When the last answer began to arrive; the store made it before, in seconds."""
+        return self._http.answered_s
+
     def set_store(self, store: Endpoint) -> None:
         """Change the address of the store; a pending request still completes at the old one."""
         self._http.set_server(store)
@@ -150,7 +185,7 @@
         """Read the newest revision of the store, which proves what a watch only claims.
 
         :param known: a revision of the epoch that the store should be in.
-        :param timeout_s: time that the response may take, in seconds.
+        :param timeout_s: longest silence of the store, in seconds.
         """
 
         def convert(page: _Page, epoch: int) -> Revision | ReadFailure:
@@ -171,7 +206,7 @@
         """Wait for changes after a revision.
 
         :param wait_s: longest time to wait, in seconds; after it the result has no changes.
-        :param response_timeout_s: time that the response may take beyond the wait, in seconds.
+        :param response_timeout_s: longest silence of the store beyond the wait, in seconds.
         """
         wait_ms = max(1, round(wait_s * 1000))
         after = get_number(revision)
@@ -181,12 +216,13 @@
             if epoch != get_epoch(revision):
                 # The same number means another revision; changes before it may be unknown.
                 return ReadFailure.RESTORED
-            changes = tuple(self._decode_items(events.events, epoch))
-            numbers = {event.revision for event in events.events}
+            items = self._read_items(events.events)
+            changes = tuple(self._decode_items(items, epoch))
+            numbers = {item.revision for item in items}
             is_complete = numbers.issuperset(range(after + 1, events.revision + 1))
             return WatchResult(changes, create_revision(epoch, events.revision), is_complete)
 
-        self._call(query, wait_s + response_timeout_s, _Events, convert, on_result)
+        self._call(query, response_timeout_s, _Events, convert, on_result, wait_s)
 
     def close(self) -> None:
         """Close the connection and cancel the pending request without calling back."""
@@ -201,17 +237,39 @@
     ) -> None:
 
         def convert(page: _Page, epoch: int) -> Listing | ReadFailure | None:
-            changes = tuple(self._decode_items(page.items, epoch))
+            items = self._read_items(page.items)
+            changes = tuple(self._decode_items(items, epoch))
             pages = (*earlier, Listing(changes, create_revision(epoch, page.revision)))
             if page.has_more and page.items:
-                self._list_page(query, page.items[-1].key, pages, on_result)
+                keys = [item.key for item in items if item.key]
+                if not keys:
+                    # Without a key, the next page would be this one again.
+                    return ReadFailure.UNREADABLE
+                self._list_page(query, keys[-1], pages, on_result)
                 return None
             return _join_pages(pages)
 
         target = f"{query}&after={_percent_encode(after)}" if after else query
         self._call(target, LIST_TIMEOUT_S, _Page, convert, on_result)
 
-    def _decode_items(self, items: tuple[_Item, ...], epoch: int) -> list[Change]:
+    def _read_items(self, items: tuple[Raw, ...]) -> list[_Item]:
+        """Read the fields of items; one that can't be read is reported and holds up no other."""
+        read = (self._read_item(item) for item in items)
+        return [item for item in read if item is not None]
+
+    def _read_item(self, raw: Raw) -> _Item | None:
+        try:
+            return decode_json(raw, _Item)
+        except UnreadableValueError as error:
+            self._loop.report_error(error)
+        try:
+            head = decode_json(raw, _Head)
+        except UnreadableValueError:
+            return None
+        key = head.key if isinstance(head.key, str) else ""
+        return _Item(key, head.revision, NO_BASE64)
+
+    def _decode_items(self, items: list[_Item], epoch: int) -> list[Change]:
         changes = (self._decode_item(item, epoch) for item in items)
         return [change for change in changes if change is not None]
 
@@ -224,7 +282,8 @@
                 # An empty value is not valid JSON and is reported as an unreadable entry.
                 value = b""
         revision = create_revision(epoch, item.revision)
-        return decode_item(item.key, value, revision, self._domains)
+        report_error = self._loop.report_error
+        return decode_item(item.key, value, revision, self._domains, report_error)
 
     def _call(
         self,
@@ -233,13 +292,16 @@
         kind: type[Body],
         convert: Callable[[Body, int], Result | ReadFailure | None],
         on_result: Callable[[Result | ReadFailure], None],
+        wait_s: float = 0.0,
     ) -> None:
         """Send one request of a read.
 
+        :param timeout_s: longest silence of the store before and within its answer, in seconds.
         :param convert: returns the result of the read, or ``None`` if it goes on with another
             request. Its arguments are the body and the epoch of the answer.
         :param on_result: called with the result. An unexpected error also ends the read and is a
             failure, because the caller starts the next read only after this one.
+        :param wait_s: time for which the request lets the store wait, in seconds.
         """
 
         def finish(response: HttpResult) -> None:
@@ -255,22 +317,32 @@
                     on_result(result)
 
         self.calls += 1
-        self._http.get(target, timeout_s, finish)
+        limits = TransferLimits(timeout_s, TRANSFER_TIMEOUT_S, MAX_ANSWER_BYTES)
+        self._http.get(target, wait_s + timeout_s, finish, limits)
 
 
 def _decode_response(result: HttpResult, kind: type[Body]) -> _Answer[Body] | ReadFailure:
     if isinstance(result, HttpTimeout):
         return ReadFailure.TIMEOUT
+    if isinstance(result, HttpTooLarge):
+        return ReadFailure.TOO_LARGE
     if isinstance(result, HttpFailure):
         return ReadFailure.UNREACHABLE
     if result.status != 200:
         return _FAILURE_BY_STATUS.get(result.status, ReadFailure.UNREADABLE)
     try:
-        return _Answer(decode_json(result.body, kind), _read_epoch(result))
+        return _Answer(_decode_body(result.body, kind), _read_epoch(result))
     except UnreadableValueError:
         return ReadFailure.UNREADABLE
 
 
+def _decode_body(body: bytes, kind: type[Body]) -> Body:
+    try:
+        return decode_json(body, kind)
+    except UnreadableValueError:
+        return decode_json(replace_lone_surrogates(body), kind)
+
+
 def _read_epoch(response: HttpResponse) -> int:
     """Return the epoch of the store that gave an answer, zero if it names none.
 
