--- a/tests/node/fakestore.py
+++ b/tests/node/fakestore.py
@@ -161,6 +161,11 @@
         """Come back from a copy in a new epoch; later changes are lost, their revisions free."""
         self._events = list(copy)
         self.revision = copy[-1]["Revision"]
+        # The revisions after the copy are given out again, to other changes.
+        self.history_from = min(self.history_from, self.revision)
+        self._forgotten = {number for number in self._forgotten if number <= self.revision}
+        if self._heard_revision is not None:
+            self._heard_revision = min(self._heard_revision, self.revision)
         self.epoch = (self.epoch or 0) + 1
 
     def get_epoch_header(self):
@@ -172,6 +177,12 @@
         for connection in self._connections:
             connection.is_silent = True
 
+    def cut_connections(self):
+        """Close all open connections, and with them the watches that are waiting."""
+        for connection in self._connections:
+            connection.stream.close()
+        self._connections = []
+
     def answer(self, connection, target):
         """Answer a request."""
         self.calls.append(target)
@@ -224,6 +235,8 @@
         connection.reply(200, body)
 
     def _answer_watch(self, connection, after, due_s):
+        if connection.stream.is_closed:
+            return
         if after < self.history_from or after > self.revision:
             connection.reply(410, {})
             return
--- a/tests/soak/traffic.py
+++ b/tests/soak/traffic.py
@@ -1,5 +1,6 @@
 """Servers and callers of the soak, which exchange packets in the platform's format."""
 
+import itertools
 import random
 import struct
 
@@ -18,6 +19,7 @@
 RETRANSMIT_DELAYS_S = (0.2, 0.4)
 OPENING_TIMEOUT_S = 1.4
 REQUEST_TIMEOUT_S = 2.0
+PROBE_INTERVAL_S = 0.2
 
 
 def open_packet_socket(loop, host, port, receive):
@@ -245,3 +247,44 @@
         for timer in self._timers:
             timer.cancel()
         self._timers = []
+
+
+class Prober:
+    """Sends openings of a route that comes and goes directly to each ready entry.
+
+    The platform does the same with few flows. They show what each entry has in force.
+    """
+
+    def __init__(self, soak, host):
+        self._soak = soak
+        self._host = parse_host(host)
+        self._openings = {}
+        self._ports = itertools.cycle(range(1024, 65_000))
+        self._udp = open_packet_socket(soak.loop, host, soak.packet_port, self._receive)
+        soak.loop.call_repeatedly(lambda: PROBE_INTERVAL_S, self._probe)
+
+    def _probe(self):
+        for entry in self._soak.entries:
+            if entry.is_ready:
+                port = next(self._ports)
+                self._openings[port] = (entry.host, self._soak.loop.read_clock())
+                self._send(port, entry.host, FLAG_SYN, 0)
+
+    def _send(self, port, entry, flags, mark):
+        sequence = 1 if flags & FLAG_SYN else 2
+        numbers = (sequence, 0, self._host, *EXTRA_ROUTE, port)
+        packet = HEADER.pack(*numbers, 0, 7, mark, flags)
+        self._soak.invariants.record_sent(packet)
+        self._udp.send(packet, (entry, self._soak.packet_port))
+
+    def _receive(self, data):
+        *_, port, _, _, total, mark, flags = HEADER.unpack_from(data)
+        if port not in self._openings:
+            return
+        entry, opened_s = self._openings[port]
+        if flags & FLAG_SYN:
+            self._send(port, entry, FLAG_FIN | FLAG_ACK, mark)
+            return
+        del self._openings[port]
+        if flags & FLAG_RST and not total:
+            self._soak.invariants.check_refusal(EXTRA_ROUTE, opened_s)
