Soak: judge entries that go back to an older version, and moved routes

Versions now also move a route between the two services, and the openings that go directly to each entry try it. The soak knows which lifetime of which entry each copy of an opening went to, and what each version allows:

- An opening that is handled as only a newer version allows shows that this process has it.
One sent over RegressionMs (250) later that only older versions allow is a violation, run or refused.
This isn't suspended while the store or an entry is disturbed: it needs no reading.
The rule's eight times that bound for slowed machines isn't used, as a process handles its packets one after the other.
- An opening sent over 3 s after the ack that is run as only a replaced version allows is a violation, at entries and a store without disturbance.
- Which service may run a route's openings at all (ROUTE) follows from the versions instead of a fixed table, as strict for the routes that don't move.

--- a/tests/soak/deployment.py
+++ b/tests/soak/deployment.py
@@ -9,13 +9,13 @@
 ZONES = ("north", "south", "west")
 ROUTES = ((parse_host("198.18.0.1"), 443), (parse_host("198.18.0.2"), 443))
 EXTRA_ROUTE = (parse_host("198.18.0.9"), 443)
-HOSTS_PER_NETWORK = 200
-NET, _NET_LOCK = reserve_network(os.getpid())
+"""Route that versions add and remove."""
 
+MOVING_ROUTE = (parse_host("198.18.0.3"), 443)
+"""Route that versions move from one service to the other."""
 
-def get_service(host):
-    """Return the service behind a destination address."""
-    return SERVICES[1] if host == ROUTES[1][0] else SERVICES[0]
+HOSTS_PER_NETWORK = 200
+NET, _NET_LOCK = reserve_network(os.getpid())
 
 
 def get_entry_host(number):
--- a/tests/soak/entry.py
+++ b/tests/soak/entry.py
@@ -25,6 +25,7 @@
         self._log = soak.folder / f"entry-{number}.log"
         self._name = f"entry-{number}"
         self._process = None
+        self._starts = 0
         self._is_exit_expected = False
         self._client = HttpClient(soak.loop, Endpoint(self.host, soak.ready_port))
         self.write_settings()
@@ -55,6 +56,7 @@
         """Start the process."""
         with self._log.open("ab") as log:
             self._process = start_entry(self._path, stdout=log, stderr=log)
+        self._starts += 1
         self._is_exit_expected = False
         self._is_early_sigterm = False
         self._started_s = self._soak.loop.read_clock()
@@ -64,6 +66,10 @@
         self._is_exit_expected = True
         self.send_signal(signal.SIGKILL)
 
+    def get_lifetime(self):
+        """Return the name and the number of starts, which together name one lifetime."""
+        return (self._name, self._starts)
+
     def get_age(self):
         """Return the seconds since the process was started."""
         return self._soak.loop.read_clock() - self._started_s
--- a/tests/soak/invariants.py
+++ b/tests/soak/invariants.py
@@ -1,10 +1,12 @@
 """Invariants of the soak, checked against what callers and servers receive."""
 
-from tests.soak.deployment import get_service
-from tests.soak.traffic import DRAIN_BOUND_S
+from chicoryproxy.platform.header import FLAG_SYN
+from tests.soak.traffic import DRAIN_BOUND_S, HEADER
+from tests.soak.versions import REFUSED, EntryProgress, VersionHistory
 
 QUIET_PERIOD_S = 4.5
 CONFIG_BOUND_S = 3.0
+REGRESSION_BOUND_S = 0.25
 EVACUATION_BOUND_S = 5.0
 
 
@@ -13,7 +15,9 @@
 
     An invariant with a time bound is checked only if no fault hit the store, the entries or the
     server during the last ``QUIET_PERIOD_S``. Planned work on entries suspends the checks of
-    openings, but not that of open flows, which must survive it.
+    openings, but not that of open flows, which must survive it. That no process goes back to an
+    older version is checked all the while: it needs no reading of the store. The rule's longer
+    bound for slowed machines isn't used, since one process handles packets one after the other.
 
     :param loop: the event loop, for its clock.
     :param servers: all servers so far; the soak adds to the list.
@@ -29,6 +33,9 @@
         self.routes_dropped_s = {}
         self.routes_added_s = {}
         self._last_dropped_s = {}
+        self._versions = VersionHistory()
+        self._progress = {}
+        self._openings = {}
         self._loop = loop
         self._servers = servers
         self._sent = {}
@@ -44,9 +51,21 @@
         if not is_planned:
             self._last_unplanned_s = self._last_disturbance_s
 
-    def record_sent(self, packet):
-        """Record a packet of a caller, without its mark."""
+    def record_sent(self, packet, lifetime):
+        """Record a packet of a caller, without its mark.
+
+        :param lifetime: lifetime of the entry to which it is sent.
+        """
         self._sent.setdefault(packet[8:20], set()).add(_remove_mark(packet))
+        if packet[30] & FLAG_SYN:
+            self._openings[_get_opening_key(packet)] = (lifetime, self._loop.read_clock())
+
+    def record_version(self, services):
+        """Record a version that the store has acknowledged.
+
+        :param services: service of each route that is there.
+        """
+        self._versions.publish(services, self._loop.read_clock())
 
     def record_violation(self, text):
         """Record a violated invariant with its time."""
@@ -59,15 +78,22 @@
                 f"{server.name} got a packet that differs from all that its caller sent"
             )
 
-    def check_opening(self, server, host, port):
+    def check_opening(self, server, packet):
         """Check that an opening reached a server of its service that may accept it."""
         now = self._loop.read_clock()
-        route = (host, port)
-        service = get_service(host)
-        if server.service != service:
-            self.record_violation(f"{server.name} of {server.service} got an opening of {service}")
+        route = HEADER.unpack_from(packet)[3:5]
+        if self._versions.find_oldest(route, server.service) is None:
+            self.record_violation(f"{server.name} of {server.service} got an opening of {route}")
+        lifetime, sent_s = self._openings[_get_opening_key(packet)]
+        self._check_progress(lifetime, route, server.service, sent_s)
         if now - self._last_disturbance_s < QUIET_PERIOD_S:
             return
+        in_force = self._versions.get_index(sent_s - CONFIG_BOUND_S)
+        if self._versions.find_oldest(route, server.service, in_force) is None:
+            self.record_violation(
+                f"{server.name} of {server.service} got an opening that {lifetime} ran as only a"
+                f" version allows that was replaced over {CONFIG_BOUND_S} s before"
+            )
         if server.state == "draining" and now - server.state_changed_s > DRAIN_BOUND_S:
             self.record_violation(
                 f"{server.name} got an opening {now - server.state_changed_s:.1f} s after draining"
@@ -80,15 +106,34 @@
         if route in self.routes_dropped_s and now - self.routes_dropped_s[route] > CONFIG_BOUND_S:
             self.record_violation(f"{server.name} got an opening of a removed route")
 
-    def check_refusal(self, route, opened_s):
-        """Check that an entry did not refuse an opening although its route was added before."""
+    def check_refusal(self, route, opened_s, lifetime=None):
+        """Check that an entry did not refuse an opening although its route was added before.
+
+        :param lifetime: lifetime of the entry that refused, if it is known.
+        """
         now = self._loop.read_clock()
-        if now - self._last_disturbance_s < QUIET_PERIOD_S or route not in self.routes_added_s:
+        if now - self._last_disturbance_s < QUIET_PERIOD_S:
+            return
+        if lifetime is not None and self._versions.find_oldest(route, REFUSED) is not None:
+            self._check_progress(lifetime, route, REFUSED, opened_s)
+        if route not in self.routes_added_s:
             return
         age_s = opened_s - self.routes_added_s[route]
         if age_s > CONFIG_BOUND_S:
             self.record_violation(f"an opening was refused {age_s:.1f} s after its route was added")
 
+    def _check_progress(self, lifetime, route, outcome, sent_s):
+        """Check that an entry did not handle an opening as only older versions than before allow.
+
+        :param outcome: the service that ran it, or ``REFUSED``.
+        """
+        progress = self._progress.setdefault(lifetime, EntryProgress(self._versions))
+        if progress.is_regression(route, outcome, sent_s, REGRESSION_BOUND_S):
+            self.record_violation(
+                f"{lifetime} went back to an older version: {route} was handled by {outcome}"
+            )
+        progress.record_outcome(route, outcome, self._loop.read_clock())
+
     def record_dropped_route(self, route):
         """Record that a route was removed."""
         self.routes_dropped_s[route] = self._last_dropped_s[route] = self._loop.read_clock()
@@ -115,5 +160,10 @@
             self.record_violation(f"an open flow of {server_name} was reset")
 
 
+def _get_opening_key(packet):
+    """Return the bytes that tell the copies of all openings apart: their number and the flow."""
+    return packet[4:20]
+
+
 def _remove_mark(packet):
     return packet[:26] + packet[30:]
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -8,18 +8,21 @@
 from tests.node.fakestore import FakeStore, pick_ports
 from tests.soak.deployment import (
     EXTRA_ROUTE,
+    MOVING_ROUTE,
     ROUTES,
     SERVICES,
     ZONES,
     get_caller_host,
     get_server_host,
-    get_service,
 )
 from tests.soak.entry import Entry
 from tests.soak.faults import FaultInjector
 from tests.soak.invariants import Invariants
 from tests.soak.traffic import DRAIN_BOUND_S, Caller, Prober, Server
 
+MOVE_SHARE = 0.5
+"""Share of the versions with changed routes that also move a route to the other service."""
+
 RECOVERY_S = 8.0
 AFTER_RECOVERY_S = 4.0
 MIN_ANSWERED_SHARE = 0.9
@@ -49,13 +52,14 @@
         self.attempted = self.answered = self.unanswered = self.refused = 0
         self.faults = []
         self._random = random.Random(seed)
+        self._move_random = random.Random(f"{seed}/moves")
         # Random, since the store lists servers by id, and a newer one may come before an older.
         self._server_numbers = _draw_numbers(random.Random(f"{seed}/servers"))
         self._host_numbers = itertools.count(1)
         self._servers = []
         self.invariants = Invariants(self.loop, self._servers)
         self._version = 0
-        self.routes = list(ROUTES)
+        self._services = dict(zip((*ROUTES, MOVING_ROUTE), (*SERVICES, SERVICES[0]), strict=True))
         for number in range(servers):
             self._add_server(SERVICES[number % 2], ZONES[number // 2 % len(ZONES)])
         self.change_config(False)
@@ -149,20 +153,27 @@
             self.store.put(f"servers/{server.name}", server.describe())
 
     def change_config(self, toggles_route):
-        """Publish the next configuration version, optionally with a route added or removed."""
+        """Publish the next configuration version, optionally with changed routes."""
         self._version += self._random.randint(1, 5)
         if toggles_route:
             self._toggle_extra_route()
+            if self._move_random.random() < MOVE_SHARE:
+                self._move_route()
         self.store.put("op/config", self._build_config())
+        self.invariants.record_version(self._services)
 
     def _toggle_extra_route(self):
         if EXTRA_ROUTE in self.routes:
-            self.routes.remove(EXTRA_ROUTE)
+            del self._services[EXTRA_ROUTE]
             self.invariants.record_dropped_route(EXTRA_ROUTE)
         else:
-            self.routes.append(EXTRA_ROUTE)
+            self._services[EXTRA_ROUTE] = SERVICES[0]
             self.invariants.record_added_route(EXTRA_ROUTE)
 
+    def _move_route(self):
+        is_first = self._services[MOVING_ROUTE] == SERVICES[0]
+        self._services[MOVING_ROUTE] = SERVICES[is_first]
+
     def _build_config(self):
         services = [
             {"Name": name, "HealthCheckPath": "/health", "MaxConnections": 2000, "ColdPerS": 0.0}
@@ -191,11 +202,16 @@
 
     # Called by callers.
 
+    @property
+    def routes(self):
+        """The routes that are there."""
+        return list(self._services)
+
     def choose_entry(self, key):
-        """Return the address of the entry that routers in front choose for a flow by hash."""
-        ready = [entry.host for entry in self.entries if entry.is_ready]
-        hosts = ready if len(ready) * 2 >= len(self.entries) else [e.host for e in self.entries]
-        return hosts[hash(key) % len(hosts)]
+        """Return the entry that routers in front choose for a flow by hash."""
+        ready = [entry for entry in self.entries if entry.is_ready]
+        chosen = ready if len(ready) * 2 >= len(self.entries) else self.entries
+        return chosen[hash(key) % len(chosen)]
 
     def _describe_route(self, index, route):
         host, port = route
@@ -203,7 +219,7 @@
             "Name": f"r-{index}",
             "Hostname": format_host(host),
             "Prefix": f"/{port}/",
-            "Service": get_service(host),
+            "Service": self._services[route],
         }
 
     def _add_server(self, service, zone, host=None, name=None):
--- a/tests/soak/traffic.py
+++ b/tests/soak/traffic.py
@@ -9,7 +9,7 @@
 from chicoryproxy.forwarding.peers.hosts import format_host, parse_host
 from chicoryproxy.model import Endpoint
 from chicoryproxy.platform.header import FLAG_ACK, FLAG_FIN, FLAG_RST, FLAG_SYN, HEADER_BYTES
-from tests.soak.deployment import EXTRA_ROUTE
+from tests.soak.deployment import EXTRA_ROUTE, MOVING_ROUTE
 
 HEADER = struct.Struct("<IIIIHHHIIB")
 DRAIN_BOUND_S = 3.0
@@ -109,7 +109,7 @@
         self._soak.invariants.check_unchanged(packet, self)
         key = (source, source_port, host, port)
         if flags & FLAG_SYN:
-            self._soak.invariants.check_opening(self, host, port)
+            self._soak.invariants.check_opening(self, packet)
             own = self._flows.setdefault(key, random.getrandbits(31))
             self._reply(key, own, sequence + 1, mark, FLAG_SYN | FLAG_ACK, b"")
         elif key not in self._flows:
@@ -161,6 +161,7 @@
         self._sequence = self._random.getrandbits(30)
         self._acknowledged = 0
         self._opened_s = self._soak.loop.read_clock()
+        self._lifetimes = set()
         self._soak.attempted += self._route in self._soak.routes
         self._cancel_timers()
         for copy, delay in enumerate((0.0, 0.2, 0.6)):
@@ -192,9 +193,10 @@
         acknowledged = self._acknowledged if acknowledged is None else acknowledged
         numbers = (self._sequence, acknowledged, self._host, host, port, self._port)
         packet = HEADER.pack(*numbers, len(body), 7, self._mark, flags) + body
-        self._soak.invariants.record_sent(packet)
         entry = self._soak.choose_entry((self._host, self._port, host, port))
-        self._udp.send(packet, (entry, self._soak.packet_port))
+        self._lifetimes.add(entry.get_lifetime())
+        self._soak.invariants.record_sent(packet, entry.get_lifetime())
+        self._udp.send(packet, (entry.host, self._soak.packet_port))
 
     def _receive(self, data):
         sequence, _, _, _, port, source_port, size, total, mark, flags = HEADER.unpack_from(data)
@@ -209,7 +211,7 @@
                 self._soak.refused += self._route in self._soak.routes
                 # Resets of entries have no sum.
                 if not total:
-                    self._soak.invariants.check_refusal(self._route, self._opened_s)
+                    self._check_refusal()
             self._restart()
             return
         if flags & FLAG_SYN:
@@ -236,6 +238,11 @@
             else:
                 self._schedule(pause, self._request)
 
+    def _check_refusal(self):
+        # If copies went to several entries, it isn't known which of them refused.
+        lifetime = next(iter(self._lifetimes)) if len(self._lifetimes) == 1 else None
+        self._soak.invariants.check_refusal(self._route, self._opened_s, lifetime)
+
     def _close(self):
         self._send(FLAG_FIN | FLAG_ACK, b"")
         self._restart()
@@ -250,7 +257,7 @@
 
 
 class Prober:
-    """Sends openings of a route that comes and goes directly to each ready entry.
+    """Sends openings of the routes that versions change directly to each ready entry.
 
     The platform does the same with few flows. They show what each entry has in force.
     """
@@ -265,26 +272,26 @@
 
     def _probe(self):
         for entry in self._soak.entries:
-            if entry.is_ready:
+            for route in (EXTRA_ROUTE, MOVING_ROUTE) if entry.is_ready else ():
                 port = next(self._ports)
-                self._openings[port] = (entry.host, self._soak.loop.read_clock())
-                self._send(port, entry.host, FLAG_SYN, 0)
+                now = self._soak.loop.read_clock()
+                self._openings[port] = (entry, entry.get_lifetime(), route, now)
+                self._send(port, FLAG_SYN, 0)
 
-    def _send(self, port, entry, flags, mark):
+    def _send(self, port, flags, mark):
+        entry, lifetime, route, _ = self._openings[port]
         sequence = 1 if flags & FLAG_SYN else 2
-        numbers = (sequence, 0, self._host, *EXTRA_ROUTE, port)
-        packet = HEADER.pack(*numbers, 0, 7, mark, flags)
-        self._soak.invariants.record_sent(packet)
-        self._udp.send(packet, (entry, self._soak.packet_port))
+        packet = HEADER.pack(sequence, 0, self._host, *route, port, 0, 7, mark, flags)
+        self._soak.invariants.record_sent(packet, lifetime)
+        self._udp.send(packet, (entry.host, self._soak.packet_port))
 
     def _receive(self, data):
         *_, port, _, _, total, mark, flags = HEADER.unpack_from(data)
         if port not in self._openings:
             return
-        entry, opened_s = self._openings[port]
         if flags & FLAG_SYN:
-            self._send(port, entry, FLAG_FIN | FLAG_ACK, mark)
+            self._send(port, FLAG_FIN | FLAG_ACK, mark)
             return
-        del self._openings[port]
+        _, lifetime, route, opened_s = self._openings.pop(port)
         if flags & FLAG_RST and not total:
-            self._soak.invariants.check_refusal(EXTRA_ROUTE, opened_s)
+            self._soak.invariants.check_refusal(route, opened_s, lifetime)
