Soak: a flow that opened before its entry heard of a removal may be reset

Version 18 removed its route while the watches were silent; 1.5 to 1.8 s after the ack, in time, the entry opened the flow at version 15, and 0.2 s later it got version 18 and reset the flow (route_removed). The check only allowed for removals that were acknowledged after the opening, since no entry was ever seconds behind in the soak.

The check now asks whether a version that is in force at the opening or later lacks the route. It is as strict as before for flows that opened while their route was there. Of four new cases two fail before: "dropped, not yet heard of", for this cause, and "dropped since", as the test tells of the removal by its version only; the two that are violations are noticed before and after.

--- a/tests/soak/invariants.py
+++ b/tests/soak/invariants.py
@@ -32,7 +32,6 @@
         self.domains_out_since_s = {}
         self.routes_dropped_s = {}
         self.routes_added_s = {}
-        self._last_dropped_s = {}
         self._versions = VersionHistory()
         self._progress = {}
         self._openings = {}
@@ -136,7 +135,7 @@
 
     def record_dropped_route(self, route):
         """Record that a route was removed."""
-        self.routes_dropped_s[route] = self._last_dropped_s[route] = self._loop.read_clock()
+        self.routes_dropped_s[route] = self._loop.read_clock()
         self.routes_added_s.pop(route, None)
 
     def record_added_route(self, route):
@@ -147,11 +146,15 @@
     def check_reset(self, route, opened_s, server_name, state, now):
         """Check that a reset did not hit an open flow of a running server.
 
-        A flow whose route was removed since it was opened is reset, also if the route is back.
+        A flow whose route was removed since it was opened is reset, also if the route is back; so
+        is one that was opened while the removal was on its way to the entry.
         """
         if state not in ("waiting", "pausing") or server_name is None:
             return
-        if self._last_dropped_s.get(route, opened_s) > opened_s:
+        if (
+            self._versions.find_oldest(route, REFUSED, self._versions.get_index(opened_s))
+            is not None
+        ):
             return
         living = [item for item in self._servers if item.name == server_name and item.is_alive]
         if not living or now - living[-1].state_changed_s < QUIET_PERIOD_S:
--- a/tests/soak/test_invariants.py
+++ b/tests/soak/test_invariants.py
@@ -152,3 +152,26 @@
     world.publish(BASE)
     world.open(MOVING_ROUTE, "vault")
     assert any("got an opening of" in text for text in world.invariants.violations)
+
+
+# FLOW: versions drop the route of an open flow, which may then be reset; no other reset may hit it.
+@pytest.mark.parametrize(
+    ("before", "after", "is_violation"),
+    [
+        ((ADDED,), (BASE, ADDED), False),
+        ((ADDED, BASE), (), False),
+        ((ADDED, BASE, ADDED), (), True),
+        ((BASE, ADDED), (MOVED | ADDED,), True),
+    ],
+    ids=["dropped since", "dropped, not yet heard of", "dropped before", "never dropped since"],
+)
+def test_the_reset_of_an_open_flow_whose_route_is_not_dropped_is_a_violation(
+    world, before, after, is_violation
+):
+    world.publish(*before)
+    opened_s = world.clock.now
+    world.servers.append(Server("i-1", "desk", "ready", "north"))
+    world.publish(*after)
+    world.clock.now += QUIET_PERIOD_S
+    world.invariants.check_reset(EXTRA_ROUTE, opened_s, "i-1", "waiting", world.clock.now)
+    assert bool(world.invariants.violations) is is_violation
