Test that a former removal hides no later one, without a restore, too

The fault needs no restore: a registration lapses and returns, is removed again, and a peer has the second removal from a listing only, after the store lost its history. The receiver kept the upstream, and a failure domain that was back stayed out of service, for good, at the revision of its peers.

--- a/tests/forwarding/test_catchup.py
+++ b/tests/forwarding/test_catchup.py
@@ -1,5 +1,6 @@
 """Entries that learn changes from each other end up with what the store holds."""
 
+import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
@@ -153,6 +154,33 @@
     assert not list_present(behind)
 
 
+# DRAIN: an upstream that was removed twice stayed if the peer that was asked had seen it once only.
+@pytest.mark.parametrize("epoch", [0, 1])
+def test_a_former_removal_does_not_hide_that_the_key_is_absent_again(epoch):
+    behind, listing = ReplicaNode(), ReplicaNode()
+    listing.list_store([add("i-1", 5)], 6)
+    listing.watch([remove("i-1", 7)], 7)
+    behind.list_store([add("i-1", create_revision(epoch, 8))], create_revision(epoch, 9))
+    listing.list_store([], create_revision(epoch, 10))
+    behind.fetch_changes(listing)
+    assert behind.replica.synced == create_revision(epoch, 10)
+    assert list_present(behind) == set()
+
+
+# A failure domain that was out a second time stayed out of service in the same way.
+@pytest.mark.parametrize("epoch", [0, 1])
+def test_a_former_return_does_not_hide_that_the_domain_is_back_again(epoch):
+    behind, listing = ReplicaNode(), ReplicaNode()
+    key, out = get_domain_key(OTHER_DOMAIN), DomainOut(DomainId(OTHER_DOMAIN))
+    listing.list_store([Change(key, Revision(5), out)], 6)
+    listing.watch([Change(key, Revision(7), DomainBack(DomainId(OTHER_DOMAIN)))], 7)
+    again = Change(key, create_revision(epoch, 8), out)
+    behind.list_store([again], create_revision(epoch, 9))
+    listing.list_store([], create_revision(epoch, 10))
+    behind.fetch_changes(listing)
+    assert not behind.directory.is_domain_out(OTHER_DOMAIN)
+
+
 # CONFIG: the version was published again after the store had lost it; its patch brought it under
 # its former revision, so that entries that asked for later changes did not get it.
 def test_a_version_that_was_published_again_is_passed_on_under_its_later_revision():
