Tell peers the version, so that one that an entry passed over comes from them

Cause of its lasting: an entry whose read has passed over a version claims the revision of its peers. Peers compare revisions only, a request asks for changes after that revision, and a reply leaves out what is not later. So nobody asks, and nothing brings the version until the next one is published. The heartbeats of those peers even confirm the old view.

Ruled out: that messages between entries open the gap themselves. By reading, each change that a reply holds back is known to the receiver, a patch that doesn't fit doesn't raise the revision, and a removal is never taken for older than it is except in a case that has its own commits. The new random test of requests and replies under way, of lost replies, restarts, listings and unfit patches holds without this change, too.

Evidence: test_a_version_that_an_entry_passed_over_comes_from_a_peer_with_the_same_revision, test_an_entry_without_a_version_takes_the_one_that_it_passed_over, test_a_version_comes_from_a_peer_with_the_same_revision and test_the_peer_with_the_newest_version_is_asked_first fail without the change.

Why it works: versions only rise, so that one number tells whether an entry lacks one, whatever revision it claims. A heartbeat carries the newest version that its sender can pass on (up to five bytes); a lower one at the receiver leads to a request, and a reply to a request with an older version holds the current one. A heartbeat with a newer version confirms nothing. Versions of a former epoch are not asked for, since a restored store may have lost them. An entry without any version takes one of an older revision, as the configuration is never removed. This is no cure for a read that passes over a change: what only one entry has reaches the others, what none has doesn't, and drains that were passed over are not told in this way.

--- a/src/chicoryproxy/forwarding/peers/peering.py
+++ b/src/chicoryproxy/forwarding/peers/peering.py
@@ -3,7 +3,8 @@
 Entries exchange heartbeats with a fixed fan-out, so that the bandwidth of an entry does not grow
 with the fleet. A heartbeat also lists some other live peers and the newest revision that its sender
 knows; a receiver that is behind requests the changes from the sender. Changes thus reach the whole
-fleet in a few rounds.
+fleet in a few rounds. The version of the configuration is compared as well: an entry that has
+passed over one knows the revision of its peers all the same.
 """
 
 import heapq
@@ -22,6 +23,8 @@
     PeerStatus,
     RampReport,
 )
+from chicoryproxy.forwarding.view.epoch import get_epoch
+from chicoryproxy.ids import NO_VERSION, Version
 from chicoryproxy.prng import Prng
 from chicoryproxy.rendezvous import score
 
@@ -78,12 +81,13 @@
     :ivar requested_s: when it got the request for changes that it has not answered yet.
     """
 
-    __slots__ = ("address", "last_seen_s", "synced", "requested_s")
+    __slots__ = ("address", "last_seen_s", "synced", "version", "requested_s")
 
     def __init__(self, address: PeerAddress, last_seen_s: float) -> None:
         self.address = address
         self.last_seen_s = last_seen_s
         self.synced = NO_REVISION
+        self.version = NO_VERSION
         self.requested_s = float("-inf")
 
     def is_unresponsive(self, now: float) -> bool:
@@ -100,6 +104,7 @@
     :param started_s: time of the start.
 
     :ivar own: address of this entry.
+    :ivar version: configuration in force here.
     :ivar loads: load of the peers at the upstreams.
     """
 
@@ -107,6 +112,7 @@
         self._started_s = started_s
         self.loads = PeerLoads()
         self.own = own
+        self.version = NO_VERSION
         self._seeds: list[int] = []
         self.set_seeds(seeds)
         self._prng = Prng(seed, "peering")
@@ -153,16 +159,21 @@
             self._isolation_reported_s = now
         peer.address = heartbeat.sender
         peer.synced = heartbeat.synced
+        peer.version = heartbeat.version
         self.loads.handle_heartbeat(heartbeat, now)
         if heartbeat.is_leaving:
             peer.last_seen_s = now - ALIVE_TIMEOUT_S
-        if heartbeat.age_s >= 0 and heartbeat.synced <= synced:
+        if heartbeat.age_s >= 0 and not self.is_ahead(heartbeat, synced):
             # At that time the sender was up to date, and this entry knows at least as much.
             self.record_confirmation(arrived_s - heartbeat.age_s)
         for status in heartbeat.peers:
             if status.address.host != self.own.host:
                 self._update_peer(status.address, now - status.age_ds / 10)
 
+    def is_ahead(self, heartbeat: Heartbeat, synced: Revision) -> bool:
+        """Return whether the sender of a heartbeat knows a change that this entry lacks."""
+        return self._is_newer(heartbeat.synced, heartbeat.version, synced)
+
     def choose_targets(self, now: float) -> list[int]:
         """Choose the hosts to send the next heartbeats to."""
         self._round += 1
@@ -189,8 +200,12 @@
         now: float,
         is_isolated: bool = False,
         ramps: tuple[RampReport, ...] = (),
+        version: Version = NO_VERSION,
     ) -> Heartbeat:
-        """Create the heartbeat of this entry."""
+        """Create the heartbeat of this entry.
+
+        :param version: newest configuration that it can pass on.
+        """
         heaviest = sorted(loads, key=lambda load: load.flows + load.waiting, reverse=True)
         load_count = LOADS_IN_HEARTBEAT - len(ramps) * LOADS_REPLACED_BY_RAMP
         return Heartbeat(
@@ -203,6 +218,7 @@
             self._list_peers(PEERS_IN_HEARTBEAT, now),
             is_isolated,
             ramps,
+            version,
         )
 
     def create_discovery_reply(
@@ -211,23 +227,33 @@
         loads: Iterable[LoadReport],
         now: float,
         is_isolated: bool = False,
+        version: Version = NO_VERSION,
     ) -> Heartbeat:
         """Create the reply to a heartbeat of an entry that knows no peer yet.
 
         It replaces the last load report of this entry there, and therefore has the loads.
         """
-        heartbeat = self.create_heartbeat(synced, False, loads, (), now, is_isolated)
+        heartbeat = self.create_heartbeat(
+            synced, False, loads, (), now, is_isolated, version=version
+        )
         return structs.replace(heartbeat, peers=self._list_peers(PEERS_IN_DISCOVERY_REPLY, now))
 
     def find_newer(self, synced: Revision, now: float) -> PeerAddress | None:
-        """Return the live peer to request changes from, if any has a newer revision.
+        """Return the live peer to request changes from, if any has a newer revision or version.
 
-        It is the one with the newest revision among those that answer, or else among the others.
+        It is the one with the newest version and revision among those that answer, or else among
+        the others.
         """
-        newer = [peer for peer in self._iterate_alive(now) if peer.synced > synced]
+        newer = [
+            peer
+            for peer in self._iterate_alive(now)
+            if self._is_newer(peer.synced, peer.version, synced)
+        ]
         if not newer:
             return None
-        best = max(newer, key=lambda peer: (not peer.is_unresponsive(now), peer.synced))
+        best = max(
+            newer, key=lambda peer: (not peer.is_unresponsive(now), peer.version, peer.synced)
+        )
         return best.address
 
     def record_request(self, host: int, now: float) -> None:
@@ -291,6 +317,15 @@
             1 for peer in self._iterate_own_domain(now) if _get_reader_priority(peer.address) > own
         )
 
+    def _is_newer(self, peer_synced: Revision, peer_version: Version, synced: Revision) -> bool:
+        """Return whether a peer knows a change that this entry lacks.
+
+        The version of a peer in a former epoch may be one that a restored store has lost.
+        """
+        if peer_synced > synced:
+            return True
+        return get_epoch(peer_synced) == get_epoch(synced) and peer_version > self.version
+
     def _update_peer(self, address: PeerAddress, last_seen_s: float) -> _Peer:
         peer = self._peers.get(address.host)
         if peer is None:
--- a/src/chicoryproxy/forwarding/peers/peermessages.py
+++ b/src/chicoryproxy/forwarding/peers/peermessages.py
@@ -8,7 +8,7 @@
 
 from chicoryproxy.forwarding.model import NO_REVISION, Change, Mark, Revision
 from chicoryproxy.forwarding.view.routingpatch import RoutingPatch
-from chicoryproxy.ids import Version
+from chicoryproxy.ids import NO_VERSION, Version
 
 COMPRESSION_THRESHOLD_BYTES = 1024
 COMPRESSION_LEVEL = 1
@@ -79,6 +79,7 @@
     :param is_isolated: the sender has found that its failure domain is partitioned and can't serve
         its callers. Older entries leave it out.
     :param ramps: answers of upstreams that are ramping up. Older entries leave it out.
+    :param version: newest configuration that the sender can pass on. Older entries leave it out.
     """
 
     sender: PeerAddress
@@ -90,6 +91,7 @@
     peers: tuple[PeerStatus, ...]
     is_isolated: bool = False
     ramps: tuple[RampReport, ...] = ()
+    version: Version = NO_VERSION
 
 
 class ChangesRequest(Struct, frozen=True, array_like=True, tag="request"):
--- a/src/chicoryproxy/forwarding/view/catchup.py
+++ b/src/chicoryproxy/forwarding/view/catchup.py
@@ -7,6 +7,7 @@
 from chicoryproxy.forwarding.view.directory import Directory
 from chicoryproxy.forwarding.view.replica import ROUTING_KEY, Replica
 from chicoryproxy.forwarding.view.routingpatch import RoutingPatch, apply_patch
+from chicoryproxy.ids import NO_VERSION, Version
 
 
 class CatchUp:
@@ -20,6 +21,10 @@
         self._replica = replica
         self._directory = directory
 
+    def get_version(self) -> Version:
+        """Return the newest configuration that this entry can pass on."""
+        return NO_VERSION if self._find_published() is None else self._directory.version
+
     def create_request(self) -> ChangesRequest:
         """Create the request for the changes that this entry lacks."""
         return ChangesRequest(self._replica.synced, self._directory.version)
@@ -27,19 +32,20 @@
     def create_reply(self, request: ChangesRequest, age_s: float) -> ChangesReply:
         """Create the reply; the current version is sent as a patch if the peer has its base.
 
-        A peer that is further behind than the removals known here gets all keys.
+        A peer that is further behind than the removals known here gets all keys. One with an older
+        version gets the current one, also if it has passed over the revision that published it.
 
         :param age_s: age of this entry's view as reported to peers.
         """
         since = request.since
         if since >= self._replica.complete_since:
-            changes = self._replica.get_since(since)
+            changes = self._list_lacking(request)
         else:
             since = self._replica.complete_since
             changes = self._replica.get_since(NO_REVISION)
-        published = next((item for item in changes if self._publishes_current_version(item)), None)
+        published = self._find_published()
         patch = None
-        if published is not None:
+        if published is not None and published in changes:
             patch = self._directory.history.create_patch(request.version)
         if patch is not None and published is not None:
             changes.remove(published)
@@ -74,9 +80,16 @@
         whole = RoutingPublished(apply_patch(routing, patch))
         return Change(ROUTING_KEY, patch.revision, whole)
 
-    def _publishes_current_version(self, change: Change) -> bool:
-        """Return whether a change published the current version."""
-        fact = change.fact
-        return (
-            isinstance(fact, RoutingPublished) and fact.routing.version == self._directory.version
-        )
+    def _list_lacking(self, request: ChangesRequest) -> list[Change]:
+        """Return the changes after a peer's revision, and the version if it lacks that."""
+        changes = self._replica.get_since(request.since)
+        published = self._find_published()
+        has_passed_over = request.version < self._directory.version and published not in changes
+        return [published, *changes] if published is not None and has_passed_over else changes
+
+    def _find_published(self) -> Change | None:
+        """Return the change that published the current version, if no later one followed it."""
+        change = self._replica.find(ROUTING_KEY)
+        if change is None or not isinstance(change.fact, RoutingPublished):
+            return None
+        return change if change.fact.routing.version == self._directory.version else None
--- a/src/chicoryproxy/forwarding/view/replica.py
+++ b/src/chicoryproxy/forwarding/view/replica.py
@@ -77,6 +77,10 @@
             self._evict_oldest_tombstone()
         return True
 
+    def find(self, key: str) -> Change | None:
+        """Return the newest change of a key."""
+        return self._changes.get(key)
+
     def advance_synced(self, revision: Revision, since: Revision) -> None:
         """Record that all changes after one revision and up to another one have been merged.
 
@@ -116,8 +120,12 @@
         return changes
 
     def _was_removed(self, change: Change) -> bool:
-        """Return whether a key that is absent here existed only before ``synced``."""
-        return change.revision <= self.synced and not _is_removal(change)
+        """Return whether a key that is absent here existed only before ``synced``.
+
+        The configuration is never removed; an entry without it has passed over it.
+        """
+        is_removable = change.key != ROUTING_KEY and not _is_removal(change)
+        return is_removable and change.revision <= self.synced
 
     def _evict_oldest_tombstone(self) -> None:
         if self._tombstones <= MAX_TOMBSTONES:
--- a/src/chicoryproxy/node/view.py
+++ b/src/chicoryproxy/node/view.py
@@ -248,10 +248,12 @@
             if self.replica.merge(change, is_newer_whole):
                 self._apply(change, source, now)
         has_more = revision > self.replica.synced
+        version = self.directory.version
         self.replica.advance_synced(revision, since)
         self.directory.known_revision = self.replica.synced
         self._reader_policy.record_progress(self.replica.synced, self.replica.synced, now)
-        if has_more:
+        self.peers.version = self.directory.version
+        if has_more or self.directory.version > version:
             self.announce()
 
     def _handle_restore(self, revision: Revision, now: float) -> None:
@@ -292,6 +294,7 @@
             now,
             self._traffic.has_isolation_evidence(),
             self._traffic.list_ramps(),
+            self._change_exchange.get_version(),
         )
         port = self._settings.peers.port
         targets = [Endpoint(format_host(host), port) for host in self.peers.choose_targets(now)]
@@ -311,7 +314,7 @@
         self._traffic.handle_ramps(heartbeat)
         if self._traffic.handle_unreachable(heartbeat.unreachable):
             self.announce()
-        if heartbeat.synced > self.replica.synced:
+        if self.peers.is_ahead(heartbeat, self.replica.synced):
             self._catch_up(now)
         if not heartbeat.peers and not self.is_leaving:
             reply = self.peers.create_discovery_reply(
@@ -319,12 +322,13 @@
                 self._traffic.list_upstream_loads(),
                 now,
                 self._traffic.has_isolation_evidence(),
+                self._change_exchange.get_version(),
             )
             sender = format_host(heartbeat.sender.host)
             self._socket.send(reply, [Endpoint(sender, self._settings.peers.port)])
 
     def _catch_up(self, now: float) -> None:
-        """Request the missing changes from the peer with the highest revision, if any is newer."""
+        """Request the missing changes from the peer that knows most, if any knows more."""
         if now - self._last_request_s < CATCH_UP_INTERVAL_S:
             return
         peer = self.peers.find_newer(self.replica.synced, now)
--- a/tests/forwarding/test_catchup.py
+++ b/tests/forwarding/test_catchup.py
@@ -9,13 +9,18 @@
     DomainBack,
     DomainOut,
     Revision,
+    RoutingPublished,
     UpstreamListed,
     UpstreamPhase,
     UpstreamUnlisted,
 )
-from chicoryproxy.forwarding.peers.peermessages import encode_message
+from chicoryproxy.forwarding.peers.peermessages import decode_message, encode_message
 from chicoryproxy.forwarding.view.epoch import create_revision, get_epoch, get_number
-from chicoryproxy.forwarding.view.replica import get_domain_key, get_upstream_key
+from chicoryproxy.forwarding.view.replica import (
+    ROUTING_KEY,
+    get_domain_key,
+    get_upstream_key,
+)
 from chicoryproxy.ids import DomainId, UpstreamId
 from chicoryproxy.model import Endpoint
 from tests.forwarding.harness import OTHER_DOMAIN, ForwarderHarness
@@ -198,6 +203,42 @@
     assert third.directory.version == 3
 
 
+# CONFIG: an entry whose watch had passed over a version never got it from peers of its revision.
+@pytest.mark.parametrize("routes", [1, 20])
+def test_a_version_that_an_entry_passed_over_comes_from_a_peer_with_the_same_revision(routes):
+    weights = dict.fromkeys(range(1, 1 + routes), 1)
+    informed, partial = ReplicaNode(), ReplicaNode()
+    for node in (informed, partial):
+        node.publish(create_routing(1, weights), 1)
+    informed.publish(create_routing(3, weights | {1: 3}), 2)
+    for node in (informed, partial):
+        node.watch([add("i-1", 4)], 5)
+    partial.fetch_changes(informed)
+    assert partial.directory.version == 3
+    assert [item.revision for item in partial.replica.get_since(Revision(1))] == [2, 4]
+
+
+# CONFIG: an entry that had passed over the first version took it for one that had been removed.
+def test_an_entry_without_a_version_takes_the_one_that_it_passed_over():
+    informed, partial = ReplicaNode(), ReplicaNode()
+    informed.publish(create_routing(3, {1: 1}), 2)
+    for node in (informed, partial):
+        node.watch([add("i-1", 4)], 5)
+    partial.fetch_changes(informed)
+    assert partial.directory.version == 3
+
+
+# Each reply to a peer with the same version brought the whole configuration.
+def test_a_peer_that_has_the_version_does_not_get_it_again():
+    first, second = ReplicaNode(), ReplicaNode()
+    for node in (first, second):
+        node.publish(create_routing(3, {1: 1, 2: 1}), 2)
+    first.watch([add("i-1", 4)], 5)
+    reply = first.exchange.create_reply(second.exchange.create_request(), 0.0)
+    assert [item.revision for item in reply.changes] == [4]
+    assert reply.patch is None
+
+
 steps = st.lists(
     st.one_of(
         st.tuples(st.just("toggle"), st.sampled_from(NAMES)),
@@ -252,3 +293,72 @@
             held = {item.key for item in store.list_at(synced)} - later
             names = {get_upstream_key(name) for name in list_present(node)} - later
             assert names == held
+
+
+class VersionHistory:
+    """A store that publishes versions, and entries whose requests and replies are under way.
+
+    :ivar published: the changes of the store; each revision publishes a version.
+    :ivar nodes: the entries.
+    """
+
+    def __init__(self):
+        self.published = []
+        self.nodes = [ReplicaNode() for _ in range(ENTRIES)]
+        self._under_way = []
+
+    def take_step(self, kind, number, other):
+        """Publish a version, start an entry, read the store, or ask or answer a peer."""
+        node = self.nodes[number]
+        if kind == "publish":
+            revision = len(self.published) + 1
+            routing = create_routing(revision, {1: revision, 2: 1, 3: 1, 4: 1})
+            change = Change(ROUTING_KEY, Revision(revision), RoutingPublished(routing))
+            self.published.append(change)
+        elif kind == "watch" and node.replica.synced:
+            node.watch(self.published[node.replica.synced :][-1:], len(self.published))
+        elif kind == "list" and self.published:
+            revision = max(1, len(self.published) - other)
+            node.list_store([self.published[revision - 1]], revision)
+        elif kind == "start":
+            self.nodes[number] = ReplicaNode()
+            self._under_way = [item for item in self._under_way if item[0] is not node]
+        elif kind == "ask" and number != other % ENTRIES:
+            self._under_way.append((node, node.create_request(), self.nodes[other % ENTRIES], None))
+        elif kind == "answer" and self._under_way:
+            asking, request, asked, _ = self._under_way.pop(number % len(self._under_way))
+            reply = encode_message(asked.exchange.create_reply(request, 0.0))
+            self._under_way.append((asking, request, asked, reply))
+        elif kind == "arrive" and self._under_way:
+            self._deliver(*self._under_way.pop(other % len(self._under_way)))
+
+    def _deliver(self, asking, request, asked, reply):
+        if reply is None:
+            return
+        try:
+            asking.handle_reply(request, reply)
+        except ValueError:
+            # As ``View`` does with a patch that doesn't fit.
+            synced = asking.replica.synced
+            asking.merge_changes(decode_message(reply).changes, synced, synced)
+
+
+# CONFIG: requests and replies under way let an entry claim a revision without its version.
+@settings(max_examples=300, deadline=None)
+@given(
+    st.lists(
+        st.tuples(
+            st.sampled_from(("publish", "watch", "list", "start", "ask", "answer", "arrive")),
+            st.integers(0, ENTRIES - 1),
+            st.integers(0, 7),
+        ),
+        min_size=20,
+        max_size=60,
+    )
+)
+def test_an_entry_has_the_version_of_its_revision(history):
+    fleet = VersionHistory()
+    for step in history:
+        fleet.take_step(*step)
+        for node in fleet.nodes:
+            assert node.directory.version >= node.replica.synced
--- a/tests/forwarding/test_peering.py
+++ b/tests/forwarding/test_peering.py
@@ -14,12 +14,15 @@
     PeerGroup,
 )
 from chicoryproxy.forwarding.peers.peermessages import (
+    Heartbeat,
     LoadReport,
     PeerAddress,
     RampReport,
     encode_message,
 )
+from chicoryproxy.forwarding.view.epoch import create_revision
 from chicoryproxy.forwarding.view.readerpolicy import MAX_BEHIND_S, PEER_SILENCE_S, ReaderPolicy
+from chicoryproxy.ids import Version
 
 DOMAINS = 3
 INTERVAL_S = 0.4
@@ -107,6 +110,33 @@
     assert set(fleet.synced.values()) == {9}
 
 
+# CONFIG: peers with later revisions were asked first, and lacked the newest version, too.
+def test_the_peer_with_the_newest_version_is_asked_first():
+    group = PeerGroup(PeerAddress(host(0), 0), (), 0, 0.0)
+    group.version = Version(3)
+    for number, synced, version in ((1, 8, 3), (2, 6, 5), (3, 9, 3)):
+        address = PeerAddress(host(number), 0)
+        heartbeat = Heartbeat(
+            address, Revision(synced), 0.0, False, (), (), (), version=Version(version)
+        )
+        group.handle_heartbeat(heartbeat, Revision(7), 1.0, 1.0)
+    assert group.find_newer(Revision(7), 1.0).host == host(2)
+    group.version = Version(5)
+    assert group.find_newer(Revision(7), 1.0).host == host(3)
+    assert group.find_newer(Revision(9), 1.0) is None
+
+
+# An entry asked for ever for a version that a restored store has lost, and only a late peer has.
+def test_the_version_of_a_peer_in_a_former_epoch_is_not_asked_for():
+    group = PeerGroup(PeerAddress(host(0), 0), (), 0, 0.0)
+    group.version = Version(3)
+    heartbeat = Heartbeat(
+        PeerAddress(host(1), 0), Revision(9), 0.0, False, (), (), (), version=Version(5)
+    )
+    group.handle_heartbeat(heartbeat, create_revision(1, 7), 1.0, 1.0)
+    assert group.find_newer(create_revision(1, 7), 1.0) is None
+
+
 def test_a_peer_without_heartbeats_is_not_alive_until_it_returns():
     fleet = Fleet(6)
     fleet.run(3.0)
@@ -140,14 +170,16 @@
 
 @pytest.mark.parametrize("size", [10, 90, 300])
 def test_the_bandwidth_of_an_entry_does_not_grow_with_the_fleet(size):
-    """The limit is 4 KB per second, with 80 loads and all ramps to report in each heartbeat."""
+    """The limit is 4 KB per second, with 80 loads, all ramps and a high version to report."""
     fleet = Fleet(size)
     fleet.run(3.0)
     group = fleet.groups[host(0)]
     loads = tuple(LoadReport(Mark(0xF000_0000 + index), 20, 3) for index in range(80))
     ramp = RampReport(Mark(0xF000_0000), 1000, 1000)
+    ramps = (ramp,) * REPORTS_IN_HEARTBEAT
+    version = Version(2**31)
     heartbeat = group.create_heartbeat(
-        Revision(10**6), False, loads, (), fleet.now, ramps=(ramp,) * REPORTS_IN_HEARTBEAT
+        Revision(10**6), False, loads, (), fleet.now, ramps=ramps, version=version
     )
     targets = group.choose_targets(fleet.now)
     assert len(targets) <= FANOUT + 1
--- a/tests/node/test_view.py
+++ b/tests/node/test_view.py
@@ -185,6 +185,34 @@
     server.close()
 
 
+# CONFIG: entries that had passed over a version didn't ask peers for it, which had their revision.
+def test_a_version_comes_from_a_peer_with_the_same_revision(loop, view):
+    routings = {version: create_routing(version, {1: version, 2: 1, 3: 1}) for version in (1, 3)}
+    peer = ReplicaNode()
+    for version in (1, 3):
+        peer.publish(routings[version], version)
+    published = Change(ROUTING_KEY, Revision(1), RoutingPublished(routings[1]))
+    view._merge([published], Revision(3), Revision(1), NewsSource.WATCH)
+    near, port = HOST.removesuffix("1") + "2", view._settings.peers.port
+    server = ChangesServer(
+        loop, Endpoint(near, port), lambda request: peer.exchange.create_reply(request, 0.0)
+    )
+    heartbeat = Heartbeat(
+        PeerAddress(parse_host(near), 0),
+        Revision(3),
+        0.0,
+        False,
+        (),
+        (),
+        (),
+        version=peer.exchange.get_version(),
+    )
+    view._handle_heartbeat(heartbeat)
+    assert not view.peers.confirmed_s > 0
+    run_until(loop, lambda: view.directory.version == 3)
+    server.close()
+
+
 # DRAIN: while versions come in quick succession, replies came with patches of former versions; all
 # that these replies held was discarded, with the drains.
 @pytest.mark.parametrize("known_version", [3, 7])
