--- a/tests/node/fakestore.py
+++ b/tests/node/fakestore.py
@@ -98,6 +98,14 @@
     :ivar stale_revision: revision that listings with ``AllowStale`` show, if not ``None``.
     :ivar names_newest: whether stale listings and silent watches name the newest revision, although
         they lack its changes.
+    :ivar range_status: status of every listing and check instead of 200, if not ``None``.
+    :ivar watch_status: the same for watches.
+    :ivar old_revision: revision whose state listings show and name, if not ``None``; checks show
+        the newest one.
+    :ivar old_check: revision that checks name, if not ``None``.
+    :ivar watch_size: maximum number of events of a watch's answer.
+    :ivar revision_step: how much each change raises the revision.
+    :ivar hides_items: whether listings say that there are items, but have none.
     :ivar are_watches_hanging: whether silent watches get no answer, instead of one without changes.
     :ivar page_size: maximum number of items of a page.
     :ivar epoch: rises when the store comes back from a copy; text if the header is malformed, and
@@ -113,6 +121,13 @@
         self.delay_s = 0.0
         self.stale_revision = None
         self.names_newest = False
+        self.range_status = None
+        self.watch_status = None
+        self.old_revision = None
+        self.old_check = None
+        self.watch_size = 500
+        self.revision_step = 1
+        self.hides_items = False
         self.are_watches_hanging = False
         self.page_size = 50
         self.epoch = None
@@ -200,6 +215,10 @@
             connection.reply(self.status, {})
             return
         path, _, text = target.partition("?")
+        status = self.range_status if path == "/-/kv-range" else self.watch_status
+        if status is not None:
+            connection.reply(status, {})
+            return
         parts = (part.split("=") for part in text.split("&"))
         query = {name: unquote(value) for name, value in parts}
         if path == "/-/kv-range":
@@ -209,7 +228,7 @@
             self._answer_watch(connection, int(query["after"]), due_s)
 
     def _add(self, item):
-        self.revision += 1
+        self.revision += self.revision_step
         self._events.append({**item, "Revision": self.revision})
 
     def _serve(self, sock):
@@ -219,7 +238,9 @@
         connection.stream.accept()
 
     def _answer_range(self, connection, query):
-        revision = self.revision
+        is_check = query.get("Prefix", "") != ""
+        old = self.old_check if is_check else self.old_revision
+        revision = self.revision if old is None else old
         if "AllowStale" in query and self.stale_revision is not None:
             revision = self.stale_revision
         items = {}
@@ -236,7 +257,7 @@
             key=lambda item: item["Key"],
         )
         rest = [item for item in present if item["Key"] > query.get("after", "")]
-        page = self._cut_page(rest)
+        page = [] if self.hides_items else self._cut_page(rest)
         named = self.revision if self.names_newest else revision
         body = {"items": page, "HasMore": len(rest) > len(page), "CurrentRev": named}
         connection.reply(200, body)
@@ -266,6 +287,9 @@
             return
         if events or self._loop.read_clock() >= due_s:
             named = self.revision if self.names_newest else max(after, heard)
+            if len(events) > self.watch_size:
+                events = events[: self.watch_size]
+                named = events[-1]["Revision"]
             connection.reply(200, {"events": events, "CurrentRev": named})
             return
         self._loop.call_later(0.01, lambda: self._answer_watch(connection, after, due_s))
