Watch after a check that failed

What callers would see: openings that only an older version allows, for as long as the store refuses ranges (429, 503, or no answer) and serves watches. The check was due, it was refused, the retry was a check again; no watch was opened any more, so that a change that the store would deliver at once was never read.

A watch that doesn't wait follows each failed check, so that changes arrive although nothing proves that none is missing; the view is not confirmed meanwhile, unless the watch brings changes. The test fails for 429 and 503 without the change.

--- a/src/chicoryproxy/node/storewatch.py
+++ b/src/chicoryproxy/node/storewatch.py
@@ -79,6 +79,7 @@
         self._has_timed_out = False
         self._is_following = False
         self._has_watch_hung = False
+        self._has_check_failed = False
         self._newest = NO_REVISION
         self._proven_s = float("-inf")
         self._retry_s = RETRY_MIN_S
@@ -107,7 +108,9 @@
         if self._needs_listing or not self._listener.get_synced_revision():
             self._client.list_all(self._handle_listing)
         elif self._needs_confirmation or self._policy.should_read(now):
-            if self._lacks_known_change() or not self._is_proof_due(now):
+            # A store may refuse checks and answer watches: after a failed check a watch is next.
+            is_watch_next = self._lacks_known_change() or self._has_check_failed
+            if is_watch_next or not self._is_proof_due(now):
                 self._watch(now)
             else:
                 revision = self._listener.get_synced_revision()
@@ -134,8 +137,10 @@
         is_urgent = (
             self._needs_confirmation
             or self._lacks_known_change()
+            or self._has_check_failed
             or (self._policy.is_urgent(now) and not self._is_following)
         )
+        self._has_check_failed = False
         wait_s = 0.0 if is_urgent else self._policy.get_max_wait_s(now)
         revision = self._listener.get_synced_revision()
         self._client.watch(revision, wait_s, self._get_timeout_s(), self._handle_changes)
@@ -157,6 +162,7 @@
 
     def _handle_revision(self, result: Revision | ReadFailure) -> None:
         if isinstance(result, ReadFailure):
+            self._has_check_failed = True
             self._handle_failure(result)
             return
         self._schedule_retry()
--- a/tests/node/test_storewatch.py
+++ b/tests/node/test_storewatch.py
@@ -577,3 +577,17 @@
     store.put("op/evacuate/shah-alam", {})
     watch.start()
     run_until(loop, lambda: "domain/shah-alam" in listener.changes, deadline_s=1.0)
+
+
+# CONFIG: the store refused the reads of its revision and answered watches; the entry repeated the
+# refused read and watched no more, so that it got no change at all.
+@pytest.mark.parametrize("status", [429, 503])
+def test_an_entry_whose_checks_are_refused_goes_on_watching(loop, store, listener, watch, status):
+    store.put("op/config", create_config(3))
+    watch.start()
+    run_until(loop, lambda: listener.confirmations)
+    store.range_status = status
+    end = loop.read_clock() + 1.0
+    run_until(loop, lambda: loop.read_clock() > end)
+    store.put("op/evacuate/shah-alam", {})
+    run_until(loop, lambda: "domain/shah-alam" in listener.changes, deadline_s=2.0)
