Take no listing of an older state for a proof

What callers would see: late openings here and at peers. A check names a revision, the watch brings nothing, the listing shows an older revision; it confirmed the view all the same, and heartbeats carried that to all peers. It also reset the delay of the retries: 25 listings in 3 s, where 8 are allowed. Both tests fail without the change.

--- a/src/chicoryproxy/node/storewatch.py
+++ b/src/chicoryproxy/node/storewatch.py
@@ -155,9 +155,10 @@
         self._needs_listing = False
         self._needs_confirmation = True
         self._has_watch_hung = False
-        self._retry_s = RETRY_MIN_S
-        if result.is_snapshot:
-            self._prove(result.revision)
+        if not self._lacks_known_change():
+            self._retry_s = RETRY_MIN_S
+            if result.is_snapshot:
+                self._prove(result.revision)
         self._schedule(0.0)
 
     def _handle_revision(self, result: Revision | ReadFailure) -> None:
--- a/tests/node/test_storewatch.py
+++ b/tests/node/test_storewatch.py
@@ -591,3 +591,37 @@
     run_until(loop, lambda: loop.read_clock() > end)
     store.put("op/evacuate/shah-alam", {})
     run_until(loop, lambda: "domain/shah-alam" in listener.changes, deadline_s=2.0)
+
+
+# CONFIG: a listing showed an older state than a read of the revision before it; it counted as a
+# proof that the view is current, here and at all peers.
+def test_a_listing_of_an_older_state_does_not_confirm_the_view(loop, store, listener, watch):
+    store.put("op/config", create_config(3))
+    watch.start()
+    run_until(loop, lambda: listener.confirmations)
+    store.silence_watches()
+    store.old_revision = store.revision
+    store.put("op/evacuate/shah-alam", {})
+    run_until(loop, lambda: listener.missed)
+    before = listener.confirmations
+    run_until(loop, lambda: len(listener.missed) > 1)
+    assert listener.confirmations == before
+
+
+# CONFIG: while listings showed an older state, all entries that read listed the whole store about
+# ten times a second; the calls left no room for other readers.
+def test_listings_that_bring_nothing_new_are_repeated_less_and_less_often(
+    loop, store, listener, watch
+):
+    store.put("op/config", create_config(3))
+    watch.start()
+    run_until(loop, lambda: listener.confirmations)
+    store.silence_watches()
+    store.old_revision = store.revision
+    store.put("op/evacuate/shah-alam", {})
+    run_until(loop, lambda: listener.missed)
+    end = loop.read_clock() + 3.0
+    run_until(loop, lambda: loop.read_clock() > end)
+    listings = [call for call in store.calls if call.endswith("Prefix=")]
+    # Delays of 0.1, 0.2, 0.4 and 0.8 s, then 0.8 s.
+    assert len(listings) <= 8
