Go on reading while a change is known to be missing

What callers would see: late openings at an entry that is no reader and reads because its view is overdue. A check shows a later revision, the watch after it is refused, and a heartbeat of a reader that lags makes the view look young: the entry stopped reading what it knew that it lacked. The test fails without the change.

--- a/src/chicoryproxy/node/storewatch.py
+++ b/src/chicoryproxy/node/storewatch.py
@@ -107,7 +107,11 @@
         now = self._loop.read_clock()
         if self._needs_listing or not self._listener.get_synced_revision():
             self._client.list_all(self._handle_listing)
-        elif self._needs_confirmation or self._policy.should_read(now):
+        elif (
+            self._needs_confirmation
+            or self._lacks_known_change()
+            or self._policy.should_read(now)
+        ):
             # A store may refuse checks and answer watches: after a failed check a watch is next.
             is_watch_next = self._lacks_known_change() or self._has_check_failed
             if is_watch_next or not self._is_proof_due(now):
--- a/tests/node/test_storewatch.py
+++ b/tests/node/test_storewatch.py
@@ -625,3 +625,28 @@
     listings = [call for call in store.calls if call.endswith("Prefix=")]
     # Delays of 0.1, 0.2, 0.4 and 0.8 s, then 0.8 s.
     assert len(listings) <= 8
+
+
+# CONFIG: an entry found that the store is further, its next read failed, and a peer's heartbeat
+# ended its reading; it no longer read what it knew that it lacked.
+def test_an_entry_that_knows_that_it_lacks_a_change_goes_on_reading(
+    loop, store, listener, watch, policy
+):
+    store.put("op/config", create_config(3))
+    watch.start()
+    run_until(loop, lambda: listener.confirmations)
+    store.silence_watches()
+    store.put("op/evacuate/shah-alam", {})
+    checks = len([call for call in store.calls if "evacuate" in call])
+
+    def refuse_watches():
+        if len([call for call in store.calls if "evacuate" in call]) > checks:
+            store.watch_status = 503
+
+    store.on_reply = refuse_watches
+    run_until(loop, lambda: listener.failures)
+    policy.is_reader = False
+    store.on_reply = lambda: None
+    store.watch_status = None
+    store.end_silence()
+    run_until(loop, lambda: "domain/shah-alam" in listener.changes, deadline_s=2.0)
