Take a page without items that promises more for unreadable

What callers would see: all upstreams count as removed, and openings are refused. An answer with HasMore and no items ended the listing, which counted as whole, so that removals were inferred from it, and confirmed the view. The test fails without the change.

--- a/src/chicoryproxy/platform/store.py
+++ b/src/chicoryproxy/platform/store.py
@@ -240,7 +240,7 @@
             items = self._read_items(page.items)
             changes = tuple(self._decode_items(items, epoch))
             pages = (*earlier, Listing(changes, create_revision(epoch, page.revision)))
-            if page.has_more and page.items:
+            if page.has_more:
                 keys = [item.key for item in items if item.key]
                 if not keys:
                     # Without a key, the next page would be this one again.
--- a/tests/node/test_storewatch.py
+++ b/tests/node/test_storewatch.py
@@ -650,3 +650,14 @@
     store.watch_status = None
     store.end_silence()
     run_until(loop, lambda: "domain/shah-alam" in listener.changes, deadline_s=2.0)
+
+
+# LOST: a page said that there are more items and had none; it counted as the end of the listing,
+# and all upstreams counted as removed.
+def test_a_page_without_items_that_promises_more_is_no_listing(loop, store, listener, watch):
+    store.put("op/config", create_config(3))
+    store.put("servers/i-1", create_server_entry())
+    store.hides_items = True
+    watch.start()
+    run_until(loop, lambda: listener.failures, deadline_s=1.0)
+    assert not listener.confirmations
