Let no old view of a peer end the wait after a pause

What callers would see: openings by a view from before the pause. An entry that wakes up waits until its view is confirmed; a reply of a peer ended the wait whatever the age of the peer's own view, also one of 15 s. A proof has to be as young now as a view that isn't overdue. The test fails without the change.

--- a/src/chicoryproxy/forwarding/view/readerpolicy.py
+++ b/src/chicoryproxy/forwarding/view/readerpolicy.py
@@ -37,6 +37,8 @@
 
     :param config_apply_s: time limit for applying a configuration change, in seconds.
     :param started_s: time of the start.
+
+    :ivar max_age_s: age from which a view is overdue, in seconds.
     """
 
     def __init__(self, peers: PeerGroup, config_apply_s: float, started_s: float) -> None:
@@ -51,7 +53,7 @@
         """Set the time limit for applying a configuration change, in seconds."""
         self._wait_s = config_apply_s * WAIT_SHARE
         self._proof_interval_s = config_apply_s * PROOF_SHARE
-        self._max_age_s = config_apply_s * AGE_SHARE
+        self.max_age_s = config_apply_s * AGE_SHARE
 
     @property
     def is_behind(self) -> bool:
@@ -60,7 +62,7 @@
 
     def is_overdue(self, now: float) -> bool:
         """Return whether the view was not confirmed for longer than the readers should take."""
-        return self._peers.get_age(now) > self._max_age_s
+        return self._peers.get_age(now) > self.max_age_s
 
     def record_heartbeat(self, now: float) -> None:
         """Record that a heartbeat arrived."""
--- a/src/chicoryproxy/node/view.py
+++ b/src/chicoryproxy/node/view.py
@@ -110,6 +110,7 @@
         self._on_view_change = on_view_change
         self._traffic = traffic
         self.is_confirmed = False
+        self._oldest_proof_s = float("-inf")
         self._reader_policy = ReaderPolicy(
             self.peers, settings.bounds.config_apply_s, loop.read_clock()
         )
@@ -156,6 +157,7 @@
     def revalidate(self) -> None:
         """Treat the view as unconfirmed and check immediately whether it is still current."""
         self.is_confirmed = False
+        self._oldest_proof_s = self._loop.read_clock() - self._reader_policy.max_age_s
         self._watch.revalidate()
 
     def update_metrics(self, metrics: EntryMetrics) -> None:
@@ -224,7 +226,7 @@
         return self.replica.synced
 
     def _note_confirmation(self, confirmed_s: float) -> None:
-        self.is_confirmed = True
+        self.is_confirmed |= confirmed_s >= self._oldest_proof_s
         self.peers.record_confirmation(confirmed_s)
 
     def _merge(
--- a/tests/node/test_view.py
+++ b/tests/node/test_view.py
@@ -374,3 +374,18 @@
     beliefs = read_log(tmp_path / "log", "belief")
     learned = [(item["subject"], item["source"]) for item in beliefs if item["kind"] == "version"]
     assert learned == [("3", "listing"), ("4", "watch"), ("5", "peer")]
+
+
+# CONFIG: after a pause, a reply of a peer whose view nobody had confirmed for 15 s ended the wait
+# of the openings; the entry forwarded by a view from before the pause.
+def test_an_old_view_of_a_peer_does_not_end_the_wait_after_a_pause(loop, store, view):
+    store.put("op/config", create_config(3))
+    view.start()
+    run_until(loop, lambda: view.is_complete)
+    store.is_silent = True
+    view.revalidate()
+    reply = ChangesReply((), view.replica.synced, 15.0, None, view.replica.synced)
+    view._handle_reply(
+        ChangesRequest(view.replica.synced, view.directory.version), reply, Endpoint(HOST, 1)
+    )
+    assert not view.is_confirmed
