Let a listing of the known revision bring what is missing

What callers would see: openings go on to a domain that is out, or none go to an upstream. An entry that took over a revision from a peer of an earlier landing, which had passed over a change, knows that revision without the change; listings of the same revision showed it, and it counted as removed long ago. The keys of a listing exist at its revision. The test fails without the change.

--- a/src/chicoryproxy/node/view.py
+++ b/src/chicoryproxy/node/view.py
@@ -245,7 +245,9 @@
             self.directory.record_store_failure(now)
         self._handle_restore(revision, now)
         self.directory.confirmed_s = self.peers.confirmed_s
-        is_newer_whole = since > self.replica.synced
+        is_newer_whole = since > self.replica.synced or (
+            source is NewsSource.LISTING and since == self.replica.synced
+        )
         for change in changes:
             if self.replica.merge(change, is_newer_whole):
                 self._apply(change, source, now)
--- a/tests/node/test_view.py
+++ b/tests/node/test_view.py
@@ -9,6 +9,7 @@
 from chicoryproxy.forwarding.model import (
     Bounds,
     Change,
+    DomainOut,
     EntrySettings,
     Revision,
     RoutingPublished,
@@ -26,12 +27,17 @@
 )
 from chicoryproxy.forwarding.view.directory import RETURN_GRACE_S
 from chicoryproxy.forwarding.view.readerpolicy import MAX_BEHIND_S
-from chicoryproxy.forwarding.view.replica import ROUTING_KEY, get_upstream_key
+from chicoryproxy.forwarding.view.replica import (
+    ROUTING_KEY,
+    get_domain_key,
+    get_upstream_key,
+)
 from chicoryproxy.ids import DomainId, InstanceId, RegionId, UpstreamId, Version
 from chicoryproxy.model import Endpoint
 from chicoryproxy.node.journal import Journal
 from chicoryproxy.node.peers import ChangesServer
 from chicoryproxy.node.view import HEARTBEAT_INTERVAL_S, NewsSource, TrafficReports, View
+from chicoryproxy.platform.store import Listing
 from tests.forwarding.harness import OWN_DOMAIN, ForwarderHarness
 from tests.forwarding.replicanode import ReplicaNode
 from tests.forwarding.test_routingpatch import create_routing
@@ -389,3 +395,13 @@
         ChangesRequest(view.replica.synced, view.directory.version), reply, Endpoint(HOST, 1)
     )
     assert not view.is_confirmed
+
+
+# CONFIG: a peer's reply reached a revision without an evacuation before it; listings of this
+# revision showed the evacuation, and it counted as removed long ago.
+def test_a_listing_of_the_known_revision_brings_what_is_missing(view):
+    view._merge([], Revision(10), Revision(0), NewsSource.PEER)
+    domain = DomainId(OWN_DOMAIN)
+    change = Change(get_domain_key(domain), Revision(8), DomainOut(domain))
+    view.handle_listing(Listing((change,), Revision(10)))
+    assert view.directory.is_domain_out(domain)
