List without delay what a watch has missed

Each handler of an answer scheduled a retry in advance, in case it raised an error, which doubled the delay although nothing had failed; the listing then waited for that delay. An error schedules the retry now when it happens. An entry that is listed in vain still waits longer each time. The test fails without the change.

--- a/src/chicoryproxy/node/storewatch.py
+++ b/src/chicoryproxy/node/storewatch.py
@@ -1,7 +1,9 @@
 """Follows the changes of the platform's store by listings and watches, and retries failed reads."""
 
+import functools
 from abc import ABC, abstractmethod
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
+from typing import TypeVar
 
 from chicoryproxy.eventloop.loop import Loop, Timer
 from chicoryproxy.forwarding.model import NO_REVISION, Change, Revision
@@ -26,6 +28,9 @@
 """Interval at which an entry that doesn't read the store checks whether it should."""
 
 
+Result = TypeVar("Result")
+
+
 class StoreListener(ABC):
     """Receives the results of reads."""
 
@@ -56,6 +61,22 @@
         """Return the revision up to which all changes are known; zero before the first listing."""
 
 
+def _read_again_after_error(
+    handle: "Callable[[StoreWatch, Result], None]",
+) -> "Callable[[StoreWatch, Result], None]":
+    """Let the store be read again after an unexpected error in the handler of a result."""
+
+    @functools.wraps(handle)
+    def wrapper(watch: "StoreWatch", result: Result) -> None:
+        try:
+            handle(watch, result)
+        except Exception:
+            watch.schedule_retry()
+            raise
+
+    return wrapper
+
+
 class StoreWatch:
     """Lists the store, then watches its changes while the policy selects this entry as a reader.
 
@@ -74,6 +95,7 @@
         self._client = client
         self._listener = listener
         self._policy = policy
+        self._has_listed = False
         self._needs_listing = False
         self._needs_confirmation = True
         self._has_timed_out = False
@@ -100,25 +122,23 @@
         try:
             self._read()
         except Exception:
-            self._schedule_retry()
+            self.schedule_retry()
             raise
 
     def _read(self) -> None:
         now = self._loop.read_clock()
-        if self._needs_listing or not self._listener.get_synced_revision():
+        has_view = self._has_listed or self._listener.get_synced_revision()
+        if self._needs_listing or not has_view:
             self._client.list_all(self._handle_listing)
         elif (
-            self._needs_confirmation
-            or self._lacks_known_change()
-            or self._policy.should_read(now)
+            self._needs_confirmation or self._lacks_known_change() or self._policy.should_read(now)
         ):
             # A store may refuse checks and answer watches: after a failed check a watch is next.
             is_watch_next = self._lacks_known_change() or self._has_check_failed
             if is_watch_next or not self._is_proof_due(now):
                 self._watch(now)
             else:
-                revision = self._listener.get_synced_revision()
-                self._client.read_revision(revision, self._get_timeout_s(), self._handle_revision)
+                self._check()
         else:
             # An idle connection may stop working unnoticed; a later read opens a new one.
             self._client.close()
@@ -149,28 +169,35 @@
         revision = self._listener.get_synced_revision()
         self._client.watch(revision, wait_s, self._get_timeout_s(), self._handle_changes)
 
+    @_read_again_after_error
     def _handle_listing(self, result: Listing | ReadFailure) -> None:
         if isinstance(result, ReadFailure):
             self._handle_failure(result)
             return
-        # If the listener raises an exception, the store is listed again after the delay.
-        self._schedule_retry()
         self._listener.handle_listing(result)
+        self._has_listed = True
         self._needs_listing = False
         self._needs_confirmation = True
         self._has_watch_hung = False
-        if not self._lacks_known_change():
-            self._retry_s = RETRY_MIN_S
-            if result.is_snapshot:
-                self._prove(result.revision)
+        if self._lacks_known_change():
+            self.schedule_retry()
+            return
+        self._retry_s = RETRY_MIN_S
+        if result.is_snapshot:
+            self._prove(result.revision)
         self._schedule(0.0)
 
+    def _check(self) -> None:
+        """Read the revision of the store, which proves that no change is missing, or shows it."""
+        known = self._listener.get_synced_revision()
+        self._client.read_revision(known, self._get_timeout_s(), self._handle_revision)
+
+    @_read_again_after_error
     def _handle_revision(self, result: Revision | ReadFailure) -> None:
         if isinstance(result, ReadFailure):
             self._has_check_failed = True
             self._handle_failure(result)
             return
-        self._schedule_retry()
         self._has_timed_out = False
         self._newest = max(self._newest, result)
         if not self._lacks_known_change():
@@ -180,25 +207,22 @@
             self._needs_listing = True
         self._schedule(0.0)
 
+    @_read_again_after_error
     def _handle_changes(self, result: WatchResult | ReadFailure) -> None:
         if isinstance(result, ReadFailure):
             self._has_watch_hung = result is ReadFailure.TIMEOUT
             self._handle_failure(result)
             return
-        self._schedule_retry()
         self._has_timed_out = self._has_watch_hung = False
         if not result.is_complete or result.revision < self._newest:
-            self._list_missed(max(result.revision, self._newest))
-            return
-        if result.changes or not self._is_proof_due(self._loop.read_clock()):
+            self._needs_listing = True
+            newest = max(result.revision, self._newest)
+            self._listener.handle_missed_changes(newest)
+        elif result.changes or not self._is_proof_due(self._loop.read_clock()):
             self._confirm(result.changes, result.revision)
         # Changes often come in quick succession; a short delay lets one request return several.
-        self._schedule(BATCH_DELAY_S if result.changes else 0.0)
-
-    def _list_missed(self, newest: Revision) -> None:
-        """List the store with the next read, because watches lack a change up to a revision."""
-        self._needs_listing = True
-        self._listener.handle_missed_changes(newest)
+        is_quiet = not result.changes or self._lacks_known_change()
+        self._schedule(0.0 if is_quiet else BATCH_DELAY_S)
 
     def _prove(self, revision: Revision) -> None:
         """Confirm the view by a read that is no watch, and that has shown no later revision."""
@@ -217,10 +241,11 @@
             self._needs_listing = True
         self._is_following = False
         self._has_timed_out = failure is ReadFailure.TIMEOUT and not self._has_timed_out
-        self._schedule_retry()
+        self.schedule_retry()
         self._listener.handle_failure(failure)
 
-    def _schedule_retry(self) -> None:
+    def schedule_retry(self) -> None:
+        """Schedule the next read after a delay that doubles until a read succeeds."""
         self._schedule(self._retry_s)
         self._retry_s = min(RETRY_MAX_S, self._retry_s * 2)
 
--- a/tests/node/test_storewatch.py
+++ b/tests/node/test_storewatch.py
@@ -661,3 +661,15 @@
     watch.start()
     run_until(loop, lambda: listener.failures, deadline_s=1.0)
     assert not listener.confirmations
+
+
+# CONFIG: after a check had shown that a change is missing, the listing waited for a delay that the
+# reads before it, none of which had failed, had doubled twice.
+def test_what_a_watch_has_missed_is_listed_without_delay(loop, store, listener, watch, policy):
+    store.put("op/config", create_config(3))
+    watch.start()
+    run_until(loop, lambda: listener.confirmations)
+    store.silence_watches()
+    store.put("op/evacuate/shah-alam", {})
+    run_until(loop, lambda: listener.missed)
+    run_until(loop, lambda: "domain/shah-alam" in listener.changes, deadline_s=0.15)
