Apply what an incomplete answer of a watch brings

What callers would see: a version that was delivered is not in force while the listing that should follow is refused, slow or long. An answer that lacks a change was thrown away whole. What it brings is merged now without raising the revision, as of a peer's reply whose patch doesn't fit. The test fails without the change.

--- a/src/chicoryproxy/node/storewatch.py
+++ b/src/chicoryproxy/node/storewatch.py
@@ -46,9 +46,10 @@
         """
 
     @abstractmethod
-    def handle_missed_changes(self, newest: Revision) -> None:
+    def handle_missed_changes(self, changes: Iterable[Change], newest: Revision) -> None:
         """Handle that watches have not brought all changes; a listing follows.
 
+        :param changes: those that the last watch has brought.
         :param newest: a revision that the store has reached.
         """
 
@@ -217,7 +218,7 @@
         if not result.is_complete or result.revision < self._newest:
             self._needs_listing = True
             newest = max(result.revision, self._newest)
-            self._listener.handle_missed_changes(newest)
+            self._listener.handle_missed_changes(result.changes, newest)
         elif result.changes or not self._is_proof_due(self._loop.read_clock()):
             self._confirm(result.changes, result.revision)
         # Changes often come in quick succession; a short delay lets one request return several.
--- a/src/chicoryproxy/node/view.py
+++ b/src/chicoryproxy/node/view.py
@@ -197,10 +197,12 @@
             self._journal.write("store_back", revision=revision, after=self._store_failure.value)
             self._store_failure = None
 
-    def handle_missed_changes(self, newest: Revision) -> None:
-        """Log that the watches of the store have not brought all changes."""
+    def handle_missed_changes(self, changes: Iterable[Change], newest: Revision) -> None:
+        """Log that the watches of the store have not brought all changes, and merge those there."""
         self._missed_changes += 1
-        self._journal.write("changes_missed", known=self.replica.synced, revision=newest)
+        synced = self.replica.synced
+        self._journal.write("changes_missed", known=synced, revision=newest)
+        self._merge(changes, synced, synced, NewsSource.WATCH)
 
     def handle_failure(self, failure: ReadFailure) -> None:
         """Record a failed read, and log it if its kind is new."""
--- a/tests/node/test_storewatch.py
+++ b/tests/node/test_storewatch.py
@@ -68,9 +68,10 @@
         """Record a failure."""
         self.failures.append(failure)
 
-    def handle_missed_changes(self, newest):
-        """Record that changes are missing."""
+    def handle_missed_changes(self, changes, newest):
+        """Record that changes are missing, and those that came."""
         self.missed.append((self.synced, newest))
+        self._keep(changes, self.synced)
 
     def get_synced_revision(self):
         """Return the highest recorded revision."""
@@ -673,3 +674,18 @@
     store.put("op/evacuate/shah-alam", {})
     run_until(loop, lambda: listener.missed)
     run_until(loop, lambda: "domain/shah-alam" in listener.changes, deadline_s=0.15)
+
+
+# CONFIG: a watch brought a version but not the change before it, and the listing that should follow
+# was refused; the version was in hand and not in force.
+def test_what_an_incomplete_answer_brings_is_in_force_before_the_listing(
+    loop, store, listener, watch
+):
+    store.put("op/config", create_config(3))
+    watch.start()
+    run_until(loop, lambda: listener.confirmations)
+    store.put("servers/i-1", create_server_entry())
+    store.put("op/evacuate/shah-alam", {})
+    store.forget_event("servers/i-1")
+    store.range_status = 429
+    run_until(loop, lambda: "domain/shah-alam" in listener.changes, deadline_s=2.0)
