Go on with the next watch after an answer of limited size

What callers would see: nothing on a store whose answers are unlimited; else a listing of all keys for each burst of changes, and a false line changes_missed. A check names a revision, and the watch after it brings as many changes as fit, without a gap, but not up to that revision. That is progress, and the next watch goes on; only an answer without changes shows that some are missing. The test fails without the change.

--- a/src/chicoryproxy/node/storewatch.py
+++ b/src/chicoryproxy/node/storewatch.py
@@ -215,7 +215,8 @@
             self._handle_failure(result)
             return
         self._has_timed_out = self._has_watch_hung = False
-        if not result.is_complete or result.revision < self._newest:
+        has_progress = result.is_complete and (result.changes or result.revision >= self._newest)
+        if not has_progress:
             self._needs_listing = True
             newest = max(result.revision, self._newest)
             self._listener.handle_missed_changes(result.changes, newest)
--- a/tests/node/test_storewatch.py
+++ b/tests/node/test_storewatch.py
@@ -689,3 +689,22 @@
     store.forget_event("servers/i-1")
     store.range_status = 429
     run_until(loop, lambda: "domain/shah-alam" in listener.changes, deadline_s=2.0)
+
+
+# CONFIG: an answer of a watch with as many changes as fit counted as one that misses changes, and
+# was thrown away for a listing of all keys.
+def test_a_long_answer_that_is_cut_continues_with_the_next_watch(
+    loop, store, listener, watch, policy
+):
+    store.put("op/config", create_config(3))
+    watch.start()
+    run_until(loop, lambda: listener.confirmations)
+    store.watch_size = 4
+    policy.is_reader = False
+    end = loop.read_clock() + 1.0
+    run_until(loop, lambda: loop.read_clock() > end)
+    for number in range(10):
+        store.put(f"servers/i-{number:04x}", create_server_entry())
+    policy.is_reader = True
+    run_until(loop, lambda: listener.synced == store.revision)
+    assert not listener.missed
