Take no check of an older state for a proof

What callers would see: late openings, if the store answers a range by an older state. A check that names less than is known confirmed the view. It is a failed read now (outdated), after which a watch is next. The pages promise that such reads are linearizable. The test fails without the change; three more guard the proofs against wrong changes with which all other tests passed, as the review has shown.

--- a/src/chicoryproxy/node/storewatch.py
+++ b/src/chicoryproxy/node/storewatch.py
@@ -191,7 +191,12 @@
     def _check(self) -> None:
         """Read the revision of the store, which proves that no change is missing, or shows it."""
         known = self._listener.get_synced_revision()
-        self._client.read_revision(known, self._get_timeout_s(), self._handle_revision)
+
+        def handle(result: Revision | ReadFailure) -> None:
+            is_older = not isinstance(result, ReadFailure) and result < known
+            self._handle_revision(ReadFailure.OUTDATED if is_older else result)
+
+        self._client.read_revision(known, self._get_timeout_s(), handle)
 
     @_read_again_after_error
     def _handle_revision(self, result: Revision | ReadFailure) -> None:
--- a/src/chicoryproxy/platform/store.py
+++ b/src/chicoryproxy/platform/store.py
@@ -63,6 +63,7 @@
 class ReadFailure(Enum):
     """Why a read failed.
 
+    ``OUTDATED``: the answer is of an older state than an earlier one.
     ``TOO_LARGE``: the answer was larger than ``MAX_ANSWER_BYTES``.
     ``RESTORED``: the store has come back from an older copy since the last read or during this one.
     """
@@ -74,6 +75,7 @@
     HISTORY_LOST = "history_lost"
     TOO_LARGE = "too_large"
     RESTORED = "restored"
+    OUTDATED = "outdated"
     UNREADABLE = "unreadable"
 
 
--- a/tests/node/test_storewatch.py
+++ b/tests/node/test_storewatch.py
@@ -708,3 +708,56 @@
     policy.is_reader = True
     run_until(loop, lambda: listener.synced == store.revision)
     assert not listener.missed
+
+
+# CONFIG: a read of the revision was answered by an older state than this entry had reached; it
+# counted as a proof that nothing is missing.
+def test_a_check_that_names_an_older_revision_than_is_known_proves_nothing(
+    loop, store, listener, watch
+):
+    store.put("op/config", create_config(3))
+    store.put("op/config", create_config(4))
+    watch.start()
+    run_until(loop, lambda: listener.confirmations)
+    store.silence_watches()
+    store.old_check = 1
+    store.put("op/evacuate/shah-alam", {})
+    run_until(loop, lambda: ReadFailure.OUTDATED in listener.failures)
+    before = listener.confirmations
+    run_until(loop, lambda: listener.failures.count(ReadFailure.OUTDATED) > 2)
+    assert listener.confirmations == before
+
+
+# CONFIG: a check that may be stale would prove nothing, and all other tests would pass with it.
+def test_no_check_is_stale(loop, store, listener, watch):
+    watch.start()
+    run_until(loop, lambda: sum("evacuate" in call for call in store.calls) > 1)
+    assert not any("AllowStale" in call for call in store.calls)
+
+
+# CONFIG: a watch that hears nothing confirmed the view, also when the last proof was too old.
+def test_a_watch_without_changes_does_not_confirm_the_view_after_an_old_proof(
+    loop, store, listener, watch
+):
+    store.put("op/config", create_config(3))
+    watch.start()
+    run_until(loop, lambda: listener.confirmations)
+    store.range_status = 503
+    run_until(loop, lambda: listener.failures)
+    before = listener.confirmations
+    watches = sum("kv-watch" in call for call in store.calls)
+    run_until(loop, lambda: sum("kv-watch" in call for call in store.calls) > watches + 1)
+    assert listener.confirmations == before
+
+
+# CONFIG: an entry that woke up took a watch that heard nothing for the confirmation of its view.
+def test_a_proof_from_before_a_pause_does_not_confirm_the_view(loop, store, listener, watch):
+    store.put("op/config", create_config(3))
+    watch.start()
+    run_until(loop, lambda: listener.confirmations)
+    store.silence_watches()
+    store.put("op/evacuate/shah-alam", {})
+    before = listener.confirmations
+    watch.revalidate()
+    run_until(loop, lambda: listener.confirmations > before)
+    assert listener.synced == store.revision
