Test that a version which one entry has reaches all others of its revision

Within 3 s, the shortest time limit of a version on the sites, in fleets of 6 and of 195 entries that all claim the same revision. Fails without versions in heartbeats.

--- a/tests/forwarding/test_peering.py
+++ b/tests/forwarding/test_peering.py
@@ -46,6 +46,7 @@
         self.domains = domains
         self._seeds = list(map(host, range(seeds)))
         self.synced = {}
+        self.versions = {}
         self.groups = {}
         self.disconnected = set()
         for number in range(size):
@@ -58,6 +59,7 @@
             address, self._seeds, self._prng_seed + number, self.now
         )
         self.synced[host(number)] = Revision(0)
+        self.versions[host(number)] = Version(0)
         self.disconnected.discard(host(number))
 
     def run(self, seconds):
@@ -70,19 +72,23 @@
                     self._send(sender, group)
 
     def _send(self, sender, group):
-        heartbeat = group.create_heartbeat(self.synced[sender], False, (), (), self.now)
+        heartbeat = group.create_heartbeat(
+            self.synced[sender], False, (), (), self.now, version=self.versions[sender]
+        )
         for target in group.choose_targets(self.now):
             other = self.groups.get(target)
             if other is None or target in self.disconnected:
                 continue
+            other.version = self.versions[target]
             other.handle_heartbeat(heartbeat, self.synced[target], self.now, self.now)
             if not heartbeat.peers:
                 reply = other.create_discovery_reply(self.synced[target], (), self.now)
                 group.handle_heartbeat(reply, self.synced[sender], self.now, self.now)
-            if heartbeat.synced > self.synced[target]:
+            if other.is_ahead(heartbeat, self.synced[target]):
                 newer = other.find_newer(self.synced[target], self.now)
                 assert newer is not None
-                self.synced[target] = heartbeat.synced
+                self.synced[target] = max(heartbeat.synced, self.synced[target])
+                self.versions[target] = max(heartbeat.version, self.versions[target])
 
 
 @pytest.mark.parametrize("prng_seed", range(0, 20_000, 1000))
@@ -110,6 +116,17 @@
     assert set(fleet.synced.values()) == {9}
 
 
+# CONFIG: a version that all but one entry had passed over was in force at no other entry.
+@pytest.mark.parametrize("size", [6, 195])
+def test_a_version_that_one_entry_has_reaches_all_others_of_its_revision(size):
+    fleet = Fleet(size, domains=5)
+    fleet.run(6.0)
+    fleet.synced = dict.fromkeys(fleet.synced, Revision(9))
+    fleet.versions[host(1)] = Version(3)
+    fleet.run(3.0)
+    assert set(fleet.versions.values()) == {3}
+
+
 # CONFIG: peers with later revisions were asked first, and lacked the newest version, too.
 def test_the_peer_with_the_newest_version_is_asked_first():
     group = PeerGroup(PeerAddress(host(0), 0), (), 0, 0.0)
