--- a/tests/node/test_storewatch.py
+++ b/tests/node/test_storewatch.py
@@ -103,6 +103,15 @@
     return StoreWatch(loop, client, listener, policy)
 
 
+@pytest.fixture
+def following(loop, store, listener, watch):
+    """The watch after it has read a store with version 3, which it follows."""
+    store.put("op/config", create_config(3))
+    watch.start()
+    run_until(loop, lambda: listener.confirmations)
+    return watch
+
+
 def test_all_pages_are_read_and_changes_follow(loop, store, listener, watch):
     store.page_size = 3
     for number in range(8):
@@ -500,11 +509,8 @@
 # CONFIG: the answer of a watch that had heard nothing named a revision past a new version; the next
 # watch went on behind it, and neither this entry nor its peers saw the version.
 def test_revisions_that_a_watch_passes_over_without_their_changes_are_listed(
-    loop, store, listener, watch
+    loop, store, listener, following
 ):
-    store.put("op/config", create_config(3))
-    watch.start()
-    run_until(loop, lambda: listener.confirmations)
     store.silence_watches()
     store.names_newest = True
     store.put("op/evacuate/shah-alam", {})
@@ -513,11 +519,8 @@
 
 # CONFIG: of two changes a watch brought the later one only, and the earlier one was never seen.
 def test_a_watch_whose_answer_lacks_one_of_several_revisions_is_followed_by_a_listing(
-    loop, store, listener, watch
+    loop, store, listener, following
 ):
-    store.put("op/config", create_config(3))
-    watch.start()
-    run_until(loop, lambda: listener.confirmations)
     store.put("op/evacuate/shah-alam", {})
     store.put("servers/i-0001", create_server_entry())
     store.forget_event("op/evacuate/shah-alam")
@@ -527,11 +530,8 @@
 # CONFIG: the watches of all readers heard nothing for longer than the time limit of a version.
 @pytest.mark.parametrize("is_hanging", [False, True])
 def test_changes_that_a_silent_watch_does_not_bring_are_listed(
-    loop, store, listener, watch, is_hanging
+    loop, store, listener, following, is_hanging
 ):
-    store.put("op/config", create_config(3))
-    watch.start()
-    run_until(loop, lambda: listener.confirmations)
     store.silence_watches()
     store.are_watches_hanging = is_hanging
     store.put("op/evacuate/shah-alam", {})
@@ -539,11 +539,8 @@
 
 
 def test_a_view_that_is_known_to_lack_a_change_is_not_confirmed_before_the_listing(
-    loop, store, listener, watch
+    loop, store, listener, following
 ):
-    store.put("op/config", create_config(3))
-    watch.start()
-    run_until(loop, lambda: listener.confirmations)
     store.silence_watches()
     store.put("op/evacuate/shah-alam", {})
     run_until(loop, lambda: listener.missed)
@@ -554,11 +551,8 @@
 
 
 def test_an_outage_that_ends_with_a_change_is_not_reported_as_a_watch_that_misses_changes(
-    loop, store, listener, watch, policy
+    loop, store, listener, following, policy
 ):
-    store.put("op/config", create_config(3))
-    watch.start()
-    run_until(loop, lambda: listener.confirmations)
     policy.proof_interval_s = 2.0
     store.is_silent = True
     run_until(loop, lambda: ReadFailure.TIMEOUT in listener.failures)
@@ -583,10 +577,9 @@
 # CONFIG: the store refused the reads of its revision and answered watches; the entry repeated the
 # refused read and watched no more, so that it got no change at all.
 @pytest.mark.parametrize("status", [429, 503])
-def test_an_entry_whose_checks_are_refused_goes_on_watching(loop, store, listener, watch, status):
-    store.put("op/config", create_config(3))
-    watch.start()
-    run_until(loop, lambda: listener.confirmations)
+def test_an_entry_whose_checks_are_refused_goes_on_watching(
+    loop, store, listener, following, status
+):
     store.range_status = status
     end = loop.read_clock() + 1.0
     run_until(loop, lambda: loop.read_clock() > end)
@@ -596,10 +589,7 @@
 
 # CONFIG: a listing showed an older state than a read of the revision before it; it counted as a
 # proof that the view is current, here and at all peers.
-def test_a_listing_of_an_older_state_does_not_confirm_the_view(loop, store, listener, watch):
-    store.put("op/config", create_config(3))
-    watch.start()
-    run_until(loop, lambda: listener.confirmations)
+def test_a_listing_of_an_older_state_does_not_confirm_the_view(loop, store, listener, following):
     store.silence_watches()
     store.old_revision = store.revision
     store.put("op/evacuate/shah-alam", {})
@@ -612,11 +602,8 @@
 # CONFIG: while listings showed an older state, all entries that read listed the whole store about
 # ten times a second; the calls left no room for other readers.
 def test_listings_that_bring_nothing_new_are_repeated_less_and_less_often(
-    loop, store, listener, watch
+    loop, store, listener, following
 ):
-    store.put("op/config", create_config(3))
-    watch.start()
-    run_until(loop, lambda: listener.confirmations)
     store.silence_watches()
     store.old_revision = store.revision
     store.put("op/evacuate/shah-alam", {})
@@ -631,11 +618,8 @@
 # CONFIG: an entry found that the store is further, its next read failed, and a peer's heartbeat
 # ended its reading; it no longer read what it knew that it lacked.
 def test_an_entry_that_knows_that_it_lacks_a_change_goes_on_reading(
-    loop, store, listener, watch, policy
+    loop, store, listener, following, policy
 ):
-    store.put("op/config", create_config(3))
-    watch.start()
-    run_until(loop, lambda: listener.confirmations)
     store.silence_watches()
     store.put("op/evacuate/shah-alam", {})
     checks = len([call for call in store.calls if "evacuate" in call])
@@ -666,10 +650,7 @@
 
 # CONFIG: after a check had shown that a change is missing, the listing waited for a delay that the
 # reads before it, none of which had failed, had doubled twice.
-def test_what_a_watch_has_missed_is_listed_without_delay(loop, store, listener, watch, policy):
-    store.put("op/config", create_config(3))
-    watch.start()
-    run_until(loop, lambda: listener.confirmations)
+def test_what_a_watch_has_missed_is_listed_without_delay(loop, store, listener, following, policy):
     store.silence_watches()
     store.put("op/evacuate/shah-alam", {})
     run_until(loop, lambda: listener.missed)
@@ -679,11 +660,8 @@
 # CONFIG: a watch brought a version but not the change before it, and the listing that should follow
 # was refused; the version was in hand and not in force.
 def test_what_an_incomplete_answer_brings_is_in_force_before_the_listing(
-    loop, store, listener, watch
+    loop, store, listener, following
 ):
-    store.put("op/config", create_config(3))
-    watch.start()
-    run_until(loop, lambda: listener.confirmations)
     store.put("servers/i-1", create_server_entry())
     store.put("op/evacuate/shah-alam", {})
     store.forget_event("servers/i-1")
@@ -694,11 +672,8 @@
 # CONFIG: an answer of a watch with as many changes as fit counted as one that misses changes, and
 # was thrown away for a listing of all keys.
 def test_a_long_answer_that_is_cut_continues_with_the_next_watch(
-    loop, store, listener, watch, policy
+    loop, store, listener, following, policy
 ):
-    store.put("op/config", create_config(3))
-    watch.start()
-    run_until(loop, lambda: listener.confirmations)
     store.watch_size = 4
     policy.is_reader = False
     end = loop.read_clock() + 1.0
@@ -737,11 +712,8 @@
 
 # CONFIG: a watch that hears nothing confirmed the view, also when the last proof was too old.
 def test_a_watch_without_changes_does_not_confirm_the_view_after_an_old_proof(
-    loop, store, listener, watch
+    loop, store, listener, following
 ):
-    store.put("op/config", create_config(3))
-    watch.start()
-    run_until(loop, lambda: listener.confirmations)
     store.range_status = 503
     run_until(loop, lambda: listener.failures)
     before = listener.confirmations
@@ -751,14 +723,11 @@
 
 
 # CONFIG: an entry that woke up took a watch that heard nothing for the confirmation of its view.
-def test_a_proof_from_before_a_pause_does_not_confirm_the_view(loop, store, listener, watch):
-    store.put("op/config", create_config(3))
-    watch.start()
-    run_until(loop, lambda: listener.confirmations)
+def test_a_proof_from_before_a_pause_does_not_confirm_the_view(loop, store, listener, following):
     store.silence_watches()
     store.put("op/evacuate/shah-alam", {})
     before = listener.confirmations
-    watch.revalidate()
+    following.revalidate()
     run_until(loop, lambda: listener.confirmations > before)
     assert listener.synced == store.revision
 
