List a change that a check has shown if the watch after it hangs

The trace: a check showed a later revision, the watch after it hung and timed out, and since a change was known to be missing each retry was a watch again, which hung too, for as long as watches hung; the listing after a hung watch followed a check only.

The listing now also follows the hung watch itself.

--- a/src/chicoryproxy/node/storewatch.py
+++ b/src/chicoryproxy/node/storewatch.py
@@ -217,6 +217,7 @@
     def _handle_changes(self, result: WatchResult | ReadFailure) -> None:
         if isinstance(result, ReadFailure):
             self._has_watch_hung = result is ReadFailure.TIMEOUT
+            self._needs_listing |= self._has_watch_hung and self._lacks_known_change()
             self._handle_failure(result)
             return
         self._has_timed_out = self._has_watch_hung = False
--- a/tests/node/test_storewatch.py
+++ b/tests/node/test_storewatch.py
@@ -563,6 +563,22 @@
     assert not listener.missed
 
 
+# CONFIG: a check had shown a change, and the watch after it hung; each retry was a watch again and
+# hung as well, so that the change was not read until watches answered.
+def test_a_change_that_a_check_has_shown_is_listed_if_the_watch_after_it_hangs(
+    loop, store, listener, following, policy
+):
+    policy.wait_s = 0.1
+    store.watch_status = 503
+    run_until(loop, lambda: listener.failures)
+    store.silence_watches()
+    store.are_watches_hanging = True
+    store.put("op/evacuate/shah-alam", {})
+    store.watch_status = None
+    following.revalidate()
+    run_until(loop, lambda: "domain/shah-alam" in listener.changes, deadline_s=2.0)
+
+
 # CONFIG: a listing of an old copy named the newest revision; what had been acknowledged since the
 # copy was never seen by an entry that had just started, nor by those that asked it.
 def test_what_an_old_copy_lacks_is_seen_by_an_entry_that_starts(loop, store, listener, watch):
